--- /dev/null
+++ b/src/agent/daemon.rs
@@ -0,0 +1,375 @@
+//! The agent's daemon: sockets and timers round the core.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use slog::{Logger, info, warn};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::{AbortHandle, LocalSet, spawn_local};
+
+use super::core::AgentCore;
+use super::engine::EngineClient;
+use super::event::{AgentTuning, ConnId, Effect, EngineFacts, Event, RunEvent, StartRun};
+use super::plain::PlainClient;
+use crate::clock::{ProcessClock, new_incarnation, sleep_until, wall_micros};
+use crate::config::ServiceKind;
+use crate::error::Result;
+use crate::id::{AttemptId, ProcessId};
+use crate::log::new_logger;
+use crate::metrics::TurnMeter;
+use crate::peer::{LinkSender, LinkSide, OpenWork, PeerIdentity, accept, link_queue, run_link};
+use crate::settings::AgentSettings;
+use crate::time::Tick;
+use crate::timeline::TimeLine;
+use crate::wire::{Framed, ToAgent};
+
+/// Events kept for the time line.
+const TIMELINE_CAPACITY: usize = 4_096;
+
+/// Time from one reading of the engine's load to the next.
+const LOAD_STEP: Duration = Duration::from_millis(250);
+
+/// Readings of the load from one look at the engine's runs to the next.
+const LOADS_PER_LOOK: u32 = 8;
+
+/// Failed readings in a row after which the target counts as lost.
+const LOST_AFTER: u32 = 3;
+
+/// Wait before a call that ends or frees something is tried again.
+const AGAIN_STEP: Duration = Duration::from_millis(200);
+
+/// How long the last messages may take to leave.
+const FLUSH_LIMIT: Duration = Duration::from_secs(3);
+
+/// What the agent's tasks share. All of them run on one thread.
+struct AgentShared {
+    settings: AgentSettings,
+    identity: PeerIdentity,
+    events: mpsc::UnboundedSender<Event>,
+    links: RefCell<HashMap<ConnId, LinkSender>>,
+    next_conn: Cell<u64>,
+    open_links: Cell<usize>,
+    engine: EngineClient,
+    plain: PlainClient,
+    timeline: RefCell<TimeLine>,
+    log: Logger,
+}
+
+impl AgentShared {
+    fn send(&self, event: Event) {
+        // The loop outlives every task that sends to it.
+        let _ = self.events.send(event);
+    }
+}
+
+/// An agent whose socket is open.
+pub struct AgentDaemon {
+    settings: AgentSettings,
+    listener: TcpListener,
+}
+
+impl AgentDaemon {
+    /// Opens the socket.
+    ///
+    /// # Errors
+    ///
+    /// An address that can not be listened on.
+    pub async fn bind(settings: AgentSettings) -> Result<Self> {
+        let listener = TcpListener::bind(settings.listen).await?;
+        Ok(AgentDaemon { settings, listener })
+    }
+
+    /// The address for entries.
+    ///
+    /// # Errors
+    ///
+    /// The operating system does not tell.
+    pub fn address(&self) -> Result<SocketAddr> {
+        Ok(self.listener.local_addr()?)
+    }
+
+    /// Serves until `stop`, then stops as planned. Returns the longest turn
+    /// of the loop.
+    ///
+    /// # Errors
+    ///
+    /// None at present: faults of entries and of the target are lived with.
+    pub async fn run(self, stop: impl Future<Output = ()>) -> Result<Duration> {
+        LocalSet::new().run_until(self.run_local(stop)).await
+    }
+
+    async fn run_local(self, stop: impl Future<Output = ()>) -> Result<Duration> {
+        let settings = self.settings;
+        let process = ProcessId { name: settings.name.clone(), incarnation: new_incarnation() };
+        let log = new_logger(settings.log_format, &settings.name);
+        info!(log, "agent started"; "incarnation" => process.incarnation.to_string());
+        let (events, received) = mpsc::unbounded_channel();
+        let shared = Rc::new(AgentShared {
+            identity: PeerIdentity { process: process.clone(), key: settings.peer_key.clone() },
+            events,
+            links: RefCell::default(),
+            next_conn: Cell::new(0),
+            open_links: Cell::new(0),
+            engine: EngineClient::new(settings.target.clone()),
+            plain: PlainClient::new(settings.target.clone()),
+            timeline: RefCell::new(TimeLine::new(process.clone(), TIMELINE_CAPACITY)),
+            log,
+            settings,
+        });
+        let acceptor = spawn_local(accept_all(shared.clone(), self.listener));
+        let mut agent_loop = AgentLoop::new(shared.clone(), process);
+        agent_loop.run(received, stop).await;
+        acceptor.abort();
+        flush_links(&shared).await;
+        info!(shared.log, "agent stopped");
+        Ok(agent_loop.meter.longest())
+    }
+}
+
+struct AgentLoop {
+    shared: Rc<AgentShared>,
+    core: AgentCore,
+    clock: ProcessClock,
+    meter: TurnMeter,
+    calls: Rc<RefCell<HashMap<AttemptId, AbortHandle>>>,
+    stopped: bool,
+}
+
+impl AgentLoop {
+    fn new(shared: Rc<AgentShared>, process: ProcessId) -> Self {
+        let tuning = AgentTuning {
+            piece_tokens: shared.settings.piece_tokens,
+            prefill_tokens: shared.settings.prefill_tokens,
+            ..AgentTuning::default()
+        };
+        AgentLoop {
+            core: AgentCore::new(process, tuning),
+            shared,
+            clock: ProcessClock::new(),
+            meter: TurnMeter::default(),
+            calls: Rc::default(),
+            stopped: false,
+        }
+    }
+
+    async fn run(
+        &mut self,
+        mut events: mpsc::UnboundedReceiver<Event>,
+        stop: impl Future<Output = ()>,
+    ) {
+        let mut stop = std::pin::pin!(stop);
+        let mut force = Tick::NEVER;
+        self.turn(Event::Wake);
+        while !self.stopped && self.clock.now() < force {
+            let wake = self.core.next_wake().unwrap_or(Tick::NEVER).min(force);
+            let sleep = sleep_until(&self.clock, wake);
+            tokio::select! {
+                event = events.recv() => match event {
+                    Some(event) => self.turn(event),
+                    None => return,
+                },
+                () = sleep => self.turn(Event::Wake),
+                () = &mut stop, if force == Tick::NEVER => {
+                    info!(self.shared.log, "planned stop begins");
+                    force = self.clock.now() + self.shared.settings.drain_limit;
+                    self.turn(Event::Drain);
+                }
+            }
+        }
+    }
+
+    fn turn(&mut self, event: Event) {
+        let start = std::time::Instant::now();
+        let effects = self.core.on_event(self.clock.now(), event);
+        for effect in effects {
+            self.apply(effect);
+        }
+        self.meter.note(start.elapsed());
+    }
+
+    fn apply(&mut self, effect: Effect) {
+        let shared = self.shared.clone();
+        match effect {
+            Effect::Send(conn, message) => {
+                let mut links = shared.links.borrow_mut();
+                let is_sent =
+                    links.get(&conn).is_none_or(|link| link.send(message.to_frame(), false));
+                if !is_sent {
+                    // Dropping the sender ends the link's task, which tells of it.
+                    links.remove(&conn);
+                }
+            }
+            Effect::Reset => {
+                spawn_local(watch_target(shared));
+            }
+            Effect::Start(start) => self.start(*start),
+            Effect::Resume(id, limit) => {
+                spawn_local(resume(shared, id, limit));
+            }
+            Effect::Cancel(id) => self.cancel(id),
+            Effect::CancelStray(id) => {
+                warn!(shared.log, "ending a run that belongs to nobody"; "run" => &id);
+                spawn_local(async move {
+                    // The next look finds it again if this did not work.
+                    let _ = shared.engine.cancel(&id).await;
+                });
+            }
+            Effect::Reserve(id, tokens) => {
+                spawn_local(async move {
+                    let is_held = shared.engine.reserve(&id, tokens).await.is_ok();
+                    shared.send(Event::Reserved(id, is_held));
+                });
+            }
+            Effect::Unreserve(id) => {
+                spawn_local(unreserve(shared, id));
+            }
+            Effect::Record { request, kind, detail } => {
+                shared.timeline.borrow_mut().push(wall_micros(), request, kind, detail);
+            }
+            Effect::Stopped => self.stopped = true,
+        }
+    }
+
+    fn start(&mut self, start: StartRun) {
+        let shared = self.shared.clone();
+        let id = start.id.clone();
+        let tell: Rc<dyn Fn(RunEvent)> = {
+            let (shared, id) = (shared.clone(), id.clone());
+            Rc::new(move |event| shared.send(Event::Run(id.clone(), event)))
+        };
+        let (calls, name) = (self.calls.clone(), id.clone());
+        let task = spawn_local(async move {
+            match shared.settings.kind {
+                ServiceKind::Engine => shared.engine.run(start, tell).await,
+                ServiceKind::Plain => shared.plain.run(start, tell).await,
+            }
+            calls.borrow_mut().remove(&name);
+        });
+        self.calls.borrow_mut().insert(id, task.abort_handle());
+    }
+
+    fn cancel(&mut self, id: AttemptId) {
+        let call = self.calls.borrow_mut().remove(&id);
+        if let Some(call) = call {
+            call.abort();
+        }
+        let shared = self.shared.clone();
+        spawn_local(async move {
+            if shared.settings.kind == ServiceKind::Engine {
+                let name = id.to_string();
+                let mut tries = 0;
+                // A target that is lost meanwhile is reset before it is used again.
+                while shared.engine.cancel(&name).await.is_err() && tries < LOST_AFTER * 4 {
+                    tries += 1;
+                    tokio::time::sleep(AGAIN_STEP).await;
+                }
+            }
+            shared.send(Event::Run(id, RunEvent::Cancelled));
+        });
+    }
+}
+
+async fn resume(shared: Rc<AgentShared>, id: AttemptId, limit: Option<u64>) {
+    if shared.engine.resume(&id, limit).await.is_err() {
+        let failed = RunEvent::Failed(
+            crate::verdict::Verdict::MayHaveRun,
+            "the engine did not go on with it".into(),
+        );
+        shared.send(Event::Run(id, failed));
+    }
+}
+
+async fn unreserve(shared: Rc<AgentShared>, id: AttemptId) {
+    let mut tries = 0;
+    while shared.engine.unreserve(&id).await.is_err() && tries < LOST_AFTER * 4 {
+        tries += 1;
+        tokio::time::sleep(AGAIN_STEP).await;
+    }
+    shared.send(Event::Unreserved(id));
+}
+
+/// Resets the target, then watches it until it is lost.
+async fn watch_target(shared: Rc<AgentShared>) {
+    if shared.settings.kind == ServiceKind::Plain {
+        shared.send(Event::TargetReady(EngineFacts::default()));
+        return;
+    }
+    let boot = loop {
+        if let Ok((facts, boot)) = shared.engine.reset().await {
+            info!(shared.log, "engine ready"; "capacity" => facts.capacity);
+            shared.send(Event::TargetReady(facts));
+            break boot;
+        }
+        tokio::time::sleep(LOAD_STEP).await;
+    };
+    let mut failed = 0;
+    let mut looks = 0;
+    let mut cache_sequence = 0;
+    while failed < LOST_AFTER {
+        tokio::time::sleep(LOAD_STEP).await;
+        match shared.engine.get_load().await {
+            Ok(load) if load.boot == boot => failed = 0,
+            Ok(_) => break,
+            Err(_) => failed += 1,
+        }
+        if let Ok(events) = shared.engine.get_cache_events(cache_sequence).await {
+            for event in events {
+                cache_sequence = event.sequence;
+                shared.send(Event::Cache(event));
+            }
+        }
+        looks += 1;
+        if looks % LOADS_PER_LOOK == 0
+            && let Ok(runs) = shared.engine.get_holdings().await
+        {
+            shared.send(Event::EngineRuns(runs));
+        }
+    }
+    warn!(shared.log, "engine lost");
+    shared.send(Event::TargetLost);
+}
+
+async fn accept_all(shared: Rc<AgentShared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                spawn_local(serve_link(shared.clone(), stream));
+            }
+            Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+        }
+    }
+}
+
+async fn serve_link(shared: Rc<AgentShared>, stream: TcpStream) {
+    let Ok((socket, peer)) = accept(stream, &shared.identity).await else {
+        return;
+    };
+    shared.next_conn.set(shared.next_conn.get() + 1);
+    let conn = ConnId(shared.next_conn.get());
+    let (sender, queue) = link_queue();
+    shared.links.borrow_mut().insert(conn, sender);
+    shared.open_links.set(shared.open_links.get() + 1);
+    shared.send(Event::PeerUp(conn, peer));
+    let work = RefCell::new(OpenWork::default());
+    let on_message = |message: ToAgent| shared.send(Event::Peer(conn, message));
+    run_link(socket, queue, LinkSide::Accepting, &work, on_message).await;
+    shared.links.borrow_mut().remove(&conn);
+    shared.open_links.set(shared.open_links.get() - 1);
+    shared.send(Event::PeerGone(conn));
+}
+
+/// Closes all links once what is queued on them has left.
+async fn flush_links(shared: &AgentShared) {
+    shared.links.borrow_mut().clear();
+    let work = async {
+        while shared.open_links.get() > 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let _ = tokio::time::timeout(FLUSH_LIMIT, work).await;
+}
--- /dev/null
+++ b/src/agent/engine.rs
@@ -0,0 +1,334 @@
+//! The agent's calls to a model engine, behind one module: how an engine
+//! shares its memory, pauses and resumes runs is known nowhere else.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
+use hyper::{Method, Request, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use super::cache::CacheEvent;
+use super::event::{EngineFacts, EngineRun, RunEvent, RunUsage, StartRun};
+use crate::client::{CallBody, CallFault, HttpClient, full, pieces};
+use crate::config::Urgency;
+use crate::error::{Error, ErrorCode, Result};
+use crate::id::AttemptId;
+use crate::verdict::Verdict;
+use crate::wire::Call;
+
+/// Longest time of a call that does not run anything.
+const CALL_LIMIT: Duration = Duration::from_secs(2);
+
+/// Connections that are kept to the engine.
+const KEPT: usize = 32;
+
+/// Largest event that an engine may send, in bytes.
+const MAX_EVENT: usize = 1024 * 1024;
+
+/// An engine's load, as it reports it with a lag.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineLoad {
+    /// Names this life of the engine.
+    pub boot: u64,
+    /// Memory in tokens.
+    pub capacity: u64,
+    /// Memory held by runs and reservations, in tokens.
+    pub used: u64,
+    /// Most runs at a time.
+    pub max_batch: usize,
+    /// Models that are loaded.
+    pub models: Vec<Arc<str>>,
+}
+
+/// Runs and reservations that an engine holds.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineHoldings {
+    /// Names of runs.
+    pub runs: Vec<String>,
+    /// Names of reservations.
+    pub reservations: Vec<String>,
+}
+
+#[derive(Serialize)]
+struct ResumeBody {
+    prefill_tokens: Option<u64>,
+}
+
+#[derive(Serialize)]
+struct ReserveBody {
+    tokens: u64,
+}
+
+#[derive(Deserialize)]
+struct StreamEvent {
+    #[serde(default)]
+    choices: Vec<StreamChoice>,
+    #[serde(default)]
+    usage: Option<StreamUsage>,
+    #[serde(default)]
+    paused: Option<u64>,
+    #[serde(default)]
+    error: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct StreamChoice {
+    #[serde(default)]
+    text: String,
+    #[serde(default)]
+    finish_reason: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct StreamUsage {
+    #[serde(rename = "prompt_tokens")]
+    prompt: u64,
+    #[serde(rename = "completion_tokens")]
+    answer: u64,
+    #[serde(rename = "cached_tokens", default)]
+    cached: u64,
+}
+
+/// Client of one engine.
+#[derive(Debug)]
+pub(super) struct EngineClient {
+    address: Arc<str>,
+    http: HttpClient,
+}
+
+impl EngineClient {
+    pub(super) fn new(address: Arc<str>) -> Self {
+        EngineClient { address, http: HttpClient::new(KEPT) }
+    }
+
+    fn request(&self, method: Method, path: &str, body: CallBody) -> Request<CallBody> {
+        let mut request = Request::new(body);
+        *request.method_mut() = method;
+        *request.uri_mut() = format!("http://{}{path}", self.address).parse().unwrap_or_default();
+        request
+    }
+
+    async fn call(&self, method: Method, path: &str, body: impl Into<Bytes>) -> Result<Bytes> {
+        let request = self.request(method, path, full(body));
+        let response = self.http.call(request, CALL_LIMIT).await?;
+        if response.status().is_success() {
+            return Ok(response.into_body());
+        }
+        Err(Error::from_code(ErrorCode::Status {
+            status: response.status().as_u16(),
+            text: "the engine refused".to_owned(),
+        }))
+    }
+
+    /// Ends something. What is not there any more has ended.
+    async fn delete(&self, path: &str) -> Result<()> {
+        let request = self.request(Method::DELETE, path, full(""));
+        let response = self.http.call(request, CALL_LIMIT).await?;
+        let is_gone = response.status().is_success() || response.status() == StatusCode::NOT_FOUND;
+        if is_gone {
+            return Ok(());
+        }
+        Err(Error::unreachable(format!("the engine answered {}", response.status())))
+    }
+
+    pub(super) async fn get_load(&self) -> Result<EngineLoad> {
+        let body = self.call(Method::GET, "/v1/load", "").await?;
+        serde_json::from_slice(&body).map_err(Error::unreachable)
+    }
+
+    /// Ends all that the engine holds, and reads what it can do.
+    pub(super) async fn reset(&self) -> Result<(EngineFacts, u64)> {
+        self.delete("/v1/runs").await?;
+        let load = self.get_load().await?;
+        let facts = EngineFacts {
+            address: self.address.clone(),
+            capacity: load.capacity,
+            max_batch: load.max_batch,
+            models: load.models,
+        };
+        Ok((facts, load.boot))
+    }
+
+    pub(super) async fn get_holdings(&self) -> Result<Vec<EngineRun>> {
+        let body = self.call(Method::GET, "/v1/runs", "").await?;
+        let holdings: EngineHoldings = serde_json::from_slice(&body).map_err(Error::unreachable)?;
+        Ok(holdings.runs.into_iter().map(|id| EngineRun { id }).collect())
+    }
+
+    pub(super) async fn get_cache_events(&self, after: u64) -> Result<Vec<CacheEvent>> {
+        let path = format!("/v1/cache/events?after={after}");
+        let body = self.call(Method::GET, &path, "").await?;
+        serde_json::from_slice(&body).map_err(Error::unreachable)
+    }
+
+    pub(super) async fn cancel(&self, run: &str) -> Result<()> {
+        self.delete(&format!("/v1/runs/{run}")).await
+    }
+
+    pub(super) async fn resume(&self, id: &AttemptId, prefill_tokens: Option<u64>) -> Result<()> {
+        let body = serde_json::to_vec(&ResumeBody { prefill_tokens }).unwrap_or_default();
+        self.call(Method::POST, &format!("/v1/runs/{id}/resume"), body).await.map(drop)
+    }
+
+    pub(super) async fn reserve(&self, id: &AttemptId, tokens: u64) -> Result<()> {
+        let body = serde_json::to_vec(&ReserveBody { tokens }).unwrap_or_default();
+        self.call(Method::PUT, &format!("/v1/kv/{id}"), body).await.map(drop)
+    }
+
+    pub(super) async fn unreserve(&self, id: &AttemptId) -> Result<()> {
+        self.delete(&format!("/v1/kv/{id}")).await
+    }
+
+    /// Runs an attempt and tells of all that happens to it.
+    pub(super) async fn run(&self, start: StartRun, tell: Rc<dyn Fn(RunEvent)>) {
+        if let Err(event) = self.try_run(start, &tell).await {
+            tell(event);
+        }
+    }
+
+    async fn try_run(
+        &self,
+        start: StartRun,
+        tell: &Rc<dyn Fn(RunEvent)>,
+    ) -> std::result::Result<(), RunEvent> {
+        let request = self.to_request(start);
+        let response = self.http.send(request).await.map_err(|fault| match fault {
+            CallFault::NotSent(text) => RunEvent::Failed(Verdict::NotRun, text.into()),
+            CallFault::Unknown(text) => RunEvent::Failed(Verdict::MayHaveRun, text.into()),
+        })?;
+        let status = response.status();
+        if !status.is_success() {
+            let text = format!("the engine answered {status}");
+            return Err(RunEvent::Failed(Verdict::NotRun, text.into()));
+        }
+        let mut stream = EventStream::new(response.into_body());
+        loop {
+            let event = stream
+                .next()
+                .await
+                .map_err(|text| RunEvent::Failed(Verdict::MayHaveRun, text.into()))?;
+            let is_over = tell_event(event, tell)?;
+            if is_over {
+                return Ok(());
+            }
+        }
+    }
+
+    fn to_request(&self, start: StartRun) -> Request<CallBody> {
+        let path = match &start.call {
+            Call::Model { path, .. } | Call::Plain { path, .. } => path.clone(),
+        };
+        let shards: Vec<String> =
+            start.shards.iter().map(|shard| format!("{}={}", shard.engine, shard.tokens)).collect();
+        let mut request = self.request(Method::POST, &path, pieces(start.body));
+        let headers = request.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        let mut set = |name: &'static str, value: String| {
+            if let Ok(value) = HeaderValue::from_str(&value) {
+                headers.insert(HeaderName::from_static(name), value);
+            }
+        };
+        set("x-run-id", start.id.to_string());
+        set("x-stream", "1".to_owned());
+        set("x-cache-salt", start.account.to_string());
+        set("x-max-tokens", start.answer_tokens.to_string());
+        set("x-priority", to_priority(start.urgency).to_string());
+        set("x-time-limit-ms", start.remaining.as_millis().to_string());
+        if let Some(tokens) = start.prefill_limit {
+            set("x-prefill-tokens", tokens.to_string());
+        }
+        if !shards.is_empty() {
+            set("x-kv-shards", shards.join(","));
+        }
+        request
+    }
+}
+
+/// Tells of an event, true after the last one.
+fn tell_event(
+    event: StreamEvent,
+    tell: &Rc<dyn Fn(RunEvent)>,
+) -> std::result::Result<bool, RunEvent> {
+    if let Some(text) = event.error {
+        return Err(RunEvent::Failed(Verdict::MayHaveRun, text.into()));
+    }
+    if let Some(tokens) = event.paused {
+        tell(RunEvent::Paused(tokens));
+    }
+    let mut finish_reason = None;
+    for choice in event.choices {
+        if !choice.text.is_empty() {
+            tell(RunEvent::Text(choice.text.into()));
+        }
+        finish_reason = choice.finish_reason;
+    }
+    let Some(usage) = event.usage else {
+        return Ok(false);
+    };
+    tell(RunEvent::Done(RunUsage {
+        prompt_tokens: usage.prompt,
+        cached_tokens: usage.cached,
+        answer_tokens: usage.answer,
+        finish_reason: finish_reason.unwrap_or_default().into(),
+    }));
+    Ok(true)
+}
+
+/// The engine's order among the runs that it has: the lowest first.
+fn to_priority(urgency: Urgency) -> u8 {
+    match urgency {
+        Urgency::Interactive => 0,
+        Urgency::Normal => 1,
+        Urgency::Batch => 2,
+    }
+}
+
+/// Events of a stream of server-sent events.
+struct EventStream {
+    body: Incoming,
+    pending: BytesMut,
+}
+
+impl EventStream {
+    fn new(body: Incoming) -> Self {
+        EventStream { body, pending: BytesMut::new() }
+    }
+
+    async fn next(&mut self) -> std::result::Result<StreamEvent, String> {
+        loop {
+            while let Some(line) = self.take_line() {
+                let Some(json) = line.strip_prefix(b"data: ") else {
+                    continue;
+                };
+                if json.starts_with(b"[DONE]") {
+                    continue;
+                }
+                return serde_json::from_slice(json).map_err(|error| error.to_string());
+            }
+            if self.pending.len() > MAX_EVENT {
+                return Err("the engine's event is too large".to_owned());
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(part) = frame.into_data() {
+                        self.pending.extend_from_slice(&part);
+                    }
+                }
+                Some(Err(error)) => return Err(error.to_string()),
+                None => return Err("the engine closed the stream".to_owned()),
+            }
+        }
+    }
+
+    fn take_line(&mut self) -> Option<BytesMut> {
+        let end = self.pending.iter().position(|byte| *byte == b'\n')?;
+        let mut line = self.pending.split_to(end + 1);
+        line.truncate(end);
+        Some(line)
+    }
+}
--- /dev/null
+++ b/src/agent/plain.rs
@@ -0,0 +1,81 @@
+//! The agent's calls to a plain service.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use http_body_util::BodyExt;
+use hyper::Request;
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
+
+use super::event::{RunEvent, RunUsage, StartRun};
+use crate::client::{CallBody, CallFault, HttpClient, pieces};
+use crate::verdict::Verdict;
+use crate::wire::Call;
+
+/// Client of one plain service.
+#[derive(Debug)]
+pub(super) struct PlainClient {
+    address: Arc<str>,
+    http: HttpClient,
+}
+
+impl PlainClient {
+    /// Keeps no connection: one that the service closes while a call is on
+    /// its way would leave open whether the call ran.
+    pub(super) fn new(address: Arc<str>) -> Self {
+        PlainClient { address, http: HttpClient::new(0) }
+    }
+
+    /// Makes a call and tells of all that happens to it.
+    pub(super) async fn run(&self, start: StartRun, tell: Rc<dyn Fn(RunEvent)>) {
+        if let Err(event) = self.try_run(start, &tell).await {
+            tell(event);
+        }
+    }
+
+    async fn try_run(&self, start: StartRun, tell: &Rc<dyn Fn(RunEvent)>) -> Result<(), RunEvent> {
+        let Some(request) = self.to_request(start) else {
+            return Err(RunEvent::Failed(Verdict::NotRun, "not a call of a plain service".into()));
+        };
+        let response = self.http.send(request).await.map_err(|fault| match fault {
+            CallFault::NotSent(text) => RunEvent::Failed(Verdict::NotRun, text.into()),
+            CallFault::Unknown(text) => RunEvent::Failed(Verdict::MayHaveRun, text.into()),
+        })?;
+        let content_type = response.headers().get(CONTENT_TYPE);
+        let content_type = content_type.and_then(|value| value.to_str().ok());
+        let content_type: Arc<str> = content_type.unwrap_or("application/octet-stream").into();
+        tell(RunEvent::Head(response.status().as_u16(), content_type));
+        let mut body = response.into_body();
+        while let Some(frame) = body.frame().await {
+            let frame = frame
+                .map_err(|error| RunEvent::Failed(Verdict::MayHaveRun, error.to_string().into()))?;
+            if let Ok(part) = frame.into_data() {
+                tell(RunEvent::Text(part));
+            }
+        }
+        tell(RunEvent::Done(RunUsage::default()));
+        Ok(())
+    }
+
+    fn to_request(&self, start: StartRun) -> Option<Request<CallBody>> {
+        let Call::Plain { method, path, content_type, key } = start.call else {
+            return None;
+        };
+        let mut request = Request::new(pieces(start.body));
+        *request.method_mut() = method.parse().ok()?;
+        *request.uri_mut() = format!("http://{}{path}", self.address).parse().ok()?;
+        let headers = request.headers_mut();
+        headers.insert(
+            HeaderName::from_static("x-request-id"),
+            HeaderValue::from_str(&start.id.to_string()).ok()?,
+        );
+        if !content_type.is_empty() {
+            headers.insert(CONTENT_TYPE, HeaderValue::from_str(&content_type).ok()?);
+        }
+        if !key.is_empty() {
+            let name = HeaderName::from_static("idempotency-key");
+            headers.insert(name, HeaderValue::from_str(&key).ok()?);
+        }
+        Some(request)
+    }
+}
--- /dev/null
+++ b/src/entry/admin.rs
@@ -0,0 +1,242 @@
+//! The administration API of an entry.
+
+use std::rc::Rc;
+use std::str::FromStr;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::header::{ETAG, HeaderValue, IF_MATCH};
+use hyper::{Method, Request, StatusCode};
+use serde::{Deserialize, Serialize};
+use slog::info;
+use subtle::ConstantTimeEq;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+
+use super::account::to_key;
+use super::daemon::{EntryShared, current_config};
+use super::why::DecisionLog;
+use crate::config::{Config, ConfigVersion};
+use crate::error::Error;
+use crate::id::RequestId;
+use crate::verdict::Verdict;
+use crate::web::{Answer, answer, answer_fault, answer_json, bearer, read_body, serve_connection};
+
+/// Largest configuration, in bytes.
+const MAX_CONFIG: usize = 4 * 1024 * 1024;
+
+/// Longest time for an operator's body to arrive.
+const BODY_LIMIT: Duration = Duration::from_secs(10);
+
+/// Accepts operators until the task is ended.
+pub(super) async fn serve(shared: Rc<EntryShared>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let shared = shared.clone();
+        spawn_local(async move {
+            serve_connection(stream, |request| handle(shared.clone(), request)).await;
+        });
+    }
+}
+
+/// A refusal of the administration API.
+struct AdminFault {
+    status: StatusCode,
+    code: &'static str,
+    message: String,
+}
+
+impl AdminFault {
+    #[cold]
+    fn new(status: StatusCode, code: &'static str, message: impl Into<String>) -> Self {
+        AdminFault { status, code, message: message.into() }
+    }
+}
+
+/// One process as `status` shows it.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct EntryStatus {
+    /// Name of the entry.
+    pub process: String,
+    /// Whether it serves callers.
+    pub ready: bool,
+    /// Whether a planned stop has begun.
+    pub stopping: bool,
+    /// Configuration version in force.
+    pub config_version: ConfigVersion,
+    /// Requests without a final answer.
+    pub open_requests: usize,
+    /// Targets that the platform lists.
+    pub known_targets: usize,
+    /// Requests let in.
+    pub admitted: u64,
+    /// Whole answers.
+    pub finished: u64,
+    /// Final failures.
+    pub failed: u64,
+    /// Longest turn of the loop, in microseconds.
+    pub longest_turn_us: u64,
+}
+
+/// The version that a change was accepted as.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct AppliedConfig {
+    /// The version.
+    pub version: ConfigVersion,
+    /// Nothing was changed; the document was only checked.
+    pub dry_run: bool,
+}
+
+async fn handle(shared: Rc<EntryShared>, request: Request<Incoming>) -> Answer {
+    let result = match authorize(&shared, &request) {
+        Ok(()) => route(&shared, request).await,
+        Err(fault) => Err(fault),
+    };
+    result.unwrap_or_else(|fault| {
+        answer_fault(fault.status, fault.code, &fault.message, Verdict::NotRun, "", None)
+    })
+}
+
+fn authorize(shared: &EntryShared, request: &Request<Incoming>) -> Result<(), AdminFault> {
+    let wanted = shared.settings.admin_key_sha256.as_deref().unwrap_or("");
+    let given = bearer(request.headers()).map(to_key).unwrap_or_default();
+    let is_same: bool = wanted.as_bytes().ct_eq(given.as_bytes()).into();
+    if is_same && !wanted.is_empty() {
+        return Ok(());
+    }
+    Err(AdminFault::new(StatusCode::UNAUTHORIZED, "unknown_key", "not an operator's key"))
+}
+
+async fn route(shared: &Rc<EntryShared>, request: Request<Incoming>) -> Result<Answer, AdminFault> {
+    let path = request.uri().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (&Method::GET, "/admin/v1/status") => show_status(shared).await,
+        (&Method::GET, "/admin/v1/config") => Ok(show_config(shared)),
+        (&Method::PUT, "/admin/v1/config") => apply_config(shared, request).await,
+        (&Method::GET, "/admin/v1/timeline") => Ok(show_timeline(shared, &request)),
+        (&Method::GET, _) if path.starts_with("/admin/v1/why/") => {
+            show_why(shared, path.trim_start_matches("/admin/v1/why/")).await
+        }
+        _ => {
+            Err(AdminFault::new(StatusCode::NOT_FOUND, "unknown_path", format!("no path `{path}`")))
+        }
+    }
+}
+
+async fn show_status(shared: &Rc<EntryShared>) -> Result<Answer, AdminFault> {
+    let process = shared.process.to_string();
+    let (ready, stopping) = (shared.is_ready(), shared.draining.get());
+    let longest_turn_us = shared.meter.longest().as_micros() as u64;
+    let status = shared.ask(move |core| {
+        let counts = core.counts();
+        EntryStatus {
+            process,
+            ready,
+            stopping,
+            config_version: core.config().map_or(ConfigVersion(0), |config| config.version),
+            open_requests: core.open_requests(),
+            known_targets: core.known_targets(),
+            admitted: counts.admitted,
+            finished: counts.finished,
+            failed: counts.failed,
+            longest_turn_us,
+        }
+    });
+    let status = status.await.ok_or_else(stopping_fault)?;
+    Ok(answer_json(StatusCode::OK, &status))
+}
+
+#[cold]
+fn stopping_fault() -> AdminFault {
+    AdminFault::new(StatusCode::SERVICE_UNAVAILABLE, "stopping", "this entry is stopping")
+}
+
+fn show_config(shared: &EntryShared) -> Answer {
+    let config = current_config(shared);
+    let mut response = answer(StatusCode::OK, "application/json", config.to_json());
+    response.headers_mut().insert(ETAG, to_etag(config.version));
+    response
+}
+
+fn to_etag(version: ConfigVersion) -> HeaderValue {
+    let text = format!("\"{version}\"");
+    HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("\"0\""))
+}
+
+async fn apply_config(
+    shared: &Rc<EntryShared>,
+    request: Request<Incoming>,
+) -> Result<Answer, AdminFault> {
+    let expected = read_if_match(&request)?;
+    let dry_run = request.uri().query().is_some_and(|query| query.contains("dry_run=true"));
+    let body = read_body(request.into_body(), MAX_CONFIG, BODY_LIMIT).await.map_err(|_| {
+        AdminFault::new(StatusCode::BAD_REQUEST, "broken_body", "the body could not be read")
+    })?;
+    let text = std::str::from_utf8(&body)
+        .map_err(|_| AdminFault::new(StatusCode::BAD_REQUEST, "bad_config", "not UTF-8 text"))?;
+    let config = Config::from_toml(text).map_err(|error| {
+        AdminFault::new(StatusCode::UNPROCESSABLE_ENTITY, "bad_config", error.to_string())
+    })?;
+    if dry_run {
+        return Ok(answer_json(StatusCode::OK, &AppliedConfig { version: expected, dry_run }));
+    }
+    let pushed = shared.config_store.lock().await.push(&config, expected).await;
+    let version = pushed.map_err(|error| to_push_fault(&error))?;
+    info!(shared.log, "configuration accepted"; "version" => version.0);
+    shared.pull_config();
+    let mut response = answer_json(StatusCode::OK, &AppliedConfig { version, dry_run });
+    response.headers_mut().insert(ETAG, to_etag(version));
+    Ok(response)
+}
+
+fn read_if_match(request: &Request<Incoming>) -> Result<ConfigVersion, AdminFault> {
+    let value = request.headers().get(IF_MATCH).and_then(|value| value.to_str().ok());
+    let version = value.and_then(|value| value.trim_matches('"').parse().ok());
+    version.map(ConfigVersion).ok_or_else(|| {
+        let text = "`If-Match` must hold the version that the change is based on";
+        AdminFault::new(StatusCode::PRECONDITION_REQUIRED, "missing_version", text)
+    })
+}
+
+fn to_push_fault(error: &Error) -> AdminFault {
+    if error.is_conflict() {
+        return AdminFault::new(StatusCode::PRECONDITION_FAILED, "conflict", error.to_string());
+    }
+    AdminFault::new(StatusCode::SERVICE_UNAVAILABLE, "store_away", error.to_string())
+}
+
+#[derive(Serialize)]
+struct WhyAnswer<'a> {
+    request: &'a str,
+    #[serde(flatten)]
+    log: DecisionLog,
+}
+
+async fn show_why(shared: &Rc<EntryShared>, text: &str) -> Result<Answer, AdminFault> {
+    let id = RequestId::from_str(text)
+        .map_err(|error| AdminFault::new(StatusCode::BAD_REQUEST, "bad_id", error.to_string()))?;
+    if id.owner != shared.process {
+        let text = format!("the record is with entry {}", id.owner);
+        return Err(AdminFault::new(StatusCode::MISDIRECTED_REQUEST, "other_entry", text));
+    }
+    let found = shared.ask(move |core| core.why(id.number).cloned()).await;
+    match found.ok_or_else(stopping_fault)? {
+        Some(log) => Ok(answer_json(StatusCode::OK, &WhyAnswer { request: text, log })),
+        None => Err(AdminFault::new(
+            StatusCode::NOT_FOUND,
+            "no_record",
+            "no record of this request; only the newest are kept",
+        )),
+    }
+}
+
+fn show_timeline(shared: &EntryShared, request: &Request<Incoming>) -> Answer {
+    let query = request.uri().query().unwrap_or("");
+    let wanted = query.split('&').find_map(|pair| pair.strip_prefix("request="));
+    let line = shared.timeline.borrow();
+    let records: Vec<_> = line.select(wanted.unwrap_or("")).collect();
+    answer_json(StatusCode::OK, &records)
+}
--- /dev/null
+++ b/src/entry/route.rs
@@ -0,0 +1,182 @@
+//! Which targets there are, and which of them to ask.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use rand::Rng;
+use rand::seq::IndexedRandom;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::hosts::{HostDelta, HostRecord, HostRole, HostState};
+use crate::time::Tick;
+
+/// Share of a service's targets under suspicion from which suspicion is
+/// ignored: it is likelier then that this entry is cut off.
+const PANIC_SHARE: f64 = 0.5;
+
+/// Targets asked because prompts with the same beginning meet there.
+const BY_PREFIX: usize = 2;
+
+/// A target as an entry knows it.
+#[derive(Clone, Debug)]
+pub struct RouteTarget {
+    /// Name of the host.
+    pub name: Arc<str>,
+    /// The part of the fleet that fails together with it.
+    pub failure_domain: Arc<str>,
+    /// The platform lists it as leaving.
+    pub leaving: bool,
+    /// It said itself that it takes no new work; not asked again until then.
+    pub closed_until: Tick,
+    /// It did not answer; left alone until then.
+    pub suspect_until: Tick,
+}
+
+/// Targets by service.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    services: HashMap<Arc<str>, Vec<RouteTarget>>,
+    homes: HashMap<Arc<str>, Arc<str>>,
+    entries: HashMap<Arc<str>, HostState>,
+}
+
+/// What a choice of candidates goes by.
+#[derive(Clone, Copy, Debug)]
+pub struct RouteQuery<'a> {
+    /// The service wanted.
+    pub service: &'a str,
+    /// Hash of the prompt's beginning.
+    pub prefix: Option<u64>,
+    /// Where the entry is.
+    pub failure_domain: &'a str,
+    /// Targets that are not to be asked again.
+    pub tried: &'a [Arc<str>],
+    /// How many to ask.
+    pub count: usize,
+}
+
+impl RouteTable {
+    /// Takes changes of the platform's list.
+    pub fn on_hosts(&mut self, delta: &HostDelta) {
+        for host in &delta.hosts {
+            match &host.role {
+                HostRole::Entry => {
+                    self.entries.insert(host.name.clone(), host.state);
+                }
+                HostRole::Target { service } => self.on_target(service, host),
+            }
+        }
+        self.entries.retain(|_, state| *state != HostState::Gone);
+    }
+
+    fn on_target(&mut self, service: &Arc<str>, host: &HostRecord) {
+        let targets = self.services.entry(service.clone()).or_default();
+        let place = targets.iter().position(|target| target.name == host.name);
+        if host.state == HostState::Gone {
+            if let Some(place) = place {
+                targets.swap_remove(place);
+            }
+            self.homes.remove(&host.name);
+            return;
+        }
+        self.homes.insert(host.name.clone(), service.clone());
+        let leaving = host.state == HostState::Leaving;
+        match place {
+            Some(place) => targets[place].leaving = leaving,
+            None => targets.push(RouteTarget {
+                name: host.name.clone(),
+                failure_domain: host.failure_domain.clone(),
+                leaving,
+                closed_until: Tick::default(),
+                suspect_until: Tick::default(),
+            }),
+        }
+    }
+
+    /// How many entries share the limits of the client accounts.
+    #[must_use]
+    pub fn live_entries(&self) -> usize {
+        self.entries.values().filter(|state| **state == HostState::Live).count().max(1)
+    }
+
+    /// How many targets are known.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.homes.len()
+    }
+
+    /// Returns true where no target is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.homes.is_empty()
+    }
+
+    /// Notes that a target said that it takes no new work.
+    pub fn close(&mut self, name: &str, until: Tick) {
+        if let Some(target) = self.find(name) {
+            target.closed_until = until;
+        }
+    }
+
+    /// Leaves a target alone until `until`.
+    pub fn suspect(&mut self, name: &str, until: Tick) {
+        if let Some(target) = self.find(name) {
+            target.suspect_until = until;
+        }
+    }
+
+    fn find(&mut self, name: &str) -> Option<&mut RouteTarget> {
+        let service = self.homes.get(name)?;
+        let targets = self.services.get_mut(service)?;
+        targets.iter_mut().find(|target| &*target.name == name)
+    }
+
+    /// Chooses targets to ask: some by the prompt's beginning, the others at
+    /// random, first in the entry's own failure domain.
+    pub fn candidates(
+        &self,
+        query: &RouteQuery<'_>,
+        now: Tick,
+        rng: &mut impl Rng,
+    ) -> Vec<Arc<str>> {
+        let Some(targets) = self.services.get(query.service) else {
+            return Vec::new();
+        };
+        let is_open = |one: &&RouteTarget| !one.leaving && one.closed_until <= now;
+        let mut open: Vec<&RouteTarget> = targets.iter().filter(is_open).collect();
+        let suspects = open.iter().filter(|one| one.suspect_until > now).count();
+        if (suspects as f64) < open.len() as f64 * PANIC_SHARE {
+            open.retain(|one| one.suspect_until <= now);
+        }
+        if open.iter().any(|one| !query.tried.contains(&one.name)) {
+            open.retain(|one| !query.tried.contains(&one.name));
+        }
+        let mut chosen: Vec<Arc<str>> = Vec::with_capacity(query.count);
+        if let Some(prefix) = query.prefix {
+            chosen.extend(by_prefix(&open, prefix, BY_PREFIX.min(query.count)));
+        }
+        let near = |one: &&&RouteTarget| &*one.failure_domain == query.failure_domain;
+        let near: Vec<_> = open.iter().filter(near).copied().collect();
+        // One place is for the other domains, so that none is cut off.
+        let near_count = query.count.saturating_sub(chosen.len() + 1);
+        add_random(&mut chosen, &near, near_count, rng);
+        let rest = query.count.saturating_sub(chosen.len());
+        add_random(&mut chosen, &open, rest, rng);
+        chosen
+    }
+}
+
+fn by_prefix(open: &[&RouteTarget], prefix: u64, count: usize) -> Vec<Arc<str>> {
+    let mut scored: Vec<_> = open
+        .iter()
+        .map(|one| (xxh3_64_with_seed(one.name.as_bytes(), prefix), &one.name))
+        .collect();
+    scored.sort_unstable();
+    scored.into_iter().rev().take(count).map(|(_, name)| name.clone()).collect()
+}
+
+fn add_random(chosen: &mut Vec<Arc<str>>, from: &[&RouteTarget], count: usize, rng: &mut impl Rng) {
+    let fresh: Vec<_> = from.iter().filter(|one| !chosen.contains(&one.name)).collect();
+    let picked = fresh.choose_multiple(rng, count);
+    chosen.extend(picked.map(|one| one.name.clone()));
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,319 @@
+//! Settings of the daemons: flags, and an environment variable for each.
+//!
+//! A flag wins over its variable. Everything is checked at start; an error
+//! names the flag and the variable.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gumdrop::Options;
+
+use crate::config::ServiceKind;
+use crate::error::{Error, Result};
+use crate::log::LogFormat;
+
+/// Prefix of every variable.
+const PREFIX: &str = "SHALELANE_";
+
+/// Shortest shared key that is accepted.
+const MIN_KEY: usize = 16;
+
+#[derive(Debug, Default, Options)]
+struct EntryFlags {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "print the version", no_short)]
+    version: bool,
+    #[options(help = "name of this process, unique in the fleet", no_short, meta = "NAME")]
+    name: Option<String>,
+    #[options(help = "failure domain of this host", no_short, meta = "NAME")]
+    failure_domain: Option<String>,
+    #[options(help = "address for callers [127.0.0.1:8080]", no_short, meta = "IP:PORT")]
+    listen: Option<String>,
+    #[options(help = "address for operators [127.0.0.1:8081]", no_short, meta = "IP:PORT")]
+    admin_listen: Option<String>,
+    #[options(help = "address of the platform's store", no_short, meta = "IP:PORT")]
+    store: Option<String>,
+    #[options(help = "address of the platform's host list", no_short, meta = "IP:PORT")]
+    hosts: Option<String>,
+    #[options(help = "shared key of the fleet's processes", no_short, meta = "KEY")]
+    peer_key: Option<String>,
+    #[options(help = "SHA-256 of the operators' key, hexadecimal", no_short, meta = "HASH")]
+    admin_key_sha256: Option<String>,
+    #[options(help = "human or json [human]", no_short, meta = "FORMAT")]
+    log_format: Option<String>,
+    #[options(help = "largest body of a caller, in bytes [16777216]", no_short, meta = "N")]
+    max_body_bytes: Option<String>,
+    #[options(help = "longest time for a body to arrive, in ms [30000]", no_short, meta = "N")]
+    body_limit_ms: Option<String>,
+    #[options(help = "most callers' connections [4096]", no_short, meta = "N")]
+    max_connections: Option<String>,
+    #[options(help = "longest planned stop, in ms [900000]", no_short, meta = "N")]
+    drain_limit_ms: Option<String>,
+}
+
+#[derive(Debug, Default, Options)]
+struct AgentFlags {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "print the version", no_short)]
+    version: bool,
+    #[options(help = "name of this host, unique in the fleet", no_short, meta = "NAME")]
+    name: Option<String>,
+    #[options(help = "address for entries [127.0.0.1:8090]", no_short, meta = "IP:PORT")]
+    listen: Option<String>,
+    #[options(help = "address of the target beside it", no_short, meta = "IP:PORT")]
+    target: Option<String>,
+    #[options(help = "engine or plain [engine]", no_short, meta = "KIND")]
+    kind: Option<String>,
+    #[options(help = "shared key of the fleet's processes", no_short, meta = "KEY")]
+    peer_key: Option<String>,
+    #[options(help = "human or json [human]", no_short, meta = "FORMAT")]
+    log_format: Option<String>,
+    #[options(help = "prefill that goes in one piece, in tokens [8192]", no_short, meta = "N")]
+    piece_tokens: Option<String>,
+    #[options(help = "prefill at the engine at a time, in tokens [16384]", no_short, meta = "N")]
+    prefill_tokens: Option<String>,
+    #[options(help = "longest planned stop, in ms [900000]", no_short, meta = "N")]
+    drain_limit_ms: Option<String>,
+}
+
+/// Settings of an entry.
+#[derive(Clone, Debug)]
+pub struct EntrySettings {
+    /// Name of the process.
+    pub name: Arc<str>,
+    /// Failure domain of its host.
+    pub failure_domain: Arc<str>,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for operators.
+    pub admin_listen: SocketAddr,
+    /// Address of the platform's store.
+    pub store: Arc<str>,
+    /// Address of the platform's host list.
+    pub hosts: Arc<str>,
+    /// Shared key of the fleet.
+    pub peer_key: Arc<str>,
+    /// Hash of the operators' key; without one the administration API refuses all.
+    pub admin_key_sha256: Option<Arc<str>>,
+    /// Form of the log.
+    pub log_format: LogFormat,
+    /// Largest body of a caller, in bytes.
+    pub max_body: usize,
+    /// Longest time for a body to arrive.
+    pub body_limit: Duration,
+    /// Most callers' connections.
+    pub max_connections: usize,
+    /// Longest planned stop.
+    pub drain_limit: Duration,
+}
+
+/// Settings of an agent.
+#[derive(Clone, Debug)]
+pub struct AgentSettings {
+    /// Name of the host.
+    pub name: Arc<str>,
+    /// Address for entries.
+    pub listen: SocketAddr,
+    /// Address of the target.
+    pub target: Arc<str>,
+    /// What the target is.
+    pub kind: ServiceKind,
+    /// Shared key of the fleet.
+    pub peer_key: Arc<str>,
+    /// Form of the log.
+    pub log_format: LogFormat,
+    /// Tokens of prefill in one piece.
+    pub piece_tokens: u64,
+    /// Tokens of prefill at the engine at a time.
+    pub prefill_tokens: u64,
+    /// Longest planned stop.
+    pub drain_limit: Duration,
+}
+
+/// What a program was asked to do.
+#[derive(Clone, Debug)]
+pub enum Invocation<T> {
+    /// Run with these settings.
+    Run(T),
+    /// Print this text and end.
+    Print(String),
+}
+
+/// Looks up an environment variable.
+pub type EnvLookup<'a> = &'a dyn Fn(&str) -> Option<String>;
+
+impl EntrySettings {
+    /// Reads and checks arguments and environment.
+    ///
+    /// # Errors
+    ///
+    /// An unknown flag, or a value that is missing or out of range.
+    pub fn from_args(args: &[String], env: EnvLookup<'_>) -> Result<Invocation<Self>> {
+        let flags: EntryFlags = parse(args)?;
+        if flags.help {
+            return Ok(Invocation::Print(to_help::<EntryFlags>("shalelane-entry")));
+        }
+        if flags.version {
+            return Ok(Invocation::Print(to_version("shalelane-entry")));
+        }
+        let reader = FlagReader { env };
+        let listen = reader.read("listen", flags.listen, Some("127.0.0.1:8080"))?;
+        let admin = reader.read("admin-listen", flags.admin_listen, Some("127.0.0.1:8081"))?;
+        Ok(Invocation::Run(EntrySettings {
+            name: reader.read_name("name", flags.name)?,
+            failure_domain: reader.read_name("failure-domain", flags.failure_domain)?,
+            listen,
+            admin_listen: admin,
+            store: reader.read_address("store", flags.store)?,
+            hosts: reader.read_address("hosts", flags.hosts)?,
+            peer_key: reader.read_key("peer-key", flags.peer_key)?,
+            admin_key_sha256: reader
+                .find("admin-key-sha256", flags.admin_key_sha256)
+                .map(Arc::from),
+            log_format: reader.read("log-format", flags.log_format, Some("human"))?,
+            max_body: reader.read("max-body-bytes", flags.max_body_bytes, Some("16777216"))?,
+            body_limit: reader.read_span("body-limit-ms", flags.body_limit_ms, "30000")?,
+            max_connections: reader.read("max-connections", flags.max_connections, Some("4096"))?,
+            drain_limit: reader.read_span("drain-limit-ms", flags.drain_limit_ms, "900000")?,
+        }))
+    }
+}
+
+impl AgentSettings {
+    /// Reads and checks arguments and environment.
+    ///
+    /// # Errors
+    ///
+    /// An unknown flag, or a value that is missing or out of range.
+    pub fn from_args(args: &[String], env: EnvLookup<'_>) -> Result<Invocation<Self>> {
+        let flags: AgentFlags = parse(args)?;
+        if flags.help {
+            return Ok(Invocation::Print(to_help::<AgentFlags>("shalelane-agent")));
+        }
+        if flags.version {
+            return Ok(Invocation::Print(to_version("shalelane-agent")));
+        }
+        let reader = FlagReader { env };
+        let KindSetting(kind) = reader.read("kind", flags.kind, Some("engine"))?;
+        Ok(Invocation::Run(AgentSettings {
+            name: reader.read_name("name", flags.name)?,
+            listen: reader.read("listen", flags.listen, Some("127.0.0.1:8090"))?,
+            target: reader.read_address("target", flags.target)?,
+            kind,
+            peer_key: reader.read_key("peer-key", flags.peer_key)?,
+            log_format: reader.read("log-format", flags.log_format, Some("human"))?,
+            piece_tokens: reader.read_count("piece-tokens", flags.piece_tokens, "8192")?,
+            prefill_tokens: reader.read_count("prefill-tokens", flags.prefill_tokens, "16384")?,
+            drain_limit: reader.read_span("drain-limit-ms", flags.drain_limit_ms, "900000")?,
+        }))
+    }
+}
+
+/// Reads the value of a variable of the process's environment.
+#[must_use]
+pub fn process_env(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
+
+fn parse<T: Options>(args: &[String]) -> Result<T> {
+    T::parse_args_default(args).map_err(|error| Error::settings(error.to_string()))
+}
+
+pub(crate) fn to_help<T: Options>(program: &str) -> String {
+    let usage = T::usage();
+    format!(
+        "Usage: {program} [OPTIONS]\n\n{usage}\n\nEach option has a variable: --some-flag is \
+         {PREFIX}SOME_FLAG. An option wins over its variable.\n"
+    )
+}
+
+pub(crate) fn to_version(program: &str) -> String {
+    format!("{program} {}\n", env!("CARGO_PKG_VERSION"))
+}
+
+struct KindSetting(ServiceKind);
+
+impl FromStr for KindSetting {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> std::result::Result<Self, Self::Err> {
+        match text {
+            "engine" => Ok(KindSetting(ServiceKind::Engine)),
+            "plain" => Ok(KindSetting(ServiceKind::Plain)),
+            _ => Err("must be engine or plain"),
+        }
+    }
+}
+
+struct FlagReader<'a> {
+    env: EnvLookup<'a>,
+}
+
+impl FlagReader<'_> {
+    fn find(&self, flag: &str, given: Option<String>) -> Option<String> {
+        given.or_else(|| (self.env)(&to_variable(flag)))
+    }
+
+    fn read<T: FromStr>(
+        &self,
+        flag: &str,
+        given: Option<String>,
+        default: Option<&str>,
+    ) -> Result<T>
+    where
+        T::Err: std::fmt::Display,
+    {
+        let found = self.find(flag, given).or_else(|| default.map(str::to_owned));
+        let Some(text) = found else {
+            return Err(fault(flag, "is missing"));
+        };
+        text.parse().map_err(|error| fault(flag, &format!("has a bad value `{text}`: {error}")))
+    }
+
+    fn read_name(&self, flag: &str, given: Option<String>) -> Result<Arc<str>> {
+        let name: String = self.read(flag, given, None)?;
+        let is_plain = name.bytes().all(|byte| byte.is_ascii_alphanumeric() || byte == b'-');
+        if name.is_empty() || !is_plain {
+            return Err(fault(flag, "must be of letters, digits and `-`"));
+        }
+        Ok(name.into())
+    }
+
+    fn read_address(&self, flag: &str, given: Option<String>) -> Result<Arc<str>> {
+        let address: SocketAddr = self.read(flag, given, None)?;
+        Ok(address.to_string().into())
+    }
+
+    fn read_key(&self, flag: &str, given: Option<String>) -> Result<Arc<str>> {
+        let key: String = self.read(flag, given, None)?;
+        if key.len() < MIN_KEY {
+            return Err(fault(flag, &format!("must have {MIN_KEY} characters or more")));
+        }
+        Ok(key.into())
+    }
+
+    fn read_span(&self, flag: &str, given: Option<String>, default: &str) -> Result<Duration> {
+        self.read(flag, given, Some(default)).map(Duration::from_millis)
+    }
+
+    fn read_count(&self, flag: &str, given: Option<String>, default: &str) -> Result<u64> {
+        let count = self.read(flag, given, Some(default))?;
+        if count == 0 {
+            return Err(fault(flag, "must be above 0"));
+        }
+        Ok(count)
+    }
+}
+
+fn to_variable(flag: &str) -> String {
+    format!("{PREFIX}{}", flag.to_uppercase().replace('-', "_"))
+}
+
+#[cold]
+fn fault(flag: &str, text: &str) -> Error {
+    Error::settings(format!("--{flag} ({}) {text}", to_variable(flag)))
+}
--- /dev/null
+++ b/src/store.rs
@@ -0,0 +1,148 @@
+//! Client of the platform's store: objects with versions, conditional
+//! updates and watches.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::header::{ETAG, HeaderMap, IF_MATCH, IF_NONE_MATCH};
+use hyper::{Method, Request, Response, StatusCode};
+
+use crate::client::{HttpClient, full};
+use crate::error::{Error, ErrorCode, Result};
+
+/// Longest time of a call that does not wait.
+const CALL_LIMIT: Duration = Duration::from_secs(2);
+
+/// Connections that are kept.
+const KEPT: usize = 4;
+
+/// Version of a stored object, zero for one that is not there.
+pub type ObjectVersion = u64;
+
+/// An object as it is stored.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredObject {
+    /// Its version.
+    pub version: ObjectVersion,
+    /// Its content.
+    pub content: Bytes,
+}
+
+/// Client of the platform's store.
+#[derive(Clone, Debug)]
+pub struct StoreClient {
+    address: Arc<str>,
+    http: HttpClient,
+}
+
+impl StoreClient {
+    /// A client of the store at `address`, `ip:port`.
+    #[must_use]
+    pub fn new(address: Arc<str>) -> Self {
+        StoreClient { address, http: HttpClient::new(KEPT) }
+    }
+
+    /// Reads an object, none where it is not there.
+    ///
+    /// # Errors
+    ///
+    /// The store does not answer or refuses.
+    pub async fn get(&self, name: &str) -> Result<Option<StoredObject>> {
+        let request = self.request(Method::GET, name, "", Bytes::new(), HeaderMap::new());
+        let response = self.http.call(request, CALL_LIMIT).await?;
+        from_read(&response)
+    }
+
+    /// Waits for a version above `after`; none where none came in time.
+    ///
+    /// # Errors
+    ///
+    /// The store does not answer or refuses.
+    pub async fn watch(
+        &self,
+        name: &str,
+        after: ObjectVersion,
+        wait: Duration,
+    ) -> Result<Option<StoredObject>> {
+        let query = format!("?after={after}&wait_ms={}", wait.as_millis());
+        let request = self.request(Method::GET, name, &query, Bytes::new(), HeaderMap::new());
+        let response = self.http.call(request, wait + CALL_LIMIT).await?;
+        if response.status() == StatusCode::NOT_MODIFIED {
+            return Ok(None);
+        }
+        from_read(&response)
+    }
+
+    /// Writes an object where its version still is `expected`, and returns
+    /// the new version.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::is_conflict`] where another version is stored. An error that
+    /// [`Error::is_unreachable`] leaves open whether the write took effect:
+    /// read back to find out.
+    pub async fn put(
+        &self,
+        name: &str,
+        content: Bytes,
+        expected: ObjectVersion,
+    ) -> Result<ObjectVersion> {
+        let mut headers = HeaderMap::new();
+        if expected == 0 {
+            headers.insert(IF_NONE_MATCH, hyper::header::HeaderValue::from_static("*"));
+        } else {
+            headers.insert(IF_MATCH, hyper::header::HeaderValue::from(expected));
+        }
+        let request = self.request(Method::PUT, name, "", content, headers);
+        let response = self.http.call(request, CALL_LIMIT).await?;
+        let version = to_version(&response);
+        match response.status() {
+            StatusCode::OK | StatusCode::CREATED => Ok(version),
+            StatusCode::PRECONDITION_FAILED => {
+                Err(Error::from_code(ErrorCode::Conflict { found: version }))
+            }
+            _ => Err(refused(&response)),
+        }
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        name: &str,
+        query: &str,
+        content: Bytes,
+        headers: HeaderMap,
+    ) -> Request<crate::client::CallBody> {
+        let mut request = Request::new(full(content));
+        *request.method_mut() = method;
+        // Names of objects are made here, of letters, digits, `/` and `-`.
+        let uri = format!("http://{}/objects/{name}{query}", self.address);
+        *request.uri_mut() = uri.parse().unwrap_or_default();
+        *request.headers_mut() = headers;
+        request
+    }
+}
+
+fn from_read(response: &Response<Bytes>) -> Result<Option<StoredObject>> {
+    match response.status() {
+        StatusCode::OK => {
+            let version = to_version(response);
+            Ok(Some(StoredObject { version, content: response.body().clone() }))
+        }
+        StatusCode::NOT_FOUND => Ok(None),
+        _ => Err(refused(response)),
+    }
+}
+
+fn to_version(response: &Response<Bytes>) -> ObjectVersion {
+    let tag = response.headers().get(ETAG).and_then(|tag| tag.to_str().ok());
+    tag.and_then(|tag| tag.trim_matches('"').parse().ok()).unwrap_or(0)
+}
+
+#[cold]
+fn refused(response: &Response<Bytes>) -> Error {
+    let status = response.status().as_u16();
+    let text = String::from_utf8_lossy(response.body()).into_owned();
+    Error::from_code(ErrorCode::Status { status, text })
+}
--- /dev/null
+++ b/standins/src/engine_server.rs
@@ -0,0 +1,349 @@
+//! A model engine behind HTTP.
+
+use std::cell::RefCell;
+use std::collections::{HashMap, VecDeque};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::{Method, Request, Response, StatusCode};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use shalelane::agent::cache::CacheEvent;
+use tokio::sync::{Notify, mpsc};
+
+use crate::engine_model::{EngineEvent, EngineModel, EngineRunSpec, EngineSpec};
+use crate::prompt::prompt_hash;
+use crate::serve::{Reply, ReplyBody, ServerThread, query_u64, reply, reply_json, serve_http};
+
+/// How old the load is that the engine reports.
+const LOAD_LAG: Duration = Duration::from_millis(400);
+
+/// How late events of the prefix cache come.
+const EVENT_LAG: Duration = Duration::from_millis(200);
+
+/// Share of the prefix cache's events that are lost.
+const LOST_EVENTS: f64 = 0.02;
+
+/// Events of the prefix cache that are kept.
+const KEPT_EVENTS: usize = 4096;
+
+/// What a test does to an engine.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EngineFault {
+    /// New calls are not answered.
+    pub frozen: bool,
+}
+
+/// An engine, and what a test may do to it.
+#[derive(Debug)]
+pub struct EngineServer {
+    /// The engine.
+    pub model: Arc<Mutex<EngineModel>>,
+    /// Faults in force.
+    pub fault: Arc<Mutex<EngineFault>>,
+    /// Its thread.
+    pub server: ServerThread,
+}
+
+struct ServerState {
+    model: Arc<Mutex<EngineModel>>,
+    fault: Arc<Mutex<EngineFault>>,
+    models: Vec<String>,
+    boot: u64,
+    streams: RefCell<HashMap<String, mpsc::UnboundedSender<Bytes>>>,
+    events: RefCell<VecDeque<(Instant, CacheEvent)>>,
+    sequence: RefCell<u64>,
+    load: RefCell<(Instant, u64)>,
+    fence: RefCell<u64>,
+    work: Notify,
+    rng: RefCell<StdRng>,
+}
+
+impl EngineServer {
+    /// Starts an engine that has `models` loaded, on a port of its own or on
+    /// `address`.
+    #[must_use]
+    pub fn start(
+        spec: EngineSpec,
+        models: &[&str],
+        seed: u64,
+        address: Option<SocketAddr>,
+    ) -> Self {
+        let model = Arc::new(Mutex::new(EngineModel::new(spec)));
+        let fault = Arc::new(Mutex::new(EngineFault::default()));
+        let models: Vec<String> = models.iter().map(|name| (*name).to_owned()).collect();
+        let (inner, faults) = (model.clone(), fault.clone());
+        let server = ServerThread::spawn("engine", address, move |listener| async move {
+            let state = Rc::new(ServerState {
+                model: inner,
+                fault: faults,
+                models,
+                boot: rand::random(),
+                streams: RefCell::default(),
+                events: RefCell::default(),
+                sequence: RefCell::default(),
+                load: RefCell::new((Instant::now(), 0)),
+                fence: RefCell::default(),
+                work: Notify::new(),
+                rng: RefCell::new(StdRng::seed_from_u64(seed)),
+            });
+            let handler = state.clone();
+            tokio::select! {
+                () = run_steps(state) => {}
+                () = serve_http(listener, move |request| handle(handler.clone(), request)) => {}
+            }
+        });
+        EngineServer { model, fault, server }
+    }
+
+    /// Tokens held by runs and reservations.
+    #[must_use]
+    pub fn used(&self) -> u64 {
+        lock(&self.model).used()
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+async fn run_steps(state: Rc<ServerState>) {
+    loop {
+        if !lock(&state.model).has_work() {
+            state.work.notified().await;
+            continue;
+        }
+        let step = lock(&state.model).step();
+        tokio::time::sleep(step.span).await;
+        for (id, event) in step.events {
+            deliver(&state, &id, event);
+        }
+        note_changes(&state);
+    }
+}
+
+fn deliver(state: &ServerState, id: &str, event: EngineEvent) {
+    let (body, is_last) = match event {
+        EngineEvent::Text(text) => {
+            (json!({"choices": [{"text": text, "finish_reason": null}]}), false)
+        }
+        EngineEvent::Paused(tokens) => (json!({"paused": tokens}), false),
+        EngineEvent::Done { prompt_tokens, cached_tokens, answer_tokens } => {
+            let usage = json!({
+                "prompt_tokens": prompt_tokens,
+                "completion_tokens": answer_tokens,
+                "cached_tokens": cached_tokens,
+            });
+            let choice = json!({"text": "", "finish_reason": "length"});
+            (json!({"choices": [choice], "usage": usage}), true)
+        }
+        EngineEvent::Failed(reason) => (json!({"error": reason}), true),
+    };
+    let mut streams = state.streams.borrow_mut();
+    if let Some(stream) = streams.get(id) {
+        // A reader that went away does not end the run: only a cancel does.
+        let _ = stream.send(format!("data: {body}\n\n").into());
+    }
+    if is_last {
+        streams.remove(id);
+    }
+}
+
+fn note_changes(state: &ServerState) {
+    for change in lock(&state.model).take_changes() {
+        *state.sequence.borrow_mut() += 1;
+        if state.rng.borrow_mut().random_bool(LOST_EVENTS) {
+            continue;
+        }
+        let sequence = *state.sequence.borrow();
+        let event = CacheEvent { sequence, run: change.run, tokens: change.tokens };
+        let mut events = state.events.borrow_mut();
+        events.push_back((Instant::now(), event));
+        if events.len() > KEPT_EVENTS {
+            events.pop_front();
+        }
+    }
+}
+
+async fn handle(state: Rc<ServerState>, request: Request<Incoming>) -> Option<Reply> {
+    if lock(&state.fault).frozen {
+        std::future::pending::<()>().await;
+    }
+    let path = request.uri().path().to_owned();
+    let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+    Some(match (request.method().clone(), parts.as_slice()) {
+        (Method::GET, ["v1", "load"]) => show_load(&state),
+        (Method::GET, ["v1", "cache", "events"]) => show_events(&state, &request),
+        (Method::GET, ["v1", "runs"]) => show_runs(&state),
+        (Method::DELETE, ["v1", "runs"]) => cancel_all(&state),
+        (Method::DELETE, ["v1", "runs", id]) => cancel(&state, id),
+        (Method::POST, ["v1", "runs", id, "resume"]) => resume(&state, id, request).await,
+        (Method::PUT, ["v1", "kv", id]) => reserve(&state, id, request).await,
+        (Method::DELETE, ["v1", "kv", id]) => to_status(lock(&state.model).unreserve(id)),
+        (Method::POST, ["v1", "orders"]) => take_order(&state, request).await,
+        (Method::POST, ["v1", "completions"] | ["v1", "chat", "completions"]) => {
+            start(&state, request).await
+        }
+        _ => reply(StatusCode::NOT_FOUND, "no such path"),
+    })
+}
+
+fn to_status(is_done: bool) -> Reply {
+    let status = if is_done { StatusCode::OK } else { StatusCode::NOT_FOUND };
+    reply(status, "")
+}
+
+fn show_load(state: &ServerState) -> Reply {
+    let model = lock(&state.model);
+    let mut load = state.load.borrow_mut();
+    if load.0.elapsed() > LOAD_LAG {
+        *load = (Instant::now(), model.used());
+    }
+    reply_json(&json!({
+        "boot": state.boot,
+        "capacity": model.spec().capacity,
+        "used": load.1,
+        "max_batch": model.spec().max_batch,
+        "models": state.models,
+    }))
+}
+
+fn show_events(state: &ServerState, request: &Request<Incoming>) -> Reply {
+    let after = query_u64(request, "after").unwrap_or(0);
+    let events = state.events.borrow();
+    let ripe =
+        events.iter().filter(|(at, event)| at.elapsed() > EVENT_LAG && event.sequence > after);
+    reply_json(&ripe.map(|(_, event)| event).collect::<Vec<_>>())
+}
+
+fn show_runs(state: &ServerState) -> Reply {
+    let model = lock(&state.model);
+    reply_json(&json!({"runs": model.runs(), "reservations": model.reservations()}))
+}
+
+fn cancel_all(state: &ServerState) -> Reply {
+    lock(&state.model).cancel_all();
+    state.streams.borrow_mut().clear();
+    reply(StatusCode::OK, "")
+}
+
+fn cancel(state: &ServerState, id: &str) -> Reply {
+    state.streams.borrow_mut().remove(id);
+    to_status(lock(&state.model).cancel(id))
+}
+
+#[derive(Deserialize)]
+struct ResumeBody {
+    prefill_tokens: Option<u64>,
+}
+
+async fn resume(state: &ServerState, id: &str, request: Request<Incoming>) -> Reply {
+    let Some(body) = read::<ResumeBody>(request).await else {
+        return bad_body();
+    };
+    let is_known = lock(&state.model).resume(id, body.prefill_tokens);
+    state.work.notify_one();
+    let status = if is_known { StatusCode::OK } else { StatusCode::CONFLICT };
+    reply(status, "")
+}
+
+#[derive(Deserialize)]
+struct ReserveBody {
+    tokens: u64,
+}
+
+async fn reserve(state: &ServerState, id: &str, request: Request<Incoming>) -> Reply {
+    let Some(body) = read::<ReserveBody>(request).await else {
+        return bad_body();
+    };
+    let is_held = lock(&state.model).reserve(id, body.tokens);
+    let status = if is_held { StatusCode::OK } else { StatusCode::CONFLICT };
+    reply(status, "")
+}
+
+#[derive(Deserialize)]
+struct OrderBody {
+    fence: u64,
+}
+
+async fn take_order(state: &ServerState, request: Request<Incoming>) -> Reply {
+    let Some(body) = read::<OrderBody>(request).await else {
+        return bad_body();
+    };
+    let checks = lock(&state.model).spec().checks_fence;
+    let mut fence = state.fence.borrow_mut();
+    if checks && body.fence < *fence {
+        return reply(StatusCode::CONFLICT, "an order with a higher fence was taken");
+    }
+    *fence = fence.max(body.fence);
+    reply(StatusCode::OK, "")
+}
+
+fn bad_body() -> Reply {
+    reply(StatusCode::BAD_REQUEST, "bad body")
+}
+
+async fn read<T: serde::de::DeserializeOwned>(request: Request<Incoming>) -> Option<T> {
+    let body = request.into_body().collect().await.ok()?.to_bytes();
+    serde_json::from_slice(&body).ok()
+}
+
+async fn start(state: &Rc<ServerState>, request: Request<Incoming>) -> Reply {
+    let headers = request.headers().clone();
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let number = |name: &str| text(name).and_then(|value| value.parse::<u64>().ok());
+    let id = text("x-run-id").unwrap_or("unnamed").to_owned();
+    let salt = text("x-cache-salt").unwrap_or("").to_owned();
+    let shards = text("x-kv-shards").unwrap_or("");
+    let elsewhere =
+        shards.split(',').filter_map(|shard| shard.split_once('=')?.1.parse::<u64>().ok());
+    let tokens_elsewhere = elsewhere.sum();
+    let (limit, most) = (number("x-prefill-tokens"), number("x-max-tokens"));
+    let priority = number("x-priority").unwrap_or(1) as u8;
+    let Some(body) = read::<Value>(request).await else {
+        return bad_body();
+    };
+    let prompt = to_prompt(&body);
+    let answer_tokens = most.or(body["max_tokens"].as_u64()).unwrap_or(16);
+    let (sender, receiver) = mpsc::unbounded_channel();
+    state.streams.borrow_mut().insert(id.clone(), sender);
+    lock(&state.model).start(EngineRunSpec {
+        id,
+        salt,
+        hash: prompt_hash(&prompt),
+        prompt,
+        answer_tokens,
+        priority,
+        prefill_limit: limit,
+        tokens_elsewhere,
+    });
+    state.work.notify_one();
+    Response::new(to_body(receiver))
+}
+
+/// The text of a prompt: what it holds, in order.
+fn to_prompt(body: &Value) -> String {
+    if let Some(prompt) = body["prompt"].as_str() {
+        return prompt.to_owned();
+    }
+    let messages = body["messages"].as_array().cloned().unwrap_or_default();
+    messages.iter().filter_map(|message| message["content"].as_str()).collect()
+}
+
+fn to_body(receiver: mpsc::UnboundedReceiver<Bytes>) -> ReplyBody {
+    let stream = futures_util::stream::unfold(receiver, |mut receiver| async move {
+        let part = receiver.recv().await?;
+        Some((part, receiver))
+    });
+    let frames = stream.map(|part| Ok::<_, Infallible>(Frame::data(part)));
+    StreamBody::new(frames).boxed_unsync()
+}
--- /dev/null
+++ b/standins/src/fleet.rs
@@ -0,0 +1,278 @@
+//! A whole small fleet in one process: each daemon its own one-thread loop.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, sync_channel};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use shalelane::agent::daemon::AgentDaemon;
+use shalelane::config::ServiceKind;
+use shalelane::entry::account::to_key;
+use shalelane::entry::daemon::EntryDaemon;
+use shalelane::hosts::{HostRecord, HostRole, HostState};
+use shalelane::log::LogFormat;
+use shalelane::settings::{AgentSettings, EntrySettings};
+use tokio::runtime::Builder;
+use tokio::sync::oneshot;
+
+use crate::engine_model::EngineSpec;
+use crate::engine_server::EngineServer;
+use crate::host_server::HostServer;
+use crate::plain_server::PlainServer;
+use crate::store_server::StoreServer;
+
+/// Shared key of a test fleet.
+pub const PEER_KEY: &str = "a test fleet's shared key";
+
+/// Operators' key of a test fleet.
+pub const ADMIN_KEY: &str = "demo-operator";
+
+/// Size and make of a fleet.
+#[derive(Clone, Debug)]
+pub struct FleetSpec {
+    /// Entries.
+    pub entries: usize,
+    /// Engines, each with its agent.
+    pub engines: usize,
+    /// Speeds and sizes of the engines.
+    pub engine: EngineSpec,
+    /// Engine service.
+    pub service: String,
+    /// Model that each engine has loaded.
+    pub model: String,
+    /// Plain service.
+    pub plain: String,
+    /// Failure domains, over which hosts are spread.
+    pub failure_domains: Vec<String>,
+    /// Lag of the platform's host list.
+    pub host_lag: Duration,
+    /// Seed of the stand-ins.
+    pub seed: u64,
+}
+
+/// A daemon on a thread of its own.
+#[derive(Debug)]
+pub struct DaemonThread {
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<Duration>>,
+}
+
+impl DaemonThread {
+    fn spawn<F, W, A>(name: &str, work: F) -> (Self, Receiver<A>)
+    where
+        F: FnOnce(std::sync::mpsc::SyncSender<A>, oneshot::Receiver<()>) -> W + Send + 'static,
+        W: Future<Output = Duration>,
+        A: Send + 'static,
+    {
+        let (address_in, address) = sync_channel(1);
+        let (stop, stopped) = oneshot::channel();
+        let body = move || {
+            let runtime = Builder::new_current_thread().enable_all().build().expect("runtime");
+            runtime.block_on(work(address_in, stopped))
+        };
+        let thread = std::thread::Builder::new().name(name.to_owned()).spawn(body);
+        let thread = Some(thread.expect("thread"));
+        (DaemonThread { stop: Some(stop), thread }, address)
+    }
+
+    /// Asks for a planned stop.
+    pub fn ask_stop(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            let _ = stop.send(());
+        }
+    }
+
+    /// Asks for a planned stop and waits for its end. Returns the longest
+    /// turn of the daemon's loop.
+    pub fn stop(&mut self) -> Duration {
+        self.ask_stop();
+        let thread = self.thread.take();
+        thread.and_then(|thread| thread.join().ok()).unwrap_or_default()
+    }
+}
+
+/// An entry and its addresses.
+#[derive(Debug)]
+pub struct EntryThread {
+    /// Where callers go.
+    pub callers: SocketAddr,
+    /// Where operators go.
+    pub admin: SocketAddr,
+    /// The daemon.
+    pub daemon: DaemonThread,
+}
+
+/// An agent and its address.
+#[derive(Debug)]
+pub struct AgentThread {
+    /// Name of the host.
+    pub name: String,
+    /// Where entries go.
+    pub address: SocketAddr,
+    /// The daemon.
+    pub daemon: DaemonThread,
+}
+
+/// All of a fleet.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Entries.
+    pub entries: Vec<EntryThread>,
+    /// Agents, those of engines first.
+    pub agents: Vec<AgentThread>,
+    /// Engines.
+    pub engines: Vec<EngineServer>,
+    /// The plain service.
+    pub plain: PlainServer,
+    /// The platform's store.
+    pub store: StoreServer,
+    /// The platform's host list.
+    pub hosts: HostServer,
+}
+
+/// Starts an entry.
+///
+/// # Panics
+///
+/// If the machine gives no port.
+#[must_use]
+pub fn start_entry(
+    name: &str,
+    domain: &str,
+    store: SocketAddr,
+    hosts: SocketAddr,
+    log_format: LogFormat,
+) -> EntryThread {
+    let settings = EntrySettings {
+        name: name.into(),
+        failure_domain: domain.into(),
+        listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+        admin_listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+        store: store.to_string().into(),
+        hosts: hosts.to_string().into(),
+        peer_key: PEER_KEY.into(),
+        admin_key_sha256: Some(to_key(ADMIN_KEY).into()),
+        log_format,
+        max_body: 16 * 1024 * 1024,
+        body_limit: Duration::from_secs(30),
+        max_connections: 4096,
+        drain_limit: Duration::from_secs(60),
+    };
+    let (daemon, address) = DaemonThread::spawn(name, move |address, stop| async move {
+        let daemon = EntryDaemon::bind(settings).await.expect("ports");
+        address.send(daemon.addresses().expect("addresses")).expect("starter");
+        daemon.run(wait(stop)).await.expect("entry")
+    });
+    let (callers, admin) = address.recv().expect("entry");
+    EntryThread { callers, admin, daemon }
+}
+
+/// Starts an agent.
+///
+/// # Panics
+///
+/// If the machine gives no port.
+#[must_use]
+pub fn start_agent(
+    name: &str,
+    target: SocketAddr,
+    kind: ServiceKind,
+    log_format: LogFormat,
+) -> AgentThread {
+    let settings = AgentSettings {
+        name: name.into(),
+        listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+        target: target.to_string().into(),
+        kind,
+        peer_key: PEER_KEY.into(),
+        log_format,
+        piece_tokens: 8_192,
+        prefill_tokens: 16_384,
+        drain_limit: Duration::from_secs(60),
+    };
+    let (daemon, address) = DaemonThread::spawn(name, move |address, stop| async move {
+        let daemon = AgentDaemon::bind(settings).await.expect("port");
+        address.send(daemon.address().expect("address")).expect("starter");
+        daemon.run(wait(stop)).await.expect("agent")
+    });
+    let address = address.recv().expect("agent");
+    AgentThread { name: name.to_owned(), address, daemon }
+}
+
+async fn wait(stop: oneshot::Receiver<()>) {
+    if stop.await.is_err() {
+        // Nobody can ask any more: run on until the process ends.
+        std::future::pending::<()>().await;
+    }
+}
+
+impl Fleet {
+    /// Starts everything.
+    #[must_use]
+    pub fn start(spec: &FleetSpec) -> Self {
+        let store = StoreServer::start();
+        let hosts = HostServer::start(spec.host_lag);
+        let plain = PlainServer::start();
+        let domain =
+            |index: usize| spec.failure_domains[index % spec.failure_domains.len()].clone();
+        let mut engines = Vec::new();
+        let mut agents = Vec::new();
+        for index in 0..spec.engines {
+            let seed = spec.seed + index as u64;
+            let engine = EngineServer::start(spec.engine.clone(), &[&spec.model], seed, None);
+            let name = format!("runner-{index:02}");
+            let target = engine.server.address;
+            let agent = start_agent(&name, target, ServiceKind::Engine, LogFormat::Off);
+            list_target(&hosts, &agent, &spec.service, &domain(index));
+            engines.push(engine);
+            agents.push(agent);
+        }
+        let agent =
+            start_agent("plain-00", plain.server.address, ServiceKind::Plain, LogFormat::Off);
+        list_target(&hosts, &agent, &spec.plain, &domain(0));
+        agents.push(agent);
+        let mut entries = Vec::new();
+        for index in 0..spec.entries {
+            let name = format!("entry-{index}");
+            let (store, list) = (store.server.address, hosts.server.address);
+            let entry = start_entry(&name, &domain(index), store, list, LogFormat::Off);
+            hosts.set(HostRecord {
+                name: name.into(),
+                role: HostRole::Entry,
+                address: entry.admin.to_string().into(),
+                failure_domain: domain(index).into(),
+                state: HostState::Live,
+            });
+            entries.push(entry);
+        }
+        Fleet { entries, agents, engines, plain, store, hosts }
+    }
+
+    /// Tokens that engines hold for runs and reservations.
+    #[must_use]
+    pub fn held_tokens(&self) -> u64 {
+        self.engines.iter().map(EngineServer::used).sum()
+    }
+
+    /// Stops all daemons as planned, entries first. Returns the longest turn
+    /// of any loop.
+    pub fn stop(&mut self) -> Duration {
+        let entries = self.entries.iter_mut().map(|entry| entry.daemon.stop());
+        let longest = entries.max().unwrap_or_default();
+        let agents = self.agents.iter_mut().map(|agent| agent.daemon.stop());
+        agents.max().unwrap_or_default().max(longest)
+    }
+}
+
+/// Lists an agent's host as a target of a service.
+pub fn list_target(hosts: &HostServer, agent: &AgentThread, service: &str, domain: &str) {
+    hosts.set(HostRecord {
+        name: agent.name.as_str().into(),
+        role: HostRole::Target { service: Arc::from(service) },
+        address: agent.address.to_string().into(),
+        failure_domain: domain.into(),
+        state: HostState::Live,
+    });
+}
--- /dev/null
+++ b/standins/src/main.rs
@@ -0,0 +1,101 @@
+//! The stand-ins' program: `demo` runs the main job, `up` keeps a fleet.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use gumdrop::Options;
+use standins::demo::{self, DemoSpec, apply_config, demo_fleet, wait_ready};
+use standins::fleet::{ADMIN_KEY, Fleet};
+
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "run a fleet under a bounded mixed load and print the figures")]
+    Demo(DemoArguments),
+    #[options(help = "run a fleet until it is interrupted")]
+    Up(DemoArguments),
+}
+
+#[derive(Debug, Options)]
+struct DemoArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "print one JSON object", no_short)]
+    json: bool,
+    #[options(help = "seed of the load [1]", no_short, meta = "N")]
+    seed: Option<u64>,
+    #[options(help = "requests to make [300]", no_short, meta = "N")]
+    requests: Option<u64>,
+    #[options(help = "engines [8]", no_short, meta = "N")]
+    engines: Option<usize>,
+    #[options(help = "divides the times of the engines [4]", no_short, meta = "X")]
+    time_scale: Option<f64>,
+}
+
+impl DemoArguments {
+    fn to_spec(&self) -> DemoSpec {
+        let default = DemoSpec::default();
+        DemoSpec {
+            seed: self.seed.unwrap_or(default.seed),
+            requests: self.requests.unwrap_or(default.requests),
+            time_scale: self.time_scale.unwrap_or(default.time_scale),
+            engines: self.engines.unwrap_or(default.engines),
+            quiet: self.json,
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    match arguments.command {
+        Some(Command::Demo(arguments)) => run_demo(&arguments),
+        Some(Command::Up(arguments)) => run_up(&arguments),
+        None => {
+            println!("{}", Arguments::usage());
+            println!("{}", Arguments::command_list().unwrap_or_default());
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run_demo(arguments: &DemoArguments) -> ExitCode {
+    let spec = arguments.to_spec();
+    let report = demo::run(&spec);
+    if arguments.json {
+        println!("{}", serde_json::to_string(&report).unwrap_or_default());
+    } else {
+        println!("seed {}\n{}", spec.seed, report.to_table());
+    }
+    if report.is_clean() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+fn run_up(arguments: &DemoArguments) -> ExitCode {
+    let spec = arguments.to_spec();
+    let mut fleet = Fleet::start(&demo_fleet(&spec));
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let Ok(runtime) = runtime else {
+        return ExitCode::FAILURE;
+    };
+    runtime.block_on(async {
+        apply_config(&fleet, include_str!("../../examples/valdivia.toml")).await;
+        wait_ready(&fleet, Duration::from_secs(10)).await;
+        let entry = &fleet.entries[0];
+        println!("callers {}, operators {}, key {ADMIN_KEY}", entry.callers, entry.admin);
+        println!(
+            "curl -N http://{}/v1/completions -H 'Authorization: Bearer demo-quay-kiosks' \
+             -d '{{\"model\": \"canal-8b\", \"prompt\": \"Which boats leave at noon?\", \
+             \"max_tokens\": 8, \"stream\": true}}'",
+            entry.callers
+        );
+        shalelane::program::wait_for_stop().await;
+    });
+    fleet.stop();
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/standins/src/plain_server.rs
@@ -0,0 +1,81 @@
+//! A plain service that counts how often it ran each order.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{Request, StatusCode};
+use serde::Deserialize;
+
+use crate::serve::{Reply, ServerThread, reply, reply_json, serve_http};
+
+/// Time that a call takes.
+const WORK: Duration = Duration::from_millis(5);
+
+/// How often each order was run.
+pub type OrderCounts = BTreeMap<String, u64>;
+
+/// What a test does to the service.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PlainFault {
+    /// Calls run, and their answers are lost.
+    pub loses_answers: bool,
+    /// Calls run only after this time.
+    pub delay: Duration,
+}
+
+/// The service, and what a test may do to it.
+#[derive(Debug)]
+pub struct PlainServer {
+    /// How often each order was run.
+    pub counts: Arc<Mutex<OrderCounts>>,
+    /// Faults in force.
+    pub fault: Arc<Mutex<PlainFault>>,
+    /// Its thread.
+    pub server: ServerThread,
+}
+
+#[derive(Deserialize)]
+struct OrderBody {
+    order: String,
+}
+
+impl PlainServer {
+    /// Starts the service.
+    #[must_use]
+    pub fn start() -> Self {
+        let counts = Arc::new(Mutex::new(OrderCounts::new()));
+        let fault = Arc::new(Mutex::new(PlainFault::default()));
+        let (inner, faults) = (counts.clone(), fault.clone());
+        let server = ServerThread::spawn("plain", None, move |listener| {
+            serve_http(listener, move |request| handle(inner.clone(), faults.clone(), request))
+        });
+        PlainServer { counts, fault, server }
+    }
+
+    /// How often an order was run.
+    #[must_use]
+    pub fn times_run(&self, order: &str) -> u64 {
+        self.counts.lock().map_or(0, |counts| counts.get(order).copied().unwrap_or(0))
+    }
+}
+
+async fn handle(
+    counts: Arc<Mutex<OrderCounts>>,
+    fault: Arc<Mutex<PlainFault>>,
+    request: Request<Incoming>,
+) -> Option<Reply> {
+    let body = request.into_body().collect().await.ok()?.to_bytes();
+    let fault = fault.lock().map(|fault| *fault).unwrap_or_default();
+    tokio::time::sleep(WORK + fault.delay).await;
+    let Ok(order) = serde_json::from_slice::<OrderBody>(&body) else {
+        return Some(reply(StatusCode::BAD_REQUEST, "no order"));
+    };
+    *counts.lock().ok()?.entry(order.order.clone()).or_default() += 1;
+    if fault.loses_answers {
+        return None;
+    }
+    Some(reply_json(&serde_json::json!({"done": order.order})))
+}
