--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -1,6 +1,6 @@
 //! The agent's decisions.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,7 +8,7 @@
 
 use super::cache::PrefixIndex;
 use super::event::{
-    AgentTuning, ConnId, Effect, EngineFacts, EngineRun, Event, RunEvent, RunUsage,
+    AgentTuning, ConnId, Effect, EngineFacts, EngineHolding, Event, RunEvent, RunUsage,
 };
 use super::lease::{LeaseBook, LeaseUse, MemoryLease};
 use super::ledger::{Outcome, OutcomeLedger};
@@ -18,6 +18,7 @@
 use crate::config::ConfigVersion;
 use crate::id::{AttemptId, AttemptKey, ProcessId, RequestId};
 use crate::invariant::InvariantCheck;
+use crate::mutant::{Mutant, is_on};
 use crate::prefix::BLOCK_BYTES;
 use crate::time::{Tick, TimerService};
 use crate::verdict::Verdict;
@@ -28,6 +29,10 @@
 /// Bytes of text that one cached token is taken to stand for.
 const BYTES_PER_TOKEN: u64 = 4;
 
+/// Share of the engine's memory that is leased. The rest is for estimates of
+/// token counts that turn out too low.
+const LEASED_SHARE: f64 = 0.95;
+
 /// What an entry is told to wait before it asks again, at least.
 const MIN_RETRY: Duration = Duration::from_millis(50);
 
@@ -74,7 +79,7 @@
     pub(super) tuning: AgentTuning,
     facts: Option<EngineFacts>,
     no_facts: EngineFacts,
-    peers: HashMap<ConnId, ProcessId>,
+    peers: BTreeMap<ConnId, ProcessId>,
     pub(super) runs: BTreeMap<AttemptId, Run>,
     ledger: OutcomeLedger,
     pub(super) leases: LeaseBook,
@@ -103,7 +108,7 @@
             tuning,
             facts: None,
             no_facts: EngineFacts::default(),
-            peers: HashMap::new(),
+            peers: BTreeMap::new(),
             runs: BTreeMap::new(),
             ledger: OutcomeLedger::default(),
             leases: LeaseBook::default(),
@@ -135,7 +140,7 @@
             Event::Reserved(id, is_held) => self.on_reserved(&id, is_held),
             Event::Unreserved(id) => self.on_unreserved(&id),
             Event::Cache(event) => self.cache.on_event(&event),
-            Event::EngineRuns(runs) => self.on_engine_runs(&runs),
+            Event::EngineHoldings(holdings) => self.on_holdings(&holdings),
             Event::Drain => self.on_drain(now),
             Event::Wake => {}
         }
@@ -261,7 +266,7 @@
             ToAgent::Cancel(key) => self.on_cancel(&named(key), now),
             ToAgent::Resume(resume) => self.on_resume(conn, &named(resume.attempt), resume, now),
             ToAgent::Hold(hold) => self.on_hold(conn, named(hold.attempt), hold, now),
-            ToAgent::Release(key) => self.on_release(&named(key)),
+            ToAgent::Release(key) => self.on_release(&named(key), now),
             ToAgent::ConfigVersion(version) => {
                 self.config_version = self.config_version.max(version);
             }
@@ -289,7 +294,7 @@
     /// Why no new work for `model` is taken at all, if so. A plain service
     /// goes by no model.
     fn refuse_new(&self, model: &str) -> Option<Refusal> {
-        if self.leaving {
+        if self.leaving && !is_on(Mutant::LeavingOff) {
             return Some(Refusal::Leaving);
         }
         let Some(facts) = &self.facts else {
@@ -313,8 +318,11 @@
             self.replay(conn, &id, 0);
             return;
         }
-        if let Some((refusal, retry)) = self.refuse_dispatch(&dispatch, now) {
+        if let Some((refusal, retry)) = self.refuse_dispatch(&id, &dispatch, now) {
             self.refuse(conn, id.key, refusal, retry);
+            // A second copy of this dispatch must not run after this answer.
+            let until = now + Duration::from_micros(dispatch.remaining_us);
+            self.settle(id, not_run("refused"), until + self.tuning.ledger_margin);
             return;
         }
         let blocks = u64::from(self.cache.cached_blocks(&dispatch.marks));
@@ -325,7 +333,12 @@
         self.runs.insert(id, run);
     }
 
-    fn refuse_dispatch(&self, dispatch: &Dispatch, now: Tick) -> Option<(Refusal, Duration)> {
+    fn refuse_dispatch(
+        &self,
+        id: &AttemptId,
+        dispatch: &Dispatch,
+        now: Tick,
+    ) -> Option<(Refusal, Duration)> {
         let model = match &dispatch.call {
             Call::Model { model, .. } => &**model,
             Call::Plain { .. } => "",
@@ -340,6 +353,11 @@
         if model.is_empty() {
             return None;
         }
+        let needs_hold = !dispatch.shards.is_empty();
+        let has_hold = self.leases.is_held(id) && !self.unreserving.contains(id);
+        if needs_hold && !has_hold {
+            return Some((Refusal::NoMemory, Duration::ZERO));
+        }
         if local_tokens(dispatch) > self.leases.capacity() {
             return Some((Refusal::NoMemory, Duration::ZERO));
         }
@@ -373,6 +391,9 @@
     }
 
     fn on_cancel(&mut self, id: &AttemptId, now: Tick) {
+        if is_on(Mutant::CancelOff) {
+            return;
+        }
         if self.runs.contains_key(id) {
             self.counts.cancelled += 1;
             self.end_early(id, "cancelled by the caller", now);
@@ -510,6 +531,11 @@
     }
 
     fn settle(&mut self, id: AttemptId, outcome: Outcome, until: Tick) {
+        let is_tombstone = matches!(outcome, Outcome::Failed { verdict: Verdict::NotRun, .. });
+        let mutant = if is_tombstone { Mutant::TombstoneOff } else { Mutant::LedgerOff };
+        if is_on(mutant) {
+            return;
+        }
         self.ledger.insert(id, outcome, until);
     }
 
@@ -518,7 +544,7 @@
     fn on_target_ready(&mut self, facts: EngineFacts) {
         let held = self.leases.len();
         self.invariant.expect(held == 0, "a target is reset only when no lease is held");
-        self.leases = LeaseBook::new(facts.capacity);
+        self.leases = LeaseBook::new((facts.capacity as f64 * LEASED_SHARE) as u64);
         self.cache.clear();
         self.facts = Some(facts);
     }
@@ -658,10 +684,16 @@
         self.leases.release(id);
     }
 
-    fn on_engine_runs(&mut self, runs: &[EngineRun]) {
-        let known: BTreeSet<String> = self.runs.keys().map(AttemptId::to_string).collect();
-        let strays: Vec<_> = runs.iter().filter(|run| !known.contains(&run.id)).collect();
-        for run in strays {
+    /// Ends what the engine holds for nobody: calls of an earlier life of this
+    /// agent can reach the engine after it was reset.
+    fn on_holdings(&mut self, holdings: &[EngineHolding]) {
+        let leased = self.leases.all();
+        let known: BTreeSet<String> =
+            self.runs.keys().chain(&leased).map(AttemptId::to_string).collect();
+        for run in holdings.iter().filter(|run| !known.contains(&run.id)) {
+            if is_on(Mutant::StraysOff) {
+                return;
+            }
             self.counts.strays += 1;
             self.out.push(Effect::CancelStray(run.id.clone()));
         }
@@ -725,11 +757,15 @@
         self.send(conn, ToEntry::NotHeld(id.key));
     }
 
-    fn on_release(&mut self, id: &AttemptId) {
+    fn on_release(&mut self, id: &AttemptId, now: Tick) {
         self.claims.retain(|claim| claim.id != *id);
         if self.leases.is_held(id) && self.unreserving.insert(id.clone()) {
             self.holders.remove(id);
             self.out.push(Effect::Unreserve(id.clone()));
+            // A run that waits to use what is given back can not have it.
+            if self.runs.get(id).is_some_and(|run| !run.is_at_target()) {
+                self.give_up(id, "its memory lease has ended", now);
+            }
         }
     }
 
@@ -755,19 +791,22 @@
     fn on_orphan_due(&mut self, id: &AttemptId, now: Tick) {
         let Some(run) = self.runs.get(id) else { return };
         let is_due = run.orphaned.is_some_and(|at| at + self.tuning.orphan_grace <= now);
-        if is_due && !run.is_plain() {
+        if is_due && !run.is_plain() && !is_on(Mutant::CancelOff) {
             self.counts.cancelled += 1;
             self.end_early(id, "nobody waits for the answer", now);
         }
     }
 
     fn on_lease_due(&mut self, id: &AttemptId, now: Tick) {
+        if is_on(Mutant::ExpiryOff) {
+            return;
+        }
         let is_lease_due = self.leases.get(id).is_some_and(|lease| lease.expires <= now);
         let claim = self.claims.iter().find(|claim| claim.id == *id && claim.expires <= now);
         let conn = claim.map(|claim| claim.conn).or_else(|| self.holders.get(id).copied());
         if is_lease_due || claim.is_some() {
             self.send(conn, ToEntry::NotHeld(id.key));
-            self.on_release(id);
+            self.on_release(id, now);
         }
     }
 
--- a/src/agent/daemon.rs
+++ b/src/agent/daemon.rs
@@ -131,12 +131,18 @@
     }
 }
 
+/// A call to the target that has not ended.
+struct TargetCall {
+    task: AbortHandle,
+    has_arrived: Rc<Cell<bool>>,
+}
+
 struct AgentLoop {
     shared: Rc<AgentShared>,
     core: AgentCore,
     clock: ProcessClock,
     meter: TurnMeter,
-    calls: Rc<RefCell<HashMap<AttemptId, AbortHandle>>>,
+    calls: Rc<RefCell<HashMap<AttemptId, TargetCall>>>,
     stopped: bool,
 }
 
@@ -216,7 +222,7 @@
                 warn!(shared.log, "ending a run that belongs to nobody"; "run" => &id);
                 spawn_local(async move {
                     // The next look finds it again if this did not work.
-                    let _ = shared.engine.cancel(&id).await;
+                    let _ = shared.engine.cancel_holding(&id).await;
                 });
             }
             Effect::Reserve(id, tokens) => {
@@ -243,37 +249,49 @@
             Rc::new(move |event| shared.send(Event::Run(id.clone(), event)))
         };
         let (calls, name) = (self.calls.clone(), id.clone());
+        let has_arrived = Rc::new(Cell::new(false));
+        let arrived = has_arrived.clone();
         let task = spawn_local(async move {
             match shared.settings.kind {
-                ServiceKind::Engine => shared.engine.run(start, tell).await,
+                ServiceKind::Engine => shared.engine.run(start, &arrived, tell).await,
                 ServiceKind::Plain => shared.plain.run(start, tell).await,
             }
             calls.borrow_mut().remove(&name);
         });
-        self.calls.borrow_mut().insert(id, task.abort_handle());
+        let call = TargetCall { task: task.abort_handle(), has_arrived };
+        self.calls.borrow_mut().insert(id, call);
     }
 
     fn cancel(&mut self, id: AttemptId) {
         let call = self.calls.borrow_mut().remove(&id);
-        if let Some(call) = call {
-            call.abort();
-        }
         let shared = self.shared.clone();
         spawn_local(async move {
             if shared.settings.kind == ServiceKind::Engine {
-                let name = id.to_string();
-                let mut tries = 0;
-                // A target that is lost meanwhile is reset before it is used again.
-                while shared.engine.cancel(&name).await.is_err() && tries < LOST_AFTER * 4 {
-                    tries += 1;
-                    tokio::time::sleep(AGAIN_STEP).await;
-                }
+                cancel_run(&shared, &id, call.as_ref()).await;
+            }
+            if let Some(call) = call {
+                call.task.abort();
             }
             shared.send(Event::Run(id, RunEvent::Cancelled));
         });
     }
 }
 
+/// Ends a run at the engine. A cancel can overtake the call that brings the
+/// run: then it is repeated until the engine had the run or never will.
+async fn cancel_run(shared: &AgentShared, id: &AttemptId, call: Option<&TargetCall>) {
+    let name = id.to_string();
+    // A target that is lost meanwhile is reset before it is used again.
+    for _ in 0..LOST_AFTER * 4 {
+        let has_arrived = call.is_none_or(|call| call.has_arrived.get());
+        match shared.engine.cancel(&name).await {
+            Ok(true) => return,
+            Ok(false) if has_arrived => return,
+            _ => tokio::time::sleep(AGAIN_STEP).await,
+        }
+    }
+}
+
 async fn resume(shared: Rc<AgentShared>, id: AttemptId, limit: Option<u64>) {
     if shared.engine.resume(&id, limit).await.is_err() {
         let failed = RunEvent::Failed(
@@ -327,7 +345,7 @@
         if looks % LOADS_PER_LOOK == 0
             && let Ok(runs) = shared.engine.get_holdings().await
         {
-            shared.send(Event::EngineRuns(runs));
+            shared.send(Event::EngineHoldings(runs));
         }
     }
     warn!(shared.log, "engine lost");
--- a/src/agent/engine.rs
+++ b/src/agent/engine.rs
@@ -1,6 +1,7 @@
 //! The agent's calls to a model engine, behind one module: how an engine
 //! shares its memory, pauses and resumes runs is known nowhere else.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::cache::CacheEvent;
-use super::event::{EngineFacts, EngineRun, RunEvent, RunUsage, StartRun};
+use super::event::{EngineFacts, EngineHolding, RunEvent, RunUsage, StartRun};
 use crate::client::{CallBody, CallFault, HttpClient, full, pieces};
 use crate::config::Urgency;
 use crate::error::{Error, ErrorCode, Result};
@@ -125,15 +126,15 @@
         }))
     }
 
-    /// Ends something. What is not there any more has ended.
-    async fn delete(&self, path: &str) -> Result<()> {
+    /// Ends something. Returns whether it was there.
+    async fn delete(&self, path: &str) -> Result<bool> {
         let request = self.request(Method::DELETE, path, full(""));
         let response = self.http.call(request, CALL_LIMIT).await?;
-        let is_gone = response.status().is_success() || response.status() == StatusCode::NOT_FOUND;
-        if is_gone {
-            return Ok(());
+        match response.status() {
+            StatusCode::NOT_FOUND => Ok(false),
+            status if status.is_success() => Ok(true),
+            status => Err(Error::unreachable(format!("the engine answered {status}"))),
         }
-        Err(Error::unreachable(format!("the engine answered {}", response.status())))
     }
 
     pub(super) async fn get_load(&self) -> Result<EngineLoad> {
@@ -154,10 +155,11 @@
         Ok((facts, load.boot))
     }
 
-    pub(super) async fn get_holdings(&self) -> Result<Vec<EngineRun>> {
+    pub(super) async fn get_holdings(&self) -> Result<Vec<EngineHolding>> {
         let body = self.call(Method::GET, "/v1/runs", "").await?;
         let holdings: EngineHoldings = serde_json::from_slice(&body).map_err(Error::unreachable)?;
-        Ok(holdings.runs.into_iter().map(|id| EngineRun { id }).collect())
+        let names = holdings.runs.into_iter().chain(holdings.reservations);
+        Ok(names.map(|id| EngineHolding { id }).collect())
     }
 
     pub(super) async fn get_cache_events(&self, after: u64) -> Result<Vec<CacheEvent>> {
@@ -166,7 +168,14 @@
         serde_json::from_slice(&body).map_err(Error::unreachable)
     }
 
-    pub(super) async fn cancel(&self, run: &str) -> Result<()> {
+    /// Ends whatever the engine holds under a name.
+    pub(super) async fn cancel_holding(&self, name: &str) -> Result<bool> {
+        self.delete(&format!("/v1/kv/{name}")).await?;
+        self.cancel(name).await
+    }
+
+    /// Ends a run. Returns whether the engine had it.
+    pub(super) async fn cancel(&self, run: &str) -> Result<bool> {
         self.delete(&format!("/v1/runs/{run}")).await
     }
 
@@ -181,12 +190,19 @@
     }
 
     pub(super) async fn unreserve(&self, id: &AttemptId) -> Result<()> {
-        self.delete(&format!("/v1/kv/{id}")).await
+        self.delete(&format!("/v1/kv/{id}")).await.map(drop)
     }
 
     /// Runs an attempt and tells of all that happens to it.
-    pub(super) async fn run(&self, start: StartRun, tell: Rc<dyn Fn(RunEvent)>) {
-        if let Err(event) = self.try_run(start, &tell).await {
+    /// Sets `has_arrived` once the engine has the run, or never will have it.
+    pub(super) async fn run(
+        &self,
+        start: StartRun,
+        has_arrived: &Cell<bool>,
+        tell: Rc<dyn Fn(RunEvent)>,
+    ) {
+        if let Err(event) = self.try_run(start, has_arrived, &tell).await {
+            has_arrived.set(true);
             tell(event);
         }
     }
@@ -194,6 +210,7 @@
     async fn try_run(
         &self,
         start: StartRun,
+        has_arrived: &Cell<bool>,
         tell: &Rc<dyn Fn(RunEvent)>,
     ) -> std::result::Result<(), RunEvent> {
         let request = self.to_request(start);
@@ -201,6 +218,7 @@
             CallFault::NotSent(text) => RunEvent::Failed(Verdict::NotRun, text.into()),
             CallFault::Unknown(text) => RunEvent::Failed(Verdict::MayHaveRun, text.into()),
         })?;
+        has_arrived.set(true);
         let status = response.status();
         if !status.is_success() {
             let text = format!("the engine answered {status}");
--- a/src/agent/event.rs
+++ b/src/agent/event.rs
@@ -28,10 +28,10 @@
     pub models: Vec<Arc<str>>,
 }
 
-/// A run that the engine reports to hold.
+/// A run or a reservation that the engine reports to hold.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct EngineRun {
-    /// Name that the agent gave it.
+pub struct EngineHolding {
+    /// Name that an agent gave it.
     pub id: String,
 }
 
@@ -86,8 +86,8 @@
     Unreserved(AttemptId),
     /// A change of the prefix cache.
     Cache(CacheEvent),
-    /// What the engine says it runs.
-    EngineRuns(Vec<EngineRun>),
+    /// What the engine says it holds.
+    EngineHoldings(Vec<EngineHolding>),
     /// A planned stop begins.
     Drain,
     /// Time has passed.
@@ -130,7 +130,7 @@
     Resume(AttemptId, Option<u64>),
     /// End a run; answered by [`RunEvent::Cancelled`].
     Cancel(AttemptId),
-    /// End a run that no attempt stands for.
+    /// End a run, or give back a reservation, that no attempt stands for.
     CancelStray(String),
     /// Reserve memory for a group.
     Reserve(AttemptId, u64),
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -23,5 +23,5 @@
 
 pub use self::core::AgentCore;
 pub use self::event::{
-    AgentTuning, ConnId, Effect, EngineFacts, EngineRun, Event, RunEvent, RunUsage, StartRun,
+    AgentTuning, ConnId, Effect, EngineFacts, EngineHolding, Event, RunEvent, RunUsage, StartRun,
 };
--- a/src/agent/schedule.rs
+++ b/src/agent/schedule.rs
@@ -24,7 +24,9 @@
         let waiting = self.runs.values().filter(|run| run.is_waiting());
         self.share.settle(waiting.map(|run| &run.dispatch.account));
         while let Some(id) = self.pick(now) {
-            self.advance(&id, now);
+            if !self.advance(&id, now) {
+                return;
+            }
         }
     }
 
@@ -64,9 +66,10 @@
         None
     }
 
-    fn advance(&mut self, id: &AttemptId, now: Tick) {
+    /// Lets a run go on, false where its memory could not be taken.
+    fn advance(&mut self, id: &AttemptId, now: Tick) -> bool {
         let in_prefill: u64 = self.runs.values().map(Run::in_prefill).sum();
-        let Some(run) = self.runs.get(id) else { return };
+        let Some(run) = self.runs.get(id) else { return false };
         let piece = self.next_piece(run);
         let is_last = piece >= run.left_to_prefill();
         let granted = run.prefilled + piece;
@@ -75,11 +78,11 @@
         let work = self.rates.prefill(piece);
         let (account, weight) = (run.dispatch.account.clone(), run.dispatch.weight);
         if !resumes && !self.take_lease(id) {
-            return;
+            return false;
         }
         self.share.charge(&account, weight, work);
         let Some(run) = self.runs.get_mut(id) else {
-            return;
+            return false;
         };
         run.granted = granted;
         run.alone = in_prefill == 0;
@@ -87,7 +90,7 @@
         run.since = now;
         if resumes {
             self.out.push(Effect::Resume(id.clone(), limit));
-            return;
+            return true;
         }
         run.started = Some(now);
         let start = StartRun {
@@ -108,6 +111,7 @@
         self.out.push(Effect::Start(Box::new(start)));
         self.record(id, "started", detail);
         self.counts.started += 1;
+        true
     }
 
     /// Returns true where a group has waited long enough for this memory.
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -17,6 +17,7 @@
 use crate::config::{Config, ConfigVersion};
 use crate::id::{AttemptKey, Incarnation, ProcessId};
 use crate::invariant::InvariantCheck;
+use crate::mutant::{Mutant, is_on};
 use crate::time::{Tick, TimerService};
 use crate::tokens::TokenEstimator;
 use crate::verdict::Verdict;
@@ -211,7 +212,7 @@
 
     fn on_config(&mut self, config: Arc<Config>) {
         let current = self.config.as_ref().map_or(ConfigVersion::default(), |one| one.version);
-        if config.version > current || self.config.is_none() {
+        if config.version > current || self.config.is_none() || is_on(Mutant::RevertOn) {
             self.heard_version = self.heard_version.max(config.version);
             self.config = Some(config);
         }
@@ -660,7 +661,9 @@
         );
         request.tried.push(target);
         request.phase = Phase::Backoff { until: now };
-        let may_retry = verdict.may_retry(request.arrival.repeatable) && !request.has_begun();
+        let bears_retry =
+            verdict.may_retry(request.arrival.repeatable) || is_on(Mutant::VerdictOff);
+        let may_retry = bears_retry && !request.has_begun();
         let has_attempts = request.dispatches < self.tuning.max_attempts;
         if !may_retry || !has_attempts || !self.budget.spend() {
             self.fail(number, FailureCode::TargetFailed, reason, now);
@@ -708,6 +711,7 @@
             return;
         };
         let sent = request.sent;
+        let offset = if is_on(Mutant::OffsetOff) { sent } else { offset };
         if offset > sent {
             self.ask_rest(key.0);
             return;
@@ -859,6 +863,9 @@
     }
 
     fn on_deadline(&mut self, number: u64, now: Tick) {
+        if is_on(Mutant::DeadlineOff) {
+            return;
+        }
         let Some(request) = self.requests.get_mut(&number) else {
             return;
         };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 mod link_pool;
 pub mod log;
 pub mod metrics;
+pub mod mutant;
 mod peer;
 pub mod prefix;
 pub mod program;
--- /dev/null
+++ b/standins/src/chaos/mod.rs
@@ -0,0 +1,88 @@
+//! Randomised runs: the real cores in virtual time, under faults.
+//!
+//! A run is made from its seed alone. The cores check their invariants in
+//! every turn; the callers check every answer; at the end nothing may be held.
+
+mod callers;
+mod plan;
+mod world;
+
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use shalelane::mutant::{Mutant, set_mutant};
+
+pub use self::plan::{ChaosPlan, FaultKind, PlannedFault};
+pub use self::world::ChaosOutcome;
+use self::world::{SharedLog, World};
+
+/// Makes one run.
+#[must_use]
+pub fn run_plan(plan: &ChaosPlan) -> ChaosOutcome {
+    run_mutant(plan, None)
+}
+
+/// Makes one run with a fault in the cores.
+#[must_use]
+pub fn run_mutant(plan: &ChaosPlan, mutant: Option<Mutant>) -> ChaosOutcome {
+    let log = SharedLog::default();
+    let inner = log.clone();
+    set_mutant(mutant);
+    let result = catch_unwind(AssertUnwindSafe(|| World::new(plan, inner).run()));
+    set_mutant(None);
+    let mut outcome = result.unwrap_or_else(|panic| {
+        let text = panic.downcast_ref::<String>().cloned();
+        let text = text.or_else(|| panic.downcast_ref::<&str>().map(|text| (*text).to_owned()));
+        let broken = vec![text.unwrap_or_else(|| "a core stopped".to_owned())];
+        ChaosOutcome { broken, ..ChaosOutcome::default() }
+    });
+    outcome.log = log.take().into();
+    outcome
+}
+
+/// What came of the runs of many seeds.
+#[derive(Clone, Debug, Default)]
+pub struct SeedsOutcome {
+    /// Requests that were answered whole.
+    pub finished: usize,
+    /// Requests that failed.
+    pub failed: usize,
+    /// The lowest seed found that broke a promise.
+    pub broken: Option<(u64, ChaosOutcome)>,
+}
+
+/// Makes the runs of many seeds, on all processors, with a fault in the cores
+/// or none. Stops soon after the first broken promise.
+#[must_use]
+pub fn run_seeds(first: u64, end: u64, mutant: Option<Mutant>) -> SeedsOutcome {
+    let next = AtomicU64::new(first);
+    let sum = Mutex::new(SeedsOutcome::default());
+    let threads = std::thread::available_parallelism().map_or(1, usize::from);
+    std::thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| run_some(&next, end, mutant, &sum));
+        }
+    });
+    sum.into_inner().unwrap_or_default()
+}
+
+fn run_some(next: &AtomicU64, end: u64, mutant: Option<Mutant>, sum: &Mutex<SeedsOutcome>) {
+    loop {
+        let seed = next.fetch_add(1, Ordering::Relaxed);
+        if seed >= end {
+            return;
+        }
+        let outcome = run_mutant(&ChaosPlan::from_seed(seed), mutant);
+        let Ok(mut sum) = sum.lock() else { return };
+        sum.finished += outcome.finished;
+        sum.failed += outcome.failed;
+        let is_lower = sum.broken.as_ref().is_none_or(|(other, _)| seed < *other);
+        if !outcome.broken.is_empty() && is_lower {
+            sum.broken = Some((seed, outcome));
+        }
+        if sum.broken.is_some() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/chaos/world.rs
@@ -0,0 +1,1134 @@
+//! The real cores of entries and agents, and models of everything round them,
+//! in virtual time.
+
+use std::cell::RefCell;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use shalelane::agent::{
+    self, AgentCore, AgentTuning, ConnId, EngineFacts, EngineHolding, RunEvent, RunUsage, StartRun,
+};
+use shalelane::config::{Config, ConfigVersion};
+use shalelane::entry::account::{AccountTable, to_key};
+use shalelane::entry::{self, Arrival, EntryCore, EntryTuning};
+use shalelane::hosts::{HostDelta, HostRecord, HostRole, HostState};
+use shalelane::prefix::MarkBuilder;
+use shalelane::time::Tick;
+use shalelane::wire::{Call, ToAgent, ToEntry};
+use shalelane::{AttemptId, Incarnation, ProcessId, RequestId, Verdict};
+
+use super::callers::{CallerBook, plan_requests};
+use super::plan::{BUSY_MS, ChaosPlan, ENGINES, ENTRIES, FaultKind};
+use crate::engine_model::{EngineEvent, EngineModel, EngineRunSpec, EngineSpec};
+use crate::prompt::prompt_hash;
+
+/// Virtual time after which everything must have come to rest.
+const END: Tick = Tick(BUSY_MS * 1_000 + 150_000_000);
+
+/// Longest time that a message takes.
+const DELAY_US: u64 = 4_000;
+
+/// Time after which a half-open link is found out.
+const SILENT: Duration = Duration::from_secs(3);
+
+/// Time until an agent notices that its engine is gone.
+const LOST: Duration = Duration::from_millis(750);
+
+/// Time from one look at an engine's runs to the next.
+const LOOK: Duration = Duration::from_secs(2);
+
+/// Time after the beginning of a planned stop from which nothing may start.
+const LEAVE_BOUND: Duration = Duration::from_secs(2);
+
+/// One attempt in so many arrives twice, body and all.
+const DOUBLED_EVERY: u64 = 12;
+
+/// Share of an answer's parts that arrive twice.
+const DOUBLED_PARTS: f64 = 0.02;
+
+/// Time by which a run has ended whose caller went away, where nothing failed.
+const GONE_BOUND: Duration = Duration::from_secs(2);
+
+/// Lines of the log of a failing run.
+const LOG_LINES: usize = 400;
+
+/// Index of the agent beside the plain service.
+const PLAIN: usize = ENGINES;
+
+/// The last events of a run, which outlive a core that stops the program.
+pub type SharedLog = Rc<RefCell<VecDeque<String>>>;
+
+#[derive(Debug)]
+enum EngineCall {
+    Reset,
+    Start(Box<StartRun>),
+    Resume(AttemptId, Option<u64>),
+    Cancel(AttemptId),
+    CancelStray(String),
+    Reserve(AttemptId, u64),
+    Unreserve(AttemptId),
+}
+
+#[derive(Debug)]
+enum Action {
+    Arrive(usize),
+    CallerGone(usize),
+    CheckGone(RequestId),
+    Entry { entry: usize, life: u64, event: Box<entry::Event> },
+    Agent { agent: usize, life: u64, event: Box<agent::Event> },
+    OverLink { link: u64, message: Box<ToAgent> },
+    BackLink { link: u64, message: Box<ToEntry> },
+    Open { link: u64 },
+    AgentSideGone { link: u64 },
+    EntrySideGone { link: u64 },
+    Engine { agent: usize, life: u64, call: EngineCall },
+    Step { agent: usize, engine_life: u64, events: Vec<(String, EngineEvent)> },
+    PlainRun { life: u64, id: AttemptId },
+    Look { agent: usize },
+    StartAgent(usize),
+    StartEntry(usize),
+    Fault(FaultKind),
+}
+
+#[derive(Debug)]
+struct Timed {
+    at: Tick,
+    order: u64,
+    action: Action,
+}
+
+impl PartialEq for Timed {
+    fn eq(&self, other: &Self) -> bool {
+        self.order == other.order
+    }
+}
+
+impl Eq for Timed {}
+
+impl PartialOrd for Timed {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Timed {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+/// Which sides still take the link for standing.
+#[derive(Debug)]
+struct LinkSeen {
+    by_entry: bool,
+    by_agent: bool,
+}
+
+#[derive(Debug)]
+struct Link {
+    entry: usize,
+    agent: usize,
+    entry_life: u64,
+    agent_life: u64,
+    is_open: bool,
+    swallows: bool,
+    seen: LinkSeen,
+    agent_next: Tick,
+    entry_next: Tick,
+}
+
+#[derive(Debug)]
+struct AgentNode {
+    core: Option<AgentCore>,
+    life: u64,
+    paused_until: Tick,
+    engine: EngineModel,
+    engine_life: u64,
+    engine_down: Tick,
+    is_stepping: bool,
+    draining_since: Option<Tick>,
+    names: BTreeMap<String, (u64, AttemptId)>,
+}
+
+#[derive(Debug)]
+struct EntryNode {
+    core: Option<EntryCore>,
+    life: u64,
+    paused_until: Tick,
+    numbers: u64,
+    version: ConfigVersion,
+}
+
+/// One run.
+#[derive(Debug)]
+pub struct World {
+    now: Tick,
+    order: u64,
+    queue: BinaryHeap<Reverse<Timed>>,
+    rng: StdRng,
+    entries: Vec<EntryNode>,
+    agents: Vec<AgentNode>,
+    links: BTreeMap<u64, Link>,
+    current: BTreeMap<(usize, usize), u64>,
+    next_link: u64,
+    callers: CallerBook,
+    accounts: AccountTable,
+    starts: BTreeMap<String, u64>,
+    log: SharedLog,
+    is_calm: bool,
+    broken: Vec<String>,
+}
+
+/// What came of a run.
+#[derive(Clone, Debug, Default)]
+pub struct ChaosOutcome {
+    /// Promises found broken.
+    pub broken: Vec<String>,
+    /// The last events.
+    pub log: Vec<String>,
+    /// Requests that were answered whole.
+    pub finished: usize,
+    /// Requests that failed.
+    pub failed: usize,
+}
+
+const CONFIG: &str = r#"
+[[services]]
+name = "engines"
+kind = "engine"
+[[services]]
+name = "plain"
+kind = "plain"
+not_repeatable = ["/order"]
+[[models]]
+name = "model"
+service = "engines"
+max_prompt_tokens = 100000
+[[templates]]
+name = "short"
+models = ["model"]
+services = ["plain"]
+urgency = "interactive"
+time_limits = [{ up_to_tokens = 100000, seconds = 12 }]
+[[templates]]
+name = "long"
+models = ["model"]
+services = ["plain"]
+urgency = "batch"
+time_limits = [{ up_to_tokens = 100000, seconds = 60 }]
+[[client_accounts]]
+name = "short"
+template = "short"
+key_sha256 = ["SHORT"]
+[[client_accounts]]
+name = "long"
+template = "long"
+key_sha256 = ["LONG"]
+"#;
+
+fn chaos_config(version: u64) -> Config {
+    let text = CONFIG.replace("SHORT", &to_key("short")).replace("LONG", &to_key("long"));
+    let config = Config::from_toml(&text).expect("a good configuration");
+    Config { version: ConfigVersion(version), ..config }
+}
+
+fn engine_spec() -> EngineSpec {
+    EngineSpec {
+        capacity: 4_000,
+        prefill_rate: 8_000.0,
+        step_base: Duration::from_millis(8),
+        step_per_run: Duration::from_micros(500),
+        step_prefill: 256,
+        max_batch: 16,
+        bytes_per_token: 4.0,
+        ..EngineSpec::default()
+    }
+}
+
+fn agent_tuning() -> AgentTuning {
+    AgentTuning {
+        piece_tokens: 512,
+        prefill_tokens: 1_024,
+        max_queue: 6,
+        strict: true,
+        ..AgentTuning::default()
+    }
+}
+
+fn entry_tuning() -> EntryTuning {
+    EntryTuning { wide_tokens: 3_000, strict: true, ..EntryTuning::default() }
+}
+
+fn agent_name(agent: usize) -> Arc<str> {
+    format!("agent-{agent}").into()
+}
+
+impl World {
+    /// Sets a run up.
+    #[must_use]
+    pub fn new(plan: &ChaosPlan, log: SharedLog) -> Self {
+        let mut rng = StdRng::seed_from_u64(plan.seed);
+        let callers = CallerBook::new(plan_requests(&mut rng, ENTRIES));
+        let accounts = AccountTable::from_config(&Arc::new(chaos_config(5)));
+        let mut world = World {
+            now: Tick(0),
+            order: 0,
+            queue: BinaryHeap::new(),
+            rng,
+            entries: (0..ENTRIES).map(|_| EntryNode::new()).collect(),
+            agents: (0..=ENGINES).map(|_| AgentNode::new()).collect(),
+            links: BTreeMap::new(),
+            current: BTreeMap::new(),
+            next_link: 0,
+            callers,
+            accounts,
+            starts: BTreeMap::new(),
+            log,
+            is_calm: plan.faults.is_empty(),
+            broken: Vec::new(),
+        };
+        for agent in 0..=ENGINES {
+            world.at(Tick(0), Action::StartAgent(agent));
+            world.at(Tick(0) + LOOK, Action::Look { agent });
+        }
+        for entry in 0..ENTRIES {
+            world.at(Tick(0), Action::StartEntry(entry));
+        }
+        for index in 0..world.callers.requests.len() {
+            let request = world.callers.requests[index].clone();
+            world.at(request.at + Duration::from_millis(50), Action::Arrive(index));
+            if let Some(gone) = request.gone {
+                world.at(gone + Duration::from_millis(50), Action::CallerGone(index));
+            }
+        }
+        for fault in &plan.faults {
+            world.at(Tick(fault.at_ms * 1_000), Action::Fault(fault.kind));
+        }
+        world
+    }
+
+    /// Runs to the end and checks every promise.
+    #[must_use]
+    pub fn run(mut self) -> ChaosOutcome {
+        while let Some(Reverse(next)) = self.queue.pop() {
+            if next.at > END {
+                break;
+            }
+            self.now = next.at;
+            self.act(next);
+            if !self.broken.is_empty() || !self.callers.broken.is_empty() {
+                break;
+            }
+        }
+        if self.broken.is_empty() && self.callers.broken.is_empty() {
+            self.check_end();
+        }
+        self.into_outcome()
+    }
+
+    fn into_outcome(self) -> ChaosOutcome {
+        let ends = |wanted: bool| {
+            let views = self.callers.views.iter();
+            views.filter(|view| view.end.is_some_and(|end| end.is_ok() == wanted)).count()
+        };
+        let (finished, failed) = (ends(true), ends(false));
+        let mut broken = self.broken;
+        broken.extend(self.callers.broken);
+        ChaosOutcome { broken, log: Vec::new(), finished, failed }
+    }
+
+    fn at(&mut self, at: Tick, action: Action) {
+        self.order += 1;
+        let order = self.order;
+        self.queue.push(Reverse(Timed { at, order, action }));
+    }
+
+    fn soon(&mut self, action: Action) {
+        let delay = self.delay();
+        self.at(self.now + delay, action);
+    }
+
+    fn delay(&mut self) -> Duration {
+        Duration::from_micros(self.rng.random_range(100..DELAY_US))
+    }
+
+    fn note(&mut self, line: &str) {
+        let mut log = self.log.borrow_mut();
+        if log.len() == LOG_LINES {
+            log.pop_front();
+        }
+        log.push_back(format!("{:>10.3} ms  {line}", self.now.0 as f64 / 1e3));
+    }
+
+    fn act(&mut self, timed: Timed) {
+        match timed.action {
+            Action::Arrive(index) => self.on_arrive(index),
+            Action::CallerGone(index) => self.on_caller_gone(index),
+            Action::CheckGone(id) => self.check_gone(&id),
+            Action::Entry { entry, life, event } => {
+                let node = &self.entries[entry];
+                if node.life == life && node.paused_until > self.now {
+                    let action = Action::Entry { entry, life, event };
+                    let again = Timed { at: node.paused_until, order: timed.order, action };
+                    self.queue.push(Reverse(again));
+                } else if node.life == life {
+                    self.feed_entry(entry, *event);
+                }
+            }
+            Action::Agent { agent, life, event } => {
+                let node = &self.agents[agent];
+                if node.life == life && node.paused_until > self.now {
+                    let action = Action::Agent { agent, life, event };
+                    let again = Timed { at: node.paused_until, order: timed.order, action };
+                    self.queue.push(Reverse(again));
+                } else if node.life == life {
+                    self.feed_agent(agent, *event);
+                }
+            }
+            Action::OverLink { link, message } => self.on_over_link(link, *message),
+            Action::BackLink { link, message } => self.on_back_link(link, *message),
+            Action::Open { link } => self.on_open(link),
+            Action::AgentSideGone { link } => self.on_agent_side_gone(link),
+            Action::EntrySideGone { link } => self.on_entry_side_gone(link),
+            Action::Engine { agent, life, call } => self.on_engine_call(agent, life, call),
+            Action::Step { agent, engine_life, events } => self.on_step(agent, engine_life, events),
+            Action::PlainRun { life, id } => self.on_plain_run(life, &id),
+            Action::Look { agent } => self.on_look(agent),
+            Action::StartAgent(agent) => self.start_agent(agent),
+            Action::StartEntry(entry) => self.start_entry(entry),
+            Action::Fault(kind) => self.on_fault(kind),
+        }
+    }
+
+    // Callers.
+
+    fn on_arrive(&mut self, index: usize) {
+        let request = self.callers.requests[index].clone();
+        let node = &mut self.entries[request.entry];
+        if node.core.is_none() || node.paused_until > self.now {
+            return;
+        }
+        node.numbers += 1;
+        let number = node.numbers;
+        let life = node.life;
+        let Some(policy) = self.accounts.find(request.secret) else { return };
+        let limit = policy.time_limit(request.prompt.len() as u64 / 4).unwrap_or_default();
+        let owner = entry_process(request.entry, life);
+        self.callers.name(index, RequestId { owner, number }, self.now + limit);
+        let arrival = to_arrival(number, &request, policy);
+        self.feed_entry(request.entry, entry::Event::Arrive(Box::new(arrival)));
+    }
+
+    fn on_caller_gone(&mut self, index: usize) {
+        let view = &mut self.callers.views[index];
+        let Some(id) = view.id.clone() else { return };
+        if view.is_gone || view.end.is_some() {
+            return;
+        }
+        view.is_gone = true;
+        let entry = self.callers.requests[index].entry;
+        let life = self.entries[entry].life;
+        if self.is_calm {
+            self.at(self.now + GONE_BOUND, Action::CheckGone(id.clone()));
+        }
+        let event = Box::new(entry::Event::CallerGone(id.number));
+        self.at(self.now, Action::Entry { entry, life, event });
+    }
+
+    /// Nothing of a request may be left at an engine once its caller is gone.
+    fn check_gone(&mut self, id: &RequestId) {
+        let prefix = format!("{id}-");
+        let is_left =
+            |node: &AgentNode| node.engine.runs().iter().any(|name| name.starts_with(&prefix));
+        if self.agents.iter().any(is_left) {
+            self.broken.push(format!("request {id} still runs, and its caller is gone"));
+        }
+    }
+
+    // Entries.
+
+    fn start_entry(&mut self, entry: usize) {
+        let node = &mut self.entries[entry];
+        let process = entry_process(entry, node.life);
+        let seed = self.rng.random();
+        node.core = Some(EntryCore::new(process, "domain-0".into(), entry_tuning(), seed));
+        node.version = ConfigVersion(5);
+        self.feed_entry(entry, entry::Event::Config(Arc::new(chaos_config(5))));
+        let hosts = (0..=ENGINES).map(|agent| HostRecord {
+            name: agent_name(agent),
+            role: HostRole::Target {
+                service: if agent == PLAIN { "plain" } else { "engines" }.into(),
+            },
+            address: "".into(),
+            failure_domain: format!("domain-{}", agent % 2).into(),
+            state: HostState::Live,
+        });
+        let delta = HostDelta { revision: 1, hosts: hosts.collect() };
+        self.feed_entry(entry, entry::Event::Hosts(delta));
+    }
+
+    fn feed_entry(&mut self, entry: usize, event: entry::Event) {
+        let now = self.now;
+        let Some(core) = &mut self.entries[entry].core else { return };
+        let effects = core.on_event(now, event);
+        let wake = core.next_wake();
+        self.check_version(entry);
+        for effect in effects {
+            self.apply_entry(entry, effect);
+        }
+        if let Some(wake) = wake {
+            let life = self.entries[entry].life;
+            let event = Box::new(entry::Event::Wake);
+            self.at(wake.max(now), Action::Entry { entry, life, event });
+        }
+    }
+
+    fn check_version(&mut self, entry: usize) {
+        let node = &mut self.entries[entry];
+        let found = node.core.as_ref().and_then(|core| core.config());
+        let version = found.map_or(ConfigVersion(0), |config| config.version);
+        if version < node.version {
+            self.broken.push(format!("entry {entry} went back to configuration {version}"));
+        }
+        node.version = version;
+    }
+
+    fn apply_entry(&mut self, entry: usize, effect: entry::Effect) {
+        match effect {
+            entry::Effect::Reply(number, reply) => {
+                if !matches!(reply, entry::Reply::Text(_)) {
+                    self.note(&format!("entry {entry} answers {number}: {reply:?}"));
+                }
+                self.callers.on_reply(entry, number, reply, self.now);
+            }
+            entry::Effect::Send(target, message) => self.send_over(entry, &target, message),
+            entry::Effect::Record { number, kind, detail } => {
+                self.note(&format!("entry {entry} request {number} {kind}: {detail}"));
+            }
+            entry::Effect::PullConfig | entry::Effect::Stopped => {}
+        }
+    }
+
+    // Links.
+
+    fn send_over(&mut self, entry: usize, target: &str, message: ToAgent) {
+        let agent = (0..=ENGINES).find(|agent| *agent_name(*agent) == *target);
+        let Some(agent) = agent else { return };
+        let link = match self.current.get(&(entry, agent)) {
+            Some(link) => *link,
+            None if matches!(message, ToAgent::Body(..)) => return,
+            None => self.dial(entry, agent),
+        };
+        if !matches!(message, ToAgent::Body(..) | ToAgent::Probe(_)) {
+            self.note(&format!("entry {entry} to agent {agent} on link {link}: {message:?}"));
+        }
+        let delay = self.delay();
+        let Some(state) = self.links.get_mut(&link) else { return };
+        if state.swallows {
+            return;
+        }
+        let at = (self.now + delay).max(state.agent_next);
+        state.agent_next = at;
+        if let Some(late) = to_doubling(&message) {
+            let message = Box::new(message.clone());
+            self.at(at + late, Action::OverLink { link, message });
+        }
+        self.at(at, Action::OverLink { link, message: Box::new(message) });
+    }
+
+    fn dial(&mut self, entry: usize, agent: usize) -> u64 {
+        self.next_link += 1;
+        let link = self.next_link;
+        let opens = self.now + self.delay();
+        let state = Link {
+            entry,
+            agent,
+            entry_life: self.entries[entry].life,
+            agent_life: self.agents[agent].life,
+            is_open: false,
+            swallows: false,
+            seen: LinkSeen { by_entry: true, by_agent: true },
+            agent_next: opens,
+            entry_next: opens,
+        };
+        self.links.insert(link, state);
+        self.current.insert((entry, agent), link);
+        self.at(opens, Action::Open { link });
+        link
+    }
+
+    fn on_open(&mut self, link: u64) {
+        let Some(state) = self.links.get_mut(&link) else { return };
+        let (entry, agent) = (state.entry, state.agent);
+        let node = &self.agents[agent];
+        if node.core.is_none() || node.life != state.agent_life {
+            self.at(self.now, Action::EntrySideGone { link });
+            return;
+        }
+        state.is_open = true;
+        let incarnation = Incarnation(node.life);
+        let owner = entry_process(entry, state.entry_life);
+        let (entry_life, agent_life) = (state.entry_life, state.agent_life);
+        let up = Box::new(agent::Event::PeerUp(ConnId(link), owner));
+        self.at(self.now, Action::Agent { agent, life: agent_life, event: up });
+        let up = Box::new(entry::Event::AgentUp(agent_name(agent), incarnation));
+        self.at(self.now, Action::Entry { entry, life: entry_life, event: up });
+    }
+
+    fn on_over_link(&mut self, link: u64, message: ToAgent) {
+        let Some(state) = self.links.get(&link) else { return };
+        if !state.is_open
+            || !state.seen.by_agent
+            || self.agents[state.agent].life != state.agent_life
+        {
+            return;
+        }
+        let (agent, life) = (state.agent, state.agent_life);
+        let event = Box::new(agent::Event::Peer(ConnId(link), message));
+        self.at(self.now, Action::Agent { agent, life, event });
+    }
+
+    fn on_back_link(&mut self, link: u64, message: ToEntry) {
+        let Some(state) = self.links.get(&link) else { return };
+        if !state.seen.by_entry {
+            return;
+        }
+        let (entry, life) = (state.entry, state.entry_life);
+        let event = Box::new(entry::Event::Agent(agent_name(state.agent), message));
+        self.at(self.now, Action::Entry { entry, life, event });
+    }
+
+    fn on_agent_side_gone(&mut self, link: u64) {
+        let Some(state) = self.links.get_mut(&link) else { return };
+        if !std::mem::take(&mut state.seen.by_agent) || !state.is_open {
+            return;
+        }
+        let (agent, life) = (state.agent, state.agent_life);
+        let event = Box::new(agent::Event::PeerGone(ConnId(link)));
+        self.at(self.now, Action::Agent { agent, life, event });
+    }
+
+    fn on_entry_side_gone(&mut self, link: u64) {
+        let Some(state) = self.links.get_mut(&link) else { return };
+        if !std::mem::take(&mut state.seen.by_entry) {
+            return;
+        }
+        let (entry, agent, life) = (state.entry, state.agent, state.entry_life);
+        if self.current.get(&(entry, agent)) == Some(&link) {
+            self.current.remove(&(entry, agent));
+        }
+        let event = Box::new(entry::Event::AgentDown(agent_name(agent)));
+        self.at(self.now, Action::Entry { entry, life, event });
+    }
+
+    /// Ends a link. Either side finds out by itself, and what is under way to
+    /// the agent may still arrive until it does.
+    fn cut(&mut self, link: u64) {
+        let entry_side = self.now + self.delay();
+        let agent_side = self.now + Duration::from_millis(self.rng.random_range(0..1_500));
+        self.at(entry_side, Action::EntrySideGone { link });
+        self.at(agent_side, Action::AgentSideGone { link });
+    }
+
+    fn cut_between(&mut self, entry: usize, agent: usize) {
+        if let Some(link) = self.current.get(&(entry, agent)).copied() {
+            self.note(&format!("link {link} of entry {entry} and agent {agent} is cut"));
+            self.cut(link);
+        }
+    }
+
+    // Agents.
+
+    fn start_agent(&mut self, agent: usize) {
+        let node = &mut self.agents[agent];
+        let id = ProcessId { name: agent_name(agent), incarnation: Incarnation(node.life) };
+        node.core = Some(AgentCore::new(id, agent_tuning()));
+        node.draining_since = None;
+        self.feed_agent(agent, agent::Event::Wake);
+    }
+
+    fn feed_agent(&mut self, agent: usize, event: agent::Event) {
+        let now = self.now;
+        let Some(core) = &mut self.agents[agent].core else { return };
+        let effects = core.on_event(now, event);
+        let wake = core.next_wake();
+        for effect in effects {
+            self.apply_agent(agent, effect);
+        }
+        if let Some(wake) = wake {
+            let life = self.agents[agent].life;
+            let event = Box::new(agent::Event::Wake);
+            self.at(wake.max(now), Action::Agent { agent, life, event });
+        }
+    }
+
+    fn apply_agent(&mut self, agent: usize, effect: agent::Effect) {
+        let life = self.agents[agent].life;
+        let call = match effect {
+            agent::Effect::Send(conn, message) => return self.send_back(agent, conn, message),
+            agent::Effect::Record { request, kind, detail } => {
+                return self.note(&format!("agent {agent} {request} {kind}: {detail}"));
+            }
+            agent::Effect::Stopped => return self.on_stopped(agent),
+            agent::Effect::Reset => EngineCall::Reset,
+            agent::Effect::Start(start) => EngineCall::Start(start),
+            agent::Effect::Resume(id, limit) => EngineCall::Resume(id, limit),
+            agent::Effect::Cancel(id) => EngineCall::Cancel(id),
+            agent::Effect::CancelStray(id) => EngineCall::CancelStray(id),
+            agent::Effect::Reserve(id, tokens) => EngineCall::Reserve(id, tokens),
+            agent::Effect::Unreserve(id) => EngineCall::Unreserve(id),
+        };
+        if let EngineCall::Start(start) = &call {
+            self.check_leaving(agent, &start.id);
+        }
+        self.soon(Action::Engine { agent, life, call });
+    }
+
+    fn check_leaving(&mut self, agent: usize, id: &AttemptId) {
+        let since = self.agents[agent].draining_since;
+        if since.is_some_and(|since| self.now > since + LEAVE_BOUND) {
+            self.broken.push(format!("agent {agent} is leaving and started {id}"));
+        }
+    }
+
+    fn send_back(&mut self, agent: usize, conn: ConnId, message: ToEntry) {
+        let delay = self.delay();
+        let Some(state) = self.links.get_mut(&conn.0) else { return };
+        if state.agent != agent || state.swallows {
+            return;
+        }
+        let at = (self.now + delay).max(state.entry_next);
+        state.entry_next = at;
+        let is_part = matches!(message, ToEntry::Chunk { .. });
+        if is_part && self.rng.random_bool(DOUBLED_PARTS) {
+            let message = Box::new(message.clone());
+            self.at(at + Duration::from_millis(1), Action::BackLink { link: conn.0, message });
+        }
+        self.at(at, Action::BackLink { link: conn.0, message: Box::new(message) });
+    }
+
+    fn on_stopped(&mut self, agent: usize) {
+        self.note(&format!("agent {agent} has stopped as planned"));
+        // A call of an earlier life may have left a run that is not its own.
+        let node = &self.agents[agent];
+        let is_own = |name: &String| node.names.get(name).is_some_and(|one| one.0 == node.life);
+        if node.engine.runs().iter().any(is_own) {
+            self.broken.push(format!("agent {agent} stopped before its runs had ended"));
+        }
+        self.end_agent(agent, Duration::from_millis(500));
+    }
+
+    /// Ends a life of an agent; the next one begins after a time.
+    fn end_agent(&mut self, agent: usize, down: Duration) {
+        let node = &mut self.agents[agent];
+        node.core = None;
+        node.life += 1;
+        node.paused_until = Tick(0);
+        for link in self.links_of(|link| link.agent == agent) {
+            let at = self.now + self.delay();
+            self.at(at, Action::EntrySideGone { link });
+        }
+        self.at(self.now + down, Action::StartAgent(agent));
+    }
+
+    fn links_of(&self, is_wanted: impl Fn(&Link) -> bool) -> Vec<u64> {
+        let wanted = self.links.iter().filter(|(_, link)| is_wanted(link));
+        wanted.map(|(number, _)| *number).collect()
+    }
+
+    // Engines.
+
+    fn on_engine_call(&mut self, agent: usize, life: u64, call: EngineCall) {
+        if agent == PLAIN {
+            self.on_plain_call(life, call);
+            return;
+        }
+        if self.agents[agent].engine_down > self.now {
+            self.on_dead_engine_call(agent, life, call);
+            return;
+        }
+        let engine = &mut self.agents[agent].engine;
+        match call {
+            EngineCall::Reset => {
+                if self.agents[agent].life != life {
+                    return;
+                }
+                self.agents[agent].engine.cancel_all();
+                let facts = EngineFacts {
+                    address: agent_name(agent),
+                    capacity: engine_spec().capacity,
+                    max_batch: engine_spec().max_batch,
+                    models: vec!["model".into()],
+                };
+                self.tell(agent, life, agent::Event::TargetReady(facts));
+            }
+            EngineCall::Start(start) => self.on_engine_start(agent, life, *start),
+            EngineCall::Resume(id, limit) => {
+                if !engine.resume(&id.to_string(), limit) {
+                    let failed = RunEvent::Failed(Verdict::MayHaveRun, "unknown run".into());
+                    self.tell(agent, life, agent::Event::Run(id, failed));
+                }
+            }
+            EngineCall::Cancel(id) => {
+                let name = id.to_string();
+                let node = &mut self.agents[agent];
+                let has_arrived = node.names.contains_key(&name) || node.life != life;
+                if !node.engine.cancel(&name) && !has_arrived {
+                    // It has overtaken the call that brings the run.
+                    let call = EngineCall::Cancel(id);
+                    self.soon(Action::Engine { agent, life, call });
+                    return;
+                }
+                self.tell(agent, life, agent::Event::Run(id, RunEvent::Cancelled));
+            }
+            EngineCall::CancelStray(id) => {
+                engine.cancel(&id);
+                engine.unreserve(&id);
+            }
+            EngineCall::Reserve(id, tokens) => {
+                let is_held = engine.reserve(&id.to_string(), tokens);
+                self.tell(agent, life, agent::Event::Reserved(id, is_held));
+            }
+            EngineCall::Unreserve(id) => {
+                engine.unreserve(&id.to_string());
+                self.tell(agent, life, agent::Event::Unreserved(id));
+            }
+        }
+        self.step(agent);
+    }
+
+    fn on_dead_engine_call(&mut self, agent: usize, life: u64, call: EngineCall) {
+        let event = match call {
+            EngineCall::Start(start) => {
+                let failed = RunEvent::Failed(Verdict::NotRun, "no connection".into());
+                agent::Event::Run(start.id, failed)
+            }
+            EngineCall::Resume(id, _) => {
+                let failed = RunEvent::Failed(Verdict::MayHaveRun, "no connection".into());
+                agent::Event::Run(id, failed)
+            }
+            EngineCall::Reserve(id, _) => agent::Event::Reserved(id, false),
+            EngineCall::CancelStray(_) => return,
+            call => {
+                let again = self.now + Duration::from_millis(250);
+                self.at(again, Action::Engine { agent, life, call });
+                return;
+            }
+        };
+        self.tell(agent, life, event);
+    }
+
+    fn tell(&mut self, agent: usize, life: u64, event: agent::Event) {
+        self.soon(Action::Agent { agent, life, event: Box::new(event) });
+    }
+
+    fn on_engine_start(&mut self, agent: usize, life: u64, start: StartRun) {
+        let name = start.id.to_string();
+        let count = self.starts.entry(name.clone()).or_default();
+        *count += 1;
+        if *count > 1 {
+            self.broken.push(format!("attempt {name} was started twice"));
+        }
+        let prompt: Vec<u8> = start.body.iter().flatten().copied().collect();
+        let prompt = String::from_utf8_lossy(&prompt).into_owned();
+        let node = &mut self.agents[agent];
+        node.names.insert(name.clone(), (life, start.id));
+        node.engine.start(EngineRunSpec {
+            id: name,
+            salt: start.account.to_string(),
+            hash: prompt_hash(&prompt),
+            prompt,
+            answer_tokens: start.answer_tokens,
+            priority: 1,
+            prefill_limit: start.prefill_limit,
+            tokens_elsewhere: start.shards.iter().map(|shard| shard.tokens).sum(),
+        });
+    }
+
+    fn step(&mut self, agent: usize) {
+        let node = &mut self.agents[agent];
+        if node.is_stepping || !node.engine.has_work() {
+            return;
+        }
+        let step = node.engine.step();
+        node.is_stepping = true;
+        let engine_life = node.engine_life;
+        let at = self.now + step.span;
+        self.at(at, Action::Step { agent, engine_life, events: step.events });
+    }
+
+    fn on_step(&mut self, agent: usize, engine_life: u64, events: Vec<(String, EngineEvent)>) {
+        let node = &mut self.agents[agent];
+        if node.engine_life != engine_life {
+            return;
+        }
+        node.is_stepping = false;
+        for (name, event) in events {
+            let Some((life, id)) = self.agents[agent].names.get(&name).cloned() else { continue };
+            self.tell_in_order(agent, life, id, event);
+        }
+        self.step(agent);
+    }
+
+    /// Events of one run keep their order, as on one connection.
+    fn tell_in_order(&mut self, agent: usize, life: u64, id: AttemptId, event: EngineEvent) {
+        let event = match event {
+            EngineEvent::Text(text) => RunEvent::Text(text.into()),
+            EngineEvent::Paused(tokens) => RunEvent::Paused(tokens),
+            EngineEvent::Done { prompt_tokens, cached_tokens, answer_tokens } => {
+                RunEvent::Done(RunUsage {
+                    prompt_tokens,
+                    cached_tokens,
+                    answer_tokens,
+                    finish_reason: "length".into(),
+                })
+            }
+            EngineEvent::Failed(reason) => RunEvent::Failed(Verdict::NotRun, reason.into()),
+        };
+        let event = Box::new(agent::Event::Run(id, event));
+        self.at(self.now + Duration::from_micros(300), Action::Agent { agent, life, event });
+    }
+
+    fn on_look(&mut self, agent: usize) {
+        self.at(self.now + LOOK, Action::Look { agent });
+        let node = &self.agents[agent];
+        if agent == PLAIN || node.engine_down > self.now || node.core.is_none() {
+            return;
+        }
+        let names = node.engine.runs().into_iter().chain(node.engine.reservations());
+        let runs = names.map(|id| EngineHolding { id }).collect();
+        let life = node.life;
+        self.tell(agent, life, agent::Event::EngineHoldings(runs));
+    }
+
+    fn kill_engine(&mut self, agent: usize, down: Duration) {
+        let node = &mut self.agents[agent];
+        let runs = node.engine.runs();
+        node.engine = EngineModel::new(engine_spec());
+        node.engine_life += 1;
+        node.is_stepping = false;
+        node.engine_down = self.now + down;
+        for name in runs {
+            let Some((life, id)) = self.agents[agent].names.get(&name).cloned() else { continue };
+            let failed = RunEvent::Failed(Verdict::MayHaveRun, "the stream broke off".into());
+            self.tell(agent, life, agent::Event::Run(id, failed));
+        }
+        let life = self.agents[agent].life;
+        let event = Box::new(agent::Event::TargetLost);
+        self.at(self.now + LOST, Action::Agent { agent, life, event });
+    }
+
+    // The plain service.
+
+    fn on_plain_call(&mut self, life: u64, call: EngineCall) {
+        match call {
+            EngineCall::Reset => {
+                self.tell(PLAIN, life, agent::Event::TargetReady(EngineFacts::default()));
+            }
+            EngineCall::Start(start) => {
+                let at = self.now + Duration::from_millis(self.rng.random_range(1..800));
+                self.at(at, Action::PlainRun { life, id: start.id });
+            }
+            EngineCall::Cancel(id) => {
+                self.tell(PLAIN, life, agent::Event::Run(id, RunEvent::Cancelled));
+            }
+            _ => {}
+        }
+    }
+
+    fn on_plain_run(&mut self, life: u64, id: &AttemptId) {
+        *self.starts.entry(id.to_string()).or_default() += 1;
+        self.note(&format!("the plain service runs {id}"));
+        let is_lost = self.rng.random_bool(0.1);
+        let events = if is_lost {
+            vec![RunEvent::Failed(Verdict::MayHaveRun, "no answer".into())]
+        } else {
+            let head = RunEvent::Head(200, "application/json".into());
+            vec![head, RunEvent::Text("{}".into()), RunEvent::Done(RunUsage::default())]
+        };
+        for event in events {
+            let event = Box::new(agent::Event::Run(id.clone(), event));
+            self.at(self.now, Action::Agent { agent: PLAIN, life, event });
+        }
+    }
+
+    // Faults.
+
+    fn on_fault(&mut self, kind: FaultKind) {
+        self.note(&format!("fault: {kind:?}"));
+        match kind {
+            FaultKind::Cut { entry, agent } => self.cut_between(entry, agent),
+            FaultKind::HalfOpen { entry, agent } => self.half_open(entry, agent),
+            FaultKind::AgentDeath { agent, down_ms } => {
+                if self.agents[agent].core.is_some() {
+                    self.end_agent(agent, Duration::from_millis(down_ms));
+                }
+            }
+            FaultKind::EntryDeath { entry, down_ms } => {
+                self.kill_entry(entry, Duration::from_millis(down_ms));
+            }
+            FaultKind::EngineDeath { agent, down_ms } => {
+                self.kill_engine(agent, Duration::from_millis(down_ms));
+            }
+            FaultKind::AgentPause { agent, span_ms } => {
+                self.agents[agent].paused_until = self.now + Duration::from_millis(span_ms);
+            }
+            FaultKind::EntryPause { entry, span_ms } => {
+                let span = Duration::from_millis(span_ms);
+                self.entries[entry].paused_until = self.now + span;
+                self.callers.on_entry_pause(entry, span);
+            }
+            FaultKind::Drain { agent } => {
+                let life = self.agents[agent].life;
+                // One that stands still hears of it when it goes on.
+                let heard = self.now.max(self.agents[agent].paused_until);
+                self.agents[agent].draining_since.get_or_insert(heard);
+                let event = Box::new(agent::Event::Drain);
+                self.at(self.now, Action::Agent { agent, life, event });
+            }
+            FaultKind::DomainCut { domain } => {
+                for agent in (0..=ENGINES).filter(|agent| agent % 2 == domain) {
+                    (0..ENTRIES).for_each(|entry| self.cut_between(entry, agent));
+                }
+            }
+            FaultKind::StaleConfig { entry } => {
+                let life = self.entries[entry].life;
+                let event = Box::new(entry::Event::Config(Arc::new(chaos_config(3))));
+                self.at(self.now, Action::Entry { entry, life, event });
+            }
+        }
+    }
+
+    fn half_open(&mut self, entry: usize, agent: usize) {
+        let Some(link) = self.current.get(&(entry, agent)).copied() else { return };
+        if let Some(state) = self.links.get_mut(&link) {
+            state.swallows = true;
+        }
+        self.at(self.now + SILENT, Action::EntrySideGone { link });
+        let agent_side = self.now + SILENT + Duration::from_millis(self.rng.random_range(0..9_000));
+        self.at(agent_side, Action::AgentSideGone { link });
+    }
+
+    fn kill_entry(&mut self, entry: usize, down: Duration) {
+        let node = &mut self.entries[entry];
+        if node.core.take().is_none() {
+            return;
+        }
+        node.life += 1;
+        node.paused_until = Tick(0);
+        node.numbers = 0;
+        node.version = ConfigVersion(0);
+        self.callers.on_entry_death(entry);
+        self.current.retain(|(of, _), _| *of != entry);
+        for link in self.links_of(|link| link.entry == entry) {
+            let at = self.now + Duration::from_millis(self.rng.random_range(0..1_000));
+            self.at(at, Action::AgentSideGone { link });
+        }
+        self.at(self.now + down, Action::StartEntry(entry));
+    }
+
+    // The end.
+
+    fn check_end(&mut self) {
+        let runs = |id: &RequestId| {
+            let prefix = format!("{id}-");
+            let attempts = self.starts.range(prefix.clone()..);
+            let own = attempts.take_while(|(name, _)| name.starts_with(&prefix));
+            own.map(|(_, count)| *count).sum()
+        };
+        self.callers.check_end(runs);
+        for (number, node) in self.agents.iter().enumerate() {
+            let held = node.engine.used();
+            if held > 0 {
+                let runs = node.engine.runs();
+                let line = format!("engine {number} holds {held} tokens for good: {runs:?}");
+                self.broken.push(line);
+            }
+            let Some(core) = &node.core else { continue };
+            if core.leased_tokens() > 0 || core.open_runs() > 0 {
+                let (leased, open) = (core.leased_tokens(), core.open_runs());
+                let line = format!("agent {number} leases {leased} tokens, {open} runs open");
+                self.broken.push(line);
+            }
+        }
+    }
+}
+
+impl AgentNode {
+    fn new() -> Self {
+        AgentNode {
+            core: None,
+            life: 1,
+            paused_until: Tick(0),
+            engine: EngineModel::new(engine_spec()),
+            engine_life: 1,
+            engine_down: Tick(0),
+            is_stepping: false,
+            draining_since: None,
+            names: BTreeMap::new(),
+        }
+    }
+}
+
+impl EntryNode {
+    fn new() -> Self {
+        EntryNode {
+            core: None,
+            life: 1,
+            paused_until: Tick(0),
+            numbers: 0,
+            version: ConfigVersion(0),
+        }
+    }
+}
+
+/// How much later a second copy of a message arrives, if one does.
+fn to_doubling(message: &ToAgent) -> Option<Duration> {
+    let key = match message {
+        ToAgent::Dispatch(dispatch) => dispatch.attempt,
+        ToAgent::Body(key, _) => *key,
+        _ => return None,
+    };
+    let mixed = key.0 * 7 + u64::from(key.1);
+    (mixed % DOUBLED_EVERY == 0).then(|| Duration::from_millis(mixed * 37 % 4_000))
+}
+
+fn entry_process(entry: usize, life: u64) -> ProcessId {
+    ProcessId { name: format!("entry-{entry}").into(), incarnation: Incarnation(life) }
+}
+
+fn to_arrival(
+    number: u64,
+    request: &super::callers::CallerRequest,
+    policy: Rc<shalelane::config::AccountPolicy>,
+) -> Arrival {
+    let mut marks = MarkBuilder::new(&policy.name);
+    marks.update(request.prompt.as_bytes());
+    let (service, call) = if request.is_order() {
+        let call = Call::Plain {
+            method: "POST".into(),
+            path: "/order".into(),
+            content_type: "application/json".into(),
+            key: "".into(),
+        };
+        ("plain", call)
+    } else {
+        ("engines", Call::Model { model: "model".into(), path: "/v1/completions".into() })
+    };
+    Arrival {
+        number,
+        policy,
+        service: service.into(),
+        call,
+        prompt_bytes: request.prompt.len() as u64,
+        answer_tokens: if request.is_order() { 0 } else { request.answer },
+        marks: marks.into_marks(),
+        body: request.prompt.clone().into(),
+        repeatable: request.repeatable,
+    }
+}
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use gumdrop::Options;
+use shalelane::mutant::Mutant;
+use standins::chaos::{ChaosOutcome, ChaosPlan, SeedsOutcome, run_seeds};
 use standins::demo::{self, DemoSpec, apply_config, demo_fleet, wait_ready};
 use standins::fleet::{ADMIN_KEY, Fleet};
 
@@ -21,6 +23,21 @@
     Demo(DemoArguments),
     #[options(help = "run a fleet until it is interrupted")]
     Up(DemoArguments),
+    #[options(help = "make randomised runs under faults, in virtual time")]
+    Chaos(ChaosArguments),
+}
+
+#[derive(Debug, Options)]
+struct ChaosArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "seeds of the runs, from..to [0..1000]", no_short, meta = "A..B")]
+    seeds: Option<String>,
+    #[options(
+        help = "put each stated fault into the cores and tell which seed catches it",
+        no_short
+    )]
+    mutants: bool,
 }
 
 #[derive(Debug, Options)]
@@ -57,6 +74,7 @@
     match arguments.command {
         Some(Command::Demo(arguments)) => run_demo(&arguments),
         Some(Command::Up(arguments)) => run_up(&arguments),
+        Some(Command::Chaos(arguments)) => run_chaos(&arguments),
         None => {
             println!("{}", Arguments::usage());
             println!("{}", Arguments::command_list().unwrap_or_default());
@@ -99,3 +117,53 @@
     fleet.stop();
     ExitCode::SUCCESS
 }
+
+fn run_chaos(arguments: &ChaosArguments) -> ExitCode {
+    let seeds = arguments.seeds.as_deref().unwrap_or("0..1000");
+    let parsed = seeds.split_once("..").and_then(|(a, b)| Some((a.parse().ok()?, b.parse().ok()?)));
+    let Some((first, end)) = parsed else {
+        eprintln!("--seeds reads A..B");
+        return ExitCode::from(2);
+    };
+    if arguments.mutants {
+        return run_mutants(first, end);
+    }
+    match run_seeds(first, end, None) {
+        SeedsOutcome { broken: Some((seed, outcome)), .. } => {
+            print_failure(seed, &outcome);
+            ExitCode::FAILURE
+        }
+        SeedsOutcome { finished, failed, .. } => {
+            println!(
+                "seeds {first}..{end}: no promise broken; {finished} finished, {failed} failed"
+            );
+            ExitCode::SUCCESS
+        }
+    }
+}
+
+fn print_failure(seed: u64, outcome: &ChaosOutcome) {
+    for line in &outcome.log {
+        println!("{line}");
+    }
+    println!("{:#?}", ChaosPlan::from_seed(seed).faults);
+    for line in &outcome.broken {
+        println!("seed {seed}: {line}");
+    }
+}
+
+fn run_mutants(first: u64, end: u64) -> ExitCode {
+    std::panic::set_hook(Box::new(|_| {}));
+    let mut is_missed = false;
+    for mutant in Mutant::ALL {
+        let caught = run_seeds(first, end, Some(mutant)).broken;
+        match &caught {
+            Some((seed, outcome)) => {
+                println!("{mutant:?}: caught by seed {seed}: {}", outcome.broken[0]);
+            }
+            None => println!("{mutant:?}: missed"),
+        }
+        is_missed |= caught.is_none();
+    }
+    if is_missed { ExitCode::FAILURE } else { ExitCode::SUCCESS }
+}
