Try real processes behind a fault proxy, and every kind of bad input

Cause: the cores were proved in virtual time; sockets, signals, the engine adapter and the operators' side had no test.

Change: tests that start the programs and break their surroundings: links cut and gone silent, agents killed, frozen and restarted, an engine and the plain service taken away, a store outage, lost answers of the store, two racing changes, planned stops by SIGTERM under load. Bad input of callers, peers and operators. The operators' command line (`check`, `apply`, `diff`, `status`, `why`, `timeline`) and a diff of configurations. Any entry forwards the question why.

--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,376 @@
+//! The operators' command line, on the administration API.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gumdrop::Options;
+use hyper::header::{AUTHORIZATION, ETAG, HeaderValue, IF_MATCH};
+use hyper::{Method, Request, Response, StatusCode};
+use serde::de::DeserializeOwned;
+
+use crate::client::{HttpClient, full};
+use crate::config::diff::ConfigDiff;
+use crate::config::{Config, ConfigVersion};
+use crate::entry::admin::{AppliedConfig, EntryStatus};
+use crate::entry::why::DecisionLog;
+use crate::error::{Error, ErrorCode, Result};
+use crate::settings::{EnvLookup, Invocation, to_help, to_version};
+use crate::timeline::EventRecord;
+
+/// Longest time of a call.
+const CALL_LIMIT: Duration = Duration::from_secs(10);
+
+/// Variable of the address where no flag gives it.
+const ADMIN_VARIABLE: &str = "SHALELANE_ADMIN";
+
+/// Variable of the operators' key. There is no flag for it: flags show in
+/// process lists.
+const KEY_VARIABLE: &str = "SHALELANE_ADMIN_KEY";
+
+#[derive(Debug, Options)]
+struct CliFlags {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "print the version", no_short)]
+    version: bool,
+    #[options(help = "address of an entry's administration API", no_short, meta = "IP:PORT")]
+    admin: Option<String>,
+    #[options(help = "print JSON", no_short)]
+    json: bool,
+    #[options(command)]
+    command: Option<CliCommand>,
+}
+
+#[derive(Debug, Options)]
+enum CliCommand {
+    #[options(help = "check a configuration file, without any server")]
+    Check(FileFlags),
+    #[options(help = "make a configuration file the accepted configuration")]
+    Apply(ApplyFlags),
+    #[options(help = "show how a configuration file differs from the accepted one")]
+    Diff(FileFlags),
+    #[options(help = "show the entries, and which configuration is in force at each")]
+    Status(NoFlags),
+    #[options(help = "show why a request went where it did, waited or was refused")]
+    Why(WhyFlags),
+    #[options(help = "show events over all entries in order")]
+    Timeline(TimelineFlags),
+}
+
+#[derive(Debug, Options)]
+struct NoFlags {
+    #[options(help = "print this help")]
+    help: bool,
+}
+
+#[derive(Debug, Options)]
+struct FileFlags {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "configuration in TOML")]
+    file: String,
+}
+
+#[derive(Debug, Options)]
+struct ApplyFlags {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "only check it at the entry", no_short)]
+    dry_run: bool,
+    #[options(help = "version that the change is based on [the one in force]", no_short)]
+    base: Option<u64>,
+    #[options(free, required, help = "configuration in TOML")]
+    file: String,
+}
+
+#[derive(Debug, Options)]
+struct WhyFlags {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "request id, from the answer's header x-request-id")]
+    request: String,
+}
+
+#[derive(Debug, Options)]
+struct TimelineFlags {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "only events of this request", no_short, meta = "ID")]
+    request: Option<String>,
+}
+
+/// What a command line asks for.
+#[derive(Debug)]
+pub struct CliRequest {
+    admin: Option<String>,
+    key: Option<String>,
+    json: bool,
+    command: CliCommand,
+}
+
+impl CliRequest {
+    /// Reads arguments and environment.
+    ///
+    /// # Errors
+    ///
+    /// An unknown flag or command, or one that is missing.
+    pub fn from_args(args: &[String], env: EnvLookup<'_>) -> Result<Invocation<Self>> {
+        let flags = CliFlags::parse_args_default(args)
+            .map_err(|error| Error::settings(error.to_string()))?;
+        if flags.help {
+            return Ok(Invocation::Print(to_usage()));
+        }
+        if flags.version {
+            return Ok(Invocation::Print(to_version("shalelane")));
+        }
+        let Some(command) = flags.command else {
+            return Err(Error::settings(format!("no command is given\n\n{}", to_usage())));
+        };
+        if command.help_requested() {
+            let usage = command.self_usage();
+            return Ok(Invocation::Print(format!("{usage}\n")));
+        }
+        let admin = flags.admin.or_else(|| env(ADMIN_VARIABLE));
+        let key = env(KEY_VARIABLE);
+        Ok(Invocation::Run(CliRequest { admin, key, json: flags.json, command }))
+    }
+
+    /// Does what is asked and returns the text to print.
+    ///
+    /// # Errors
+    ///
+    /// A file that can not be read, a refusal, or an entry that does not answer.
+    pub async fn run(&self) -> Result<String> {
+        match &self.command {
+            CliCommand::Check(flags) => check(&flags.file),
+            CliCommand::Apply(flags) => self.apply(flags).await,
+            CliCommand::Diff(flags) => self.diff(&flags.file).await,
+            CliCommand::Status(_) => self.status().await,
+            CliCommand::Why(flags) => self.why(&flags.request).await,
+            CliCommand::Timeline(flags) => self.timeline(flags.request.as_deref()).await,
+        }
+    }
+
+    fn client(&self) -> Result<AdminClient> {
+        let missing = |what: &str| Error::settings(format!("{what} is missing"));
+        let admin = self.admin.clone().ok_or_else(|| missing("--admin (SHALELANE_ADMIN)"))?;
+        let key = self.key.clone().ok_or_else(|| missing(KEY_VARIABLE))?;
+        Ok(AdminClient { address: admin.into(), key: key.into(), http: HttpClient::new(1) })
+    }
+
+    async fn apply(&self, flags: &ApplyFlags) -> Result<String> {
+        let text = read_file(&flags.file)?;
+        // Faults are told with their place before anything is sent.
+        Config::from_toml(&text).map_err(|error| in_file(&flags.file, &error))?;
+        let client = self.client()?;
+        let current = client.get_config().await?;
+        let base = flags.base.map_or(current.version, ConfigVersion);
+        match client.put_config(text, base, flags.dry_run).await {
+            Ok(applied) if applied.dry_run => Ok("accepted, in a dry run only\n".to_owned()),
+            Ok(applied) => Ok(format!("accepted as version {}\n", applied.version)),
+            Err(error) if error.is_conflict() => {
+                let now = client.get_config().await?;
+                let diff = ConfigDiff::between(&now, &Config::from_toml(&read_file(&flags.file)?)?);
+                let text = format!("{error}\nthis file against version {}:\n{diff}", now.version);
+                Err(Error::config(None, text))
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    async fn diff(&self, file: &str) -> Result<String> {
+        let config = Config::from_toml(&read_file(file)?).map_err(|error| in_file(file, &error))?;
+        let current = self.client()?.get_config().await?;
+        let diff = ConfigDiff::between(&current, &config);
+        if diff.is_empty() {
+            return Ok(format!("no difference from version {}\n", current.version));
+        }
+        Ok(format!("against version {}:\n{diff}", current.version))
+    }
+
+    async fn status(&self) -> Result<String> {
+        let client = self.client()?;
+        let entries: BTreeMap<String, Arc<str>> = client.get("/admin/v1/entries").await?;
+        let mut text = String::new();
+        if !self.json {
+            text.push_str(
+                "entry                          state      config   open  targets  admitted  finished    failed\n",
+            );
+        }
+        for (name, address) in entries {
+            let status = client.at(address).get::<EntryStatus>("/admin/v1/status").await;
+            let line = match status {
+                Ok(status) if self.json => serde_json::to_string(&status).unwrap_or_default(),
+                Ok(status) => to_status_line(&status),
+                Err(error) => format!("{name:<30} away: {error}"),
+            };
+            let _ = writeln!(text, "{line}");
+        }
+        Ok(text)
+    }
+
+    async fn why(&self, request: &str) -> Result<String> {
+        let path = format!("/admin/v1/why/{request}");
+        let log: DecisionLog = self.client()?.get(&path).await?;
+        if self.json {
+            return Ok(serde_json::to_string(&log).unwrap_or_default() + "\n");
+        }
+        let mut text = format!("request {request}\n");
+        for timed in &log.steps {
+            let _ = writeln!(text, "{:>10.1} ms  {}", timed.at_ms, timed.step);
+        }
+        Ok(text)
+    }
+
+    async fn timeline(&self, request: Option<&str>) -> Result<String> {
+        let client = self.client()?;
+        let entries: BTreeMap<String, Arc<str>> = client.get("/admin/v1/entries").await?;
+        let path = format!("/admin/v1/timeline?request={}", request.unwrap_or(""));
+        let mut records: Vec<EventRecord> = Vec::new();
+        let mut text = String::new();
+        for (name, address) in entries {
+            match client.at(address).get::<Vec<EventRecord>>(&path).await {
+                Ok(more) => records.extend(more),
+                Err(error) => {
+                    let _ = writeln!(text, "{name} is away, its events are missing: {error}");
+                }
+            }
+        }
+        records.sort_by(|a, b| (a.at, &a.process).cmp(&(b.at, &b.process)));
+        for record in records {
+            let line = if self.json {
+                serde_json::to_string(&record).unwrap_or_default()
+            } else {
+                let EventRecord { at, process, request, kind, detail } = record;
+                format!("{}.{:03}  {process:<16} {kind:<10} {request} {detail}", at.0, at.1)
+            };
+            let _ = writeln!(text, "{line}");
+        }
+        Ok(text)
+    }
+}
+
+fn to_usage() -> String {
+    let commands = CliFlags::command_list().unwrap_or_default();
+    format!("{}\nCommands:\n{commands}\n", to_help::<CliFlags>("shalelane"))
+}
+
+fn to_status_line(status: &EntryStatus) -> String {
+    let state = match (status.stopping, status.ready) {
+        (true, _) => "stopping",
+        (false, true) => "ready",
+        (false, false) => "not ready",
+    };
+    format!(
+        "{:<30} {state:<9} {:>7} {:>6} {:>8} {:>9} {:>9} {:>9}",
+        status.process,
+        status.config_version.to_string(),
+        status.open_requests,
+        status.known_targets,
+        status.admitted,
+        status.finished,
+        status.failed
+    )
+}
+
+fn check(file: &str) -> Result<String> {
+    let config = Config::from_toml(&read_file(file)?).map_err(|error| in_file(file, &error))?;
+    Ok(format!(
+        "{file} is good: {} services, {} models, {} templates, {} client accounts\n",
+        config.services.len(),
+        config.models.len(),
+        config.templates.len(),
+        config.client_accounts.len()
+    ))
+}
+
+fn read_file(file: &str) -> Result<String> {
+    std::fs::read_to_string(file)
+        .map_err(|error| Error::config(None, format!("{file} can not be read: {error}")))
+}
+
+/// Puts the name of a file before a fault in it, as editors read it.
+fn in_file(file: &str, error: &Error) -> Error {
+    let place = match (error.line(), error.column()) {
+        (Some(line), Some(column)) => format!("{file}:{line}:{column}"),
+        _ => file.to_owned(),
+    };
+    Error::config(None, format!("{place}: {error}"))
+}
+
+#[derive(Clone, Debug)]
+struct AdminClient {
+    address: Arc<str>,
+    key: Arc<str>,
+    http: HttpClient,
+}
+
+impl AdminClient {
+    fn at(&self, address: Arc<str>) -> Self {
+        AdminClient { address, ..self.clone() }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        base: Option<ConfigVersion>,
+        body: impl Into<Bytes>,
+    ) -> Result<Response<Bytes>> {
+        let mut request = Request::new(full(body));
+        *request.method_mut() = method;
+        let uri = format!("http://{}{path}", self.address);
+        *request.uri_mut() =
+            uri.parse().map_err(|_| Error::settings(format!("{uri} is no address")))?;
+        let key = HeaderValue::from_str(&format!("Bearer {}", self.key))
+            .map_err(|_| Error::settings(format!("{KEY_VARIABLE} can not be sent")))?;
+        request.headers_mut().insert(AUTHORIZATION, key);
+        if let Some(version) = base {
+            request.headers_mut().insert(IF_MATCH, HeaderValue::from(version.0));
+        }
+        let response = self.http.call(request, CALL_LIMIT).await?;
+        if response.status().is_success() {
+            return Ok(response);
+        }
+        Err(to_error(&response))
+    }
+
+    async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
+        let response = self.call(Method::GET, path, None, "").await?;
+        serde_json::from_slice(response.body()).map_err(Error::unreachable)
+    }
+
+    async fn get_config(&self) -> Result<Config> {
+        let response = self.call(Method::GET, "/admin/v1/config", None, "").await?;
+        let tag = response.headers().get(ETAG).and_then(|tag| tag.to_str().ok());
+        let version = tag.and_then(|tag| tag.trim_matches('"').parse().ok()).unwrap_or(0);
+        let config: Config = serde_json::from_slice(response.body()).map_err(Error::unreachable)?;
+        Ok(Config { version: ConfigVersion(version), ..config })
+    }
+
+    async fn put_config(
+        &self,
+        text: String,
+        base: ConfigVersion,
+        dry_run: bool,
+    ) -> Result<AppliedConfig> {
+        let path = format!("/admin/v1/config?dry_run={dry_run}");
+        let response = self.call(Method::PUT, &path, Some(base), text).await?;
+        serde_json::from_slice(response.body()).map_err(Error::unreachable)
+    }
+}
+
+#[cold]
+fn to_error(response: &Response<Bytes>) -> Error {
+    let status = response.status();
+    let body: serde_json::Value = serde_json::from_slice(response.body()).unwrap_or_default();
+    let text = body["error"]["message"].as_str().unwrap_or("no reason given").to_owned();
+    if status == StatusCode::PRECONDITION_FAILED {
+        let digits = text.chars().filter(char::is_ascii_digit).collect::<String>();
+        return Error::from_code(ErrorCode::Conflict { found: digits.parse().unwrap_or(0) });
+    }
+    Error::from_code(ErrorCode::Status { status: status.as_u16(), text })
+}
--- a/src/config/manifest.rs
+++ b/src/config/manifest.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use derive_more::Display;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -17,16 +18,20 @@
 use crate::hex::to_hex;
 
 /// What an object of a manifest describes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ItemKind {
     /// A service.
+    #[display("service")]
     Service,
     /// A model.
+    #[display("model")]
     Model,
     /// A template.
+    #[display("template")]
     Template,
     /// A client account.
+    #[display("client account")]
     ClientAccount,
 }
 
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -5,6 +5,7 @@
 //! store keeps the same document as JSON.
 
 mod check;
+pub mod diff;
 pub mod manifest;
 mod parse;
 
--- a/src/entry/admin.rs
+++ b/src/entry/admin.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hyper::body::Incoming;
-use hyper::header::{ETAG, HeaderValue, IF_MATCH};
+use hyper::header::{AUTHORIZATION, ETAG, HeaderValue, IF_MATCH};
 use hyper::{Method, Request, StatusCode};
 use serde::{Deserialize, Serialize};
 use slog::info;
@@ -16,6 +16,7 @@
 use super::account::to_key;
 use super::daemon::{EntryShared, current_config};
 use super::why::DecisionLog;
+use crate::client::{HttpClient, full};
 use crate::config::{Config, ConfigVersion};
 use crate::error::Error;
 use crate::id::RequestId;
@@ -28,6 +29,9 @@
 /// Longest time for an operator's body to arrive.
 const BODY_LIMIT: Duration = Duration::from_secs(10);
 
+/// Longest time for another entry to answer.
+const FORWARD_LIMIT: Duration = Duration::from_secs(3);
+
 /// Accepts operators until the task is ended.
 pub(super) async fn serve(shared: Rc<EntryShared>, listener: TcpListener) {
     loop {
@@ -114,11 +118,12 @@
     let path = request.uri().path().to_owned();
     match (request.method(), path.as_str()) {
         (&Method::GET, "/admin/v1/status") => show_status(shared).await,
+        (&Method::GET, "/admin/v1/entries") => show_entries(shared).await,
         (&Method::GET, "/admin/v1/config") => Ok(show_config(shared)),
         (&Method::PUT, "/admin/v1/config") => apply_config(shared, request).await,
         (&Method::GET, "/admin/v1/timeline") => Ok(show_timeline(shared, &request)),
         (&Method::GET, _) if path.starts_with("/admin/v1/why/") => {
-            show_why(shared, path.trim_start_matches("/admin/v1/why/")).await
+            show_why(shared, path.trim_start_matches("/admin/v1/why/"), &request).await
         }
         _ => {
             Err(AdminFault::new(StatusCode::NOT_FOUND, "unknown_path", format!("no path `{path}`")))
@@ -149,6 +154,11 @@
     Ok(answer_json(StatusCode::OK, &status))
 }
 
+async fn show_entries(shared: &Rc<EntryShared>) -> Result<Answer, AdminFault> {
+    let entries = shared.ask(|core| core.table().entry_addresses()).await;
+    Ok(answer_json(StatusCode::OK, &entries.ok_or_else(stopping_fault)?))
+}
+
 #[cold]
 fn stopping_fault() -> AdminFault {
     AdminFault::new(StatusCode::SERVICE_UNAVAILABLE, "stopping", "this entry is stopping")
@@ -215,12 +225,19 @@
     log: DecisionLog,
 }
 
-async fn show_why(shared: &Rc<EntryShared>, text: &str) -> Result<Answer, AdminFault> {
+async fn show_why(
+    shared: &Rc<EntryShared>,
+    text: &str,
+    request: &Request<Incoming>,
+) -> Result<Answer, AdminFault> {
     let id = RequestId::from_str(text)
         .map_err(|error| AdminFault::new(StatusCode::BAD_REQUEST, "bad_id", error.to_string()))?;
+    if id.owner.name != shared.process.name {
+        return forward_why(shared, &id, text, request).await;
+    }
     if id.owner != shared.process {
-        let text = format!("the record is with entry {}", id.owner);
-        return Err(AdminFault::new(StatusCode::MISDIRECTED_REQUEST, "other_entry", text));
+        let text = "the entry has restarted since; the record went with its earlier life";
+        return Err(AdminFault::new(StatusCode::NOT_FOUND, "no_record", text));
     }
     let found = shared.ask(move |core| core.why(id.number).cloned()).await;
     match found.ok_or_else(stopping_fault)? {
@@ -233,6 +250,32 @@
     }
 }
 
+/// Asks the entry that holds the record.
+async fn forward_why(
+    shared: &Rc<EntryShared>,
+    id: &RequestId,
+    text: &str,
+    request: &Request<Incoming>,
+) -> Result<Answer, AdminFault> {
+    let name = id.owner.name.clone();
+    let address = shared.ask(move |core| core.table().entry_addresses().remove(&name)).await;
+    let Some(address) = address.ok_or_else(stopping_fault)? else {
+        let text = format!("entry {} is not listed any more; the record went with it", id.owner);
+        return Err(AdminFault::new(StatusCode::NOT_FOUND, "no_record", text));
+    };
+    let mut question = Request::new(full(""));
+    *question.uri_mut() =
+        format!("http://{address}/admin/v1/why/{text}").parse().unwrap_or_default();
+    if let Some(key) = request.headers().get(AUTHORIZATION) {
+        question.headers_mut().insert(AUTHORIZATION, key.clone());
+    }
+    let response = HttpClient::new(0).call(question, FORWARD_LIMIT).await;
+    let response = response.map_err(|error| {
+        AdminFault::new(StatusCode::BAD_GATEWAY, "entry_away", error.to_string())
+    })?;
+    Ok(answer(response.status(), "application/json", response.into_body()))
+}
+
 fn show_timeline(shared: &EntryShared, request: &Request<Incoming>) -> Answer {
     let query = request.uri().query().unwrap_or("");
     let wanted = query.split('&').find_map(|pair| pair.strip_prefix("request="));
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -203,6 +203,12 @@
         self.table.len()
     }
 
+    /// Targets and entries that the platform lists.
+    #[must_use]
+    pub fn table(&self) -> &RouteTable {
+        &self.table
+    }
+
     /// What was decided about a request, where it is still remembered.
     #[must_use]
     pub fn why(&self, number: u64) -> Option<&DecisionLog> {
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -1,6 +1,6 @@
 //! Which targets there are, and which of them to ask.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use rand::Rng;
@@ -32,12 +32,19 @@
     pub suspect_until: Tick,
 }
 
+/// Another entry, as the platform lists it.
+#[derive(Clone, Debug)]
+struct RouteEntry {
+    address: Arc<str>,
+    state: HostState,
+}
+
 /// Targets by service.
 #[derive(Debug, Default)]
 pub struct RouteTable {
     services: HashMap<Arc<str>, Vec<RouteTarget>>,
     homes: HashMap<Arc<str>, Arc<str>>,
-    entries: HashMap<Arc<str>, HostState>,
+    entries: HashMap<Arc<str>, RouteEntry>,
 }
 
 /// What a choice of candidates goes by.
@@ -61,12 +68,13 @@
         for host in &delta.hosts {
             match &host.role {
                 HostRole::Entry => {
-                    self.entries.insert(host.name.clone(), host.state);
+                    let entry = RouteEntry { address: host.address.clone(), state: host.state };
+                    self.entries.insert(host.name.clone(), entry);
                 }
                 HostRole::Target { service } => self.on_target(service, host),
             }
         }
-        self.entries.retain(|_, state| *state != HostState::Gone);
+        self.entries.retain(|_, entry| entry.state != HostState::Gone);
     }
 
     fn on_target(&mut self, service: &Arc<str>, host: &HostRecord) {
@@ -96,7 +104,14 @@
     /// How many entries share the limits of the client accounts.
     #[must_use]
     pub fn live_entries(&self) -> usize {
-        self.entries.values().filter(|state| **state == HostState::Live).count().max(1)
+        self.entries.values().filter(|entry| entry.state == HostState::Live).count().max(1)
+    }
+
+    /// Where the entries' administration APIs are, by name.
+    #[must_use]
+    pub fn entry_addresses(&self) -> BTreeMap<Arc<str>, Arc<str>> {
+        let entries = self.entries.iter();
+        entries.map(|(name, entry)| (name.clone(), entry.address.clone())).collect()
     }
 
     /// How many targets are known.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! Work in progress: the guided tour follows.
 
 pub mod agent;
+pub mod cli;
 mod client;
 pub mod clock;
 pub mod config;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! published protocol on loopback, from a thread of its own, and has a handle
 //! by which a test makes it fail.
 
+pub mod caller;
 pub mod chaos;
 pub mod demo;
 pub mod engine_model;
--- a/standins/src/plain_server.rs
+++ b/standins/src/plain_server.rs
@@ -1,6 +1,7 @@
 //! A plain service that counts how often it ran each order.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -31,6 +32,8 @@
 pub struct PlainServer {
     /// How often each order was run.
     pub counts: Arc<Mutex<OrderCounts>>,
+    /// Calls that have arrived, whether they have run or not.
+    pub arrived: Arc<AtomicU64>,
     /// Faults in force.
     pub fault: Arc<Mutex<PlainFault>>,
     /// Its thread.
@@ -48,11 +51,15 @@
     pub fn start() -> Self {
         let counts = Arc::new(Mutex::new(OrderCounts::new()));
         let fault = Arc::new(Mutex::new(PlainFault::default()));
-        let (inner, faults) = (counts.clone(), fault.clone());
+        let arrived = Arc::new(AtomicU64::new(0));
+        let (inner, faults, calls) = (counts.clone(), fault.clone(), arrived.clone());
         let server = ServerThread::spawn("plain", None, move |listener| {
-            serve_http(listener, move |request| handle(inner.clone(), faults.clone(), request))
+            serve_http(listener, move |request| {
+                calls.fetch_add(1, Ordering::Relaxed);
+                handle(inner.clone(), faults.clone(), request)
+            })
         });
-        PlainServer { counts, fault, server }
+        PlainServer { counts, arrived, fault, server }
     }
 
     /// How often an order was run.
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,263 @@
+//! Real processes on loopback, for tests.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use shalelane::hosts::{HostRecord, HostRole, HostState};
+use standins::caller::{WholeAnswer, call, request};
+use standins::engine_model::EngineSpec;
+use standins::engine_server::EngineServer;
+use standins::fleet::{ADMIN_KEY, PEER_KEY};
+use standins::host_server::HostServer;
+use standins::plain_server::PlainServer;
+use standins::proxy::FaultProxy;
+use standins::store_server::StoreServer;
+
+pub const VALDIVIA: &str = include_str!("../../examples/valdivia.toml");
+
+/// Time after which a wait for something that must come counts as failed.
+const HUNG: Duration = Duration::from_secs(60);
+
+/// A program of ours, ended with the test.
+pub struct Process {
+    child: Child,
+    pub ready: String,
+}
+
+impl Process {
+    pub fn spawn(program: &str, args: &[&str]) -> Self {
+        let mut child = Command::new(program)
+            .args(args)
+            .env("SHALELANE_PEER_KEY", PEER_KEY)
+            .env("SHALELANE_LOG_FORMAT", "off")
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("a program");
+        let mut ready = String::new();
+        let output = child.stdout.take().expect("its output");
+        BufReader::new(output).read_line(&mut ready).expect("a line");
+        Process { child, ready }
+    }
+
+    pub fn address(&self, name: &str) -> SocketAddr {
+        let pair = self.ready.split_whitespace().find_map(|pair| pair.strip_prefix(name));
+        pair.and_then(|pair| pair.strip_prefix('=')?.parse().ok()).expect("an address")
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args([name, &id]).status().expect("kill");
+        assert!(status.success());
+    }
+
+    /// Asks for a planned stop.
+    pub fn ask_stop(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Makes the process stand still, or go on.
+    pub fn freeze(&self, is_frozen: bool) {
+        self.signal(if is_frozen { "-STOP" } else { "-CONT" });
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("kill");
+        self.child.wait().expect("its end");
+    }
+
+    /// Waits for the process's own end, and tells whether it was a good one.
+    pub fn wait(&mut self) -> bool {
+        let start = Instant::now();
+        while start.elapsed() < HUNG {
+            if let Some(status) = self.child.try_wait().expect("a status") {
+                return status.success();
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        panic!("a process did not end");
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// An agent's process behind a fault proxy.
+pub struct AgentProcess {
+    pub name: String,
+    pub process: Process,
+    pub proxy: FaultProxy,
+    target: SocketAddr,
+    kind: &'static str,
+}
+
+impl AgentProcess {
+    pub fn spawn(name: &str, target: SocketAddr, kind: &'static str) -> Self {
+        let process = spawn_agent(name, target, kind, "127.0.0.1:0");
+        let proxy = FaultProxy::start(process.address("entries"));
+        AgentProcess { name: name.to_owned(), process, proxy, target, kind }
+    }
+
+    /// Ends the process at once and starts another life of it, at the same
+    /// address.
+    pub fn restart(&mut self) {
+        let address = self.process.address("entries").to_string();
+        self.process.kill();
+        self.process = spawn_agent(&self.name, self.target, self.kind, &address);
+    }
+}
+
+fn spawn_agent(name: &str, target: SocketAddr, kind: &str, listen: &str) -> Process {
+    let target = target.to_string();
+    let args = ["--name", name, "--target", &target, "--kind", kind, "--listen", listen];
+    Process::spawn(env!("CARGO_BIN_EXE_shalelane-agent"), &args)
+}
+
+/// Processes and stand-ins of a small site.
+pub struct Site {
+    pub entries: Vec<Process>,
+    pub agents: Vec<AgentProcess>,
+    pub plain_agent: AgentProcess,
+    pub engines: Vec<EngineServer>,
+    pub plain: PlainServer,
+    pub store: StoreServer,
+    pub hosts: HostServer,
+}
+
+impl Site {
+    /// Starts a site with the configuration of Valdivia in force.
+    pub async fn start(entries: usize, engines: usize, spec: EngineSpec) -> Self {
+        let store = StoreServer::start();
+        let hosts = HostServer::start(Duration::from_millis(50));
+        let plain = PlainServer::start();
+        let plain_agent = AgentProcess::spawn("plain-0", plain.server.address, "plain");
+        list(&hosts, &plain_agent, "booking-app");
+        let models = &["canal-8b"];
+        let engines: Vec<_> = (0..engines)
+            .map(|index| EngineServer::start(spec.clone(), models, index as u64, None))
+            .collect();
+        let agents: Vec<_> = engines
+            .iter()
+            .enumerate()
+            .map(|(index, engine)| {
+                let name = format!("runner-{index}");
+                let agent = AgentProcess::spawn(&name, engine.server.address, "engine");
+                list(&hosts, &agent, "canal-assistant");
+                agent
+            })
+            .collect();
+        let mut site =
+            Site { entries: Vec::new(), agents, plain_agent, engines, plain, store, hosts };
+        for index in 0..entries {
+            site.add_entry(index);
+        }
+        let answer = site.apply(VALDIVIA, 0).await;
+        assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
+        for index in 0..entries {
+            site.wait_ready(index).await;
+        }
+        site
+    }
+
+    pub fn add_entry(&mut self, index: usize) {
+        let (store, hosts) = (self.store.server.address.to_string(), self.hosts.server.address);
+        let (hosts, name) = (hosts.to_string(), format!("entry-{index}"));
+        let key = shalelane::entry::account::to_key(ADMIN_KEY);
+        let args = [
+            "--name",
+            &name,
+            "--failure-domain",
+            "muelle-norte",
+            "--store",
+            &store,
+            "--hosts",
+            &hosts,
+            "--listen",
+            "127.0.0.1:0",
+            "--admin-listen",
+            "127.0.0.1:0",
+            "--admin-key-sha256",
+            &key,
+        ];
+        let process = Process::spawn(env!("CARGO_BIN_EXE_shalelane-entry"), &args);
+        self.hosts.set(HostRecord {
+            name: name.into(),
+            role: HostRole::Entry,
+            address: process.address("admin").to_string().into(),
+            failure_domain: "muelle-norte".into(),
+            state: HostState::Live,
+        });
+        self.entries.push(process);
+    }
+
+    pub fn callers(&self, index: usize) -> SocketAddr {
+        self.entries[index].address("callers")
+    }
+
+    pub fn admin(&self, index: usize) -> SocketAddr {
+        self.entries[index].address("admin")
+    }
+
+    /// Puts a configuration to the first entry, based on a version.
+    pub async fn apply(&self, text: &str, base: u64) -> WholeAnswer {
+        let mut put = request("PUT", "/admin/v1/config", ADMIN_KEY, text.to_owned());
+        put.headers_mut().insert("if-match", base.into());
+        call(self.admin(0), put).await.expect("an answer")
+    }
+
+    /// Asks an entry's administration API.
+    pub async fn ask_admin(&self, index: usize, path: &str) -> WholeAnswer {
+        let get = request("GET", path, ADMIN_KEY, "");
+        call(self.admin(index), get).await.expect("an answer")
+    }
+
+    /// Waits until an entry serves callers and knows every target.
+    pub async fn wait_ready(&self, index: usize) {
+        let targets = self.agents.len() + 1;
+        wait_until("an entry is ready", async || {
+            let status = self.ask_admin(index, "/admin/v1/status").await.json();
+            status["ready"] == true && status["known_targets"] == targets
+        })
+        .await;
+    }
+
+    /// Tokens that engines hold.
+    pub fn held_tokens(&self) -> u64 {
+        self.engines.iter().map(EngineServer::used).sum()
+    }
+
+    /// Waits until no engine holds anything.
+    pub async fn wait_nothing_held(&self) {
+        wait_until("nothing is held", async || self.held_tokens() == 0).await;
+    }
+}
+
+fn list(hosts: &HostServer, agent: &AgentProcess, service: &str) {
+    hosts.set(HostRecord {
+        name: agent.name.as_str().into(),
+        role: HostRole::Target { service: service.into() },
+        address: agent.proxy.server.address.to_string().into(),
+        failure_domain: "muelle-norte".into(),
+        state: HostState::Live,
+    });
+}
+
+/// Waits for something that must come.
+pub async fn wait_until(what: &str, mut is_there: impl AsyncFnMut() -> bool) {
+    let start = Instant::now();
+    while start.elapsed() < HUNG {
+        if is_there().await {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("in vain: {what}");
+}
