--- a/standins/src/engine_server.rs
+++ b/standins/src/engine_server.rs
@@ -5,6 +5,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -41,6 +42,8 @@
 pub struct EngineFault {
     /// New calls are not answered.
     pub frozen: bool,
+    /// Time from a call that brings a run to when the engine has it.
+    pub start_lag: Duration,
 }
 
 /// An engine, and what a test may do to it.
@@ -52,6 +55,14 @@
     pub fault: Arc<Mutex<EngineFault>>,
     /// Its thread.
     pub server: ServerThread,
+    starts: Arc<StartCounts>,
+}
+
+/// Calls that brought a run, and runs that the engine has taken from them.
+#[derive(Debug, Default)]
+struct StartCounts {
+    arrived: AtomicU64,
+    started: AtomicU64,
 }
 
 struct ServerState {
@@ -59,6 +70,7 @@
     fault: Arc<Mutex<EngineFault>>,
     models: Vec<String>,
     boot: u64,
+    starts: Arc<StartCounts>,
     streams: RefCell<HashMap<String, mpsc::UnboundedSender<Bytes>>>,
     events: RefCell<VecDeque<(Instant, CacheEvent)>>,
     sequence: RefCell<u64>,
@@ -81,13 +93,15 @@
         let model = Arc::new(Mutex::new(EngineModel::new(spec)));
         let fault = Arc::new(Mutex::new(EngineFault::default()));
         let models: Vec<String> = models.iter().map(|name| (*name).to_owned()).collect();
-        let (inner, faults) = (model.clone(), fault.clone());
+        let starts = Arc::new(StartCounts::default());
+        let (inner, faults, counts) = (model.clone(), fault.clone(), starts.clone());
         let server = ServerThread::spawn("engine", address, move |listener| async move {
             let state = Rc::new(ServerState {
                 model: inner,
                 fault: faults,
                 models,
                 boot: rand::random(),
+                starts: counts,
                 streams: RefCell::default(),
                 events: RefCell::default(),
                 sequence: RefCell::default(),
@@ -102,7 +116,19 @@
                 () = serve_http(listener, move |request| handle(handler.clone(), request)) => {}
             }
         });
-        EngineServer { model, fault, server }
+        EngineServer { model, fault, server, starts }
+    }
+
+    /// Calls that brought a run.
+    #[must_use]
+    pub fn calls_arrived(&self) -> u64 {
+        self.starts.arrived.load(Ordering::Relaxed)
+    }
+
+    /// Runs that the engine has taken.
+    #[must_use]
+    pub fn runs_started(&self) -> u64 {
+        self.starts.started.load(Ordering::Relaxed)
     }
 
     /// Tokens held by runs and reservations.
@@ -314,6 +340,9 @@
     };
     let prompt = to_prompt(&body);
     let answer_tokens = most.or(body["max_tokens"].as_u64()).unwrap_or(16);
+    state.starts.arrived.fetch_add(1, Ordering::Relaxed);
+    let lag = lock(&state.fault).start_lag;
+    tokio::time::sleep(lag).await;
     let (sender, receiver) = mpsc::unbounded_channel();
     state.streams.borrow_mut().insert(id.clone(), sender);
     lock(&state.model).start(EngineRunSpec {
@@ -326,6 +355,7 @@
         prefill_limit: limit,
         tokens_elsewhere,
     });
+    state.starts.started.fetch_add(1, Ordering::Relaxed);
     state.work.notify_one();
     Response::new(to_body(receiver))
 }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod proxy;
 pub mod report;
 pub mod serve;
+pub mod slopes;
 pub mod store_server;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -1,5 +1,6 @@
 //! The stand-ins' program: `demo` runs the main job, `up` keeps a fleet.
 
+use std::alloc::System;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -8,6 +9,8 @@
 use standins::chaos::{ChaosOutcome, ChaosPlan, SeedsOutcome, run_seeds};
 use standins::demo::{self, DemoSpec, apply_config, demo_fleet, wait_ready};
 use standins::fleet::{ADMIN_KEY, Fleet};
+use standins::slopes;
+use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
 
 #[derive(Debug, Options)]
 struct Arguments {
@@ -25,6 +28,25 @@
     Up(DemoArguments),
     #[options(help = "make randomised runs under faults, in virtual time")]
     Chaos(ChaosArguments),
+    #[options(help = "measure what one more request, target, account or change costs")]
+    Slopes(SlopesArguments),
+}
+
+#[derive(Debug, Options)]
+struct SlopesArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "print JSON", no_short)]
+    json: bool,
+}
+
+/// Counts the bytes on the heap, for the slopes of memory.
+#[global_allocator]
+static HEAP: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+fn heap_bytes() -> usize {
+    let stats = HEAP.stats();
+    stats.bytes_allocated.saturating_sub(stats.bytes_deallocated)
 }
 
 #[derive(Debug, Options)]
@@ -75,6 +97,7 @@
         Some(Command::Demo(arguments)) => run_demo(&arguments),
         Some(Command::Up(arguments)) => run_up(&arguments),
         Some(Command::Chaos(arguments)) => run_chaos(&arguments),
+        Some(Command::Slopes(arguments)) => run_slopes(&arguments),
         None => {
             println!("{}", Arguments::usage());
             println!("{}", Arguments::command_list().unwrap_or_default());
@@ -167,3 +190,13 @@
     }
     if is_missed { ExitCode::FAILURE } else { ExitCode::SUCCESS }
 }
+
+fn run_slopes(arguments: &SlopesArguments) -> ExitCode {
+    let slopes = slopes::measure(heap_bytes);
+    if arguments.json {
+        println!("{}", serde_json::to_string(&slopes).unwrap_or_default());
+    } else {
+        print!("{}", slopes::to_table(&slopes));
+    }
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/tests/regression/agent_fixture.rs
@@ -0,0 +1,86 @@
+//! An agent's core with a ready engine and one entry.
+
+use std::time::Duration;
+
+use shalelane::agent::{AgentCore, AgentTuning, ConnId, Effect, EngineFacts, Event};
+use shalelane::config::Urgency;
+use shalelane::prefix::PrefixMarks;
+use shalelane::time::Tick;
+use shalelane::wire::{Call, Dispatch, Hold, Shard, ToAgent, ToEntry, TokenNeed};
+use shalelane::{AttemptId, AttemptKey, Incarnation, ProcessId};
+
+pub const CONN: ConnId = ConnId(1);
+
+pub struct AgentFixture {
+    pub core: AgentCore,
+    pub now: Tick,
+}
+
+impl AgentFixture {
+    /// An agent of an engine with 1,000 tokens to lease.
+    pub fn new(tuning: AgentTuning) -> Self {
+        let id = ProcessId { name: "agent".into(), incarnation: Incarnation(7) };
+        let tuning = AgentTuning { strict: true, ..tuning };
+        let mut fixture = AgentFixture { core: AgentCore::new(id, tuning), now: Tick(0) };
+        fixture.feed(Event::PeerUp(CONN, owner()));
+        fixture.feed(Event::TargetReady(EngineFacts {
+            address: "127.0.0.1:1".into(),
+            capacity: 1_060,
+            max_batch: 8,
+            models: vec!["model".into()],
+        }));
+        fixture
+    }
+
+    pub fn feed(&mut self, event: Event) -> Vec<Effect> {
+        self.now = self.now + Duration::from_millis(1);
+        self.core.on_event(self.now, event)
+    }
+
+    pub fn tell(&mut self, message: ToAgent) -> Vec<Effect> {
+        self.feed(Event::Peer(CONN, message))
+    }
+
+    pub fn pass(&mut self, span: Duration) -> Vec<Effect> {
+        self.now = self.now + span;
+        self.feed(Event::Wake)
+    }
+
+    pub fn hold(&mut self, key: AttemptKey, tokens: u64, span: Duration) -> Vec<Effect> {
+        let expires_us = span.as_micros() as u64;
+        self.tell(ToAgent::Hold(Hold { attempt: key, tokens, expires_us, is_renewal: false }))
+    }
+}
+
+pub fn owner() -> ProcessId {
+    ProcessId { name: "entry".into(), incarnation: Incarnation(3) }
+}
+
+pub fn id_of(key: AttemptKey) -> AttemptId {
+    AttemptId { owner: owner(), key }
+}
+
+/// A dispatch without a body: it may start as soon as it is taken.
+pub fn dispatch(key: AttemptKey, prompt: u64, shards: Vec<Shard>) -> Dispatch {
+    Dispatch {
+        attempt: key,
+        incarnation: Incarnation(7),
+        call: Call::Model { model: "model".into(), path: "/v1/completions".into() },
+        account: "account".into(),
+        weight: 1,
+        urgency: Urgency::Normal,
+        need: TokenNeed { prompt, answer: 10 },
+        marks: PrefixMarks::default(),
+        body_len: 0,
+        remaining_us: 30_000_000,
+        shards,
+    }
+}
+
+pub fn is_start(effect: &Effect) -> bool {
+    matches!(effect, Effect::Start(_))
+}
+
+pub fn is_refusal(effect: &Effect) -> bool {
+    matches!(effect, Effect::Send(_, ToEntry::Refused { .. }))
+}
--- /dev/null
+++ b/tests/regression/main.rs
@@ -0,0 +1,8 @@
+//! Past failures, a file for each.
+
+mod agent_fixture;
+mod cancel_overtakes_start;
+mod name_with_slash;
+mod refused_dispatch_comes_again;
+mod release_before_start;
+mod stray_reservation;
--- /dev/null
+++ b/tests/regression/refused_dispatch_comes_again.rs
@@ -0,0 +1,31 @@
+//! A refused dispatch left no trace, so that a second copy of it could run
+//! after the answer "not run".
+
+use shalelane::AttemptKey;
+use shalelane::agent::{AgentTuning, Event};
+use shalelane::agent::{Effect, EngineFacts};
+use shalelane::wire::ToAgent;
+
+use crate::agent_fixture::{AgentFixture, dispatch, is_refusal, is_start};
+
+#[test]
+fn a_second_copy_of_a_refused_dispatch_is_refused_as_well() {
+    let mut agent = AgentFixture::new(AgentTuning::default());
+    agent.feed(Event::TargetLost);
+    let message = ToAgent::Dispatch(dispatch(AttemptKey(1, 1), 100, Vec::new()));
+    assert!(agent.tell(message.clone()).iter().any(is_refusal));
+    let facts = EngineFacts {
+        capacity: 1_060,
+        max_batch: 8,
+        models: vec!["model".into()],
+        ..EngineFacts::default()
+    };
+    let effects: Vec<Effect> = agent.feed(Event::TargetReady(facts));
+    assert!(!effects.iter().any(is_start));
+    let effects = agent.tell(message);
+    assert!(effects.iter().any(is_refusal));
+    assert!(!effects.iter().any(is_start));
+    // Another attempt may run.
+    let other = ToAgent::Dispatch(dispatch(AttemptKey(2, 1), 100, Vec::new()));
+    assert!(agent.tell(other).iter().any(is_start));
+}
