--- a/standins/src/slopes.rs
+++ b/standins/src/slopes.rs
@@ -112,9 +112,9 @@
 
 fn grown<T>(heap: HeapBytes, make: impl FnOnce() -> T) -> f64 {
     let before = heap();
-    let made = make();
+    let built = make();
     let after = heap();
-    drop(black_box(made));
+    drop(black_box(built));
     after.saturating_sub(before) as f64
 }
 
@@ -451,7 +451,10 @@
         wait_ready(&fleet, Duration::from_secs(10)).await;
         let before = (thread_time("entry-"), thread_time("runner-"));
         drive_load(&fleet, requests).await;
-        (thread_time("entry-") - before.0, thread_time("runner-") - before.1)
+        (
+            thread_time("entry-").saturating_sub(before.0),
+            thread_time("runner-").saturating_sub(before.1),
+        )
     }));
     fleet.stop();
     spent
--- a/tests/regression/agent_fixture.rs
+++ b/tests/regression/agent_fixture.rs
@@ -18,9 +18,9 @@
 
 impl AgentFixture {
     /// An agent of an engine with 1,000 tokens to lease.
-    pub fn new(tuning: AgentTuning) -> Self {
+    pub fn new() -> Self {
         let id = ProcessId { name: "agent".into(), incarnation: Incarnation(7) };
-        let tuning = AgentTuning { strict: true, ..tuning };
+        let tuning = AgentTuning { strict: true, ..AgentTuning::default() };
         let mut fixture = AgentFixture { core: AgentCore::new(id, tuning), now: Tick(0) };
         fixture.feed(Event::PeerUp(CONN, owner()));
         fixture.feed(Event::TargetReady(EngineFacts {
@@ -41,11 +41,6 @@
         self.feed(Event::Peer(CONN, message))
     }
 
-    pub fn pass(&mut self, span: Duration) -> Vec<Effect> {
-        self.now = self.now + span;
-        self.feed(Event::Wake)
-    }
-
     pub fn hold(&mut self, key: AttemptKey, tokens: u64, span: Duration) -> Vec<Effect> {
         let expires_us = span.as_micros() as u64;
         self.tell(ToAgent::Hold(Hold { attempt: key, tokens, expires_us, is_renewal: false }))
--- a/tests/regression/refused_dispatch_comes_again.rs
+++ b/tests/regression/refused_dispatch_comes_again.rs
@@ -2,15 +2,14 @@
 //! after the answer "not run".
 
 use shalelane::AttemptKey;
-use shalelane::agent::{AgentTuning, Event};
-use shalelane::agent::{Effect, EngineFacts};
+use shalelane::agent::{Effect, EngineFacts, Event};
 use shalelane::wire::ToAgent;
 
 use crate::agent_fixture::{AgentFixture, dispatch, is_refusal, is_start};
 
 #[test]
 fn a_second_copy_of_a_refused_dispatch_is_refused_as_well() {
-    let mut agent = AgentFixture::new(AgentTuning::default());
+    let mut agent = AgentFixture::new();
     agent.feed(Event::TargetLost);
     let message = ToAgent::Dispatch(dispatch(AttemptKey(1, 1), 100, Vec::new()));
     assert!(agent.tell(message.clone()).iter().any(is_refusal));
--- a/tests/regression/release_before_start.rs
+++ b/tests/regression/release_before_start.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use shalelane::AttemptKey;
-use shalelane::agent::{AgentTuning, Effect, Event};
+use shalelane::agent::{Effect, Event};
 use shalelane::wire::{Shard, ToAgent};
 
 use crate::agent_fixture::{AgentFixture, dispatch, id_of, is_refusal, is_start};
 
 #[test]
 fn a_run_whose_hold_has_expired_is_refused_and_not_started() {
-    let mut agent = AgentFixture::new(AgentTuning::default());
+    let mut agent = AgentFixture::new();
     let key = AttemptKey(1, 1);
     agent.hold(key, 500, Duration::from_secs(10));
     agent.feed(Event::Reserved(id_of(key), true));
@@ -28,7 +28,7 @@
 
 #[test]
 fn a_run_of_a_group_without_its_hold_is_refused() {
-    let mut agent = AgentFixture::new(AgentTuning::default());
+    let mut agent = AgentFixture::new();
     let shards = vec![Shard { engine: "127.0.0.1:2".into(), tokens: 500 }];
     let effects = agent.tell(ToAgent::Dispatch(dispatch(AttemptKey(2, 1), 990, shards)));
     assert!(effects.iter().any(is_refusal));
--- a/tests/regression/stray_reservation.rs
+++ b/tests/regression/stray_reservation.rs
@@ -1,14 +1,14 @@
 //! A reservation whose call was under way when its agent died reached the
 //! engine after the next life had reset it, and stayed for good.
 
-use shalelane::agent::{AgentTuning, Effect, EngineHolding, Event};
+use shalelane::agent::{Effect, EngineHolding, Event};
 use shalelane::{AttemptKey, Incarnation};
 
 use crate::agent_fixture::{AgentFixture, id_of};
 
 #[test]
 fn what_the_engine_holds_for_nobody_is_given_back() {
-    let mut agent = AgentFixture::new(AgentTuning::default());
+    let mut agent = AgentFixture::new();
     let own = AttemptKey(1, 1);
     agent.hold(own, 100, std::time::Duration::from_secs(10));
     let mut stray = id_of(AttemptKey(9, 1));
