Give short requests out without asking where that is likely to do

Cause: four probes a request and links that are made anew cost more than the 9 KB/s that control may take at full size.

Change: an entry keeps to eight targets of its own for each service, mostly in its failure domain, and to those where a prompt's beginning has met before. A short request goes to the least burdened of them at once, with the longest wait it bears (50 ms); an agent that predicts a longer one refuses it as not run, and only then four are asked. Links idle for 120 s before they are closed. A dispatch is no longer acknowledged. `standins -- routing` runs the same load with this, with asking, and with three baselines. The entry's core is split by job: asking, attempts, links, direct.

Conclusion: messages fall to one dispatch and its end for most short requests; whether the choice is as good under load is open.

--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -15,7 +15,7 @@
 use super::predict::RatePredictor;
 use super::queue::FairShare;
 use super::run::{Run, RunState, local_tokens};
-use crate::config::ConfigVersion;
+use crate::config::{ConfigVersion, Urgency};
 use crate::id::{AttemptId, AttemptKey, ProcessId, RequestId};
 use crate::invariant::InvariantCheck;
 use crate::mutant::{Mutant, is_on};
@@ -329,7 +329,6 @@
         let cached = (blocks * BLOCK_BYTES as u64 / BYTES_PER_TOKEN).min(dispatch.need.prompt);
         let run = Run::new(dispatch, conn, now, cached);
         self.timers.subscribe(run.deadline, Timer::Deadline(id.clone()));
-        self.send(Some(conn), ToEntry::Accepted(id.key));
         self.runs.insert(id, run);
     }
 
@@ -364,8 +363,11 @@
         let local = local_tokens(dispatch);
         let wait = self.predict_wait(local, dispatch.urgency, now);
         let prefill = self.rates.prefill(dispatch.need.prompt);
-        let is_late = wait + prefill > Duration::from_micros(dispatch.remaining_us);
-        is_late.then_some((Refusal::TooLate, wait.max(MIN_RETRY)))
+        if wait + prefill > Duration::from_micros(dispatch.remaining_us) {
+            return Some((Refusal::TooLate, wait.max(MIN_RETRY)));
+        }
+        let is_busy = wait > Duration::from_micros(dispatch.max_wait_us);
+        is_busy.then_some((Refusal::Busy, wait))
     }
 
     fn refuse(&mut self, conn: ConnId, attempt: AttemptKey, refusal: Refusal, retry: Duration) {
@@ -658,6 +660,10 @@
             return;
         };
         let first = run.first.unwrap_or(now);
+        let wait = self.predict_wait(0, Urgency::Interactive, now);
+        let Some(run) = self.runs.get_mut(id) else {
+            return;
+        };
         self.rates.learn_decode(usage.answer_tokens, now.since(first));
         let output = std::mem::take(&mut run.output).freeze();
         let waited = run.started.unwrap_or(now).since(run.arrived);
@@ -668,6 +674,7 @@
             answer_tokens: usage.answer_tokens,
             finish_reason: usage.finish_reason,
             waited_us: waited.as_micros() as u64,
+            wait_us: wait.as_micros() as u64,
         };
         let conn = run.conn;
         let until = run.deadline.max(now) + self.tuning.ledger_margin;
--- /dev/null
+++ b/src/entry/asking.rs
@@ -0,0 +1,222 @@
+//! Asking targets what they would do with a request, and choosing one.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::core::{EntryCore, Timer};
+use super::event::{Effect, FailureCode};
+use super::request::{Offer, Phase};
+use super::retry::to_backoff;
+use super::route::RouteQuery;
+use super::why::DecisionStep;
+use crate::time::Tick;
+use crate::wire::{Call, Probe, ProbeAnswer, Refusal, ToAgent};
+
+/// How long a target that said it is closed is not asked again.
+pub(super) const CLOSED_SPAN: Duration = Duration::from_secs(5);
+
+/// Waves of questions after which a lack of time or room is believed.
+const BUSY_WAVES: u16 = 2;
+
+/// Waves of questions after which any other refusal is believed.
+const MAX_WAVES: u16 = 8;
+
+impl EntryCore {
+    pub(super) fn ask(&mut self, number: u64, now: Tick) {
+        let Some(request) = self.requests.get_mut(&number) else {
+            return;
+        };
+        request.waves += 1;
+        let is_wide = request.need.prompt >= self.tuning.wide_tokens;
+        let count = if is_wide { self.tuning.wide_candidates } else { self.tuning.candidates };
+        let query = RouteQuery {
+            service: &request.arrival.service,
+            prefix: request.prefix.or_else(|| request.arrival.marks.peek_first()),
+            failure_domain: &self.failure_domain,
+            entry: &self.id.name,
+            tried: &request.tried,
+            count,
+        };
+        let pick = self.tuning.policy.pick.as_ref().filter(|_| !is_wide);
+        let targets = match pick {
+            Some(pick) => self.table.pick(&query, now, pick).into_iter().collect(),
+            // One that was busy or silent widens the choice.
+            None if request.waves > 1 || is_wide => {
+                self.table.candidates(&query, now, &mut self.rng)
+            }
+            None => self.table.home_candidates(&query, now, &mut self.rng),
+        };
+        if targets.is_empty() {
+            self.fail(number, FailureCode::NoTarget, "no target of the service is known", now);
+            return;
+        }
+        let model = match &request.arrival.call {
+            Call::Model { model, .. } => model.clone(),
+            Call::Plain { .. } => "".into(),
+        };
+        let mut asked = Vec::with_capacity(targets.len());
+        for target in &targets {
+            let probe = Probe {
+                number: self.next_probe,
+                model: model.clone(),
+                need: request.need,
+                urgency: request.arrival.policy.urgency,
+                marks: request.arrival.marks.clone(),
+            };
+            asked.push((probe.number, target.clone()));
+            self.probes.insert(probe.number, number);
+            self.next_probe += 1;
+            self.counts.probes += 1;
+            self.out.push(Effect::Send(target.clone(), ToAgent::Probe(probe)));
+        }
+        request.log.push(now, DecisionStep::Asked { targets });
+        request.phase = Phase::Probing { asked, offers: Vec::new(), since: now };
+        let wave = request.waves;
+        self.timers.subscribe(now + self.tuning.probe_patience, Timer::Probe(number, wave));
+        self.timers.subscribe(now + self.tuning.probe_limit, Timer::Probe(number, wave));
+    }
+
+    pub(super) fn on_probe_answer(&mut self, target: &Arc<str>, answer: ProbeAnswer, now: Tick) {
+        self.hear_version(answer.config_version);
+        self.memory.note_wait(target, Duration::from_micros(answer.wait_us), now);
+        if !answer.open {
+            self.table.close(target, now + CLOSED_SPAN);
+        }
+        let Some(number) = self.probes.remove(&answer.number) else {
+            return;
+        };
+        let Some(request) = self.requests.get_mut(&number) else {
+            return;
+        };
+        let Phase::Probing { asked, offers, since } = &mut request.phase else {
+            return;
+        };
+        asked.retain(|(probe, _)| *probe != answer.number);
+        let step = DecisionStep::Offered { target: target.clone(), answer: answer.clone() };
+        request.log.push(now, step);
+        let is_open = answer.open;
+        if is_open {
+            offers.push(Offer { target: target.clone(), answer });
+        }
+        let is_late = now.since(*since) >= self.tuning.probe_patience;
+        if asked.is_empty() || (is_late && is_open) {
+            self.choose(number, now);
+        }
+    }
+
+    pub(super) fn on_probe_due(&mut self, number: u64, wave: u16, now: Tick) {
+        let Some(request) = self.requests.get_mut(&number) else {
+            return;
+        };
+        let Phase::Probing { asked, offers, since } = &mut request.phase else {
+            return;
+        };
+        if request.waves != wave {
+            return;
+        }
+        let is_over = now.since(*since) >= self.tuning.probe_limit;
+        if is_over {
+            let until = now + self.tuning.suspicion;
+            for (_, target) in asked.iter() {
+                self.table.suspect(target, until);
+            }
+        }
+        if is_over || !offers.is_empty() {
+            self.choose(number, now);
+        }
+    }
+
+    /// Takes the best of the offers.
+    pub(super) fn choose(&mut self, number: u64, now: Tick) {
+        let Some(request) = self.requests.get_mut(&number) else {
+            return;
+        };
+        let Phase::Probing { offers, .. } = &mut request.phase else {
+            return;
+        };
+        let mut offers = std::mem::take(offers);
+        let phase = std::mem::replace(&mut request.phase, Phase::Backoff { until: now });
+        offers.sort_by_key(|offer| std::cmp::Reverse(predicted_us(&offer.answer)));
+        let capacity = offers.iter().map(|offer| offer.answer.capacity_tokens).max();
+        let is_model = matches!(request.arrival.call, Call::Model { .. });
+        let is_too_large = is_model && capacity.is_some_and(|most| request.need.total() > most);
+        self.forget_probes(&phase);
+        if is_too_large {
+            self.form_group(number, &offers, now);
+            return;
+        }
+        if let Some(request) = self.requests.get_mut(&number) {
+            request.spare = offers;
+        }
+        self.try_next(number, now);
+    }
+
+    /// Gives the request to the next best target, or asks again.
+    pub(super) fn try_next(&mut self, number: u64, now: Tick) {
+        loop {
+            let Some(request) = self.requests.get_mut(&number) else {
+                return;
+            };
+            if request.dispatches >= self.tuning.max_attempts {
+                self.give_up(number, now);
+                return;
+            }
+            let Some(offer) = request.spare.pop() else {
+                break;
+            };
+            if !self.links.contains_key(&offer.target) {
+                continue;
+            }
+            request.attempt += 1;
+            let reason = format!(
+                "least predicted time to first token, {} ms",
+                predicted_us(&offer.answer) / 1000
+            );
+            self.dispatch(number, &offer.target, reason, now);
+            return;
+        }
+        self.ask_later(number, now);
+    }
+
+    pub(super) fn ask_later(&mut self, number: u64, now: Tick) {
+        let Some(request) = self.requests.get(&number) else {
+            return;
+        };
+        let is_busy = matches!(request.refusal, Some((Refusal::TooLate | Refusal::QueueFull, _)));
+        let most = if is_busy { BUSY_WAVES } else { MAX_WAVES };
+        if request.waves >= most {
+            self.give_up(number, now);
+            return;
+        }
+        self.back_off(number, "all targets that were asked refused or were silent", now);
+    }
+
+    /// Ends a request that nobody takes, at once, with when to come back.
+    pub(super) fn give_up(&mut self, number: u64, now: Tick) {
+        let Some(request) = self.requests.get(&number) else {
+            return;
+        };
+        let text = match request.refusal {
+            Some((refusal, _)) => format!("no target could take it: {refusal}"),
+            None => "no target answered".to_owned(),
+        };
+        self.fail(number, FailureCode::Overloaded, &text, now);
+    }
+
+    pub(super) fn back_off(&mut self, number: u64, cause: &str, now: Tick) {
+        let Some(request) = self.requests.get_mut(&number) else {
+            return;
+        };
+        let span = to_backoff(self.tuning.backoff, request.waves, &mut self.rng);
+        let until = now + span;
+        request.phase = Phase::Backoff { until };
+        let span_ms = span.as_millis() as u64;
+        request.log.push(now, DecisionStep::Waited { cause: cause.to_owned(), span_ms });
+        self.timers.subscribe(until, Timer::Backoff(number));
+    }
+}
+
+/// Predicted time to the first token, in microseconds.
+fn predicted_us(answer: &ProbeAnswer) -> u64 {
+    answer.wait_us + answer.prefill_us
+}
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -113,6 +113,7 @@
 /// An entry whose sockets are open.
 pub struct EntryDaemon {
     settings: EntrySettings,
+    tuning: EntryTuning,
     callers: TcpListener,
     admin: TcpListener,
 }
@@ -126,7 +127,14 @@
     pub async fn bind(settings: EntrySettings) -> Result<Self> {
         let callers = TcpListener::bind(settings.listen).await?;
         let admin = TcpListener::bind(settings.admin_listen).await?;
-        Ok(EntryDaemon { settings, callers, admin })
+        let tuning = EntryTuning::default();
+        Ok(EntryDaemon { settings, tuning, callers, admin })
+    }
+
+    /// Changes the bounds by which the entry works.
+    #[must_use]
+    pub fn with_tuning(self, tuning: EntryTuning) -> Self {
+        EntryDaemon { tuning, ..self }
     }
 
     /// The callers' and the operators' address.
@@ -181,7 +189,7 @@
             spawn_local(follow_config(shared.clone(), ConfigStore::new(store))),
             spawn_local(follow_hosts(shared.clone(), pool.clone())),
         ];
-        let mut entry_loop = EntryLoop::new(shared.clone(), pool);
+        let mut entry_loop = EntryLoop::new(shared.clone(), pool, self.tuning);
         entry_loop.run(received, stop).await;
         flush_replies(&shared).await;
         for task in tasks {
@@ -201,11 +209,11 @@
 }
 
 impl EntryLoop {
-    fn new(shared: Rc<EntryShared>, pool: LinkPool) -> Self {
+    fn new(shared: Rc<EntryShared>, pool: LinkPool, tuning: EntryTuning) -> Self {
         let settings = &shared.settings;
         let seed = shared.process.incarnation.0;
         let domain = settings.failure_domain.clone();
-        let core = EntryCore::new(shared.process.clone(), domain, EntryTuning::default(), seed);
+        let core = EntryCore::new(shared.process.clone(), domain, tuning, seed);
         EntryLoop { shared, core, pool, clock: ProcessClock::new(), stopped: false }
     }
 
--- a/src/entry/event.rs
+++ b/src/entry/event.rs
@@ -1,5 +1,6 @@
 //! What an entry's core hears and what it wants done.
 
+use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -165,10 +166,34 @@
     pub retry_share: f64,
     /// Finished requests whose decisions are kept.
     pub why_capacity: usize,
+    /// How targets are chosen.
+    pub policy: RoutePolicy,
     /// Stop the program at a broken invariant.
     pub strict: bool,
 }
 
+/// The choice of one among the names of open targets.
+type PickFn = dyn Fn(&[Arc<str>]) -> Option<Arc<str>> + Send + Sync;
+
+/// Chooses one of the open targets of a service.
+#[derive(Clone)]
+pub struct TargetPick(pub Arc<PickFn>);
+
+impl fmt::Debug for TargetPick {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("TargetPick")
+    }
+}
+
+/// How targets are chosen.
+#[derive(Clone, Debug)]
+pub struct RoutePolicy {
+    /// Short requests go out without asking where that is likely to do.
+    pub is_direct: bool,
+    /// In place of asking several, for comparison: the one target to ask.
+    pub pick: Option<TargetPick>,
+}
+
 impl Default for EntryTuning {
     fn default() -> Self {
         EntryTuning {
@@ -185,6 +210,7 @@
             hold_ttl: Duration::from_secs(10),
             retry_share: 0.1,
             why_capacity: 2048,
+            policy: RoutePolicy { is_direct: true, pick: None },
             strict: cfg!(debug_assertions),
         }
     }
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -15,6 +15,7 @@
     limited: CountMirror,
     gone: CountMirror,
     dispatched: CountMirror,
+    direct: CountMirror,
     refused: CountMirror,
     retried: CountMirror,
     probes: CountMirror,
@@ -47,6 +48,7 @@
             limited: count("limited_total", "Requests over a limit of their account"),
             gone: count("callers_gone_total", "Callers that went away"),
             dispatched: count("dispatched_total", "Attempts given to agents"),
+            direct: count("direct_total", "Attempts given out without asking"),
             refused: count("refused_total", "Attempts refused by agents, not run"),
             retried: count("retried_total", "Attempts after a failure"),
             probes: count("probes_total", "Probes sent"),
@@ -85,6 +87,7 @@
         counters.limited.follow(counts.limited);
         counters.gone.follow(counts.gone);
         counters.dispatched.follow(counts.dispatched);
+        counters.direct.follow(counts.direct);
         counters.refused.follow(counts.refused);
         counters.retried.follow(counts.retried);
         counters.probes.follow(counts.probes);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -8,11 +8,15 @@
 pub mod account;
 pub mod admin;
 pub mod ask;
+mod asking;
+mod attempts;
 mod core;
 pub mod daemon;
+mod direct;
 mod event;
 mod group;
 mod http;
+mod links;
 mod metrics;
 mod request;
 mod retry;
@@ -20,4 +24,6 @@
 pub mod why;
 
 pub use self::core::{EntryCore, EntryCounts};
-pub use self::event::{Arrival, Effect, EntryTuning, Event, Failure, FailureCode, Reply};
+pub use self::event::{
+    Arrival, Effect, EntryTuning, Event, Failure, FailureCode, Reply, RoutePolicy, TargetPick,
+};
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -57,6 +57,10 @@
     pub(super) spare: Vec<Offer>,
     pub(super) tried: Vec<Arc<str>>,
     pub(super) members: Vec<Member>,
+    /// Hash of the prompt's beginning, where that has come before.
+    pub(super) prefix: Option<u64>,
+    /// The live attempt was given out without asking.
+    pub(super) is_direct: bool,
     /// Waves of questions so far.
     pub(super) waves: u16,
     /// Bytes of the answer that the caller has.
@@ -86,6 +90,8 @@
             spare: Vec::new(),
             tried: Vec::new(),
             members: Vec::new(),
+            prefix: None,
+            is_direct: false,
             waves: 0,
             sent: 0,
             has_head: false,
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -7,6 +7,7 @@
 use rand::seq::IndexedRandom;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::event::TargetPick;
 use crate::hosts::{HostDelta, HostRecord, HostRole, HostState};
 use crate::time::Tick;
 
@@ -17,6 +18,12 @@
 /// Targets asked because prompts with the same beginning meet there.
 const BY_PREFIX: usize = 2;
 
+/// Targets of a service that an entry turns to first.
+const HOME: usize = 8;
+
+/// Those of them that are in its own failure domain, where there are as many.
+const HOME_NEAR: usize = 6;
+
 /// A target as an entry knows it.
 #[derive(Clone, Debug)]
 pub struct RouteTarget {
@@ -56,6 +63,8 @@
     pub prefix: Option<u64>,
     /// Where the entry is.
     pub failure_domain: &'a str,
+    /// Name of the entry.
+    pub entry: &'a str,
     /// Targets that are not to be asked again.
     pub tried: &'a [Arc<str>],
     /// How many to ask.
@@ -146,14 +155,8 @@
         targets.iter_mut().find(|target| &*target.name == name)
     }
 
-    /// Chooses targets to ask: some by the prompt's beginning, the others at
-    /// random, first in the entry's own failure domain.
-    pub fn candidates(
-        &self,
-        query: &RouteQuery<'_>,
-        now: Tick,
-        rng: &mut impl Rng,
-    ) -> Vec<Arc<str>> {
+    /// Targets of a service that may be given work now.
+    fn open(&self, query: &RouteQuery<'_>, now: Tick) -> Vec<&RouteTarget> {
         let Some(targets) = self.services.get(query.service) else {
             return Vec::new();
         };
@@ -166,6 +169,57 @@
         if open.iter().any(|one| !query.tried.contains(&one.name)) {
             open.retain(|one| !query.tried.contains(&one.name));
         }
+        open
+    }
+
+    /// Targets that a short request may go to without asking: those where
+    /// prompts with its beginning meet, or else the entry's own few.
+    #[must_use]
+    pub fn likely(&self, query: &RouteQuery<'_>, now: Tick) -> Vec<Arc<str>> {
+        let open = self.open(query, now);
+        match query.prefix {
+            Some(prefix) => by_prefix(&open, prefix, BY_PREFIX),
+            None => home_of(&open, query),
+        }
+    }
+
+    /// Lets a policy choose the one target to ask.
+    #[must_use]
+    pub fn pick(&self, query: &RouteQuery<'_>, now: Tick, pick: &TargetPick) -> Option<Arc<str>> {
+        let open = self.open(query, now);
+        let names: Vec<_> = open.into_iter().map(|one| one.name.clone()).collect();
+        (pick.0)(&names)
+    }
+
+    /// Chooses targets to ask as [`RouteTable::candidates`] does, but the random
+    /// ones among the entry's own few, so that its links stay few and warm.
+    pub fn home_candidates(
+        &self,
+        query: &RouteQuery<'_>,
+        now: Tick,
+        rng: &mut impl Rng,
+    ) -> Vec<Arc<str>> {
+        let open = self.open(query, now);
+        let mut chosen = Vec::with_capacity(query.count);
+        if let Some(prefix) = query.prefix {
+            chosen.extend(by_prefix(&open, prefix, BY_PREFIX.min(query.count)));
+        }
+        let home: Vec<_> = home_of(&open, query);
+        let fresh: Vec<_> = home.into_iter().filter(|name| !chosen.contains(name)).collect();
+        let rest = query.count.saturating_sub(chosen.len());
+        chosen.extend(fresh.choose_multiple(rng, rest).cloned());
+        chosen
+    }
+
+    /// Chooses targets to ask: some by the prompt's beginning, the others at
+    /// random, first in the entry's own failure domain.
+    pub fn candidates(
+        &self,
+        query: &RouteQuery<'_>,
+        now: Tick,
+        rng: &mut impl Rng,
+    ) -> Vec<Arc<str>> {
+        let open = self.open(query, now);
         let mut chosen: Vec<Arc<str>> = Vec::with_capacity(query.count);
         if let Some(prefix) = query.prefix {
             chosen.extend(by_prefix(&open, prefix, BY_PREFIX.min(query.count)));
@@ -181,6 +235,17 @@
     }
 }
 
+/// The entry's own few: most of them in its failure domain, so that links are
+/// short, and some elsewhere, so that the loss of a domain leaves some.
+fn home_of(open: &[&RouteTarget], query: &RouteQuery<'_>) -> Vec<Arc<str>> {
+    let seed = xxh3_64_with_seed(query.entry.as_bytes(), 0);
+    let is_near = |one: &&RouteTarget| &*one.failure_domain == query.failure_domain;
+    let (near, far): (Vec<_>, Vec<_>) = open.iter().copied().partition(is_near);
+    let mut home = by_prefix(&near, seed, HOME_NEAR);
+    home.extend(by_prefix(&far, seed, HOME - home.len()));
+    home
+}
+
 fn by_prefix(open: &[&RouteTarget], prefix: u64, count: usize) -> Vec<Arc<str>> {
     let mut scored: Vec<_> = open
         .iter()
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -36,7 +36,7 @@
 const DEAD_AFTER: Duration = Duration::from_secs(3);
 
 /// Time without work after which a connecting side closes the link.
-const IDLE_AFTER: Duration = Duration::from_secs(15);
+const IDLE_AFTER: Duration = Duration::from_secs(120);
 
 /// Control frames that wait for a slow link before it is given up.
 pub(crate) const CONTROL_QUEUE: usize = 16_384;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -155,6 +155,8 @@
     pub remaining_us: u64,
     /// Memory that further engines hold for this attempt.
     pub shards: Vec<Shard>,
+    /// Longest predicted wait that it bears, in microseconds.
+    pub max_wait_us: u64,
 }
 
 /// Asks for the rest of an answer, or for the fate of an attempt.
@@ -235,6 +237,9 @@
     /// The queue could not be done within the time left.
     #[display("too-late")]
     TooLate,
+    /// The wait is longer than the attempt bears.
+    #[display("busy")]
+    Busy,
     /// The queue is full.
     #[display("queue-full")]
     QueueFull,
@@ -261,6 +266,8 @@
     pub finish_reason: Arc<str>,
     /// Microseconds that the attempt waited at the agent.
     pub waited_us: u64,
+    /// Microseconds that a short request would wait there now.
+    pub wait_us: u64,
 }
 
 /// From an agent to an entry.
--- a/standins/src/demo.rs
+++ b/standins/src/demo.rs
@@ -12,6 +12,7 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use shalelane::entry::EntryTuning;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 
@@ -29,6 +30,9 @@
 /// One request in so many is an order to the plain service.
 const ORDER_EVERY: u64 = 12;
 
+/// Time from one request to the next.
+const STEP: Duration = Duration::from_millis(80);
+
 /// How long the engines are given to let everything go.
 const SETTLE: Duration = Duration::from_secs(5);
 
@@ -43,13 +47,15 @@
     pub time_scale: f64,
     /// Engines.
     pub engines: usize,
+    /// Time from one request to the next.
+    pub step: Duration,
     /// Shows no progress.
     pub quiet: bool,
 }
 
 impl Default for DemoSpec {
     fn default() -> Self {
-        DemoSpec { seed: 1, requests: 300, time_scale: 4.0, engines: 8, quiet: false }
+        DemoSpec { seed: 1, requests: 300, time_scale: 4.0, engines: 8, step: STEP, quiet: false }
     }
 }
 
@@ -66,6 +72,7 @@
         failure_domains: ["muelle-norte", "muelle-sur", "oficina-puerto"].map(String::from).into(),
         host_lag: Duration::from_millis(200),
         seed: spec.seed,
+        policy: EntryTuning::default().policy,
     }
 }
 
@@ -74,13 +81,12 @@
 pub fn plan(spec: &DemoSpec) -> Vec<PlannedRequest> {
     let mut rng = StdRng::seed_from_u64(spec.seed);
     let quiet = (spec.requests as f64 * QUIET_SHARE) as u64;
-    let step = Duration::from_millis(80);
     let mut planned = Vec::new();
     for number in 0..spec.requests {
         let phase = u8::from(number >= quiet);
         let call = plan_call(number, phase, spec, &mut rng);
         let account = to_account(&call, &mut rng);
-        let at = step * number as u32;
+        let at = spec.step * number as u32;
         planned.push(PlannedRequest { at, account, call, seed: rng.random(), phase });
     }
     planned
@@ -141,7 +147,16 @@
 /// If the machine gives no thread or port.
 #[must_use]
 pub fn run(spec: &DemoSpec) -> LoadReport {
-    let mut fleet = Fleet::start(&demo_fleet(spec));
+    run_fleet(spec, Fleet::start(&demo_fleet(spec))).0
+}
+
+/// Runs the demo on a fleet. Returns its figures, and what came of each request.
+///
+/// # Panics
+///
+/// If the machine gives no thread.
+#[must_use]
+pub fn run_fleet(spec: &DemoSpec, mut fleet: Fleet) -> (LoadReport, Vec<RequestOutcome>) {
     let runtime = Builder::new_current_thread().enable_all().build().expect("runtime");
     let config = include_str!("../../examples/valdivia.toml");
     let outcomes = runtime.block_on(LocalSet::new().run_until(async {
@@ -157,7 +172,7 @@
     let mut report = LoadReport::from_outcomes(&outcomes, &orders);
     report.leaked_tokens = fleet.held_tokens();
     report.loop_turn_max_ms = fleet.stop().as_secs_f64() * 1e3;
-    report
+    (report, outcomes)
 }
 
 async fn drive(fleet: &Fleet, spec: &DemoSpec) -> Vec<RequestOutcome> {
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -11,6 +11,7 @@
 use shalelane::config::ServiceKind;
 use shalelane::entry::account::to_key;
 use shalelane::entry::daemon::EntryDaemon;
+use shalelane::entry::{EntryTuning, RoutePolicy};
 use shalelane::hosts::{HostRecord, HostRole, HostState};
 use shalelane::log::LogFormat;
 use shalelane::settings::{AgentSettings, EntrySettings};
@@ -50,6 +51,8 @@
     pub host_lag: Duration,
     /// Seed of the stand-ins.
     pub seed: u64,
+    /// How the entries choose targets.
+    pub policy: RoutePolicy,
 }
 
 /// A daemon on a thread of its own.
@@ -143,7 +146,7 @@
     domain: &str,
     store: SocketAddr,
     hosts: SocketAddr,
-    log_format: LogFormat,
+    policy: RoutePolicy,
 ) -> EntryThread {
     let settings = EntrySettings {
         name: name.into(),
@@ -154,7 +157,7 @@
         hosts: hosts.to_string().into(),
         peer_key: PEER_KEY.into(),
         admin_key_sha256: Some(to_key(ADMIN_KEY).into()),
-        log_format,
+        log_format: LogFormat::Off,
         max_body: 16 * 1024 * 1024,
         body_limit: Duration::from_secs(30),
         max_connections: 4096,
@@ -162,6 +165,7 @@
     };
     let (daemon, address) = DaemonThread::spawn(name, move |address, stop| async move {
         let daemon = EntryDaemon::bind(settings).await.expect("ports");
+        let daemon = daemon.with_tuning(EntryTuning { policy, ..EntryTuning::default() });
         address.send(daemon.addresses().expect("addresses")).expect("starter");
         daemon.run(wait(stop)).await.expect("entry")
     });
@@ -237,7 +241,7 @@
         for index in 0..spec.entries {
             let name = format!("entry-{index}");
             let (store, list) = (store.server.address, hosts.server.address);
-            let entry = start_entry(&name, &domain(index), store, list, LogFormat::Off);
+            let entry = start_entry(&name, &domain(index), store, list, spec.policy.clone());
             hosts.set(HostRecord {
                 name: name.into(),
                 role: HostRole::Entry,
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -7,6 +7,7 @@
 use gumdrop::Options;
 use shalelane::mutant::Mutant;
 use standins::chaos::{ChaosOutcome, ChaosPlan, SeedsOutcome, run_seeds};
+use standins::compare;
 use standins::demo::{self, DemoSpec, apply_config, demo_fleet, wait_ready};
 use standins::fleet::{ADMIN_KEY, Fleet};
 use standins::slopes;
@@ -30,6 +31,8 @@
     Chaos(ChaosArguments),
     #[options(help = "measure what one more request, target, account or change costs")]
     Slopes(SlopesArguments),
+    #[options(help = "compare ways of choosing a target under the same load")]
+    Routing(DemoArguments),
 }
 
 #[derive(Debug, Options)]
@@ -76,6 +79,8 @@
     engines: Option<usize>,
     #[options(help = "divides the times of the engines [4]", no_short, meta = "X")]
     time_scale: Option<f64>,
+    #[options(help = "time from one request to the next, in ms [80]", no_short, meta = "N")]
+    step_ms: Option<u64>,
 }
 
 impl DemoArguments {
@@ -87,6 +92,7 @@
             time_scale: self.time_scale.unwrap_or(default.time_scale),
             engines: self.engines.unwrap_or(default.engines),
             quiet: self.json,
+            step: self.step_ms.map_or(default.step, Duration::from_millis),
         }
     }
 }
@@ -98,6 +104,7 @@
         Some(Command::Up(arguments)) => run_up(&arguments),
         Some(Command::Chaos(arguments)) => run_chaos(&arguments),
         Some(Command::Slopes(arguments)) => run_slopes(&arguments),
+        Some(Command::Routing(arguments)) => run_routing(&arguments),
         None => {
             println!("{}", Arguments::usage());
             println!("{}", Arguments::command_list().unwrap_or_default());
@@ -200,3 +207,15 @@
     }
     ExitCode::SUCCESS
 }
+
+fn run_routing(arguments: &DemoArguments) -> ExitCode {
+    let spec = DemoSpec { quiet: true, ..arguments.to_spec() };
+    let figures = compare::compare(&spec);
+    if arguments.json {
+        println!("{}", serde_json::to_string(&figures).unwrap_or_default());
+    } else {
+        println!("seed {}, {} requests", spec.seed, spec.requests);
+        print!("{}", compare::to_table(&figures));
+    }
+    ExitCode::SUCCESS
+}
--- a/standins/src/report.rs
+++ b/standins/src/report.rs
@@ -171,16 +171,18 @@
     }
 }
 
+/// Times to the first token of prompts up to a length.
+#[must_use]
+pub fn short_firsts(outcomes: &[RequestOutcome], most: u64) -> Vec<Duration> {
+    let is_short = |outcome: &&RequestOutcome| matches!(outcome.planned.call, PlannedCall::Model { tokens, .. } if tokens <= most);
+    outcomes.iter().filter(is_short).filter_map(|outcome| outcome.first).collect()
+}
+
 /// Ratio of short prompts' p95 in the mixed phase over the quiet one.
 fn to_slowdown(outcomes: &[RequestOutcome]) -> f64 {
-    let times = |phase| {
-        let short = outcomes.iter().filter(|outcome| {
-            let is_short = matches!(outcome.planned.call, PlannedCall::Model { tokens, .. } if tokens <= SHORT);
-            is_short && outcome.planned.phase == phase
-        });
-        let firsts: Vec<_> = short.filter_map(|outcome| outcome.first).collect();
-        to_times(&firsts).p95
-    };
-    let (quiet, mixed) = (times(0), times(1));
+    let (quiet, mixed): (Vec<_>, Vec<_>) =
+        outcomes.iter().cloned().partition(|outcome| outcome.planned.phase == 0);
+    let p95 = |part: &[RequestOutcome]| to_times(&short_firsts(part, SHORT)).p95;
+    let (quiet, mixed) = (p95(&quiet), p95(&mixed));
     if quiet > 0.0 { mixed / quiet } else { 0.0 }
 }
--- a/standins/src/slopes.rs
+++ b/standins/src/slopes.rs
@@ -322,6 +322,7 @@
         body_len: 0,
         remaining_us: 20_000_000,
         shards: Vec::new(),
+        max_wait_us: 50_000,
     }
 }
 
--- a/standins/tests/demo.rs
+++ b/standins/tests/demo.rs
@@ -4,7 +4,14 @@
 
 #[test]
 fn keeps_every_promise_under_a_mixed_load() {
-    let spec = DemoSpec { seed: 7, requests: 60, time_scale: 8.0, engines: 5, quiet: true };
+    let spec = DemoSpec {
+        seed: 7,
+        requests: 60,
+        time_scale: 8.0,
+        engines: 5,
+        quiet: true,
+        ..DemoSpec::default()
+    };
     println!("seed {}", spec.seed);
     let report = run(&spec);
     assert_eq!(report.requests, 60);
--- a/tests/regression/agent_fixture.rs
+++ b/tests/regression/agent_fixture.rs
@@ -69,6 +69,7 @@
         body_len: 0,
         remaining_us: 30_000_000,
         shards,
+        max_wait_us: u64::MAX,
     }
 }
 
