Claim callers' keys in the store, refuse early under overload, interleave long prompts

Cause: three matters. 1. A caller that repeats an order with its own key could have it run twice, at two entries or after an answer was lost. 2. One long prompt at a time was prefilled at an engine, so one of 16k tokens waited for one of a million.

The claims of a shard of keys form a log in the store; a segment is created once, under the next number, with all claims that waited. A key that is taken is refused with 409 and the name of its request; in an outage nothing runs; a lost answer is settled by reading back; a key whose request was not run is given back. 2. The prediction at admission counts the answer, from learned rates and lengths, and the account's own lag. What waits and can not be done any more is refused at once. 3. Up to four long prompts take turns by pieces; what is left to prefill counts against a prompt, up to ten seconds.

--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -277,7 +277,7 @@
         self.counts.probes += 1;
         let blocks = u64::from(self.cache.cached_blocks(&probe.marks));
         let cached = (blocks * BLOCK_BYTES as u64 / BYTES_PER_TOKEN).min(probe.need.prompt);
-        let wait = self.predict_wait(probe.need.total(), probe.urgency, now);
+        let wait = self.predict_wait(probe.need.total(), probe.urgency, "", now);
         let answer = ProbeAnswer {
             number: probe.number,
             open: self.refuse_new(&probe.model).is_none(),
@@ -361,9 +361,10 @@
             return Some((Refusal::NoMemory, Duration::ZERO));
         }
         let local = local_tokens(dispatch);
-        let wait = self.predict_wait(local, dispatch.urgency, now);
+        let wait = self.predict_wait(local, dispatch.urgency, &dispatch.account, now);
         let prefill = self.rates.prefill(dispatch.need.prompt);
-        if wait + prefill > Duration::from_micros(dispatch.remaining_us) {
+        let answer = self.rates.answer(dispatch.need.answer);
+        if wait + prefill + answer > Duration::from_micros(dispatch.remaining_us) {
             return Some((Refusal::TooLate, wait.max(MIN_RETRY)));
         }
         let is_busy = wait > Duration::from_micros(dispatch.max_wait_us);
@@ -499,14 +500,20 @@
     }
 
     /// Ends an attempt that the target has not seen.
-    fn give_up(&mut self, id: &AttemptId, reason: &str, now: Tick) {
+    pub(super) fn give_up(&mut self, id: &AttemptId, reason: &str, now: Tick) {
+        let is_late = self.runs.get(id).is_some_and(|run| run.deadline <= now);
+        let refusal = if is_late { Refusal::TooLate } else { Refusal::GivenUp };
+        self.give_up_as(id, refusal, reason, now);
+    }
+
+    /// Ends an attempt that the target has not seen, for a stated cause.
+    pub(super) fn give_up_as(&mut self, id: &AttemptId, refusal: Refusal, reason: &str, now: Tick) {
         let Some(run) = self.runs.remove(id) else {
             return;
         };
         let until = run.deadline.max(now) + self.tuning.ledger_margin;
         self.settle(id.clone(), not_run(reason), until);
         if let Some(conn) = run.conn {
-            let refusal = if run.deadline <= now { Refusal::TooLate } else { Refusal::GivenUp };
             self.refuse(conn, id.key, refusal, Duration::ZERO);
         }
     }
@@ -660,11 +667,12 @@
             return;
         };
         let first = run.first.unwrap_or(now);
-        let wait = self.predict_wait(0, Urgency::Interactive, now);
+        let wait = self.predict_wait(0, Urgency::Interactive, "", now);
         let Some(run) = self.runs.get_mut(id) else {
             return;
         };
         self.rates.learn_decode(usage.answer_tokens, now.since(first));
+        self.rates.learn_answer(usage.answer_tokens);
         let output = std::mem::take(&mut run.output).freeze();
         let waited = run.started.unwrap_or(now).since(run.arrived);
         let completion = Completion {
--- a/src/agent/event.rs
+++ b/src/agent/event.rs
@@ -154,6 +154,8 @@
 pub struct AgentTuning {
     /// Tokens of prefill that go to the engine in one piece.
     pub piece_tokens: u64,
+    /// Long prompts that are prefilled at one time, piece by piece in turn.
+    pub max_long: usize,
     /// Tokens of prefill at the engine at one time, beyond a first run.
     pub prefill_tokens: u64,
     /// Most attempts that wait.
@@ -175,6 +177,7 @@
         AgentTuning {
             piece_tokens: 8_192,
             prefill_tokens: 16_384,
+            max_long: 4,
             max_queue: 512,
             orphan_grace: Duration::from_secs(10),
             ledger_margin: Duration::from_secs(60),
--- a/src/agent/predict.rs
+++ b/src/agent/predict.rs
@@ -13,11 +13,14 @@
 pub struct RatePredictor {
     prefill: f64,
     decode: f64,
+    /// Tokens of an answer. Callers state far more than they get, so what
+    /// they state says little.
+    answer: f64,
 }
 
 impl Default for RatePredictor {
     fn default() -> Self {
-        RatePredictor { prefill: 20_000.0, decode: 30.0 }
+        RatePredictor { prefill: 20_000.0, decode: 30.0, answer: 16.0 }
     }
 }
 
@@ -40,6 +43,17 @@
         self.decode += GAIN * (seen - self.decode);
     }
 
+    /// Learns how long answers are.
+    pub fn learn_answer(&mut self, tokens: u64) {
+        self.answer += GAIN * (tokens as f64 - self.answer);
+    }
+
+    /// Time of one stream to decode an answer of which `most` were asked for.
+    #[must_use]
+    pub fn answer(&self, most: u64) -> Duration {
+        self.decode(most.min(self.answer.ceil() as u64))
+    }
+
     /// Time to prefill `tokens`.
     #[must_use]
     pub fn prefill(&self, tokens: u64) -> Duration {
--- a/src/agent/queue.rs
+++ b/src/agent/queue.rs
@@ -51,14 +51,15 @@
     }
 }
 
-/// Ranks work that has waited since `since`.
+/// Ranks work that has waited since `since`, and goes behind by `penalty`
+/// beside what its urgency costs it.
 #[must_use]
-pub fn to_rank(urgency: Urgency, lag: Duration, since: Tick, now: Tick) -> Rank {
+pub fn to_rank(urgency: Urgency, penalty: Duration, since: Tick, now: Tick) -> Rank {
     let steps = match urgency {
         Urgency::Interactive => 0,
         Urgency::Normal => 1,
         Urgency::Batch => 2,
     };
-    let penalty = URGENCY_STEP * steps + lag;
+    let penalty = URGENCY_STEP * steps + penalty;
     penalty.as_micros() as i64 - now.since(since).as_micros() as i64
 }
--- a/src/agent/schedule.rs
+++ b/src/agent/schedule.rs
@@ -10,6 +10,14 @@
 use crate::config::Urgency;
 use crate::id::AttemptId;
 use crate::time::Tick;
+use crate::wire::Refusal;
+
+/// Share of the time that is left to prefill a prompt by which it goes behind
+/// shorter ones.
+const LENGTH_SHARE: f64 = 0.25;
+
+/// Most that a prompt goes behind for its length.
+const MAX_LENGTH_PENALTY: Duration = Duration::from_secs(10);
 
 /// Calls that a plain service takes at a time.
 const PLAIN_CONCURRENT: usize = 256;
@@ -21,6 +29,7 @@
             return;
         }
         self.serve_claims();
+        self.drop_hopeless(now);
         let waiting = self.runs.values().filter(|run| run.is_waiting());
         self.share.settle(waiting.map(|run| &run.dispatch.account));
         while let Some(id) = self.pick(now) {
@@ -30,13 +39,28 @@
         }
     }
 
+    /// Refuses what waits and could not be done in its time any more, so that
+    /// the engine works on what can.
+    fn drop_hopeless(&mut self, now: Tick) {
+        let hopeless = self.runs.iter().filter(|(_, run)| {
+            let queued = run.state == RunState::Queued && !run.is_plain();
+            let work = self.rates.prefill(run.left_to_prefill())
+                + self.rates.answer(run.dispatch.need.answer);
+            queued && now + work > run.deadline
+        });
+        let hopeless: Vec<_> = hopeless.map(|(id, _)| id.clone()).collect();
+        for id in hopeless {
+            self.give_up_as(&id, Refusal::TooLate, "it could not be done in its time", now);
+        }
+    }
+
     fn pick(&self, now: Tick) -> Option<AttemptId> {
         let waiting = self.runs.iter().filter(|(_, run)| run.is_waiting());
         let mut ranked: Vec<_> = waiting.map(|(id, run)| (self.rank(run, now), id, run)).collect();
         ranked.sort_by_key(|(rank, id, _)| (*rank, *id));
         let in_prefill: u64 = self.runs.values().map(Run::in_prefill).sum();
         let at_target = self.runs.values().filter(|run| run.is_at_target()).count();
-        let long_is_busy = self.long_is_busy();
+        let long_count = self.long_count();
         for (_, id, run) in ranked {
             if run.is_plain() {
                 return (at_target < PLAIN_CONCURRENT).then(|| id.clone());
@@ -48,7 +72,7 @@
             if run.state == RunState::Paused {
                 return Some(id.clone());
             }
-            if self.is_long(run) && long_is_busy {
+            if self.is_long(run) && long_count >= self.tuning.max_long {
                 continue;
             }
             let has_room = at_target < self.facts().max_batch;
@@ -145,17 +169,21 @@
         run.left_to_prefill() > self.tuning.piece_tokens
     }
 
-    /// Returns true while the prompt of a long run is being prefilled.
-    fn long_is_busy(&self) -> bool {
-        self.runs.values().any(|run| {
-            let in_prompt = matches!(run.state, RunState::Prefilling | RunState::Paused);
-            in_prompt && run.dispatch.need.prompt - run.cached > self.tuning.piece_tokens
-        })
+    /// Long runs whose prompt is being prefilled.
+    fn long_count(&self) -> usize {
+        let in_prompt = self.runs.values().filter(|run| {
+            let is_begun = matches!(run.state, RunState::Prefilling | RunState::Paused);
+            let uncached = run.dispatch.need.prompt - run.cached;
+            is_begun && uncached > self.tuning.piece_tokens
+        });
+        in_prompt.count()
     }
 
     fn rank(&self, run: &Run, now: Tick) -> Rank {
         let lag = self.share.lag(&run.dispatch.account);
-        let rank = to_rank(run.dispatch.urgency, lag, run.since, now);
+        let length = self.rates.prefill(run.left_to_prefill()).mul_f64(LENGTH_SHARE);
+        let penalty = lag + length.min(MAX_LENGTH_PENALTY);
+        let rank = to_rank(run.dispatch.urgency, penalty, run.since, now);
         if run.state != RunState::Paused {
             return rank;
         }
@@ -168,8 +196,16 @@
     }
 
     /// Predicts how long a new run would wait here.
-    pub(super) fn predict_wait(&self, local_tokens: u64, urgency: Urgency, now: Tick) -> Duration {
-        let own = to_rank(urgency, Duration::ZERO, now, now);
+    pub(super) fn predict_wait(
+        &self,
+        local_tokens: u64,
+        urgency: Urgency,
+        account: &str,
+        now: Tick,
+    ) -> Duration {
+        // An account that had more than its share is told of a longer wait, so
+        // that it is refused first.
+        let own = to_rank(urgency, self.share.lag(account), now, now);
         let ahead: u64 = self
             .runs
             .values()
--- a/src/entry/ask.rs
+++ b/src/entry/ask.rs
@@ -2,6 +2,7 @@
 
 use std::borrow::Cow;
 use std::fmt;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::de::{self, Deserializer, SeqAccess, Visitor};
@@ -9,6 +10,7 @@
 use super::account::AccountTable;
 use crate::config::{AccountPolicy, Model};
 use crate::prefix::{MarkBuilder, PrefixMarks};
+use crate::verdict::Verdict;
 
 /// Most tokens of an answer where the caller states none.
 const DEFAULT_ANSWER_TOKENS: u64 = 256;
@@ -25,12 +27,17 @@
     pub code: &'static str,
     /// For a reader.
     pub message: String,
+    /// Whether it may have run: another request with its key may have.
+    pub verdict: Verdict,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
 }
 
 impl AskFault {
     #[cold]
     pub(super) fn new(status: u16, code: &'static str, message: impl Into<String>) -> Self {
-        AskFault { status, code, message: message.into() }
+        let verdict = Verdict::NotRun;
+        AskFault { status, code, message: message.into(), verdict, retry_after: None }
     }
 }
 
--- a/src/entry/asking.rs
+++ b/src/entry/asking.rs
@@ -29,9 +29,12 @@
         request.waves += 1;
         let is_wide = request.need.prompt >= self.tuning.wide_tokens;
         let count = if is_wide { self.tuning.wide_candidates } else { self.tuning.candidates };
+        // A long prompt is worth a link of its own, also the first of its kind.
+        let is_long = request.need.prompt > super::direct::MAX_TOKENS;
+        let long_prefix = request.arrival.marks.peek_first().filter(|_| is_long);
         let query = RouteQuery {
             service: &request.arrival.service,
-            prefix: request.prefix.or_else(|| request.arrival.marks.peek_first()),
+            prefix: request.prefix.or(long_prefix),
             failure_domain: &self.failure_domain,
             entry: &self.id.name,
             tried: &request.tried,
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -17,6 +17,7 @@
 use super::core::EntryCore;
 use super::event::{Effect, EntryTuning, Event, Reply};
 use super::{admin, http};
+use crate::claim_store::{ClaimStore, SharedClaims};
 use crate::clock::{ProcessClock, new_incarnation, sleep_until, wall_micros};
 use crate::config::{Config, ConfigVersion};
 use crate::config_store::ConfigStore;
@@ -67,6 +68,7 @@
     pub(super) page: super::metrics::EntryPage,
     pub(super) draining: Cell<bool>,
     pub(super) connections: Cell<usize>,
+    pub(super) claims: SharedClaims,
     pub(super) config_store: tokio::sync::Mutex<ConfigStore>,
     pull: Notify,
     inputs: mpsc::UnboundedSender<Input>,
@@ -172,6 +174,7 @@
             page: super::metrics::EntryPage::new(),
             draining: Cell::new(false),
             connections: Cell::new(0),
+            claims: Rc::new(ClaimStore::new(store.clone())),
             config_store: tokio::sync::Mutex::new(ConfigStore::new(store.clone())),
             pull: Notify::new(),
             inputs,
--- a/src/entry/direct.rs
+++ b/src/entry/direct.rs
@@ -21,7 +21,7 @@
 
 /// Prompts above this length are asked about: a wrong choice costs more than
 /// the question.
-const MAX_TOKENS: u64 = 8_192;
+pub(super) const MAX_TOKENS: u64 = 8_192;
 
 /// How long a target counts as slow after it was.
 const NOTE_SPAN: Duration = Duration::from_millis(500);
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -15,6 +15,8 @@
 use super::ask::{AskFault, ModelAsk};
 use super::daemon::EntryShared;
 use super::event::{Arrival, Event, Failure, FailureCode, Reply};
+use crate::claim::ClaimKey;
+use crate::claim_store::ClaimOutcome;
 use crate::config::AccountPolicy;
 use crate::prefix::PrefixMarks;
 use crate::verdict::Verdict;
@@ -30,6 +32,9 @@
 /// Header of a caller's own key.
 const IDEMPOTENCY_HEADER: &str = "idempotency-key";
 
+/// When to come back where a key could not be claimed.
+const CLAIM_RETRY: Duration = Duration::from_secs(2);
+
 /// Longest idempotency key, in bytes.
 const MAX_IDEMPOTENCY_KEY: usize = 256;
 
@@ -107,7 +112,7 @@
 
 fn answer_ask_fault(fault: &AskFault, id: &str) -> Answer {
     let status = StatusCode::from_u16(fault.status).unwrap_or(StatusCode::BAD_REQUEST);
-    answer_fault(status, fault.code, &fault.message, Verdict::NotRun, id, None)
+    answer_fault(status, fault.code, &fault.message, fault.verdict, id, fault.retry_after)
 }
 
 async fn handle_call(
@@ -189,6 +194,7 @@
     id: &str,
 ) -> Result<Answer, AskFault> {
     let forbids = forbids_repeat(&request);
+    let key = header_text(&request, IDEMPOTENCY_HEADER)?;
     let path = request.uri().path().to_owned();
     let body = read_whole(shared, request.into_body()).await?;
     let table = shared.accounts.borrow().clone();
@@ -196,7 +202,8 @@
     let Some(model) = table.config().model(&ask.model).cloned() else {
         return Err(AskFault::new(404, "unknown_model", "the model is gone"));
     };
-    let repeatable = policy.repeatable && !forbids;
+    let claim = claim_key(shared, &policy, &model.service, &key, id).await?;
+    let repeatable = policy.repeatable && !forbids && claim.is_none();
     let call = Call::Model { model: model.name, path: path.as_str().into() };
     let arrival = Arrival {
         number,
@@ -211,7 +218,7 @@
     };
     let shape = AnswerShape { is_chat: path.contains("chat"), id: id.to_owned(), model: ask.model };
     let prompt_tokens = ask.prompt_bytes / 4;
-    let mut caller = CallerLink::open(shared, arrival);
+    let mut caller = CallerLink::open(shared, arrival, claim);
     let first = caller.next().await;
     shared.page.observe_first(prompt_tokens, caller.opened.elapsed());
     if let Reply::Failed(failure) = &first {
@@ -247,15 +254,19 @@
         return Err(AskFault::new(403, "service_not_allowed", text));
     }
     let is_safe = matches!(*request.method(), Method::GET | Method::HEAD | Method::OPTIONS);
-    let is_once_only = table.is_once_only(&service, &path) || forbids_repeat(&request);
+    let key = header_text(&request, IDEMPOTENCY_HEADER)?;
+    let is_once_only =
+        table.is_once_only(&service, &path) || forbids_repeat(&request) || !key.is_empty();
     let query = request.uri().query().map(|query| format!("?{query}")).unwrap_or_default();
     let call = Call::Plain {
         method: request.method().as_str().into(),
         path: format!("{path}{query}").into(),
         content_type: header_text(&request, CONTENT_TYPE.as_str())?.into(),
-        key: header_text(&request, IDEMPOTENCY_HEADER)?.into(),
+        key: key.as_str().into(),
     };
     let body = read_whole(shared, request.into_body()).await?;
+    let wanted = if is_safe { "" } else { key.as_str() };
+    let claim = claim_key(shared, &policy, &service, wanted, id).await?;
     let arrival = Arrival {
         number,
         policy,
@@ -270,7 +281,7 @@
         // leaving the path out of `not_repeatable`.
         repeatable: is_safe || !is_once_only,
     };
-    let mut caller = CallerLink::open(shared, arrival);
+    let mut caller = CallerLink::open(shared, arrival, claim);
     match caller.next().await {
         Reply::Failed(failure) => Ok(answer_failure(&failure, id)),
         Reply::Head(status, content_type) => {
@@ -282,6 +293,33 @@
     }
 }
 
+/// Claims a caller's own key, none where it gave none. Nothing is done for a
+/// key that belongs to another request, or while nobody can tell.
+async fn claim_key(
+    shared: &EntryShared,
+    policy: &AccountPolicy,
+    service: &str,
+    key: &str,
+    id: &str,
+) -> Result<Option<ClaimKey>, AskFault> {
+    if key.is_empty() {
+        return Ok(None);
+    }
+    let claim = ClaimKey::new(&policy.name, service, key);
+    match shared.claims.claim(claim.clone(), id.to_owned()).await {
+        ClaimOutcome::Won => Ok(Some(claim)),
+        ClaimOutcome::Taken(other) => {
+            let text = format!("the key belongs to request {other}, which may have run");
+            Err(AskFault { verdict: Verdict::MayHaveRun, ..AskFault::new(409, "key_taken", text) })
+        }
+        ClaimOutcome::Away => {
+            let text = "the key can not be claimed while the platform's store is away";
+            let retry_after = Some(CLAIM_RETRY);
+            Err(AskFault { retry_after, ..AskFault::new(503, "claims_away", text) })
+        }
+    }
+}
+
 fn header_text(request: &Request<Incoming>, name: &str) -> Result<String, AskFault> {
     let Some(value) = request.headers().get(name) else {
         return Ok(String::new());
@@ -319,17 +357,18 @@
     number: u64,
     replies: mpsc::UnboundedReceiver<Reply>,
     opened: Instant,
+    claim: Option<ClaimKey>,
     is_over: bool,
 }
 
 impl CallerLink {
-    fn open(shared: &Rc<EntryShared>, arrival: Arrival) -> Self {
+    fn open(shared: &Rc<EntryShared>, arrival: Arrival, claim: Option<ClaimKey>) -> Self {
         let (reply_in, replies) = mpsc::unbounded_channel();
         let number = arrival.number;
         shared.replies.borrow_mut().insert(number, reply_in);
         shared.send(Event::Arrive(Box::new(arrival)));
         let shared = shared.clone();
-        CallerLink { shared, number, replies, opened: Instant::now(), is_over: false }
+        CallerLink { shared, number, replies, opened: Instant::now(), claim, is_over: false }
     }
 
     async fn next(&mut self) -> Reply {
@@ -337,10 +376,23 @@
         // The core gives every request a final answer before it lets go.
         let reply = reply.unwrap_or_else(|| Reply::Failed(lost_answer()));
         self.is_over |= matches!(reply, Reply::Done(_) | Reply::Failed(_));
+        if matches!(&reply, Reply::Failed(failure) if failure.verdict == Verdict::NotRun) {
+            self.give_key_back();
+        }
         reply
     }
 }
 
+impl CallerLink {
+    /// The request was not run, so its caller may use the key again.
+    fn give_key_back(&mut self) {
+        if let Some(key) = self.claim.take() {
+            let id = format!("{}.{}", self.shared.process, self.number);
+            self.shared.claims.release(key, id);
+        }
+    }
+}
+
 impl Drop for CallerLink {
     fn drop(&mut self) {
         if !self.is_over {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -62,6 +62,8 @@
 //! invariants themselves ([`invariant`]).
 
 pub mod agent;
+pub mod claim;
+pub mod claim_store;
 pub mod cli;
 mod client;
 pub mod clock;
--- a/standins/src/compare.rs
+++ b/standins/src/compare.rs
@@ -41,7 +41,11 @@
 #[must_use]
 pub fn compare(spec: &DemoSpec) -> Vec<PolicyFigures> {
     let names = ["direct", "asking", "least-reported", "round-robin", "random"];
-    names.into_iter().map(|name| run_policy(name, spec)).collect()
+    names
+        .into_iter()
+        .map(|name| run_policy(name, spec))
+        .inspect(|one| eprintln!("{one:?}"))
+        .collect()
 }
 
 fn run_policy(name: &'static str, spec: &DemoSpec) -> PolicyFigures {
--- a/standins/src/demo.rs
+++ b/standins/src/demo.rs
@@ -12,6 +12,7 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use shalelane::agent::AgentTuning;
 use shalelane::entry::EntryTuning;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
@@ -73,6 +74,8 @@
         host_lag: Duration::from_millis(200),
         seed: spec.seed,
         policy: EntryTuning::default().policy,
+        piece_tokens: AgentTuning::default().piece_tokens,
+        prefill_tokens: AgentTuning::default().prefill_tokens,
     }
 }
 
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -53,6 +53,10 @@
     pub seed: u64,
     /// How the entries choose targets.
     pub policy: RoutePolicy,
+    /// Tokens of prefill that agents give in one piece.
+    pub piece_tokens: u64,
+    /// Tokens of prefill that agents keep at the engine at a time.
+    pub prefill_tokens: u64,
 }
 
 /// A daemon on a thread of its own.
@@ -183,7 +187,7 @@
     name: &str,
     target: SocketAddr,
     kind: ServiceKind,
-    log_format: LogFormat,
+    spec: &FleetSpec,
 ) -> AgentThread {
     let settings = AgentSettings {
         name: name.into(),
@@ -191,9 +195,9 @@
         target: target.to_string().into(),
         kind,
         peer_key: PEER_KEY.into(),
-        log_format,
-        piece_tokens: 8_192,
-        prefill_tokens: 16_384,
+        log_format: LogFormat::Off,
+        piece_tokens: spec.piece_tokens,
+        prefill_tokens: spec.prefill_tokens,
         drain_limit: Duration::from_secs(60),
     };
     let (daemon, address) = DaemonThread::spawn(name, move |address, stop| async move {
@@ -228,13 +232,12 @@
             let engine = EngineServer::start(spec.engine.clone(), &[&spec.model], seed, None);
             let name = format!("runner-{index:02}");
             let target = engine.server.address;
-            let agent = start_agent(&name, target, ServiceKind::Engine, LogFormat::Off);
+            let agent = start_agent(&name, target, ServiceKind::Engine, spec);
             list_target(&hosts, &agent, &spec.service, &domain(index));
             engines.push(engine);
             agents.push(agent);
         }
-        let agent =
-            start_agent("plain-00", plain.server.address, ServiceKind::Plain, LogFormat::Off);
+        let agent = start_agent("plain-00", plain.server.address, ServiceKind::Plain, spec);
         list_target(&hosts, &agent, &spec.plain, &domain(0));
         agents.push(agent);
         let mut entries = Vec::new();
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -7,10 +7,10 @@
 use gumdrop::Options;
 use shalelane::mutant::Mutant;
 use standins::chaos::{ChaosOutcome, ChaosPlan, SeedsOutcome, run_seeds};
-use standins::compare;
 use standins::demo::{self, DemoSpec, apply_config, demo_fleet, wait_ready};
 use standins::fleet::{ADMIN_KEY, Fleet};
 use standins::slopes;
+use standins::{compare, lanes, overload};
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
 
 #[derive(Debug, Options)]
@@ -33,6 +33,10 @@
     Slopes(SlopesArguments),
     #[options(help = "compare ways of choosing a target under the same load")]
     Routing(DemoArguments),
+    #[options(help = "measure goodput under more load than the engines can take")]
+    Overload(DemoArguments),
+    #[options(help = "measure long prompts beside short ones")]
+    Lanes(DemoArguments),
 }
 
 #[derive(Debug, Options)]
@@ -105,6 +109,14 @@
         Some(Command::Chaos(arguments)) => run_chaos(&arguments),
         Some(Command::Slopes(arguments)) => run_slopes(&arguments),
         Some(Command::Routing(arguments)) => run_routing(&arguments),
+        Some(Command::Overload(arguments)) => {
+            let figures = overload::measure(arguments.to_spec().seed);
+            print_figures(arguments.json, &figures, &overload::to_table(&figures))
+        }
+        Some(Command::Lanes(arguments)) => {
+            let figures = lanes::compare();
+            print_figures(arguments.json, &figures, &lanes::to_table(&figures))
+        }
         None => {
             println!("{}", Arguments::usage());
             println!("{}", Arguments::command_list().unwrap_or_default());
@@ -211,11 +223,14 @@
 fn run_routing(arguments: &DemoArguments) -> ExitCode {
     let spec = DemoSpec { quiet: true, ..arguments.to_spec() };
     let figures = compare::compare(&spec);
-    if arguments.json {
-        println!("{}", serde_json::to_string(&figures).unwrap_or_default());
+    print_figures(arguments.json, &figures, &compare::to_table(&figures))
+}
+
+fn print_figures<T: serde::Serialize>(json: bool, figures: &T, table: &str) -> ExitCode {
+    if json {
+        println!("{}", serde_json::to_string(figures).unwrap_or_default());
     } else {
-        println!("seed {}, {} requests", spec.seed, spec.requests);
-        print!("{}", compare::to_table(&figures));
+        print!("{table}");
     }
     ExitCode::SUCCESS
 }
--- a/standins/src/plain_server.rs
+++ b/standins/src/plain_server.rs
@@ -1,6 +1,7 @@
 //! A plain service that counts how often it ran each order.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -53,15 +54,16 @@
         let fault = Arc::new(Mutex::new(PlainFault::default()));
         let arrived = Arc::new(AtomicU64::new(0));
         let (inner, faults, calls) = (counts.clone(), fault.clone(), arrived.clone());
-        let server = ServerThread::spawn("plain", None, move |listener| {
-            serve_http(listener, move |request| {
-                calls.fetch_add(1, Ordering::Relaxed);
-                handle(inner.clone(), faults.clone(), request)
-            })
-        });
+        let server = spawn(inner, faults, calls, None);
         PlainServer { counts, arrived, fault, server }
     }
 
+    /// Starts the service again, on the address that it had.
+    pub fn restart(&mut self, address: SocketAddr) {
+        let (counts, fault) = (self.counts.clone(), self.fault.clone());
+        self.server = spawn(counts, fault, self.arrived.clone(), Some(address));
+    }
+
     /// How often an order was run.
     #[must_use]
     pub fn times_run(&self, order: &str) -> u64 {
@@ -69,6 +71,20 @@
     }
 }
 
+fn spawn(
+    counts: Arc<Mutex<OrderCounts>>,
+    fault: Arc<Mutex<PlainFault>>,
+    calls: Arc<AtomicU64>,
+    address: Option<SocketAddr>,
+) -> ServerThread {
+    ServerThread::spawn("plain", address, move |listener| {
+        serve_http(listener, move |request| {
+            calls.fetch_add(1, Ordering::Relaxed);
+            handle(counts.clone(), fault.clone(), request)
+        })
+    })
+}
+
 async fn handle(
     counts: Arc<Mutex<OrderCounts>>,
     fault: Arc<Mutex<PlainFault>>,
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -256,3 +256,63 @@
     let unknown = site.ask_admin(0, "/admin/v1/why/entry-7.1f.3").await;
     assert_eq!((unknown.status, unknown.code().as_str()), (404, "no_record"));
 }
+
+fn keyed_order(name: &str, key: &str) -> hyper::Request<http_body_util::Full<bytes::Bytes>> {
+    let mut request = order(name);
+    request.headers_mut().insert("idempotency-key", key.parse().expect("a header"));
+    request
+}
+
+#[tokio::test]
+async fn a_key_runs_once_however_often_and_wherever_it_is_sent() {
+    let site = Site::start(2, 1, EngineSpec::default()).await;
+    let (one, other) = (site.callers(0), site.callers(1));
+    for round in 0..5 {
+        let key = format!("key-{round}");
+        let name = format!("boat-{round}");
+        let calls = [one, other, one, other]
+            .map(|address| tokio::spawn(call(address, keyed_order(&name, &key))));
+        let mut statuses = Vec::new();
+        for call in calls {
+            statuses.push(call.await.expect("task").expect("answer").status);
+        }
+        statuses.sort_unstable();
+        assert_eq!(statuses, [200, 409, 409, 409]);
+        assert_eq!(site.plain.times_run(&name), 1);
+    }
+    let late = call(other, keyed_order("boat-0", "key-0")).await.expect("answer");
+    assert_eq!((late.status, late.verdict.as_str()), (409, "may-have-run"));
+    assert_eq!(late.code(), "key_taken");
+    assert_eq!(site.plain.times_run("boat-0"), 1);
+}
+
+#[tokio::test]
+async fn a_key_whose_request_was_not_run_is_free_again() {
+    let mut site = Site::start(1, 1, EngineSpec::default()).await;
+    let address = site.plain.server.address;
+    site.plain.server.stop();
+    let refused = call(site.callers(0), keyed_order("boat-1", "key")).await.expect("answer");
+    assert_eq!((refused.status, refused.verdict.as_str()), (503, "not-run"));
+    site.plain.restart(address);
+    wait_until("the key is free", async || {
+        let answer = call(site.callers(0), keyed_order("boat-1", "key")).await.expect("answer");
+        answer.status == 200
+    })
+    .await;
+    assert_eq!(site.plain.times_run("boat-1"), 1);
+}
+
+#[tokio::test]
+async fn a_key_is_not_run_in_an_outage_and_once_after_a_lost_answer() {
+    let site = Site::start(1, 1, EngineSpec::default()).await;
+    site.store.set_fault(StoreFault { outage: true, ..StoreFault::default() });
+    let refused = call(site.callers(0), keyed_order("boat-2", "key")).await.expect("answer");
+    assert_eq!((refused.status, refused.code().as_str()), (503, "claims_away"));
+    assert_eq!(refused.verdict, "not-run");
+    assert!(!refused.retry_after.is_empty());
+    assert_eq!(site.plain.times_run("boat-2"), 0);
+    site.store.set_fault(StoreFault { lost_answers: 1, ..StoreFault::default() });
+    let answer = call(site.callers(0), keyed_order("boat-2", "key")).await.expect("answer");
+    assert_eq!(answer.status, 200);
+    assert_eq!(site.plain.times_run("boat-2"), 1);
+}
