--- /dev/null
+++ b/src/agent/attempts.rs
@@ -0,0 +1,287 @@
+//! Attempts at an agent: taking, refusing, resuming and ending them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use super::core::{AgentCore, Timer};
+use super::event::{ConnId, Effect};
+use super::ledger::Outcome;
+use super::run::{Run, RunState, local_tokens};
+use crate::id::{AttemptId, AttemptKey};
+use crate::mutant::{Mutant, is_on};
+use crate::time::Tick;
+use crate::verdict::Verdict;
+use crate::wire::{Call, Dispatch, Refusal, Resume, ToEntry};
+
+/// What an entry is told to wait before it asks again, at least.
+const MIN_RETRY: Duration = Duration::from_millis(50);
+
+impl AgentCore {
+    pub(super) fn on_dispatch(
+        &mut self,
+        conn: ConnId,
+        id: AttemptId,
+        dispatch: Dispatch,
+        now: Tick,
+    ) {
+        if dispatch.incarnation != self.id.incarnation {
+            self.refuse(conn, id.key, Refusal::OtherIncarnation, Duration::ZERO);
+            return;
+        }
+        if self.runs.contains_key(&id) {
+            return;
+        }
+        if self.ledger.get(&id).is_some() {
+            self.replay(conn, &id, 0);
+            return;
+        }
+        if let Some((refusal, retry)) = self.refuse_dispatch(&id, &dispatch, now) {
+            self.refuse(conn, id.key, refusal, retry);
+            // A second copy of this dispatch must not run after this answer.
+            let until = now + Duration::from_micros(dispatch.remaining_us);
+            self.settle(id, not_run("refused"), until + self.tuning.ledger_margin);
+            return;
+        }
+        let cached = self.cache.cached_tokens(&dispatch.marks, dispatch.need.prompt);
+        let run = Run::new(dispatch, conn, now, cached);
+        self.timers.subscribe(run.deadline, Timer::Deadline(id.clone()));
+        self.runs.insert(id, run);
+    }
+
+    pub(super) fn refuse_dispatch(
+        &self,
+        id: &AttemptId,
+        dispatch: &Dispatch,
+        now: Tick,
+    ) -> Option<(Refusal, Duration)> {
+        let model = match &dispatch.call {
+            Call::Model { model, .. } => &**model,
+            Call::Plain { .. } => "",
+        };
+        if let Some(refusal) = self.refuse_new(model) {
+            return Some((refusal, Duration::ZERO));
+        }
+        let waiting = self.runs.values().filter(|run| !run.is_at_target()).count();
+        if waiting >= self.tuning.max_queue {
+            return Some((Refusal::QueueFull, MIN_RETRY));
+        }
+        if model.is_empty() {
+            return None;
+        }
+        let needs_hold = !dispatch.shards.is_empty();
+        let has_hold = self.leases.is_held(id) && !self.unreserving.contains(id);
+        if needs_hold && !has_hold {
+            return Some((Refusal::NoMemory, Duration::ZERO));
+        }
+        if local_tokens(dispatch) > self.leases.capacity() {
+            return Some((Refusal::NoMemory, Duration::ZERO));
+        }
+        let local = local_tokens(dispatch);
+        let wait = self.predict_wait(local, dispatch.urgency, &dispatch.account, now);
+        let prefill = self.rates.prefill(dispatch.need.prompt);
+        let answer = self.rates.answer(dispatch.need.answer);
+        if wait + prefill + answer > Duration::from_micros(dispatch.remaining_us) {
+            return Some((Refusal::TooLate, wait.max(MIN_RETRY)));
+        }
+        let is_busy = wait > Duration::from_micros(dispatch.max_wait_us);
+        is_busy.then_some((Refusal::Busy, wait))
+    }
+
+    pub(super) fn refuse(
+        &mut self,
+        conn: ConnId,
+        attempt: AttemptKey,
+        refusal: Refusal,
+        retry: Duration,
+    ) {
+        self.counts.refused += 1;
+        let retry_us = retry.as_micros() as u64;
+        self.send(Some(conn), ToEntry::Refused { attempt, refusal, retry_us });
+    }
+
+    pub(super) fn on_body(&mut self, id: &AttemptId, text: Bytes, now: Tick) {
+        let Some(run) = self.runs.get_mut(id) else {
+            return;
+        };
+        if run.state != RunState::Receiving {
+            return;
+        }
+        run.received += text.len() as u64;
+        run.body.push(text);
+        if run.received > run.dispatch.body_len {
+            self.give_up(id, "body longer than announced", now);
+        } else if run.received == run.dispatch.body_len {
+            run.state = RunState::Queued;
+        }
+    }
+
+    pub(super) fn on_cancel(&mut self, id: &AttemptId, now: Tick) {
+        if is_on(Mutant::CancelOff) {
+            return;
+        }
+        if self.runs.contains_key(id) {
+            self.counts.cancelled += 1;
+            self.end_early(id, "cancelled by the caller", now);
+        } else if self.ledger.get(id).is_none() {
+            // The dispatch may come yet: let it find this.
+            self.settle(id.clone(), not_run("cancelled"), now + self.tuning.ledger_margin);
+        }
+    }
+
+    pub(super) fn on_resume(&mut self, conn: ConnId, id: &AttemptId, resume: Resume, now: Tick) {
+        if resume.incarnation != self.id.incarnation {
+            let failed = may_have_run("the agent has restarted");
+            self.send_outcome(Some(conn), id.key, &failed, 0);
+            return;
+        }
+        if self.ledger.get(id).is_some() {
+            self.replay(conn, id, resume.offset);
+            return;
+        }
+        let Some(run) = self.runs.get_mut(id) else {
+            self.settle(id.clone(), not_run("given up"), now + self.tuning.ledger_margin);
+            self.refuse(conn, id.key, Refusal::GivenUp, Duration::ZERO);
+            return;
+        };
+        match run.state {
+            RunState::Receiving => {
+                run.conn = Some(conn);
+                self.give_up(id, "the body did not arrive", now);
+            }
+            RunState::Cancelling => {
+                let failed = may_have_run("cancelled");
+                self.send_outcome(Some(conn), id.key, &failed, 0);
+            }
+            _ => {
+                run.conn = Some(conn);
+                run.orphaned = None;
+                let head = run.head.clone();
+                let rest = rest_of(&run.output, resume.offset);
+                self.send(Some(conn), ToEntry::Accepted(id.key));
+                self.send_rest(conn, id.key, head, resume.offset, rest);
+            }
+        }
+    }
+
+    pub(super) fn replay(&mut self, conn: ConnId, id: &AttemptId, offset: u64) {
+        let Some(outcome) = self.ledger.get(id).cloned() else {
+            return;
+        };
+        self.send_outcome(Some(conn), id.key, &outcome, offset);
+    }
+
+    pub(super) fn send_outcome(
+        &mut self,
+        conn: Option<ConnId>,
+        attempt: AttemptKey,
+        outcome: &Outcome,
+        offset: u64,
+    ) {
+        let Some(conn) = conn else { return };
+        match outcome {
+            Outcome::Done { head, output, completion } => {
+                let rest = rest_of(output, offset);
+                self.send_rest(conn, attempt, head.clone(), offset, rest);
+                self.send(Some(conn), ToEntry::Done(attempt, completion.clone()));
+            }
+            Outcome::Failed { verdict: Verdict::NotRun, .. } => {
+                self.refuse(conn, attempt, Refusal::GivenUp, Duration::ZERO);
+            }
+            Outcome::Failed { verdict, reason } => {
+                let reason = reason.clone();
+                self.send(Some(conn), ToEntry::Failed { attempt, verdict: *verdict, reason });
+            }
+        }
+    }
+
+    pub(super) fn send_rest(
+        &mut self,
+        conn: ConnId,
+        attempt: AttemptKey,
+        head: Option<(u16, Arc<str>)>,
+        offset: u64,
+        rest: Bytes,
+    ) {
+        if let Some((status, content_type)) = head {
+            self.send(Some(conn), ToEntry::Head { attempt, status, content_type });
+        }
+        if !rest.is_empty() {
+            self.send(Some(conn), ToEntry::Chunk { attempt, offset, text: rest });
+        }
+    }
+
+    /// Ends an attempt wherever it stands, with the verdict that is true there.
+    pub(super) fn end_early(&mut self, id: &AttemptId, reason: &str, now: Tick) {
+        let Some(run) = self.runs.get(id) else { return };
+        if !run.is_at_target() {
+            self.give_up(id, reason, now);
+        } else if run.state != RunState::Cancelling {
+            self.fail(id, Verdict::MayHaveRun, reason, now);
+            self.let_go(id);
+        }
+    }
+
+    /// Ends an attempt that the target has not seen.
+    pub(super) fn give_up(&mut self, id: &AttemptId, reason: &str, now: Tick) {
+        let is_late = self.runs.get(id).is_some_and(|run| run.deadline <= now);
+        let refusal = if is_late { Refusal::TooLate } else { Refusal::GivenUp };
+        self.give_up_as(id, refusal, reason, now);
+    }
+
+    /// Ends an attempt that the target has not seen, for a stated cause.
+    pub(super) fn give_up_as(&mut self, id: &AttemptId, refusal: Refusal, reason: &str, now: Tick) {
+        let Some(run) = self.runs.remove(id) else {
+            return;
+        };
+        let until = run.deadline.max(now) + self.tuning.ledger_margin;
+        self.settle(id.clone(), not_run(reason), until);
+        if let Some(conn) = run.conn {
+            self.refuse(conn, id.key, refusal, Duration::ZERO);
+        }
+    }
+
+    /// Tells of a failure. The run itself stays until the target let it go.
+    pub(super) fn fail(&mut self, id: &AttemptId, verdict: Verdict, reason: &str, now: Tick) {
+        let Some(run) = self.runs.get(id) else { return };
+        let outcome = Outcome::Failed { verdict, reason: reason.into() };
+        let (conn, until) = (run.conn, run.deadline.max(now) + self.tuning.ledger_margin);
+        self.send_outcome(conn, id.key, &outcome, 0);
+        self.settle(id.clone(), outcome, until);
+        self.record(id, "failed", format!("{reason}, {verdict}"));
+        self.counts.failed += 1;
+    }
+
+    pub(super) fn let_go(&mut self, id: &AttemptId) {
+        let Some(run) = self.runs.get_mut(id) else {
+            return;
+        };
+        run.state = RunState::Cancelling;
+        run.conn = None;
+        run.output = bytes::BytesMut::new();
+        self.out.push(Effect::Cancel(id.clone()));
+    }
+
+    pub(super) fn settle(&mut self, id: AttemptId, outcome: Outcome, until: Tick) {
+        let is_tombstone = matches!(outcome, Outcome::Failed { verdict: Verdict::NotRun, .. });
+        let mutant = if is_tombstone { Mutant::TombstoneOff } else { Mutant::LedgerOff };
+        if is_on(mutant) {
+            return;
+        }
+        self.ledger.insert(id, outcome, until);
+    }
+}
+
+pub(super) fn rest_of(output: &[u8], offset: u64) -> Bytes {
+    let start = (offset as usize).min(output.len());
+    Bytes::copy_from_slice(&output[start..])
+}
+
+pub(super) fn not_run(reason: &str) -> Outcome {
+    Outcome::Failed { verdict: Verdict::NotRun, reason: reason.into() }
+}
+
+pub(super) fn may_have_run(reason: &str) -> Outcome {
+    Outcome::Failed { verdict: Verdict::MayHaveRun, reason: reason.into() }
+}
--- a/src/agent/cache.rs
+++ b/src/agent/cache.rs
@@ -7,6 +7,9 @@
 use crate::id::AttemptId;
 use crate::prefix::{BLOCK_BYTES, PrefixMark, PrefixMarks};
 
+/// Bytes of text that a token is taken to stand for.
+const BYTES_PER_TOKEN: u64 = 4;
+
 /// Runs whose marks are remembered, to make sense of late events.
 const REMEMBERED_RUNS: usize = 512;
 
@@ -73,7 +76,7 @@
         let Some(marks) = self.runs.get(&event.run) else {
             return;
         };
-        let cached_blocks = event.tokens * 4 / BLOCK_BYTES as u64;
+        let cached_blocks = event.tokens * BYTES_PER_TOKEN / BLOCK_BYTES as u64;
         for PrefixMark(blocks, hash) in &marks.0 {
             if u64::from(*blocks) > cached_blocks {
                 self.marks.remove(hash);
@@ -83,11 +86,12 @@
         }
     }
 
-    /// Share of the prompt that is believed to be cached, in blocks.
+    /// Tokens of a prompt that are believed to be cached.
     #[must_use]
-    pub fn cached_blocks(&self, marks: &PrefixMarks) -> u32 {
+    pub fn cached_tokens(&self, marks: &PrefixMarks, prompt: u64) -> u64 {
         let known = marks.0.iter().rev().find(|mark| self.marks.contains_key(&mark.1));
-        known.map_or(0, |mark| mark.0)
+        let blocks = known.map_or(0, |mark| u64::from(mark.0));
+        (blocks * BLOCK_BYTES as u64 / BYTES_PER_TOKEN).min(prompt)
     }
 
     /// Forgets everything, as after an engine's restart.
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -8,11 +8,13 @@
 //! request comes through it. It holds the leases on the engine's memory, the
 //! order of work, and the ledger by which no attempt runs twice.
 
+mod attempts;
 pub mod cache;
 mod core;
 pub mod daemon;
 mod engine;
 mod event;
+mod holds;
 pub mod lease;
 pub mod ledger;
 mod plain;
@@ -20,6 +22,7 @@
 pub mod queue;
 mod run;
 mod schedule;
+mod target;
 
 pub use self::core::AgentCore;
 pub use self::event::{
--- /dev/null
+++ b/src/agent/target.rs
@@ -0,0 +1,187 @@
+//! What the target does: it comes, it goes, and its runs go on.
+
+use std::collections::BTreeSet;
+
+use bytes::Bytes;
+
+use super::core::AgentCore;
+use super::event::{Effect, EngineFacts, EngineHolding, RunEvent, RunUsage};
+use super::lease::LeaseBook;
+use super::ledger::Outcome;
+use super::run::RunState;
+use crate::config::Urgency;
+use crate::id::AttemptId;
+use crate::mutant::{Mutant, is_on};
+use crate::time::Tick;
+use crate::verdict::Verdict;
+use crate::wire::{Completion, ToEntry};
+
+/// Share of the engine's memory that is leased. The rest is for estimates of
+/// token counts that turn out too low.
+const LEASED_SHARE: f64 = 0.95;
+
+impl AgentCore {
+    pub(super) fn on_target_ready(&mut self, facts: EngineFacts) {
+        let held = self.leases.len();
+        self.invariant.expect(held == 0, "a target is reset only when no lease is held");
+        self.leases = LeaseBook::new((facts.capacity as f64 * LEASED_SHARE) as u64);
+        self.cache.clear();
+        self.facts = Some(facts);
+    }
+
+    pub(super) fn on_target_lost(&mut self, now: Tick) {
+        if self.facts.take().is_none() {
+            return;
+        }
+        let ids: Vec<_> = self.runs.keys().cloned().collect();
+        for id in ids {
+            self.lose_run(&id, now);
+        }
+        for id in self.leases.all() {
+            self.leases.release(&id);
+            if let Some(conn) = self.holders.remove(&id) {
+                self.send(Some(conn), ToEntry::NotHeld(id.key));
+            }
+        }
+        self.unreserving.clear();
+        for claim in std::mem::take(&mut self.claims) {
+            self.send(Some(claim.conn), ToEntry::NotHeld(claim.id.key));
+        }
+        self.out.push(Effect::Reset);
+    }
+
+    pub(super) fn lose_run(&mut self, id: &AttemptId, now: Tick) {
+        let Some(run) = self.runs.get(id) else { return };
+        if !run.is_at_target() {
+            self.give_up(id, "the target was lost", now);
+            return;
+        }
+        if run.state != RunState::Cancelling {
+            self.fail(id, Verdict::MayHaveRun, "the target was lost", now);
+        }
+        self.runs.remove(id);
+    }
+
+    pub(super) fn on_run(&mut self, id: &AttemptId, event: RunEvent, now: Tick) {
+        let Some(run) = self.runs.get_mut(id) else {
+            return;
+        };
+        if run.state == RunState::Cancelling {
+            // A run that came to its end by itself holds nothing either.
+            if matches!(event, RunEvent::Cancelled | RunEvent::Done(_)) {
+                self.drop_run(id);
+            }
+            return;
+        }
+        if !run.is_at_target() {
+            return;
+        }
+        match event {
+            RunEvent::Head(status, content_type) => {
+                run.head = Some((status, content_type.clone()));
+                let conn = run.conn;
+                self.send(conn, ToEntry::Head { attempt: id.key, status, content_type });
+            }
+            RunEvent::Text(text) => self.on_text(id, text, now),
+            RunEvent::Paused(tokens) => self.on_paused(id, tokens, now),
+            RunEvent::Done(usage) => self.on_done(id, usage, now),
+            RunEvent::Failed(Verdict::NotRun, reason) => {
+                self.fail(id, Verdict::NotRun, &reason, now);
+                self.drop_run(id);
+            }
+            RunEvent::Failed(verdict, reason) => {
+                self.fail(id, verdict, &reason, now);
+                self.let_go(id);
+            }
+            RunEvent::Cancelled => {
+                self.fail(id, Verdict::MayHaveRun, "the target ended it", now);
+                self.drop_run(id);
+            }
+        }
+    }
+
+    pub(super) fn on_text(&mut self, id: &AttemptId, text: Bytes, now: Tick) {
+        let Some(run) = self.runs.get_mut(id) else {
+            return;
+        };
+        if run.first.is_none() {
+            let tokens = run.left_to_prefill();
+            if run.alone && run.prefilled > run.cached {
+                self.rates.learn_prefill(tokens, now.since(run.since));
+            }
+            run.first = Some(now);
+            run.prefilled = run.dispatch.need.prompt;
+            run.state = RunState::Decoding;
+        }
+        let offset = run.output.len() as u64;
+        run.parts += 1;
+        run.output.extend_from_slice(&text);
+        let conn = run.conn;
+        self.send(conn, ToEntry::Chunk { attempt: id.key, offset, text });
+    }
+
+    pub(super) fn on_paused(&mut self, id: &AttemptId, tokens: u64, now: Tick) {
+        let Some(run) = self.runs.get_mut(id) else {
+            return;
+        };
+        let done = tokens.saturating_sub(run.prefilled);
+        if run.alone {
+            self.rates.learn_prefill(done, now.since(run.since));
+        }
+        run.prefilled = tokens.min(run.dispatch.need.prompt);
+        run.state = RunState::Paused;
+        run.since = now;
+    }
+
+    pub(super) fn on_done(&mut self, id: &AttemptId, usage: RunUsage, now: Tick) {
+        let Some(run) = self.runs.get_mut(id) else {
+            return;
+        };
+        let first = run.first.unwrap_or(now);
+        let wait = self.predict_wait(0, Urgency::Interactive, "", now);
+        let Some(run) = self.runs.get_mut(id) else {
+            return;
+        };
+        self.rates.learn_decode(usage.answer_tokens, now.since(first));
+        self.rates.learn_answer(usage.answer_tokens);
+        let output = std::mem::take(&mut run.output).freeze();
+        let waited = run.started.unwrap_or(now).since(run.arrived);
+        let completion = Completion {
+            length: output.len() as u64,
+            prompt_tokens: usage.prompt_tokens,
+            cached_tokens: usage.cached_tokens,
+            answer_tokens: usage.answer_tokens,
+            finish_reason: usage.finish_reason,
+            waited_us: waited.as_micros() as u64,
+            wait_us: wait.as_micros() as u64,
+        };
+        let conn = run.conn;
+        let until = run.deadline.max(now) + self.tuning.ledger_margin;
+        let head = run.head.take();
+        self.send(conn, ToEntry::Done(id.key, completion.clone()));
+        self.settle(id.clone(), Outcome::Done { head, output, completion }, until);
+        self.record(id, "done", String::new());
+        self.counts.done += 1;
+        self.drop_run(id);
+    }
+
+    pub(super) fn drop_run(&mut self, id: &AttemptId) {
+        self.runs.remove(id);
+        self.leases.release(id);
+    }
+
+    /// Ends what the engine holds for nobody: calls of an earlier life of this
+    /// agent can reach the engine after it was reset.
+    pub(super) fn on_holdings(&mut self, holdings: &[EngineHolding]) {
+        let leased = self.leases.all();
+        let known: BTreeSet<String> =
+            self.runs.keys().chain(&leased).map(AttemptId::to_string).collect();
+        for run in holdings.iter().filter(|run| !known.contains(&run.id)) {
+            if is_on(Mutant::StraysOff) {
+                return;
+            }
+            self.counts.strays += 1;
+            self.out.push(Effect::CancelStray(run.id.clone()));
+        }
+    }
+}
--- a/src/bin/shalelane-agent.rs
+++ b/src/bin/shalelane-agent.rs
@@ -2,28 +2,16 @@
 
 use std::process::ExitCode;
 
-use shalelane::Error;
+use shalelane::Result;
 use shalelane::agent::daemon::AgentDaemon;
 use shalelane::program::{run_program, wait_for_stop};
-use shalelane::settings::{AgentSettings, Invocation, process_env};
+use shalelane::settings::AgentSettings;
 
 fn main() -> ExitCode {
-    let args: Vec<String> = std::env::args().skip(1).collect();
-    let settings = match AgentSettings::from_args(&args, &process_env) {
-        Ok(Invocation::Run(settings)) => settings,
-        Ok(Invocation::Print(text)) => {
-            print!("{text}");
-            return ExitCode::SUCCESS;
-        }
-        Err(error) => {
-            eprintln!("shalelane-agent: {error}");
-            return ExitCode::from(2);
-        }
-    };
-    run_program("shalelane-agent", serve(settings))
+    run_program("shalelane-agent", AgentSettings::from_args, serve)
 }
 
-async fn serve(settings: AgentSettings) -> Result<(), Error> {
+async fn serve(settings: AgentSettings) -> Result<()> {
     let daemon = AgentDaemon::bind(settings).await?;
     let address = daemon.address()?;
     println!("ready entries={address}");
--- a/src/bin/shalelane-entry.rs
+++ b/src/bin/shalelane-entry.rs
@@ -2,28 +2,16 @@
 
 use std::process::ExitCode;
 
-use shalelane::Error;
+use shalelane::Result;
 use shalelane::entry::daemon::EntryDaemon;
 use shalelane::program::{run_program, wait_for_stop};
-use shalelane::settings::{EntrySettings, Invocation, process_env};
+use shalelane::settings::EntrySettings;
 
 fn main() -> ExitCode {
-    let args: Vec<String> = std::env::args().skip(1).collect();
-    let settings = match EntrySettings::from_args(&args, &process_env) {
-        Ok(Invocation::Run(settings)) => settings,
-        Ok(Invocation::Print(text)) => {
-            print!("{text}");
-            return ExitCode::SUCCESS;
-        }
-        Err(error) => {
-            eprintln!("shalelane-entry: {error}");
-            return ExitCode::from(2);
-        }
-    };
-    run_program("shalelane-entry", serve(settings))
+    run_program("shalelane-entry", EntrySettings::from_args, serve)
 }
 
-async fn serve(settings: EntrySettings) -> Result<(), Error> {
+async fn serve(settings: EntrySettings) -> Result<()> {
     let daemon = EntryDaemon::bind(settings).await?;
     let (callers, admin) = daemon.addresses()?;
     println!("ready callers={callers} admin={admin}");
--- a/src/entry/asking.rs
+++ b/src/entry/asking.rs
@@ -139,10 +139,16 @@
         };
         let mut offers = std::mem::take(offers);
         let phase = std::mem::replace(&mut request.phase, Phase::Backoff { until: now });
-        offers.sort_by_key(|offer| std::cmp::Reverse(predicted_us(&offer.answer)));
-        let capacity = offers.iter().map(|offer| offer.answer.capacity_tokens).max();
+        let total = request.need.total();
         let is_model = matches!(request.arrival.call, Call::Model { .. });
-        let is_too_large = is_model && capacity.is_some_and(|most| request.need.total() > most);
+        // Of two that predict the same, the one with less from here: it can not
+        // know yet what was given to it a moment ago.
+        offers.sort_by_cached_key(|offer| {
+            let own = self.attempts_at(&offer.target);
+            std::cmp::Reverse((predicted_us(&offer.answer), own, offer.target.clone()))
+        });
+        let capacity = offers.iter().map(|offer| offer.answer.capacity_tokens).max();
+        let is_too_large = is_model && capacity.is_some_and(|most| total > most);
         self.forget_probes(&phase);
         if is_too_large {
             self.form_group(number, &offers, now);
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -38,7 +38,7 @@
 const TIMELINE_CAPACITY: usize = 8_192;
 
 /// Time from one reading of the host list to the next.
-const HOSTS_STEP: Duration = Duration::from_millis(500);
+const HOSTS_STEP: Duration = Duration::from_secs(1);
 
 /// Longest wait of a watch on the configuration.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
--- a/src/entry/direct.rs
+++ b/src/entry/direct.rs
@@ -119,7 +119,7 @@
     }
 
     /// Attempts of this entry that a target has.
-    fn attempts_at(&self, target: &str) -> usize {
+    pub(super) fn attempts_at(&self, target: &str) -> usize {
         let holders = self.requests.values().filter_map(|request| request.holder());
         holders.filter(|(holder, _)| &***holder == target).count()
     }
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -191,50 +191,46 @@
         (pick.0)(&names)
     }
 
-    /// Chooses targets to ask as [`RouteTable::candidates`] does, but the random
-    /// ones among the entry's own few, so that its links stay few and warm.
-    pub fn home_candidates(
+    /// Chooses targets to ask: some by the prompt's beginning, the others at
+    /// random, first in the entry's own failure domain.
+    pub fn candidates(
         &self,
         query: &RouteQuery<'_>,
         now: Tick,
         rng: &mut impl Rng,
     ) -> Vec<Arc<str>> {
         let open = self.open(query, now);
-        let mut chosen = Vec::with_capacity(query.count);
-        if let Some(prefix) = query.prefix {
-            chosen.extend(by_prefix(&open, prefix, BY_PREFIX.min(query.count)));
-        }
-        let home: Vec<_> = home_of(&open, query);
-        let fresh: Vec<_> = home.into_iter().filter(|name| !chosen.contains(name)).collect();
-        let rest = query.count.saturating_sub(chosen.len());
-        chosen.extend(fresh.choose_multiple(rng, rest).cloned());
+        let near = |one: &&&RouteTarget| &*one.failure_domain == query.failure_domain;
+        let near: Vec<_> = open.iter().filter(near).map(|one| one.name.clone()).collect();
+        let all: Vec<_> = open.iter().map(|one| one.name.clone()).collect();
+        let mut chosen = begin_choice(&open, query);
+        // One place is for the other domains, so that none is cut off.
+        add_random(&mut chosen, &near, query.count.saturating_sub(1), rng);
+        add_random(&mut chosen, &all, query.count, rng);
         chosen
     }
 
-    /// Chooses targets to ask: some by the prompt's beginning, the others at
-    /// random, first in the entry's own failure domain.
-    pub fn candidates(
+    /// Chooses as [`RouteTable::candidates`] does, but the random ones among the
+    /// entry's own few, so that its links stay few and warm.
+    pub fn home_candidates(
         &self,
         query: &RouteQuery<'_>,
         now: Tick,
         rng: &mut impl Rng,
     ) -> Vec<Arc<str>> {
         let open = self.open(query, now);
-        let mut chosen: Vec<Arc<str>> = Vec::with_capacity(query.count);
-        if let Some(prefix) = query.prefix {
-            chosen.extend(by_prefix(&open, prefix, BY_PREFIX.min(query.count)));
-        }
-        let near = |one: &&&RouteTarget| &*one.failure_domain == query.failure_domain;
-        let near: Vec<_> = open.iter().filter(near).copied().collect();
-        // One place is for the other domains, so that none is cut off.
-        let near_count = query.count.saturating_sub(chosen.len() + 1);
-        add_random(&mut chosen, &near, near_count, rng);
-        let rest = query.count.saturating_sub(chosen.len());
-        add_random(&mut chosen, &open, rest, rng);
+        let mut chosen = begin_choice(&open, query);
+        add_random(&mut chosen, &home_of(&open, query), query.count, rng);
         chosen
     }
 }
 
+/// The first of a choice: targets where prompts with this beginning meet.
+fn begin_choice(open: &[&RouteTarget], query: &RouteQuery<'_>) -> Vec<Arc<str>> {
+    let most = BY_PREFIX.min(query.count);
+    query.prefix.map_or_else(Vec::new, |prefix| by_prefix(open, prefix, most))
+}
+
 /// The entry's own few: most of them in its failure domain, so that links are
 /// short, and some elsewhere, so that the loss of a domain leaves some.
 fn home_of(open: &[&RouteTarget], query: &RouteQuery<'_>) -> Vec<Arc<str>> {
@@ -255,8 +251,9 @@
     scored.into_iter().rev().take(count).map(|(_, name)| name.clone()).collect()
 }
 
-fn add_random(chosen: &mut Vec<Arc<str>>, from: &[&RouteTarget], count: usize, rng: &mut impl Rng) {
-    let fresh: Vec<_> = from.iter().filter(|one| !chosen.contains(&one.name)).collect();
-    let picked = fresh.choose_multiple(rng, count);
-    chosen.extend(picked.map(|one| one.name.clone()));
+/// Fills a choice up to `count` with names at random.
+fn add_random(chosen: &mut Vec<Arc<str>>, from: &[Arc<str>], count: usize, rng: &mut impl Rng) {
+    let fresh: Vec<_> = from.iter().filter(|name| !chosen.contains(name)).cloned().collect();
+    let wanted = count.saturating_sub(chosen.len());
+    chosen.extend(fresh.choose_multiple(rng, wanted).cloned());
 }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -353,9 +353,14 @@
                     heard = Instant::now();
                     continue;
                 }
-                if heard.elapsed() > DEAD_AFTER {
+                let silence = heard.elapsed();
+                if silence > DEAD_AFTER {
                     return LinkEnd::Silent;
                 }
+                // A stream of answers is a sign of life by itself.
+                if silence < PING_AFTER {
+                    continue;
+                }
                 if socket.send(Message::Ping(Bytes::new())).await.is_err() {
                     return LinkEnd::Closed;
                 }
--- a/src/program.rs
+++ b/src/program.rs
@@ -1,4 +1,4 @@
-//! What the programs share: one thread, one runtime, and signals.
+//! What the programs share: settings, one thread, one runtime, and signals.
 
 use std::future::Future;
 use std::process::ExitCode;
@@ -7,9 +7,35 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::error::Result;
+use crate::settings::{EnvLookup, Invocation, process_env};
 
-/// Runs a program's work on one thread, and tells of a failure.
-pub fn run_program(name: &str, work: impl Future<Output = Result<()>>) -> ExitCode {
+/// Exit code where the settings are not right.
+const BAD_SETTINGS: u8 = 2;
+
+/// Reads a program's settings and does its work on one thread.
+pub fn run_program<T, W>(
+    name: &str,
+    read: impl FnOnce(&[String], EnvLookup<'_>) -> Result<Invocation<T>>,
+    work: impl FnOnce(T) -> W,
+) -> ExitCode
+where
+    W: Future<Output = Result<()>>,
+{
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    match read(&args, &process_env) {
+        Ok(Invocation::Run(settings)) => run_work(name, work(settings)),
+        Ok(Invocation::Print(text)) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("{name}: {error}");
+            ExitCode::from(BAD_SETTINGS)
+        }
+    }
+}
+
+fn run_work(name: &str, work: impl Future<Output = Result<()>>) -> ExitCode {
     let runtime = Builder::new_current_thread().enable_all().build();
     let result = match runtime {
         Ok(runtime) => runtime.block_on(work),
--- a/standins/src/chaos/mod.rs
+++ b/standins/src/chaos/mod.rs
@@ -4,7 +4,10 @@
 //! every turn; the callers check every answer; at the end nothing may be held.
 
 mod callers;
+mod faults;
+mod links;
 mod plan;
+mod targets;
 mod world;
 
 use std::panic::{AssertUnwindSafe, catch_unwind};
--- a/standins/src/chaos/world.rs
+++ b/standins/src/chaos/world.rs
@@ -10,9 +10,7 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use shalelane::agent::{
-    self, AgentCore, AgentTuning, ConnId, EngineFacts, EngineHolding, RunEvent, RunUsage, StartRun,
-};
+use shalelane::agent::{self, AgentCore, AgentTuning, ConnId, StartRun};
 use shalelane::config::{Config, ConfigVersion};
 use shalelane::entry::account::{AccountTable, to_key};
 use shalelane::entry::{self, Arrival, EntryCore, EntryTuning};
@@ -20,51 +18,50 @@
 use shalelane::prefix::MarkBuilder;
 use shalelane::time::Tick;
 use shalelane::wire::{Call, ToAgent, ToEntry};
-use shalelane::{AttemptId, Incarnation, ProcessId, RequestId, Verdict};
+use shalelane::{AttemptId, Incarnation, ProcessId, RequestId};
 
 use super::callers::{CallerBook, plan_requests};
 use super::plan::{BUSY_MS, ChaosPlan, ENGINES, ENTRIES, FaultKind};
-use crate::engine_model::{EngineEvent, EngineModel, EngineRunSpec, EngineSpec};
-use crate::prompt::prompt_hash;
+use crate::engine_model::{EngineEvent, EngineModel, EngineSpec};
 
 /// Virtual time after which everything must have come to rest.
-const END: Tick = Tick(BUSY_MS * 1_000 + 150_000_000);
+pub(super) const END: Tick = Tick(BUSY_MS * 1_000 + 150_000_000);
 
 /// Longest time that a message takes.
-const DELAY_US: u64 = 4_000;
+pub(super) const DELAY_US: u64 = 4_000;
 
 /// Time after which a half-open link is found out.
-const SILENT: Duration = Duration::from_secs(3);
+pub(super) const SILENT: Duration = Duration::from_secs(3);
 
 /// Time until an agent notices that its engine is gone.
-const LOST: Duration = Duration::from_millis(750);
+pub(super) const LOST: Duration = Duration::from_millis(750);
 
 /// Time from one look at an engine's runs to the next.
-const LOOK: Duration = Duration::from_secs(2);
+pub(super) const LOOK: Duration = Duration::from_secs(2);
 
 /// Time after the beginning of a planned stop from which nothing may start.
-const LEAVE_BOUND: Duration = Duration::from_secs(2);
+pub(super) const LEAVE_BOUND: Duration = Duration::from_secs(2);
 
 /// One attempt in so many arrives twice, body and all.
-const DOUBLED_EVERY: u64 = 12;
+pub(super) const DOUBLED_EVERY: u64 = 12;
 
 /// Share of an answer's parts that arrive twice.
-const DOUBLED_PARTS: f64 = 0.02;
+pub(super) const DOUBLED_PARTS: f64 = 0.02;
 
 /// Time by which a run has ended whose caller went away, where nothing failed.
-const GONE_BOUND: Duration = Duration::from_secs(2);
+pub(super) const GONE_BOUND: Duration = Duration::from_secs(2);
 
 /// Lines of the log of a failing run.
-const LOG_LINES: usize = 400;
+pub(super) const LOG_LINES: usize = 400;
 
 /// Index of the agent beside the plain service.
-const PLAIN: usize = ENGINES;
+pub(super) const PLAIN: usize = ENGINES;
 
 /// The last events of a run, which outlive a core that stops the program.
 pub type SharedLog = Rc<RefCell<VecDeque<String>>>;
 
 #[derive(Debug)]
-enum EngineCall {
+pub(super) enum EngineCall {
     Reset,
     Start(Box<StartRun>),
     Resume(AttemptId, Option<u64>),
@@ -75,7 +72,7 @@
 }
 
 #[derive(Debug)]
-enum Action {
+pub(super) enum Action {
     Arrive(usize),
     CallerGone(usize),
     CheckGone(RequestId),
@@ -124,64 +121,64 @@
 
 /// Which sides still take the link for standing.
 #[derive(Debug)]
-struct LinkSeen {
-    by_entry: bool,
-    by_agent: bool,
+pub(super) struct LinkSeen {
+    pub(super) by_entry: bool,
+    pub(super) by_agent: bool,
 }
 
 #[derive(Debug)]
-struct Link {
-    entry: usize,
-    agent: usize,
-    entry_life: u64,
-    agent_life: u64,
-    is_open: bool,
-    swallows: bool,
-    seen: LinkSeen,
-    agent_next: Tick,
-    entry_next: Tick,
+pub(super) struct Link {
+    pub(super) entry: usize,
+    pub(super) agent: usize,
+    pub(super) entry_life: u64,
+    pub(super) agent_life: u64,
+    pub(super) is_open: bool,
+    pub(super) swallows: bool,
+    pub(super) seen: LinkSeen,
+    pub(super) agent_next: Tick,
+    pub(super) entry_next: Tick,
 }
 
 #[derive(Debug)]
-struct AgentNode {
-    core: Option<AgentCore>,
-    life: u64,
-    paused_until: Tick,
-    engine: EngineModel,
-    engine_life: u64,
-    engine_down: Tick,
-    is_stepping: bool,
-    draining_since: Option<Tick>,
-    names: BTreeMap<String, (u64, AttemptId)>,
+pub(super) struct AgentNode {
+    pub(super) core: Option<AgentCore>,
+    pub(super) life: u64,
+    pub(super) paused_until: Tick,
+    pub(super) engine: EngineModel,
+    pub(super) engine_life: u64,
+    pub(super) engine_down: Tick,
+    pub(super) is_stepping: bool,
+    pub(super) draining_since: Option<Tick>,
+    pub(super) names: BTreeMap<String, (u64, AttemptId)>,
 }
 
 #[derive(Debug)]
-struct EntryNode {
-    core: Option<EntryCore>,
-    life: u64,
-    paused_until: Tick,
-    numbers: u64,
-    version: ConfigVersion,
+pub(super) struct EntryNode {
+    pub(super) core: Option<EntryCore>,
+    pub(super) life: u64,
+    pub(super) paused_until: Tick,
+    pub(super) numbers: u64,
+    pub(super) version: ConfigVersion,
 }
 
 /// One run.
 #[derive(Debug)]
 pub struct World {
-    now: Tick,
-    order: u64,
+    pub(super) now: Tick,
+    pub(super) order: u64,
     queue: BinaryHeap<Reverse<Timed>>,
-    rng: StdRng,
-    entries: Vec<EntryNode>,
-    agents: Vec<AgentNode>,
-    links: BTreeMap<u64, Link>,
-    current: BTreeMap<(usize, usize), u64>,
-    next_link: u64,
-    callers: CallerBook,
-    accounts: AccountTable,
-    starts: BTreeMap<String, u64>,
-    log: SharedLog,
-    is_calm: bool,
-    broken: Vec<String>,
+    pub(super) rng: StdRng,
+    pub(super) entries: Vec<EntryNode>,
+    pub(super) agents: Vec<AgentNode>,
+    pub(super) links: BTreeMap<u64, Link>,
+    pub(super) current: BTreeMap<(usize, usize), u64>,
+    pub(super) next_link: u64,
+    pub(super) callers: CallerBook,
+    pub(super) accounts: AccountTable,
+    pub(super) starts: BTreeMap<String, u64>,
+    pub(super) log: SharedLog,
+    pub(super) is_calm: bool,
+    pub(super) broken: Vec<String>,
 }
 
 /// What came of a run.
@@ -197,7 +194,7 @@
     pub failed: usize,
 }
 
-const CONFIG: &str = r#"
+pub(super) const CONFIG: &str = r#"
 [[services]]
 name = "engines"
 kind = "engine"
@@ -231,13 +228,13 @@
 key_sha256 = ["LONG"]
 "#;
 
-fn chaos_config(version: u64) -> Config {
+pub(super) fn chaos_config(version: u64) -> Config {
     let text = CONFIG.replace("SHORT", &to_key("short")).replace("LONG", &to_key("long"));
     let config = Config::from_toml(&text).expect("a good configuration");
     Config { version: ConfigVersion(version), ..config }
 }
 
-fn engine_spec() -> EngineSpec {
+pub(super) fn engine_spec() -> EngineSpec {
     EngineSpec {
         capacity: 4_000,
         prefill_rate: 8_000.0,
@@ -250,7 +247,7 @@
     }
 }
 
-fn agent_tuning() -> AgentTuning {
+pub(super) fn agent_tuning() -> AgentTuning {
     AgentTuning {
         piece_tokens: 512,
         prefill_tokens: 1_024,
@@ -260,11 +257,11 @@
     }
 }
 
-fn entry_tuning() -> EntryTuning {
+pub(super) fn entry_tuning() -> EntryTuning {
     EntryTuning { wide_tokens: 3_000, strict: true, ..EntryTuning::default() }
 }
 
-fn agent_name(agent: usize) -> Arc<str> {
+pub(super) fn agent_name(agent: usize) -> Arc<str> {
     format!("agent-{agent}").into()
 }
 
@@ -331,7 +328,7 @@
         self.into_outcome()
     }
 
-    fn into_outcome(self) -> ChaosOutcome {
+    pub(super) fn into_outcome(self) -> ChaosOutcome {
         let ends = |wanted: bool| {
             let views = self.callers.views.iter();
             views.filter(|view| view.end.is_some_and(|end| end.is_ok() == wanted)).count()
@@ -342,22 +339,22 @@
         ChaosOutcome { broken, log: Vec::new(), finished, failed }
     }
 
-    fn at(&mut self, at: Tick, action: Action) {
+    pub(super) fn at(&mut self, at: Tick, action: Action) {
         self.order += 1;
         let order = self.order;
         self.queue.push(Reverse(Timed { at, order, action }));
     }
 
-    fn soon(&mut self, action: Action) {
+    pub(super) fn soon(&mut self, action: Action) {
         let delay = self.delay();
         self.at(self.now + delay, action);
     }
 
-    fn delay(&mut self) -> Duration {
+    pub(super) fn delay(&mut self) -> Duration {
         Duration::from_micros(self.rng.random_range(100..DELAY_US))
     }
 
-    fn note(&mut self, line: &str) {
+    pub(super) fn note(&mut self, line: &str) {
         let mut log = self.log.borrow_mut();
         if log.len() == LOG_LINES {
             log.pop_front();
@@ -407,7 +404,7 @@
 
     // Callers.
 
-    fn on_arrive(&mut self, index: usize) {
+    pub(super) fn on_arrive(&mut self, index: usize) {
         let request = self.callers.requests[index].clone();
         let node = &mut self.entries[request.entry];
         if node.core.is_none() || node.paused_until > self.now {
@@ -424,7 +421,7 @@
         self.feed_entry(request.entry, entry::Event::Arrive(Box::new(arrival)));
     }
 
-    fn on_caller_gone(&mut self, index: usize) {
+    pub(super) fn on_caller_gone(&mut self, index: usize) {
         let view = &mut self.callers.views[index];
         let Some(id) = view.id.clone() else { return };
         if view.is_gone || view.end.is_some() {
@@ -441,7 +438,7 @@
     }
 
     /// Nothing of a request may be left at an engine once its caller is gone.
-    fn check_gone(&mut self, id: &RequestId) {
+    pub(super) fn check_gone(&mut self, id: &RequestId) {
         let prefix = format!("{id}-");
         let is_left =
             |node: &AgentNode| node.engine.runs().iter().any(|name| name.starts_with(&prefix));
@@ -452,7 +449,7 @@
 
     // Entries.
 
-    fn start_entry(&mut self, entry: usize) {
+    pub(super) fn start_entry(&mut self, entry: usize) {
         let node = &mut self.entries[entry];
         let process = entry_process(entry, node.life);
         let seed = self.rng.random();
@@ -472,7 +469,7 @@
         self.feed_entry(entry, entry::Event::Hosts(delta));
     }
 
-    fn feed_entry(&mut self, entry: usize, event: entry::Event) {
+    pub(super) fn feed_entry(&mut self, entry: usize, event: entry::Event) {
         let now = self.now;
         let Some(core) = &mut self.entries[entry].core else { return };
         let effects = core.on_event(now, event);
@@ -488,7 +485,7 @@
         }
     }
 
-    fn check_version(&mut self, entry: usize) {
+    pub(super) fn check_version(&mut self, entry: usize) {
         let node = &mut self.entries[entry];
         let found = node.core.as_ref().and_then(|core| core.config());
         let version = found.map_or(ConfigVersion(0), |config| config.version);
@@ -498,7 +495,7 @@
         node.version = version;
     }
 
-    fn apply_entry(&mut self, entry: usize, effect: entry::Effect) {
+    pub(super) fn apply_entry(&mut self, entry: usize, effect: entry::Effect) {
         match effect {
             entry::Effect::Reply(number, reply) => {
                 if !matches!(reply, entry::Reply::Text(_)) {
@@ -514,137 +511,9 @@
         }
     }
 
-    // Links.
-
-    fn send_over(&mut self, entry: usize, target: &str, message: ToAgent) {
-        let agent = (0..=ENGINES).find(|agent| *agent_name(*agent) == *target);
-        let Some(agent) = agent else { return };
-        let link = match self.current.get(&(entry, agent)) {
-            Some(link) => *link,
-            None if matches!(message, ToAgent::Body(..)) => return,
-            None => self.dial(entry, agent),
-        };
-        if !matches!(message, ToAgent::Body(..) | ToAgent::Probe(_)) {
-            self.note(&format!("entry {entry} to agent {agent} on link {link}: {message:?}"));
-        }
-        let delay = self.delay();
-        let Some(state) = self.links.get_mut(&link) else { return };
-        if state.swallows {
-            return;
-        }
-        let at = (self.now + delay).max(state.agent_next);
-        state.agent_next = at;
-        if let Some(late) = to_doubling(&message) {
-            let message = Box::new(message.clone());
-            self.at(at + late, Action::OverLink { link, message });
-        }
-        self.at(at, Action::OverLink { link, message: Box::new(message) });
-    }
-
-    fn dial(&mut self, entry: usize, agent: usize) -> u64 {
-        self.next_link += 1;
-        let link = self.next_link;
-        let opens = self.now + self.delay();
-        let state = Link {
-            entry,
-            agent,
-            entry_life: self.entries[entry].life,
-            agent_life: self.agents[agent].life,
-            is_open: false,
-            swallows: false,
-            seen: LinkSeen { by_entry: true, by_agent: true },
-            agent_next: opens,
-            entry_next: opens,
-        };
-        self.links.insert(link, state);
-        self.current.insert((entry, agent), link);
-        self.at(opens, Action::Open { link });
-        link
-    }
-
-    fn on_open(&mut self, link: u64) {
-        let Some(state) = self.links.get_mut(&link) else { return };
-        let (entry, agent) = (state.entry, state.agent);
-        let node = &self.agents[agent];
-        if node.core.is_none() || node.life != state.agent_life {
-            self.at(self.now, Action::EntrySideGone { link });
-            return;
-        }
-        state.is_open = true;
-        let incarnation = Incarnation(node.life);
-        let owner = entry_process(entry, state.entry_life);
-        let (entry_life, agent_life) = (state.entry_life, state.agent_life);
-        let up = Box::new(agent::Event::PeerUp(ConnId(link), owner));
-        self.at(self.now, Action::Agent { agent, life: agent_life, event: up });
-        let up = Box::new(entry::Event::AgentUp(agent_name(agent), incarnation));
-        self.at(self.now, Action::Entry { entry, life: entry_life, event: up });
-    }
-
-    fn on_over_link(&mut self, link: u64, message: ToAgent) {
-        let Some(state) = self.links.get(&link) else { return };
-        if !state.is_open
-            || !state.seen.by_agent
-            || self.agents[state.agent].life != state.agent_life
-        {
-            return;
-        }
-        let (agent, life) = (state.agent, state.agent_life);
-        let event = Box::new(agent::Event::Peer(ConnId(link), message));
-        self.at(self.now, Action::Agent { agent, life, event });
-    }
-
-    fn on_back_link(&mut self, link: u64, message: ToEntry) {
-        let Some(state) = self.links.get(&link) else { return };
-        if !state.seen.by_entry {
-            return;
-        }
-        let (entry, life) = (state.entry, state.entry_life);
-        let event = Box::new(entry::Event::Agent(agent_name(state.agent), message));
-        self.at(self.now, Action::Entry { entry, life, event });
-    }
-
-    fn on_agent_side_gone(&mut self, link: u64) {
-        let Some(state) = self.links.get_mut(&link) else { return };
-        if !std::mem::take(&mut state.seen.by_agent) || !state.is_open {
-            return;
-        }
-        let (agent, life) = (state.agent, state.agent_life);
-        let event = Box::new(agent::Event::PeerGone(ConnId(link)));
-        self.at(self.now, Action::Agent { agent, life, event });
-    }
-
-    fn on_entry_side_gone(&mut self, link: u64) {
-        let Some(state) = self.links.get_mut(&link) else { return };
-        if !std::mem::take(&mut state.seen.by_entry) {
-            return;
-        }
-        let (entry, agent, life) = (state.entry, state.agent, state.entry_life);
-        if self.current.get(&(entry, agent)) == Some(&link) {
-            self.current.remove(&(entry, agent));
-        }
-        let event = Box::new(entry::Event::AgentDown(agent_name(agent)));
-        self.at(self.now, Action::Entry { entry, life, event });
-    }
-
-    /// Ends a link. Either side finds out by itself, and what is under way to
-    /// the agent may still arrive until it does.
-    fn cut(&mut self, link: u64) {
-        let entry_side = self.now + self.delay();
-        let agent_side = self.now + Duration::from_millis(self.rng.random_range(0..1_500));
-        self.at(entry_side, Action::EntrySideGone { link });
-        self.at(agent_side, Action::AgentSideGone { link });
-    }
-
-    fn cut_between(&mut self, entry: usize, agent: usize) {
-        if let Some(link) = self.current.get(&(entry, agent)).copied() {
-            self.note(&format!("link {link} of entry {entry} and agent {agent} is cut"));
-            self.cut(link);
-        }
-    }
-
     // Agents.
 
-    fn start_agent(&mut self, agent: usize) {
+    pub(super) fn start_agent(&mut self, agent: usize) {
         let node = &mut self.agents[agent];
         let id = ProcessId { name: agent_name(agent), incarnation: Incarnation(node.life) };
         node.core = Some(AgentCore::new(id, agent_tuning()));
@@ -652,7 +521,7 @@
         self.feed_agent(agent, agent::Event::Wake);
     }
 
-    fn feed_agent(&mut self, agent: usize, event: agent::Event) {
+    pub(super) fn feed_agent(&mut self, agent: usize, event: agent::Event) {
         let now = self.now;
         let Some(core) = &mut self.agents[agent].core else { return };
         let effects = core.on_event(now, event);
@@ -667,7 +536,7 @@
         }
     }
 
-    fn apply_agent(&mut self, agent: usize, effect: agent::Effect) {
+    pub(super) fn apply_agent(&mut self, agent: usize, effect: agent::Effect) {
         let life = self.agents[agent].life;
         let call = match effect {
             agent::Effect::Send(conn, message) => return self.send_back(agent, conn, message),
@@ -689,14 +558,14 @@
         self.soon(Action::Engine { agent, life, call });
     }
 
-    fn check_leaving(&mut self, agent: usize, id: &AttemptId) {
+    pub(super) fn check_leaving(&mut self, agent: usize, id: &AttemptId) {
         let since = self.agents[agent].draining_since;
         if since.is_some_and(|since| self.now > since + LEAVE_BOUND) {
             self.broken.push(format!("agent {agent} is leaving and started {id}"));
         }
     }
 
-    fn send_back(&mut self, agent: usize, conn: ConnId, message: ToEntry) {
+    pub(super) fn send_back(&mut self, agent: usize, conn: ConnId, message: ToEntry) {
         let delay = self.delay();
         let Some(state) = self.links.get_mut(&conn.0) else { return };
         if state.agent != agent || state.swallows {
@@ -712,7 +581,7 @@
         self.at(at, Action::BackLink { link: conn.0, message: Box::new(message) });
     }
 
-    fn on_stopped(&mut self, agent: usize) {
+    pub(super) fn on_stopped(&mut self, agent: usize) {
         self.note(&format!("agent {agent} has stopped as planned"));
         // A call of an earlier life may have left a run that is not its own.
         let node = &self.agents[agent];
@@ -724,7 +593,7 @@
     }
 
     /// Ends a life of an agent; the next one begins after a time.
-    fn end_agent(&mut self, agent: usize, down: Duration) {
+    pub(super) fn end_agent(&mut self, agent: usize, down: Duration) {
         let node = &mut self.agents[agent];
         node.core = None;
         node.life += 1;
@@ -736,331 +605,14 @@
         self.at(self.now + down, Action::StartAgent(agent));
     }
 
-    fn links_of(&self, is_wanted: impl Fn(&Link) -> bool) -> Vec<u64> {
+    pub(super) fn links_of(&self, is_wanted: impl Fn(&Link) -> bool) -> Vec<u64> {
         let wanted = self.links.iter().filter(|(_, link)| is_wanted(link));
         wanted.map(|(number, _)| *number).collect()
     }
-
-    // Engines.
-
-    fn on_engine_call(&mut self, agent: usize, life: u64, call: EngineCall) {
-        if agent == PLAIN {
-            self.on_plain_call(life, call);
-            return;
-        }
-        if self.agents[agent].engine_down > self.now {
-            self.on_dead_engine_call(agent, life, call);
-            return;
-        }
-        let engine = &mut self.agents[agent].engine;
-        match call {
-            EngineCall::Reset => {
-                if self.agents[agent].life != life {
-                    return;
-                }
-                self.agents[agent].engine.cancel_all();
-                let facts = EngineFacts {
-                    address: agent_name(agent),
-                    capacity: engine_spec().capacity,
-                    max_batch: engine_spec().max_batch,
-                    models: vec!["model".into()],
-                };
-                self.tell(agent, life, agent::Event::TargetReady(facts));
-            }
-            EngineCall::Start(start) => self.on_engine_start(agent, life, *start),
-            EngineCall::Resume(id, limit) => {
-                if !engine.resume(&id.to_string(), limit) {
-                    let failed = RunEvent::Failed(Verdict::MayHaveRun, "unknown run".into());
-                    self.tell(agent, life, agent::Event::Run(id, failed));
-                }
-            }
-            EngineCall::Cancel(id) => {
-                let name = id.to_string();
-                let node = &mut self.agents[agent];
-                let has_arrived = node.names.contains_key(&name) || node.life != life;
-                if !node.engine.cancel(&name) && !has_arrived {
-                    // It has overtaken the call that brings the run.
-                    let call = EngineCall::Cancel(id);
-                    self.soon(Action::Engine { agent, life, call });
-                    return;
-                }
-                self.tell(agent, life, agent::Event::Run(id, RunEvent::Cancelled));
-            }
-            EngineCall::CancelStray(id) => {
-                engine.cancel(&id);
-                engine.unreserve(&id);
-            }
-            EngineCall::Reserve(id, tokens) => {
-                let is_held = engine.reserve(&id.to_string(), tokens);
-                self.tell(agent, life, agent::Event::Reserved(id, is_held));
-            }
-            EngineCall::Unreserve(id) => {
-                engine.unreserve(&id.to_string());
-                self.tell(agent, life, agent::Event::Unreserved(id));
-            }
-        }
-        self.step(agent);
-    }
-
-    fn on_dead_engine_call(&mut self, agent: usize, life: u64, call: EngineCall) {
-        let event = match call {
-            EngineCall::Start(start) => {
-                let failed = RunEvent::Failed(Verdict::NotRun, "no connection".into());
-                agent::Event::Run(start.id, failed)
-            }
-            EngineCall::Resume(id, _) => {
-                let failed = RunEvent::Failed(Verdict::MayHaveRun, "no connection".into());
-                agent::Event::Run(id, failed)
-            }
-            EngineCall::Reserve(id, _) => agent::Event::Reserved(id, false),
-            EngineCall::CancelStray(_) => return,
-            call => {
-                let again = self.now + Duration::from_millis(250);
-                self.at(again, Action::Engine { agent, life, call });
-                return;
-            }
-        };
-        self.tell(agent, life, event);
-    }
-
-    fn tell(&mut self, agent: usize, life: u64, event: agent::Event) {
-        self.soon(Action::Agent { agent, life, event: Box::new(event) });
-    }
-
-    fn on_engine_start(&mut self, agent: usize, life: u64, start: StartRun) {
-        let name = start.id.to_string();
-        let count = self.starts.entry(name.clone()).or_default();
-        *count += 1;
-        if *count > 1 {
-            self.broken.push(format!("attempt {name} was started twice"));
-        }
-        let prompt: Vec<u8> = start.body.iter().flatten().copied().collect();
-        let prompt = String::from_utf8_lossy(&prompt).into_owned();
-        let node = &mut self.agents[agent];
-        node.names.insert(name.clone(), (life, start.id));
-        node.engine.start(EngineRunSpec {
-            id: name,
-            salt: start.account.to_string(),
-            hash: prompt_hash(&prompt),
-            prompt,
-            answer_tokens: start.answer_tokens,
-            priority: 1,
-            prefill_limit: start.prefill_limit,
-            tokens_elsewhere: start.shards.iter().map(|shard| shard.tokens).sum(),
-        });
-    }
-
-    fn step(&mut self, agent: usize) {
-        let node = &mut self.agents[agent];
-        if node.is_stepping || !node.engine.has_work() {
-            return;
-        }
-        let step = node.engine.step();
-        node.is_stepping = true;
-        let engine_life = node.engine_life;
-        let at = self.now + step.span;
-        self.at(at, Action::Step { agent, engine_life, events: step.events });
-    }
-
-    fn on_step(&mut self, agent: usize, engine_life: u64, events: Vec<(String, EngineEvent)>) {
-        let node = &mut self.agents[agent];
-        if node.engine_life != engine_life {
-            return;
-        }
-        node.is_stepping = false;
-        for (name, event) in events {
-            let Some((life, id)) = self.agents[agent].names.get(&name).cloned() else { continue };
-            self.tell_in_order(agent, life, id, event);
-        }
-        self.step(agent);
-    }
-
-    /// Events of one run keep their order, as on one connection.
-    fn tell_in_order(&mut self, agent: usize, life: u64, id: AttemptId, event: EngineEvent) {
-        let event = match event {
-            EngineEvent::Text(text) => RunEvent::Text(text.into()),
-            EngineEvent::Paused(tokens) => RunEvent::Paused(tokens),
-            EngineEvent::Done { prompt_tokens, cached_tokens, answer_tokens } => {
-                RunEvent::Done(RunUsage {
-                    prompt_tokens,
-                    cached_tokens,
-                    answer_tokens,
-                    finish_reason: "length".into(),
-                })
-            }
-            EngineEvent::Failed(reason) => RunEvent::Failed(Verdict::NotRun, reason.into()),
-        };
-        let event = Box::new(agent::Event::Run(id, event));
-        self.at(self.now + Duration::from_micros(300), Action::Agent { agent, life, event });
-    }
-
-    fn on_look(&mut self, agent: usize) {
-        self.at(self.now + LOOK, Action::Look { agent });
-        let node = &self.agents[agent];
-        if agent == PLAIN || node.engine_down > self.now || node.core.is_none() {
-            return;
-        }
-        let names = node.engine.runs().into_iter().chain(node.engine.reservations());
-        let runs = names.map(|id| EngineHolding { id }).collect();
-        let life = node.life;
-        self.tell(agent, life, agent::Event::EngineHoldings(runs));
-    }
-
-    fn kill_engine(&mut self, agent: usize, down: Duration) {
-        let node = &mut self.agents[agent];
-        let runs = node.engine.runs();
-        node.engine = EngineModel::new(engine_spec());
-        node.engine_life += 1;
-        node.is_stepping = false;
-        node.engine_down = self.now + down;
-        for name in runs {
-            let Some((life, id)) = self.agents[agent].names.get(&name).cloned() else { continue };
-            let failed = RunEvent::Failed(Verdict::MayHaveRun, "the stream broke off".into());
-            self.tell(agent, life, agent::Event::Run(id, failed));
-        }
-        let life = self.agents[agent].life;
-        let event = Box::new(agent::Event::TargetLost);
-        self.at(self.now + LOST, Action::Agent { agent, life, event });
-    }
-
-    // The plain service.
-
-    fn on_plain_call(&mut self, life: u64, call: EngineCall) {
-        match call {
-            EngineCall::Reset => {
-                self.tell(PLAIN, life, agent::Event::TargetReady(EngineFacts::default()));
-            }
-            EngineCall::Start(start) => {
-                let at = self.now + Duration::from_millis(self.rng.random_range(1..800));
-                self.at(at, Action::PlainRun { life, id: start.id });
-            }
-            EngineCall::Cancel(id) => {
-                self.tell(PLAIN, life, agent::Event::Run(id, RunEvent::Cancelled));
-            }
-            _ => {}
-        }
-    }
-
-    fn on_plain_run(&mut self, life: u64, id: &AttemptId) {
-        *self.starts.entry(id.to_string()).or_default() += 1;
-        self.note(&format!("the plain service runs {id}"));
-        let is_lost = self.rng.random_bool(0.1);
-        let events = if is_lost {
-            vec![RunEvent::Failed(Verdict::MayHaveRun, "no answer".into())]
-        } else {
-            let head = RunEvent::Head(200, "application/json".into());
-            vec![head, RunEvent::Text("{}".into()), RunEvent::Done(RunUsage::default())]
-        };
-        for event in events {
-            let event = Box::new(agent::Event::Run(id.clone(), event));
-            self.at(self.now, Action::Agent { agent: PLAIN, life, event });
-        }
-    }
-
-    // Faults.
-
-    fn on_fault(&mut self, kind: FaultKind) {
-        self.note(&format!("fault: {kind:?}"));
-        match kind {
-            FaultKind::Cut { entry, agent } => self.cut_between(entry, agent),
-            FaultKind::HalfOpen { entry, agent } => self.half_open(entry, agent),
-            FaultKind::AgentDeath { agent, down_ms } => {
-                if self.agents[agent].core.is_some() {
-                    self.end_agent(agent, Duration::from_millis(down_ms));
-                }
-            }
-            FaultKind::EntryDeath { entry, down_ms } => {
-                self.kill_entry(entry, Duration::from_millis(down_ms));
-            }
-            FaultKind::EngineDeath { agent, down_ms } => {
-                self.kill_engine(agent, Duration::from_millis(down_ms));
-            }
-            FaultKind::AgentPause { agent, span_ms } => {
-                self.agents[agent].paused_until = self.now + Duration::from_millis(span_ms);
-            }
-            FaultKind::EntryPause { entry, span_ms } => {
-                let span = Duration::from_millis(span_ms);
-                self.entries[entry].paused_until = self.now + span;
-                self.callers.on_entry_pause(entry, span);
-            }
-            FaultKind::Drain { agent } => {
-                let life = self.agents[agent].life;
-                // One that stands still hears of it when it goes on.
-                let heard = self.now.max(self.agents[agent].paused_until);
-                self.agents[agent].draining_since.get_or_insert(heard);
-                let event = Box::new(agent::Event::Drain);
-                self.at(self.now, Action::Agent { agent, life, event });
-            }
-            FaultKind::DomainCut { domain } => {
-                for agent in (0..=ENGINES).filter(|agent| agent % 2 == domain) {
-                    (0..ENTRIES).for_each(|entry| self.cut_between(entry, agent));
-                }
-            }
-            FaultKind::StaleConfig { entry } => {
-                let life = self.entries[entry].life;
-                let event = Box::new(entry::Event::Config(Arc::new(chaos_config(3))));
-                self.at(self.now, Action::Entry { entry, life, event });
-            }
-        }
-    }
-
-    fn half_open(&mut self, entry: usize, agent: usize) {
-        let Some(link) = self.current.get(&(entry, agent)).copied() else { return };
-        if let Some(state) = self.links.get_mut(&link) {
-            state.swallows = true;
-        }
-        self.at(self.now + SILENT, Action::EntrySideGone { link });
-        let agent_side = self.now + SILENT + Duration::from_millis(self.rng.random_range(0..9_000));
-        self.at(agent_side, Action::AgentSideGone { link });
-    }
-
-    fn kill_entry(&mut self, entry: usize, down: Duration) {
-        let node = &mut self.entries[entry];
-        if node.core.take().is_none() {
-            return;
-        }
-        node.life += 1;
-        node.paused_until = Tick(0);
-        node.numbers = 0;
-        node.version = ConfigVersion(0);
-        self.callers.on_entry_death(entry);
-        self.current.retain(|(of, _), _| *of != entry);
-        for link in self.links_of(|link| link.entry == entry) {
-            let at = self.now + Duration::from_millis(self.rng.random_range(0..1_000));
-            self.at(at, Action::AgentSideGone { link });
-        }
-        self.at(self.now + down, Action::StartEntry(entry));
-    }
-
-    // The end.
-
-    fn check_end(&mut self) {
-        let runs = |id: &RequestId| {
-            let prefix = format!("{id}-");
-            let attempts = self.starts.range(prefix.clone()..);
-            let own = attempts.take_while(|(name, _)| name.starts_with(&prefix));
-            own.map(|(_, count)| *count).sum()
-        };
-        self.callers.check_end(runs);
-        for (number, node) in self.agents.iter().enumerate() {
-            let held = node.engine.used();
-            if held > 0 {
-                let runs = node.engine.runs();
-                let line = format!("engine {number} holds {held} tokens for good: {runs:?}");
-                self.broken.push(line);
-            }
-            let Some(core) = &node.core else { continue };
-            if core.leased_tokens() > 0 || core.open_runs() > 0 {
-                let (leased, open) = (core.leased_tokens(), core.open_runs());
-                let line = format!("agent {number} leases {leased} tokens, {open} runs open");
-                self.broken.push(line);
-            }
-        }
-    }
 }
 
 impl AgentNode {
-    fn new() -> Self {
+    pub(super) fn new() -> Self {
         AgentNode {
             core: None,
             life: 1,
@@ -1076,7 +628,7 @@
 }
 
 impl EntryNode {
-    fn new() -> Self {
+    pub(super) fn new() -> Self {
         EntryNode {
             core: None,
             life: 1,
@@ -1088,7 +640,7 @@
 }
 
 /// How much later a second copy of a message arrives, if one does.
-fn to_doubling(message: &ToAgent) -> Option<Duration> {
+pub(super) fn to_doubling(message: &ToAgent) -> Option<Duration> {
     let key = match message {
         ToAgent::Dispatch(dispatch) => dispatch.attempt,
         ToAgent::Body(key, _) => *key,
@@ -1098,7 +650,7 @@
     (mixed % DOUBLED_EVERY == 0).then(|| Duration::from_millis(mixed * 37 % 4_000))
 }
 
-fn entry_process(entry: usize, life: u64) -> ProcessId {
+pub(super) fn entry_process(entry: usize, life: u64) -> ProcessId {
     ProcessId { name: format!("entry-{entry}").into(), incarnation: Incarnation(life) }
 }
 
--- a/standins/src/lanes.rs
+++ b/standins/src/lanes.rs
@@ -19,7 +19,7 @@
 /// Short requests a second, over two engines.
 const SHORT_RATE: u32 = 8;
 
-/// Tokens of a long prompt, one at a time for each engine.
+/// Tokens of a long prompt; there are two for each engine.
 const LONG: u64 = 120_000;
 
 /// Figures of one way.
@@ -78,7 +78,7 @@
 async fn measure(fleet: &Fleet, name: &'static str) -> LaneFigures {
     let alone = run_part(fleet, 0, 1, 1).await;
     let quiet = run_part(fleet, SHORT_RATE, 0, 2).await;
-    let mixed = run_part(fleet, SHORT_RATE, 2, 3).await;
+    let mixed = run_part(fleet, SHORT_RATE, 4, 3).await;
     let longest = |outcomes: &[RequestOutcome]| {
         let longs = outcomes.iter().filter(|one| is_long(one)).map(|one| one.total);
         longs.max().unwrap_or_default().as_secs_f64() * 1e3
