--- a/src/agent/daemon.rs
+++ b/src/agent/daemon.rs
@@ -15,6 +15,7 @@
 use super::core::AgentCore;
 use super::engine::EngineClient;
 use super::event::{AgentTuning, ConnId, Effect, EngineFacts, Event, RunEvent, StartRun};
+use super::page::{self, AgentPage};
 use super::plain::PlainClient;
 use crate::clock::{ProcessClock, new_incarnation, sleep_until, wall_micros};
 use crate::config::ServiceKind;
@@ -26,6 +27,7 @@
 use crate::settings::AgentSettings;
 use crate::time::Tick;
 use crate::timeline::TimeLine;
+use crate::web::accept_next;
 use crate::wire::{Framed, ToAgent};
 
 /// Events kept for the time line.
@@ -47,17 +49,18 @@
 const FLUSH_LIMIT: Duration = Duration::from_secs(3);
 
 /// What the agent's tasks share. All of them run on one thread.
-struct AgentShared {
-    settings: AgentSettings,
-    identity: PeerIdentity,
-    events: mpsc::UnboundedSender<Event>,
-    links: RefCell<HashMap<ConnId, LinkSender>>,
-    next_conn: Cell<u64>,
-    open_links: Cell<usize>,
-    engine: EngineClient,
-    plain: PlainClient,
-    timeline: RefCell<TimeLine>,
-    log: Logger,
+pub(super) struct AgentShared {
+    pub(super) settings: AgentSettings,
+    pub(super) identity: PeerIdentity,
+    pub(super) events: mpsc::UnboundedSender<Event>,
+    pub(super) links: RefCell<HashMap<ConnId, LinkSender>>,
+    pub(super) next_conn: Cell<u64>,
+    pub(super) open_links: Cell<usize>,
+    pub(super) engine: EngineClient,
+    pub(super) plain: PlainClient,
+    pub(super) timeline: RefCell<TimeLine>,
+    pub(super) log: Logger,
+    pub(super) page: AgentPage,
 }
 
 impl AgentShared {
@@ -71,6 +74,7 @@
 pub struct AgentDaemon {
     settings: AgentSettings,
     listener: TcpListener,
+    metrics: TcpListener,
 }
 
 impl AgentDaemon {
@@ -81,16 +85,17 @@
     /// An address that can not be listened on.
     pub async fn bind(settings: AgentSettings) -> Result<Self> {
         let listener = TcpListener::bind(settings.listen).await?;
-        Ok(AgentDaemon { settings, listener })
+        let metrics = TcpListener::bind(settings.metrics_listen).await?;
+        Ok(AgentDaemon { settings, listener, metrics })
     }
 
-    /// The address for entries.
+    /// The address for entries, and that for metrics.
     ///
     /// # Errors
     ///
     /// The operating system does not tell.
-    pub fn address(&self) -> Result<SocketAddr> {
-        Ok(self.listener.local_addr()?)
+    pub fn addresses(&self) -> Result<(SocketAddr, SocketAddr)> {
+        Ok((self.listener.local_addr()?, self.metrics.local_addr()?))
     }
 
     /// Serves until `stop`, then stops as planned. Returns the longest turn
@@ -118,13 +123,16 @@
             engine: EngineClient::new(settings.target.clone()),
             plain: PlainClient::new(settings.target.clone()),
             timeline: RefCell::new(TimeLine::new(process.clone(), TIMELINE_CAPACITY)),
+            page: AgentPage::new(),
             log,
             settings,
         });
         let acceptor = spawn_local(accept_all(shared.clone(), self.listener));
+        let pages = spawn_local(page::serve(shared.clone(), self.metrics));
         let mut agent_loop = AgentLoop::new(shared.clone(), process);
         agent_loop.run(received, stop).await;
         acceptor.abort();
+        pages.abort();
         flush_links(&shared).await;
         info!(shared.log, "agent stopped");
         Ok(agent_loop.meter.longest())
@@ -196,6 +204,7 @@
             self.apply(effect);
         }
         self.meter.note(start.elapsed());
+        self.shared.page.follow(&self.core, self.meter.longest());
     }
 
     fn apply(&mut self, effect: Effect) {
@@ -354,12 +363,8 @@
 
 async fn accept_all(shared: Rc<AgentShared>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                spawn_local(serve_link(shared.clone(), stream));
-            }
-            Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
-        }
+        let stream = accept_next(&listener).await;
+        spawn_local(serve_link(shared.clone(), stream));
     }
 }
 
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -17,6 +17,7 @@
 mod holds;
 pub mod lease;
 pub mod ledger;
+mod page;
 mod plain;
 pub mod predict;
 pub mod queue;
--- a/src/bin/shalelane-agent.rs
+++ b/src/bin/shalelane-agent.rs
@@ -13,7 +13,7 @@
 
 async fn serve(settings: AgentSettings) -> Result<()> {
     let daemon = AgentDaemon::bind(settings).await?;
-    let address = daemon.address()?;
-    println!("ready entries={address}");
+    let (entries, metrics) = daemon.addresses()?;
+    println!("ready entries={entries} metrics={metrics}");
     daemon.run(wait_for_stop()).await.map(drop)
 }
--- a/src/entry/admin.rs
+++ b/src/entry/admin.rs
@@ -21,7 +21,9 @@
 use crate::error::Error;
 use crate::id::RequestId;
 use crate::verdict::Verdict;
-use crate::web::{Answer, answer, answer_fault, answer_json, bearer, read_body, serve_connection};
+use crate::web::{
+    Answer, accept_next, answer, answer_fault, answer_json, bearer, read_body, serve_connection,
+};
 
 /// Largest configuration, in bytes.
 const MAX_CONFIG: usize = 4 * 1024 * 1024;
@@ -35,10 +37,7 @@
 /// Accepts operators until the task is ended.
 pub(super) async fn serve(shared: Rc<EntryShared>, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
+        let stream = accept_next(&listener).await;
         let shared = shared.clone();
         spawn_local(async move {
             serve_connection(stream, |request| handle(shared.clone(), request)).await;
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -21,8 +21,8 @@
 use crate::prefix::PrefixMarks;
 use crate::verdict::Verdict;
 use crate::web::{
-    Answer, AnswerBody, BodyFault, FaultBody, PartStream, answer, answer_fault, answer_json,
-    bearer, read_body, serve_connection, set_verdict,
+    Answer, AnswerBody, BodyFault, FaultBody, PartStream, accept_next, answer, answer_fault,
+    answer_json, bearer, read_body, serve_connection, set_verdict,
 };
 use crate::wire::{Call, Completion};
 
@@ -41,10 +41,7 @@
 /// Accepts callers until the task is ended.
 pub(super) async fn serve(shared: Rc<EntryShared>, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
+        let stream = accept_next(&listener).await;
         if shared.connections.get() >= shared.settings.max_connections {
             continue;
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -64,6 +64,8 @@
     name: Option<String>,
     #[options(help = "address for entries [127.0.0.1:8090]", no_short, meta = "IP:PORT")]
     listen: Option<String>,
+    #[options(help = "address for metrics [127.0.0.1:8091]", no_short, meta = "IP:PORT")]
+    metrics_listen: Option<String>,
     #[options(help = "address of the target beside it", no_short, meta = "IP:PORT")]
     target: Option<String>,
     #[options(help = "engine or plain [engine]", no_short, meta = "KIND")]
@@ -118,6 +120,8 @@
     pub name: Arc<str>,
     /// Address for entries.
     pub listen: SocketAddr,
+    /// Address for metrics, health and events.
+    pub metrics_listen: SocketAddr,
     /// Address of the target.
     pub target: Arc<str>,
     /// What the target is.
@@ -202,6 +206,11 @@
         Ok(Invocation::Run(AgentSettings {
             name: reader.read_name("name", flags.name)?,
             listen: reader.read("listen", flags.listen, Some("127.0.0.1:8090"))?,
+            metrics_listen: reader.read(
+                "metrics-listen",
+                flags.metrics_listen,
+                Some("127.0.0.1:8091"),
+            )?,
             target: reader.read_address("target", flags.target)?,
             kind,
             peer_key: reader.read_key("peer-key", flags.peer_key)?,
--- a/src/web.rs
+++ b/src/web.rs
@@ -14,7 +14,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
 use crate::verdict::Verdict;
@@ -28,6 +28,9 @@
 /// Longest time for the head of a request to arrive.
 const HEAD_LIMIT: Duration = Duration::from_secs(10);
 
+/// Wait after a connection that could not be accepted.
+const ACCEPT_STEP: Duration = Duration::from_millis(20);
+
 /// Largest head of a request, in bytes.
 const MAX_HEAD: usize = 32 * 1024;
 
@@ -184,6 +187,17 @@
     tokio::time::timeout(limit, work).await.unwrap_or(Err(BodyFault::TooSlow))
 }
 
+/// Accepts the next connection. A failure, as when the process has no more
+/// descriptors, passes with time.
+pub(crate) async fn accept_next(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(_) => tokio::time::sleep(ACCEPT_STEP).await,
+        }
+    }
+}
+
 /// Serves one connection until it ends.
 pub(crate) async fn serve_connection<F, R>(stream: TcpStream, handle: F)
 where
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -192,6 +192,7 @@
     let settings = AgentSettings {
         name: name.into(),
         listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+        metrics_listen: SocketAddr::from(([127, 0, 0, 1], 0)),
         target: target.to_string().into(),
         kind,
         peer_key: PEER_KEY.into(),
@@ -202,7 +203,7 @@
     };
     let (daemon, address) = DaemonThread::spawn(name, move |address, stop| async move {
         let daemon = AgentDaemon::bind(settings).await.expect("port");
-        address.send(daemon.address().expect("address")).expect("starter");
+        address.send(daemon.addresses().expect("addresses").0).expect("starter");
         daemon.run(wait(stop)).await.expect("agent")
     });
     let address = address.recv().expect("agent");
--- a/standins/src/lanes.rs
+++ b/standins/src/lanes.rs
@@ -54,7 +54,7 @@
         LaneWay { name: "pieces of 8,192", piece_tokens: 8_192, prefill_tokens: 16_384 },
         LaneWay { name: "whole prompts", piece_tokens: WHOLE, prefill_tokens: WHOLE },
     ];
-    ways.iter().map(run_way).collect()
+    ways.iter().map(run_way).inspect(|one| eprintln!("{one:?}")).collect()
 }
 
 fn run_way(way: &LaneWay) -> LaneFigures {
--- a/standins/src/plain_server.rs
+++ b/standins/src/plain_server.rs
@@ -11,7 +11,7 @@
 use hyper::{Request, StatusCode};
 use serde::Deserialize;
 
-use crate::serve::{Reply, ServerThread, reply, reply_json, serve_http};
+use crate::serve::{HeldPort, Reply, ServerThread, reply, reply_json, serve_http};
 
 /// Time that a call takes.
 const WORK: Duration = Duration::from_millis(5);
@@ -58,8 +58,17 @@
         PlainServer { counts, arrived, fault, server }
     }
 
-    /// Starts the service again, on the address that it had.
-    pub fn restart(&mut self, address: SocketAddr) {
+    /// Stops the service; its port refuses connections.
+    #[must_use]
+    pub fn refuse(&mut self) -> HeldPort {
+        self.server.stop();
+        HeldPort::new(self.server.address)
+    }
+
+    /// Starts the service again, on the port that it had.
+    pub fn restart(&mut self, held: HeldPort) {
+        let address = held.address;
+        drop(held);
         let (counts, fault) = (self.counts.clone(), self.fault.clone());
         self.server = spawn(counts, fault, self.arrived.clone(), Some(address));
     }
--- a/standins/src/serve.rs
+++ b/standins/src/serve.rs
@@ -14,7 +14,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::runtime::Builder;
 use tokio::sync::oneshot;
 use tokio::task::{LocalSet, spawn_local};
@@ -99,6 +99,30 @@
     }
 }
 
+/// A port that is held and refuses connections, so that no other program gets
+/// it meanwhile.
+#[derive(Debug)]
+pub struct HeldPort {
+    /// The address.
+    pub address: SocketAddr,
+    _socket: TcpSocket,
+}
+
+impl HeldPort {
+    /// Holds the port that a server has just given up.
+    ///
+    /// # Panics
+    ///
+    /// If somebody else has it.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.set_reuseaddr(true).expect("an option");
+        socket.bind(address).expect("the port");
+        HeldPort { address, _socket: socket }
+    }
+}
+
 impl Drop for ServerThread {
     fn drop(&mut self) {
         self.stop();
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -115,6 +115,21 @@
     assert_sound(&site).await;
 }
 
+#[tokio::test]
+async fn a_body_that_does_not_come_is_refused_in_the_end() {
+    let site = small_site().await;
+    let mut stream = TcpStream::connect(site.callers(0)).await.expect("a connection");
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n\
+         content-length: 1000\r\n\r\n{{\"model\": "
+    );
+    stream.write_all(head.as_bytes()).await.expect("sent");
+    let text = read_some(&mut stream).await;
+    assert!(text.starts_with("HTTP/1.1 408"), "{text}");
+    assert!(text.contains("body_too_slow") && text.contains("shalelane-verdict: not-run"));
+    assert_sound(&site).await;
+}
+
 #[tokio::test]
 async fn a_flood_of_headers_is_refused() {
     let site = small_site().await;
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -94,7 +94,7 @@
 #[tokio::test]
 async fn an_order_that_can_not_be_sent_was_not_run() {
     let mut site = Site::start(1, 1, EngineSpec::default()).await;
-    site.plain.server.stop();
+    let _held = site.plain.refuse();
     let answer = call(site.callers(0), order("boat-9")).await.expect("answer");
     assert_eq!((answer.status, answer.verdict.as_str()), (503, "not-run"));
     assert!(!answer.retry_after.is_empty());
@@ -289,11 +289,10 @@
 #[tokio::test]
 async fn a_key_whose_request_was_not_run_is_free_again() {
     let mut site = Site::start(1, 1, EngineSpec::default()).await;
-    let address = site.plain.server.address;
-    site.plain.server.stop();
+    let held = site.plain.refuse();
     let refused = call(site.callers(0), keyed_order("boat-1", "key")).await.expect("answer");
     assert_eq!((refused.status, refused.verdict.as_str()), (503, "not-run"));
-    site.plain.restart(address);
+    site.plain.restart(held);
     wait_until("the key is free", async || {
         let answer = call(site.callers(0), keyed_order("boat-1", "key")).await.expect("answer");
         answer.status == 200
@@ -316,3 +315,20 @@
     assert_eq!(answer.status, 200);
     assert_eq!(site.plain.times_run("boat-2"), 1);
 }
+
+#[tokio::test]
+async fn an_agent_shows_its_metrics_and_events() {
+    let site = Site::start(1, 1, EngineSpec::default()).await;
+    let answer = call(site.callers(0), completion("pier-app", "A question?", 2)).await;
+    let id = answer.expect("answer").request_id;
+    let agent = site.agents[0].process.address("metrics");
+    let page = call(agent, request("GET", "/metrics", "", "")).await.expect("page");
+    let page = String::from_utf8_lossy(&page.body).into_owned();
+    for line in ["shalelane_agent_started_total 1", "shalelane_agent_leased_tokens 0"] {
+        assert!(page.contains(line), "{line} is not in {page}");
+    }
+    let path = format!("/timeline?request={id}");
+    let events = call(agent, request("GET", &path, "", "")).await.expect("events").json();
+    let kinds: Vec<_> = events.as_array().into_iter().flatten().map(|one| &one["kind"]).collect();
+    assert_eq!(kinds, ["started", "done"]);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -117,7 +117,9 @@
 
 fn spawn_agent(name: &str, target: SocketAddr, kind: &str, listen: &str) -> Process {
     let target = target.to_string();
+    let metrics = ["--metrics-listen", "127.0.0.1:0"];
     let args = ["--name", name, "--target", &target, "--kind", kind, "--listen", listen];
+    let args = [&args[..], &metrics[..]].concat();
     Process::spawn(env!("CARGO_BIN_EXE_shalelane-agent"), &args)
 }
 
@@ -186,6 +188,8 @@
             "127.0.0.1:0",
             "--admin-key-sha256",
             &key,
+            "--body-limit-ms",
+            "5000",
         ];
         let process = Process::spawn(env!("CARGO_BIN_EXE_shalelane-entry"), &args);
         self.hosts.set(HostRecord {
