Let paused long prompts go on while another waits for their memory

Cause: four long prompts on one engine, of which three fit. The fourth waited past the agent's patience of 5 s, and from then on the scheduler let nothing behind it in rank go on, the three paused ones included, which held the memory that it waited for. All stood still until their time limits.

Ruled out: the choice of engines and the load by themselves (the same four prompts with forty short ones, spread over two engines, ended in 6.7 s).

Change: what has waited long keeps others from taking memory, and no longer from going on with theirs. A test brings it about.

--- a/src/agent/schedule.rs
+++ b/src/agent/schedule.rs
@@ -61,6 +61,7 @@
         let in_prefill: u64 = self.runs.values().map(Run::in_prefill).sum();
         let at_target = self.runs.values().filter(|run| run.is_at_target()).count();
         let long_count = self.long_count();
+        let mut is_blocked = false;
         for (_, id, run) in ranked {
             if run.is_plain() {
                 return (at_target < PLAIN_CONCURRENT).then(|| id.clone());
@@ -72,6 +73,9 @@
             if run.state == RunState::Paused {
                 return Some(id.clone());
             }
+            if is_blocked && !self.leases.is_held(id) {
+                continue;
+            }
             if self.is_long(run) && long_count >= self.tuning.max_long {
                 continue;
             }
@@ -83,9 +87,9 @@
             if has_room && fits {
                 return Some(id.clone());
             }
-            if now.since(run.since) > self.tuning.patience {
-                return None;
-            }
+            // Nothing that needs memory passes one that has waited long. Runs
+            // that have theirs go on, or they would never give it back.
+            is_blocked |= now.since(run.since) > self.tuning.patience;
         }
         None
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -7,9 +7,11 @@
 
 pub mod account;
 pub mod admin;
+mod answers;
 pub mod ask;
 mod asking;
 mod attempts;
+mod caller;
 mod core;
 pub mod daemon;
 mod direct;
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -42,7 +42,7 @@
 pub(crate) const CONTROL_QUEUE: usize = 16_384;
 
 /// Body frames that wait for a slow link before it is given up.
-pub(crate) const BODY_QUEUE: usize = 2_048;
+pub(crate) const BODY_QUEUE: usize = 512;
 
 type Socket = WebSocketStream<TcpStream>;
 type Nonce = [u8; 16];
--- a/tests/regression/agent_fixture.rs
+++ b/tests/regression/agent_fixture.rs
@@ -19,8 +19,12 @@
 impl AgentFixture {
     /// An agent of an engine with 1,000 tokens to lease.
     pub fn new() -> Self {
+        AgentFixture::with_tuning(&AgentTuning::default())
+    }
+
+    pub fn with_tuning(tuning: &AgentTuning) -> Self {
         let id = ProcessId { name: "agent".into(), incarnation: Incarnation(7) };
-        let tuning = AgentTuning { strict: true, ..AgentTuning::default() };
+        let tuning = AgentTuning { strict: true, ..tuning.clone() };
         let mut fixture = AgentFixture { core: AgentCore::new(id, tuning), now: Tick(0) };
         fixture.feed(Event::PeerUp(CONN, owner()));
         fixture.feed(Event::TargetReady(EngineFacts {
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -3,6 +3,7 @@
 mod agent_fixture;
 mod cancel_overtakes_start;
 mod name_with_slash;
+mod paused_behind_waiting;
 mod refused_dispatch_comes_again;
 mod release_before_start;
 mod stray_reservation;
