--- a/src/client.rs
+++ b/src/client.rs
@@ -14,20 +14,20 @@
 use crate::error::{Error, Result};
 
 /// Body of a call.
-pub(crate) type CallBody = BoxBody<Bytes, std::convert::Infallible>;
+pub type CallBody = BoxBody<Bytes, std::convert::Infallible>;
 
 /// Longest time to connect.
 const CONNECT_LIMIT: Duration = Duration::from_secs(2);
 
 /// A client that keeps connections.
 #[derive(Clone, Debug)]
-pub(crate) struct HttpClient {
+pub struct HttpClient {
     inner: Client<HttpConnector, CallBody>,
 }
 
 /// Why a call failed.
 #[derive(Debug)]
-pub(crate) enum CallFault {
+pub enum CallFault {
     /// No connection could be made: nothing was sent.
     NotSent(String),
     /// It may have arrived.
@@ -36,7 +36,7 @@
 
 impl HttpClient {
     /// A client that keeps up to `idle` connections, and sends nothing twice.
-    pub(crate) fn new(idle: usize) -> Self {
+    pub fn new(idle: usize) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_LIMIT));
@@ -48,7 +48,7 @@
     }
 
     /// Sends a request and returns as soon as the head of the answer is here.
-    pub(crate) async fn send(
+    pub async fn send(
         &self,
         request: Request<CallBody>,
     ) -> std::result::Result<Response<Incoming>, CallFault> {
@@ -63,7 +63,7 @@
     /// # Errors
     ///
     /// No answer in time, or a broken one: the call may have taken effect.
-    pub(crate) async fn call(
+    pub async fn call(
         &self,
         request: Request<CallBody>,
         limit: Duration,
@@ -88,12 +88,12 @@
 }
 
 /// A body of one piece.
-pub(crate) fn full(body: impl Into<Bytes>) -> CallBody {
+pub fn full(body: impl Into<Bytes>) -> CallBody {
     Full::new(body.into()).boxed()
 }
 
 /// A body of pieces that are sent as they are.
-pub(crate) fn pieces(parts: Vec<Bytes>) -> CallBody {
+pub fn pieces(parts: Vec<Bytes>) -> CallBody {
     let frames = parts.into_iter().map(|part| Ok(Frame::data(part)));
     BodyExt::boxed(StreamBody::new(futures_util::stream::iter(frames)))
 }
--- a/src/error.rs
+++ b/src/error.rs
@@ -66,6 +66,18 @@
         Error::from_code(ErrorCode::Unreachable(text.to_string()))
     }
 
+    #[cold]
+    pub(crate) fn frame(text: &'static str) -> Self {
+        Error::from_code(ErrorCode::Frame(text))
+    }
+
+    /// An answer of the platform that is not what it should be.
+    #[cold]
+    #[must_use]
+    pub fn from_answer(status: u16, text: impl Into<String>) -> Self {
+        Error::from_code(ErrorCode::Status { status, text: text.into() })
+    }
+
     /// Returns the kind of this failure.
     #[must_use]
     pub fn classify(&self) -> Category {
--- /dev/null
+++ b/src/relay/core.rs
@@ -0,0 +1,362 @@
+//! What the relay of one entry knows and decides, without input or output.
+
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::engine_rates::EngineRates;
+use super::freshness::FreshnessLease;
+use super::load_note::LoadNote;
+use super::pass_model::{StreamKey, StreamLoad};
+use super::placement::{Placement, PlacementQuery, PromptNeed, place_call, place_prompt};
+use super::retry_budget::{RetryBound, RetryBudget};
+use super::rules::{Access, AccessFault, RelayConfig, RouteRule, RuleTable};
+use super::targets::{ListChange, TargetFault, TargetRecord, TargetSet};
+use crate::time::Tick;
+
+/// What does not change while the process runs.
+#[derive(Clone, Debug)]
+pub struct RelayLimits {
+    /// Failure domain of this process.
+    pub failure_domain: Arc<str>,
+    /// Longest time between the removal of a key and its last use.
+    pub revoke_bound: Duration,
+    /// Bound on second attempts over all entries.
+    pub retry_bound: RetryBound,
+}
+
+/// Why a request is refused before anything is done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// No configuration is known, or it can not be proven current.
+    NotFresh,
+    /// No route takes it.
+    NoRoute,
+    /// Its key is not known.
+    BadKey,
+}
+
+/// What an attempt holds at targets, to be given back.
+#[derive(Clone, Debug)]
+pub struct AttemptShare {
+    /// The target that answers.
+    pub target: Arc<str>,
+    /// The targets that help.
+    pub helpers: Vec<Arc<str>>,
+    /// The name of its stream.
+    pub key: StreamKey,
+}
+
+/// State and decisions of the relay.
+#[derive(Debug)]
+pub struct RelayCore {
+    limits: RelayLimits,
+    entry: u64,
+    next_number: u64,
+    rules: Rc<RuleTable>,
+    lease: FreshnessLease,
+    /// The targets.
+    pub targets: TargetSet,
+    budgets: HashMap<Arc<str>, RetryBudget>,
+    entries: Option<usize>,
+    notes: Vec<LoadNote>,
+}
+
+impl RelayCore {
+    /// A relay that knows nothing yet. `entry` is its incarnation.
+    #[must_use]
+    pub fn new(limits: RelayLimits, entry: u64) -> Self {
+        RelayCore {
+            lease: FreshnessLease::new(limits.revoke_bound),
+            limits,
+            entry,
+            next_number: 0,
+            rules: Rc::default(),
+            targets: TargetSet::default(),
+            budgets: HashMap::new(),
+            entries: None,
+            notes: Vec::new(),
+        }
+    }
+
+    /// The rules in force here.
+    #[must_use]
+    pub fn rules(&self) -> Rc<RuleTable> {
+        self.rules.clone()
+    }
+
+    /// The lease on the configuration.
+    #[must_use]
+    pub fn lease(&self) -> &FreshnessLease {
+        &self.lease
+    }
+
+    /// Incarnation of this entry.
+    #[must_use]
+    pub fn entry(&self) -> u64 {
+        self.entry
+    }
+
+    /// Returns true where requests can be served.
+    #[must_use]
+    pub fn is_ready(&self, now: Tick) -> bool {
+        self.lease.is_held(now) && self.targets.has_list()
+    }
+
+    /// Takes the result of a linearizable read that was sent at `sent_at`;
+    /// `config` is none where it is the one that is known. Returns true where
+    /// another version came into force.
+    pub fn take_config(&mut self, config: Option<RelayConfig>, sent_at: Tick) -> bool {
+        self.lease.renew(sent_at);
+        // A lower version than the one in force would be a step back.
+        let Some(config) = config.filter(|config| config.version > self.rules.version()) else {
+            return false;
+        };
+        self.rules = Rc::new(RuleTable::from_config(config));
+        let rules = self.rules.clone();
+        for target in self.targets.iter_mut() {
+            let rates = rules.service(&target.record.service);
+            let rates = rates.and_then(|service| service.engine.as_ref());
+            if let (Some(model), Some(rates)) = (&mut target.model, rates) {
+                model.set_rates(rates);
+            }
+        }
+        true
+    }
+
+    /// Takes a whole list of targets.
+    pub fn take_list(
+        &mut self,
+        records: Vec<TargetRecord>,
+        is_after_outage: bool,
+        now: Tick,
+    ) -> ListChange {
+        let rules = self.rules.clone();
+        self.targets.take_list(records, is_after_outage, &|name| find_rates(&rules, name), now)
+    }
+
+    /// Takes a change of one target.
+    pub fn take_change(&mut self, record: TargetRecord, now: Tick) -> ListChange {
+        let rules = self.rules.clone();
+        self.targets.take_change(record, &|name| find_rates(&rules, name), now)
+    }
+
+    /// Finds the route and account of a request that was read at `now`.
+    ///
+    /// # Errors
+    ///
+    /// The configuration is not known to be current, or does not allow it.
+    pub fn admit(
+        &mut self,
+        host: &str,
+        path: &str,
+        key: Option<&str>,
+        now: Tick,
+    ) -> Result<Access, Refusal> {
+        if !self.lease.is_held(now) {
+            return Err(Refusal::NotFresh);
+        }
+        self.rules.admit(host, path, key).map_err(|fault| match fault {
+            AccessFault::NoRoute => Refusal::NoRoute,
+            AccessFault::BadKey => Refusal::BadKey,
+        })
+    }
+
+    /// The service that a request of a route goes to, by a number that stays
+    /// the same for the request.
+    #[must_use]
+    pub fn pick_service(route: &RouteRule, number: u64) -> Option<Arc<str>> {
+        let total: u64 = route.services.iter().map(|share| u64::from(share.weight)).sum();
+        let mut rest = number.checked_rem(total)?;
+        for share in &route.services {
+            let weight = u64::from(share.weight);
+            if rest < weight {
+                return Some(share.service.clone());
+            }
+            rest -= weight;
+        }
+        None
+    }
+
+    /// Counts a caller's request against the budget of second attempts.
+    pub fn note_request(&mut self, service: &Arc<str>, now: Tick) {
+        self.budget(service).note_request(now);
+    }
+
+    /// Takes a second attempt from the budget, false where none is left.
+    pub fn take_retry(&mut self, service: &Arc<str>, now: Tick) -> bool {
+        let entries = self.entries;
+        self.budget(service).take(now, entries)
+    }
+
+    fn budget(&mut self, service: &Arc<str>) -> &mut RetryBudget {
+        let bound = self.limits.retry_bound;
+        self.budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(bound))
+    }
+
+    /// Chooses where a request goes, none where no target can take it.
+    pub fn place(
+        &mut self,
+        service: &str,
+        need: Option<&PromptNeed>,
+        tried: &[Arc<str>],
+        now: Tick,
+    ) -> Option<Placement> {
+        for target in self.targets.iter_mut() {
+            if let Some(model) = &mut target.model {
+                model.advance(now);
+            }
+        }
+        let query =
+            PlacementQuery { service, failure_domain: &self.limits.failure_domain, tried };
+        match need {
+            Some(need) => place_prompt(&self.targets, &query, need, now),
+            None => place_call(&self.targets, &query, now),
+        }
+    }
+
+    /// Notes that a request is being sent as it was placed.
+    pub fn begin(
+        &mut self,
+        placement: &Placement,
+        need: Option<&PromptNeed>,
+        now: Tick,
+    ) -> AttemptShare {
+        self.next_number += 1;
+        let key = StreamKey { entry: self.entry, number: self.next_number };
+        if let Some(target) = self.targets.get_mut(&placement.target) {
+            target.note_sent(now);
+        }
+        if let Some(need) = need {
+            self.begin_stream(placement, need, key, now);
+        }
+        AttemptShare {
+            target: placement.target.clone(),
+            helpers: placement.helpers.clone(),
+            key,
+        }
+    }
+
+    fn begin_stream(
+        &mut self,
+        placement: &Placement,
+        need: &PromptNeed,
+        key: StreamKey,
+        now: Tick,
+    ) {
+        let Some(rates) = self.targets.get(&placement.target).and_then(|t| t.model.as_ref())
+        else {
+            return;
+        };
+        let parts = placement.helpers.len() + 1;
+        let read = rates.rates().read_time(need.prompt);
+        let own = need.to_load(read, parts, rates.rates().passes(need.answer));
+        let part = need.to_helper_load(read, parts);
+        self.add_load(&placement.target, key, own, now);
+        for helper in &placement.helpers {
+            self.add_load(helper, key, part, now);
+        }
+    }
+
+    fn add_load(&mut self, name: &Arc<str>, key: StreamKey, load: StreamLoad, now: Tick) {
+        let target = self.targets.get_mut(name);
+        if let Some(model) = target.and_then(|target| target.model.as_mut()) {
+            model.add(key, load, now);
+            self.notes.push(LoadNote::Placed { target: name.clone(), key, load });
+        }
+    }
+
+    /// Notes that an attempt has ended, however it did.
+    pub fn end(&mut self, share: &AttemptShare) {
+        if let Some(target) = self.targets.get_mut(&share.target) {
+            target.note_ended();
+        }
+        for name in std::iter::once(&share.target).chain(&share.helpers) {
+            let target = self.targets.get_mut(name);
+            if let Some(model) = target.and_then(|target| target.model.as_mut()) {
+                model.remove(share.key);
+                self.notes.push(LoadNote::Ended { target: name.clone(), key: share.key });
+            }
+        }
+    }
+
+    /// Notes bytes of an answer: a pass of its engine has ended.
+    pub fn note_heard(&mut self, target: &str, now: Tick) {
+        let Some(target) = self.targets.get_mut(target) else { return };
+        target.note_heard(now);
+        if let Some(model) = &mut target.model {
+            model.note_pass(now);
+        }
+    }
+
+    /// Notes a request that its target served.
+    pub fn note_success(&mut self, target: &str) {
+        if let Some(target) = self.targets.get_mut(target) {
+            target.note_success();
+        }
+    }
+
+    /// Notes a failure of a target. Returns for how long it is left alone.
+    pub fn note_failure(
+        &mut self,
+        target: &str,
+        fault: TargetFault,
+        now: Tick,
+    ) -> Option<Duration> {
+        self.targets.get_mut(target)?.note_failure(fault, now)
+    }
+
+    /// Takes a note from an agent.
+    pub fn take_note(&mut self, note: LoadNote, now: Tick) {
+        match note {
+            LoadNote::Welcome { target, entries, pace_percent } => {
+                self.entries = Some(self.entries.unwrap_or(0).max(entries as usize));
+                if let Some(model) = self.model(&target) {
+                    model.set_pace(f64::from(pace_percent) / 100.0);
+                }
+            }
+            LoadNote::Placed { target, key, load } if key.entry != self.entry => {
+                if let Some(model) = self.model(&target) {
+                    model.add(key, load, now);
+                }
+            }
+            LoadNote::Ended { target, key } if key.entry != self.entry => {
+                if let Some(model) = self.model(&target) {
+                    model.remove(key);
+                }
+            }
+            LoadNote::EntryGone { target, entry } if entry != self.entry => {
+                if let Some(model) = self.model(&target) {
+                    model.remove_entry(entry);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Forgets how many entries there are, so that it is counted anew.
+    pub fn recount_entries(&mut self) {
+        self.entries = None;
+    }
+
+    fn model(&mut self, target: &str) -> Option<&mut super::pass_model::PassModel> {
+        self.targets.get_mut(target)?.model.as_mut()
+    }
+
+    /// Takes the notes that are to be sent to agents.
+    pub fn take_notes(&mut self) -> Vec<LoadNote> {
+        std::mem::take(&mut self.notes)
+    }
+
+    /// Names of the services that have engines.
+    #[must_use]
+    pub fn engine_services(&self) -> HashSet<Arc<str>> {
+        let services = self.rules.services().filter(|service| service.engine.is_some());
+        services.map(|service| service.name.clone()).collect()
+    }
+}
+
+fn find_rates(rules: &RuleTable, service: &str) -> Option<Rc<EngineRates>> {
+    rules.service(service)?.engine.clone()
+}
--- /dev/null
+++ b/src/relay/forward.rs
@@ -0,0 +1,269 @@
+//! One attempt: a request on its way to a target, and the head of its answer.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::HeaderMap;
+use hyper::http::response::Parts;
+use hyper::{Method, Request, Response, Uri};
+
+use super::connections::{TargetConnection, connect};
+use super::core::AttemptShare;
+use super::dialect::{AnswerHead, CallerHead, HelperSeat, TargetHead};
+use super::placement::{Placement, PromptNeed};
+use super::rules::RouteRule;
+use super::server::RelayShared;
+use super::targets::TargetFault;
+use crate::time::Tick;
+use crate::verdict::Verdict;
+
+/// Silence of a target with work after which a request that may be repeated
+/// is taken elsewhere: longer than any pass that is in time for its writers.
+const SILENCE_LIMIT: Duration = Duration::from_millis(900);
+
+/// Part of the objective of a plain call after which another target is tried.
+const HEDGE_PART: f64 = 0.8;
+
+/// How often a waiting request looks whether its target is silent.
+const LOOK_STEP: Duration = Duration::from_millis(50);
+
+/// A caller's request, read whole.
+pub(super) struct RelayJob {
+    pub(super) route: Rc<RouteRule>,
+    pub(super) service: Arc<str>,
+    pub(super) account: Option<Arc<str>>,
+    pub(super) head: CallerHead,
+    pub(super) id: Arc<str>,
+    pub(super) method: Method,
+    pub(super) uri: Uri,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) arrived: Tick,
+    /// When its time is up.
+    pub(super) deadline: Tick,
+    /// What its prompt asks of an engine, none for a plain call.
+    pub(super) need: Option<PromptNeed>,
+}
+
+/// Why an attempt brought no answer.
+pub(super) struct AttemptFault {
+    /// What it says of the target.
+    pub(super) fault: TargetFault,
+    /// Whether the request may have run.
+    pub(super) verdict: Verdict,
+    /// In a few words.
+    pub(super) why: String,
+    /// Whether anything was sent.
+    pub(super) is_sent: bool,
+    /// An answer of the target that the caller may get.
+    pub(super) answer: Option<Response<Bytes>>,
+    /// The request's time is up.
+    pub(super) is_timeout: bool,
+}
+
+impl AttemptFault {
+    fn new(fault: TargetFault, verdict: Verdict, why: impl Into<String>) -> Self {
+        AttemptFault {
+            fault,
+            verdict,
+            why: why.into(),
+            is_sent: true,
+            answer: None,
+            is_timeout: false,
+        }
+    }
+
+    fn not_sent(why: impl Into<String>) -> Self {
+        let fault = AttemptFault::new(TargetFault::Broken, Verdict::NotRun, why);
+        AttemptFault { is_sent: false, ..fault }
+    }
+
+    pub(super) fn timeout(verdict: Verdict) -> Self {
+        let fault = AttemptFault::new(TargetFault::Silent, verdict, "time is up");
+        AttemptFault { is_timeout: true, ..fault }
+    }
+
+    pub(super) fn broken(why: impl Into<String>) -> Self {
+        AttemptFault::new(TargetFault::Broken, Verdict::MayHaveRun, why)
+    }
+
+    pub(super) fn garbled(why: impl Into<String>) -> Self {
+        AttemptFault::new(TargetFault::Garbled, Verdict::MayHaveRun, why)
+    }
+
+    pub(super) fn silent(why: impl Into<String>) -> Self {
+        AttemptFault::new(TargetFault::Silent, Verdict::MayHaveRun, why)
+    }
+}
+
+/// What an attempt holds. All of it is given back when this is dropped, and
+/// the connection is closed unless it was kept.
+pub(super) struct AttemptGuard {
+    shared: Rc<RelayShared>,
+    pub(super) share: AttemptShare,
+    connection: Option<TargetConnection>,
+}
+
+impl AttemptGuard {
+    /// Keeps the connection: the whole answer has been read.
+    pub(super) fn keep(&mut self, answer: &AnswerHead) {
+        let Some(connection) = self.connection.take() else { return };
+        if !answer.is_last {
+            let now = self.shared.now();
+            let mut pool = self.shared.pool.borrow_mut();
+            pool.put(&self.share.target, connection, answer.keep_alive, now);
+        }
+    }
+}
+
+impl Drop for AttemptGuard {
+    fn drop(&mut self) {
+        self.shared.core.borrow_mut().end(&self.share);
+        self.shared.send_notes();
+    }
+}
+
+/// The head of an answer, and what is to come.
+pub(super) struct OpenAnswer {
+    pub(super) guard: AttemptGuard,
+    pub(super) parts: Parts,
+    pub(super) body: Incoming,
+    pub(super) head: AnswerHead,
+}
+
+/// Sends a request to its target and waits for the head of the answer.
+pub(super) async fn open(
+    shared: &Rc<RelayShared>,
+    job: &RelayJob,
+    placement: &Placement,
+    resume_after: Option<u64>,
+    may_hedge: bool,
+) -> Result<OpenAnswer, AttemptFault> {
+    let Some(address) = shared.address_of(&placement.target) else {
+        return Err(AttemptFault::not_sent("the target is gone"));
+    };
+    let share = {
+        let mut core = shared.core.borrow_mut();
+        core.begin(placement, job.need.as_ref(), shared.now())
+    };
+    shared.send_notes();
+    let mut guard = AttemptGuard { shared: shared.clone(), share, connection: None };
+    let connection = obtain(shared, job, &placement.target, address).await?;
+    let connection = guard.connection.insert(connection);
+    let request = to_request(shared, job, placement, resume_after);
+    let sending = connection.sender.send_request(request);
+    let waiting = wait_for_head(shared, job, &placement.target, may_hedge);
+    let response = tokio::select! {
+        response = sending => response,
+        fault = waiting => return Err(fault),
+    };
+    let response = response.map_err(|error| {
+        if error.is_canceled() {
+            AttemptFault::not_sent("the connection had ended")
+        } else {
+            AttemptFault::broken(error.to_string())
+        }
+    })?;
+    shared.core.borrow_mut().note_heard(&placement.target, shared.now());
+    let (parts, body) = response.into_parts();
+    let head = (shared.targets.parse_answer)(parts.status, &parts.headers);
+    check_head(job, &parts, &head)?;
+    Ok(OpenAnswer { guard, parts, body, head })
+}
+
+/// A kept connection or a new one. What may not run twice always gets a new
+/// one: on a kept connection that its target forgets, nobody can tell whether
+/// the request was read.
+async fn obtain(
+    shared: &Rc<RelayShared>,
+    job: &RelayJob,
+    target: &Arc<str>,
+    address: SocketAddr,
+) -> Result<TargetConnection, AttemptFault> {
+    if job.route.repeat.is_repeatable()
+        && let Some(connection) = shared.pool.borrow_mut().take(target, shared.now())
+    {
+        return Ok(connection);
+    }
+    connect(address).await.map_err(|fault| AttemptFault::not_sent(fault.to_string()))
+}
+
+fn to_request(
+    shared: &RelayShared,
+    job: &RelayJob,
+    placement: &Placement,
+    resume_after: Option<u64>,
+) -> Request<Full<Bytes>> {
+    let helpers: Vec<HelperSeat> = placement
+        .helpers
+        .iter()
+        .filter_map(|name| shared.address_of(name))
+        .map(|address| HelperSeat { address, reservation: None })
+        .collect();
+    let mut headers = job.headers.clone();
+    let head = TargetHead {
+        incarnation: &placement.target,
+        account: job.account.as_deref(),
+        time_left: job.deadline.since(shared.now()),
+        resume_after,
+        helpers: &helpers,
+    };
+    (shared.targets.set_head)(&mut headers, &head);
+    let mut request = Request::new(Full::new(job.body.clone()));
+    *request.method_mut() = job.method.clone();
+    *request.uri_mut() = job.uri.clone();
+    *request.headers_mut() = headers;
+    request
+}
+
+/// Ends with a fault when the request's time is up, or when its target seems
+/// not to work and another may be tried.
+async fn wait_for_head(
+    shared: &RelayShared,
+    job: &RelayJob,
+    target: &str,
+    may_hedge: bool,
+) -> AttemptFault {
+    let hedge_at = shared.now() + job.route.objective.mul_f64(HEDGE_PART);
+    loop {
+        tokio::time::sleep(LOOK_STEP.min(job.deadline.since(shared.now()))).await;
+        let now = shared.now();
+        if now >= job.deadline {
+            return AttemptFault::timeout(Verdict::MayHaveRun);
+        }
+        if !may_hedge {
+            continue;
+        }
+        if job.need.is_none() && now >= hedge_at {
+            return AttemptFault::silent("no answer within the objective");
+        }
+        if job.need.is_some() && shared.silence_of(target) >= SILENCE_LIMIT {
+            return AttemptFault::silent("the target has sent nothing for too long");
+        }
+    }
+}
+
+/// Refuses what is not the answer to this request, and reads what the target
+/// says of it.
+fn check_head(job: &RelayJob, parts: &Parts, head: &AnswerHead) -> Result<(), AttemptFault> {
+    if head.attempt.as_deref() != job.head.attempt.as_deref() && !head.is_not_run {
+        return Err(AttemptFault::garbled("answer to another request"));
+    }
+    if head.is_not_run {
+        let fault = if head.is_replaced { TargetFault::Replaced } else { TargetFault::Full };
+        let why = format!("the target refused with {}", parts.status.as_u16());
+        return Err(AttemptFault::new(fault, Verdict::NotRun, why));
+    }
+    if head.is_encoded {
+        return Err(AttemptFault::garbled("answer in a content encoding"));
+    }
+    if parts.status.is_success() && !head.is_signed {
+        return Err(AttemptFault::garbled("success without a signature"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/relay/load_note.rs
@@ -0,0 +1,85 @@
+//! What entries tell one another of the work they give to engines.
+//!
+//! The agent beside an engine passes each note on to the entries that use the
+//! engine. Notes are datagrams: one that is lost costs a little foresight, and
+//! waits hold nothing up.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::pass_model::{StreamKey, StreamLoad};
+
+/// Largest datagram that is read, in bytes.
+pub const MAX_NOTE: usize = 1_200;
+
+/// A note between an entry and an agent.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum LoadNote {
+    /// An entry uses the engine, and is to be told of it. Sent again and again.
+    #[serde(rename = "h")]
+    Subscribe {
+        /// Incarnation of the entry.
+        entry: u64,
+    },
+    /// The agent's answer.
+    #[serde(rename = "w")]
+    Welcome {
+        /// The life of the target beside the agent, where it knows one.
+        target: Arc<str>,
+        /// Entries that use the engine.
+        entries: u32,
+        /// How much slower than declared the engine works, in hundredths.
+        pace_percent: u32,
+    },
+    /// A stream was given to the engine.
+    #[serde(rename = "p")]
+    Placed {
+        /// The engine.
+        target: Arc<str>,
+        /// The stream.
+        key: StreamKey,
+        /// What it costs there.
+        load: StreamLoad,
+    },
+    /// A stream is no longer at the engine.
+    #[serde(rename = "e")]
+    Ended {
+        /// The engine.
+        target: Arc<str>,
+        /// The stream.
+        key: StreamKey,
+    },
+    /// An entry is gone, and its streams with it.
+    #[serde(rename = "g")]
+    EntryGone {
+        /// The engine.
+        target: Arc<str>,
+        /// Incarnation of the entry.
+        entry: u64,
+    },
+}
+
+impl LoadNote {
+    /// The datagram of this note.
+    ///
+    /// # Errors
+    ///
+    /// The note can not be encoded, which does not happen with names of usual
+    /// length.
+    pub fn to_bytes(&self) -> crate::Result<Vec<u8>> {
+        let mut bytes = Vec::with_capacity(128);
+        ciborium::into_writer(self, &mut bytes)
+            .map_err(|_| crate::Error::frame("load note can not be encoded"))?;
+        Ok(bytes)
+    }
+
+    /// Reads a datagram.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are no note.
+    pub fn from_bytes(bytes: &[u8]) -> crate::Result<Self> {
+        ciborium::from_reader(bytes).map_err(|_| crate::Error::frame("datagram is no load note"))
+    }
+}
--- /dev/null
+++ b/src/relay/placement.rs
@@ -0,0 +1,288 @@
+//! Which targets get a request.
+//!
+//! A plain call goes to the least busy target, nearby ones first. A prompt goes
+//! where it costs least: what its own answer loses by coming late, and what the
+//! writers there lose by the pass that reads it. Long prompts are read jointly
+//! by several engines, so that no pass grows long.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::pass_model::{PassForecast, StreamLoad};
+use super::targets::{TargetSet, TargetState};
+use crate::time::Tick;
+
+/// Most engines that read a prompt beside the one that writes.
+pub const MAX_HELPERS: usize = 16;
+
+/// Numbers of engines that are tried for a prompt.
+const GROUP_SIZES: [usize; 11] = [1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17];
+
+/// Shortest part of a prompt that is worth an engine of its own.
+const MIN_PART: Duration = Duration::from_millis(25);
+
+/// Tokens that make a request count for as much as one more short one.
+const TOKENS_PER_VALUE: f32 = 10_000.0;
+
+/// What a request loses by coming late, as part of its value.
+const LATE_LOSS: f32 = 0.75;
+
+/// What a request loses by using up its time for the first event, as part of
+/// its value: an answer that is foretold to be just in time may be late.
+const TIME_LOSS: f32 = 0.25;
+
+/// Gain of a short request for each other one that writes at the same engine:
+/// it leaves other engines free for long prompts.
+const PACKING_GAIN: f32 = 0.01;
+
+/// Cost of an engine in another failure domain.
+const DISTANCE_COST: f32 = 0.004;
+
+/// Cost of each request over an engine's capacity: it waits for an end.
+const QUEUE_COST: f32 = 0.6;
+
+/// Prompts up to this length count as short ones.
+const SHORT_TOKENS: u64 = 24_000;
+
+/// Part of its time for the first event within which a prompt should start.
+const FIRST_PART: f64 = 0.8;
+
+/// What a prompt asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct PromptNeed {
+    /// Tokens of the prompt.
+    pub prompt: u64,
+    /// Tokens of the answer, as far as known.
+    pub answer: u64,
+    /// Time left for the first event.
+    pub first_limit: Duration,
+    /// Longest pause between events.
+    pub longest_pause: Duration,
+}
+
+impl PromptNeed {
+    /// What the request is worth, in short requests.
+    #[must_use]
+    pub fn value(&self) -> f32 {
+        1.0 + self.prompt as f32 / TOKENS_PER_VALUE
+    }
+
+    /// What it costs the engine that writes its answer, where `parts` engines
+    /// read the prompt.
+    #[must_use]
+    pub fn to_load(&self, read: Duration, parts: usize, passes: u32) -> StreamLoad {
+        StreamLoad {
+            read_us: (read / parts as u32).as_micros() as u64,
+            context: self.prompt + self.answer / 2,
+            memory: self.prompt + self.answer,
+            passes,
+            pause_us: self.longest_pause.as_micros() as u64,
+            value: self.value(),
+        }
+    }
+
+    /// What it costs an engine that only reads a part.
+    #[must_use]
+    pub fn to_helper_load(&self, read: Duration, parts: usize) -> StreamLoad {
+        StreamLoad { context: 0, memory: 0, passes: 0, ..self.to_load(read, parts, 0) }
+    }
+}
+
+/// Where a request goes, and why there.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    /// The target that answers.
+    pub target: Arc<str>,
+    /// Targets that help to read the prompt.
+    pub helpers: Vec<Arc<str>>,
+    /// Foretold time to the first event.
+    pub first: Duration,
+    /// Foretold cost, in short requests.
+    pub cost: f32,
+    /// What others lose by it, part of `cost`.
+    pub harm: f32,
+    /// Targets that were weighed.
+    pub candidates: usize,
+}
+
+/// What a request may not use, and where it comes from.
+#[derive(Clone, Copy, Debug)]
+pub struct PlacementQuery<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// Failure domain of this process.
+    pub failure_domain: &'a str,
+    /// Targets that have had it.
+    pub tried: &'a [Arc<str>],
+}
+
+/// Chooses a target for a plain call, none where there is none.
+#[must_use]
+pub fn place_call(set: &TargetSet, query: &PlacementQuery<'_>, now: Tick) -> Option<Placement> {
+    let targets = candidates(set, query, now);
+    let count = targets.len();
+    let best = targets.into_iter().min_by(|a, b| {
+        call_cost(a, query).total_cmp(&call_cost(b, query)).then_with(|| {
+            a.record.incarnation.cmp(&b.record.incarnation)
+        })
+    })?;
+    Some(Placement {
+        target: best.record.incarnation.clone(),
+        helpers: Vec::new(),
+        first: Duration::ZERO,
+        cost: call_cost(best, query),
+        harm: 0.0,
+        candidates: count,
+    })
+}
+
+/// Share of a plain target's slots that distance is worth.
+const CALL_DISTANCE: f32 = 0.2;
+
+fn call_cost(target: &TargetState, query: &PlacementQuery<'_>) -> f32 {
+    let busy = target.in_flight as f32 / target.record.capacity.max(1) as f32;
+    let is_far = *target.record.failure_domain != *query.failure_domain;
+    busy + if is_far { CALL_DISTANCE } else { 0.0 }
+}
+
+/// The usable targets of a service; those that were tried or are left alone
+/// only where there are no others.
+fn candidates<'a>(
+    set: &'a TargetSet,
+    query: &PlacementQuery<'a>,
+    now: Tick,
+) -> Vec<&'a TargetState> {
+    let fresh: Vec<_> = set
+        .usable(query.service)
+        .filter(|target| !query.tried.contains(&target.record.incarnation))
+        .collect();
+    let well: Vec<_> = fresh.iter().copied().filter(|target| !target.is_ejected(now)).collect();
+    if well.is_empty() { fresh } else { well }
+}
+
+struct Candidate<'a> {
+    target: &'a TargetState,
+    forecast: PassForecast,
+    cost: f32,
+}
+
+/// Chooses engines for a prompt, none where no engine can take it.
+#[must_use]
+pub fn place_prompt(
+    set: &TargetSet,
+    query: &PlacementQuery<'_>,
+    need: &PromptNeed,
+    now: Tick,
+) -> Option<Placement> {
+    let targets = candidates(set, query, now);
+    let read = targets.iter().find_map(|target| target.model.as_ref())?.rates().read_time(need.prompt);
+    let mut best: Option<Placement> = None;
+    for size in GROUP_SIZES {
+        if size > targets.len() || size > MAX_HELPERS + 1 {
+            break;
+        }
+        if size > 1 && read / (size as u32) < MIN_PART {
+            break;
+        }
+        let Some(placement) = place_group(&targets, query, need, read, size, now) else {
+            continue;
+        };
+        if best.as_ref().is_none_or(|best| placement.cost < best.cost) {
+            best = Some(placement);
+        }
+    }
+    best
+}
+
+/// The best group of `size` engines: the one that writes, and helpers.
+fn place_group(
+    targets: &[&TargetState],
+    query: &PlacementQuery<'_>,
+    need: &PromptNeed,
+    read: Duration,
+    size: usize,
+    now: Tick,
+) -> Option<Placement> {
+    let first = best_writer(targets, query, need, read, size, now)?;
+    let mut helpers = Vec::new();
+    if size > 1 {
+        let load = need.to_helper_load(read, size);
+        for target in targets {
+            if std::ptr::eq(*target, first.target) {
+                continue;
+            }
+            let Some(model) = &target.model else { continue };
+            let forecast = model.forecast(&load, now);
+            let cost = forecast.harm * LATE_LOSS + time_cost(need, forecast.first);
+            helpers.push(Candidate { target, forecast, cost });
+        }
+        helpers.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        helpers.truncate(size - 1);
+        if helpers.len() < size - 1 {
+            return None;
+        }
+    }
+    let others = helpers.iter().map(|helper| helper.forecast.first).max();
+    let start = first.forecast.first.max(others.unwrap_or_default());
+    let harm: f32 = helpers.iter().map(|helper| helper.forecast.harm * LATE_LOSS).sum();
+    let writer_harm = first.forecast.harm * LATE_LOSS;
+    let own = first.cost - writer_harm - time_cost(need, first.forecast.first);
+    Some(Placement {
+        target: first.target.record.incarnation.clone(),
+        helpers: helpers.iter().map(|helper| helper.target.record.incarnation.clone()).collect(),
+        first: start,
+        cost: own + harm + writer_harm + time_cost(need, start),
+        harm: harm + writer_harm,
+        candidates: targets.len(),
+    })
+}
+
+fn best_writer<'a>(
+    targets: &[&'a TargetState],
+    query: &PlacementQuery<'_>,
+    need: &PromptNeed,
+    read: Duration,
+    size: usize,
+    now: Tick,
+) -> Option<Candidate<'a>> {
+    let candidates = targets.iter().filter_map(|target| {
+        let model = target.model.as_ref()?;
+        let load = need.to_load(read, size, model.rates().passes(need.answer));
+        let forecast = model.forecast(&load, now);
+        if forecast.memory + load.memory > model.rates().memory_tokens {
+            return None;
+        }
+        let cost = writer_cost(target, model.rates().capacity, query, need, &forecast);
+        Some(Candidate { target, forecast, cost })
+    });
+    candidates.min_by(|a, b| a.cost.total_cmp(&b.cost))
+}
+
+fn writer_cost(
+    target: &TargetState,
+    capacity: usize,
+    query: &PlacementQuery<'_>,
+    need: &PromptNeed,
+    forecast: &PassForecast,
+) -> f32 {
+    let mut cost = forecast.harm * LATE_LOSS + time_cost(need, forecast.first);
+    if forecast.steady.as_secs_f64() > need.longest_pause.as_secs_f64() * FIRST_PART {
+        cost += need.value() * LATE_LOSS;
+    }
+    if *target.record.failure_domain != *query.failure_domain {
+        cost += DISTANCE_COST;
+    }
+    if forecast.active >= capacity {
+        cost += QUEUE_COST * (forecast.active + 1 - capacity) as f32;
+    } else if need.prompt <= SHORT_TOKENS {
+        cost -= PACKING_GAIN * forecast.active as f32;
+    }
+    cost
+}
+
+/// What the request itself loses where its first event comes after `first`.
+fn time_cost(need: &PromptNeed, first: Duration) -> f32 {
+    let part = first.as_secs_f64() / need.first_limit.as_secs_f64().max(1e-3);
+    let late = if part > FIRST_PART { LATE_LOSS } else { 0.0 };
+    need.value() * (late + TIME_LOSS * (part as f32).min(4.0))
+}
--- /dev/null
+++ b/src/relay/record.rs
@@ -0,0 +1,205 @@
+//! Log lines of the relay: one for each decision, with what decided it.
+//!
+//! Lines go to a bounded queue and are written by another thread, so that a
+//! slow reader costs lines and never requests. Lines of requests that went
+//! well are rationed; the count of those left out is on the next one.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::time::Duration;
+
+use slog::{Drain, Logger, info, o, warn};
+
+use super::targets::ListChange;
+use crate::time::Tick;
+
+/// Lines that wait for the writer.
+const QUEUE_LINES: usize = 1_024;
+
+/// Lines of a kind in each second: a line costs some 20 us of a small host.
+const LINES_PER_SECOND: u32 = 20;
+
+/// Makes the logger of a process. Lines go to standard output.
+#[must_use]
+pub fn new_stdout_logger(process: &str) -> Logger {
+    let drain = slog_json::Json::default(io::stdout()).fuse();
+    let drain = slog_async::Async::new(drain)
+        .chan_size(QUEUE_LINES)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build();
+    Logger::root(drain.fuse(), o!("process" => process.to_owned()))
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, derive_more::Display)]
+pub enum RequestEnd {
+    /// The caller has the whole answer.
+    #[display("answered")]
+    Answered,
+    /// Refused before it was sent to any target.
+    #[display("refused")]
+    Refused,
+    /// Failed after it was sent.
+    #[display("failed")]
+    Failed,
+    /// The answer broke off.
+    #[display("broken")]
+    Broken,
+    /// The caller left.
+    #[display("caller_left")]
+    CallerLeft,
+}
+
+/// One line of a request.
+#[derive(Debug)]
+pub struct RequestLine<'a> {
+    /// The caller's name of this sending.
+    pub id: &'a str,
+    /// How it ended.
+    pub end: RequestEnd,
+    /// Status of the answer.
+    pub status: u16,
+    /// Why, in a few words.
+    pub why: &'a str,
+    /// Targets it was sent to.
+    pub targets: &'a str,
+    /// Time from its arrival.
+    pub took: Duration,
+    /// Version of the configuration.
+    pub version: u64,
+    /// Age of the proof that it is current.
+    pub proof_age: Option<Duration>,
+}
+
+/// One line of an attempt.
+#[derive(Debug)]
+pub struct PlacedLine<'a> {
+    /// The caller's name of this sending.
+    pub id: &'a str,
+    /// The target that answers.
+    pub target: &'a str,
+    /// How many targets help.
+    pub helpers: usize,
+    /// Tokens of the prompt.
+    pub prompt: u64,
+    /// Foretold time to the first event.
+    pub first: Duration,
+    /// Foretold cost, in short requests.
+    pub cost: f32,
+    /// What others lose by it.
+    pub harm: f32,
+    /// Targets that were weighed.
+    pub candidates: usize,
+}
+
+#[derive(Debug, Default)]
+struct LineBudget {
+    second: u64,
+    written: u32,
+    left_out: u64,
+}
+
+/// Writes the relay's lines.
+#[derive(Debug)]
+pub struct DecisionLog {
+    logger: Logger,
+    budgets: RefCell<HashMap<&'static str, LineBudget>>,
+}
+
+impl DecisionLog {
+    /// A log over a logger.
+    #[must_use]
+    pub fn new(logger: Logger) -> Self {
+        DecisionLog { logger, budgets: RefCell::default() }
+    }
+
+    /// The logger itself, for lines that are not rationed.
+    #[must_use]
+    pub fn logger(&self) -> &Logger {
+        &self.logger
+    }
+
+    /// Takes a line from a kind's ration. Returns how many were left out
+    /// before it, none where this one is left out too.
+    fn take_line(&self, kind: &'static str, now: Tick) -> Option<u64> {
+        const MICROS: u64 = 1_000_000;
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(kind).or_default();
+        if budget.second != now.0 / MICROS {
+            budget.second = now.0 / MICROS;
+            budget.written = 0;
+        }
+        if budget.written >= LINES_PER_SECOND {
+            budget.left_out += 1;
+            return None;
+        }
+        budget.written += 1;
+        Some(std::mem::take(&mut budget.left_out))
+    }
+
+    /// A request ended.
+    pub fn request_ended(&self, line: &RequestLine<'_>, now: Tick) {
+        let kind = match line.end {
+            RequestEnd::Answered => "answered",
+            RequestEnd::Refused => "refused",
+            RequestEnd::Failed | RequestEnd::Broken => "failed",
+            RequestEnd::CallerLeft => "caller_left",
+        };
+        let Some(left_out) = self.take_line(kind, now) else { return };
+        info!(self.logger, "request";
+            "id" => line.id, "end" => %line.end, "status" => line.status, "why" => line.why,
+            "targets" => line.targets, "took_ms" => line.took.as_millis() as u64,
+            "config_version" => line.version,
+            "proof_age_ms" => line.proof_age.map(|age| age.as_millis() as u64),
+            "left_out" => left_out);
+    }
+
+    /// A request was given to targets.
+    pub fn placed(&self, line: &PlacedLine<'_>, now: Tick) {
+        let Some(left_out) = self.take_line("placed", now) else { return };
+        info!(self.logger, "placed";
+            "id" => line.id, "target" => line.target, "helpers" => line.helpers,
+            "prompt_tokens" => line.prompt, "first_ms" => line.first.as_millis() as u64,
+            "cost" => line.cost, "harm" => line.harm, "candidates" => line.candidates,
+            "left_out" => left_out);
+    }
+
+    /// An attempt failed.
+    pub fn attempt_failed(&self, id: &str, target: &str, why: &str, verdict: &str, now: Tick) {
+        let Some(left_out) = self.take_line("attempt_failed", now) else { return };
+        warn!(self.logger, "attempt failed";
+            "id" => id, "target" => target, "why" => why, "verdict" => verdict,
+            "left_out" => left_out);
+    }
+
+    /// A target is left alone for a while.
+    pub fn ejected(&self, target: &str, span: Duration) {
+        warn!(self.logger, "target ejected";
+            "target" => target, "for_ms" => span.as_millis() as u64);
+    }
+
+    /// Another configuration is in force.
+    pub fn config_changed(&self, version: u64) {
+        info!(self.logger, "configuration in force"; "config_version" => version);
+    }
+
+    /// The list of targets changed.
+    pub fn targets_changed(&self, change: &ListChange) {
+        if *change == ListChange::default() {
+            return;
+        }
+        info!(self.logger, "targets changed";
+            "added" => change.added.join(","), "leaving" => change.leaving.join(","),
+            "removed" => change.removed.join(","));
+    }
+
+    /// A dependency was lost or is back.
+    pub fn dependency(&self, name: &str, is_there: bool, why: &str) {
+        if is_there {
+            info!(self.logger, "dependency regained"; "name" => name);
+        } else {
+            warn!(self.logger, "dependency lost"; "name" => name, "why" => why);
+        }
+    }
+}
--- /dev/null
+++ b/src/relay/server.rs
@@ -0,0 +1,317 @@
+//! The relay of one entry: its sockets, timers and signals round the core.
+
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+
+use super::connections::ConnectionPool;
+use super::core::{RelayCore, RelayLimits};
+use super::counts::RelayCounts;
+use super::dialect::{CallerDialect, TargetDialect};
+use super::exchange::serve;
+use super::feed::{PlatformFeed, follow_config, follow_targets};
+use super::load_link::LoadLink;
+use super::record::DecisionLog;
+use super::retry_budget::RetryBound;
+use super::settings::RelaySettings;
+use crate::Result;
+use crate::clock::{ProcessClock, new_incarnation};
+use crate::time::Tick;
+use crate::web::accept_next;
+
+/// Time from the beginning of a stop in which new requests are served: the
+/// balancer needs two seconds to send callers elsewhere.
+const STOP_SERVES: Duration = Duration::from_millis(3_200);
+
+/// Time of a stop that is kept back from the platform's limit.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+
+/// Time within which the balancer has certainly sent callers elsewhere.
+const BALANCER_LAG: Duration = Duration::from_millis(2_600);
+
+/// How often kept connections and missing targets are looked through.
+const SWEEP_STEP: Duration = Duration::from_millis(250);
+
+/// How often a stopping process looks whether it may end.
+const STOP_STEP: Duration = Duration::from_millis(50);
+
+/// Time after a failed store call for which lapsed entries may come back.
+const AWAY_SPAN: Duration = Duration::from_secs(3);
+
+/// How callers, targets and the platform's store are spoken to.
+pub struct RelayAdapter {
+    /// Callers.
+    pub callers: CallerDialect,
+    /// Targets.
+    pub targets: TargetDialect,
+    /// The store.
+    pub feed: PlatformFeed,
+}
+
+/// What all requests of a process share.
+pub(super) struct RelayShared {
+    pub(super) core: RefCell<RelayCore>,
+    pub(super) pool: RefCell<ConnectionPool>,
+    pub(super) callers: CallerDialect,
+    pub(super) targets: TargetDialect,
+    pub(super) log: DecisionLog,
+    pub(super) counts: RefCell<RelayCounts>,
+    pub(super) is_stopping: Cell<bool>,
+    pub(super) is_closed_to_new: Cell<bool>,
+    pub(super) away_at: Cell<Option<Tick>>,
+    pub(super) link: LoadLink,
+    clock: ProcessClock,
+    open: Cell<usize>,
+}
+
+impl RelayShared {
+    pub(super) fn now(&self) -> Tick {
+        self.clock.now()
+    }
+
+    pub(super) fn address_of(&self, target: &str) -> Option<SocketAddr> {
+        self.core.borrow().targets.get(target).map(|target| target.record.address)
+    }
+
+    pub(super) fn silence_of(&self, target: &str) -> Duration {
+        let core = self.core.borrow();
+        core.targets.get(target).map_or(Duration::ZERO, |target| target.silence(self.now()))
+    }
+
+    /// Sends what the core has to tell agents.
+    pub(super) fn send_notes(&self) {
+        let mut core = self.core.borrow_mut();
+        for note in core.take_notes() {
+            self.link.send(&core, &note);
+        }
+    }
+
+    /// Returns true where entries of the target list may have lapsed because
+    /// the store was away.
+    pub(super) fn was_away(&self, now: Tick) -> bool {
+        self.away_at.get().is_some_and(|at| now.since(at) < AWAY_SPAN)
+    }
+}
+
+/// Counts a request as open while it lives.
+struct OpenRequest<'a>(&'a RelayShared);
+
+impl<'a> OpenRequest<'a> {
+    fn new(shared: &'a RelayShared) -> Self {
+        shared.open.set(shared.open.get() + 1);
+        OpenRequest(shared)
+    }
+}
+
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+/// Runs the relay until `stop` ends, and then until its requests have ended.
+///
+/// # Errors
+///
+/// An address can not be listened on.
+pub async fn run_relay(
+    settings: RelaySettings,
+    adapter: RelayAdapter,
+    logger: slog::Logger,
+    stop: impl Future<Output = ()>,
+) -> Result<()> {
+    let local = LocalSet::new();
+    local.run_until(run_local(settings, adapter, logger, stop)).await
+}
+
+async fn run_local(
+    settings: RelaySettings,
+    adapter: RelayAdapter,
+    logger: slog::Logger,
+    stop: impl Future<Output = ()>,
+) -> Result<()> {
+    let callers = TcpListener::bind(settings.listen).await?;
+    let readiness = TcpListener::bind(settings.readiness_listen).await?;
+    let metrics = TcpListener::bind(settings.metrics_listen).await?;
+    let link = LoadLink::bind(settings.load_listen).await?;
+    let limits = RelayLimits {
+        failure_domain: settings.failure_domain.clone(),
+        revoke_bound: settings.revoke_bound(),
+        retry_bound: RetryBound {
+            ratio: settings.retry_ratio,
+            slack: settings.retry_slack,
+            window: Duration::from_secs(settings.retry_window_s),
+        },
+    };
+    slog::info!(logger, "start"; "listen" => %settings.listen, "version" => env!("CARGO_PKG_VERSION"));
+    let shared = Rc::new(RelayShared {
+        core: RefCell::new(RelayCore::new(limits, new_incarnation().0)),
+        pool: RefCell::default(),
+        callers: adapter.callers,
+        targets: adapter.targets,
+        log: DecisionLog::new(logger),
+        counts: RefCell::default(),
+        is_stopping: Cell::new(false),
+        is_closed_to_new: Cell::new(false),
+        away_at: Cell::new(None),
+        link,
+        clock: ProcessClock::new(),
+        open: Cell::new(0),
+    });
+    let feed = Rc::new(adapter.feed);
+    let (close, closing) = watch::channel(false);
+    tokio::task::spawn_local(follow_config(shared.clone(), feed.clone()));
+    tokio::task::spawn_local(follow_targets(shared.clone(), feed));
+    tokio::task::spawn_local(accept_callers(shared.clone(), callers, closing));
+    tokio::task::spawn_local(accept_status(shared.clone(), readiness));
+    tokio::task::spawn_local(accept_status(shared.clone(), metrics));
+    tokio::task::spawn_local(sweep(shared.clone()));
+    tokio::task::spawn_local(super::load_link::receive(shared.clone()));
+    stop.await;
+    drain(&shared, settings.stop_limit(), &close).await;
+    Ok(())
+}
+
+/// A planned stop: callers are sent elsewhere, what is open goes on.
+async fn drain(shared: &RelayShared, limit: Duration, close: &watch::Sender<bool>) {
+    let begin = shared.now();
+    shared.is_stopping.set(true);
+    slog::info!(shared.log.logger(), "stop begun"; "open" => shared.open.get());
+    loop {
+        tokio::time::sleep(STOP_STEP).await;
+        let spent = shared.now().since(begin);
+        if spent >= STOP_SERVES {
+            shared.is_closed_to_new.set(true);
+        }
+        let is_idle = shared.open.get() == 0 && spent >= BALANCER_LAG;
+        if is_idle || spent + STOP_MARGIN >= limit {
+            break;
+        }
+    }
+    shared.is_closed_to_new.set(true);
+    // Nobody is left who would not want to be told.
+    close.send_replace(true);
+    tokio::time::sleep(STOP_STEP).await;
+    slog::info!(shared.log.logger(), "stop"; "open" => shared.open.get());
+    tokio::time::sleep(STOP_STEP).await;
+}
+
+async fn accept_callers(
+    shared: Rc<RelayShared>,
+    listener: TcpListener,
+    closing: watch::Receiver<bool>,
+) {
+    loop {
+        let stream = accept_next(&listener).await;
+        tokio::task::spawn_local(serve_caller(shared.clone(), stream, closing.clone()));
+    }
+}
+
+/// Serves one connection of a caller.
+async fn serve_caller(
+    shared: Rc<RelayShared>,
+    stream: TcpStream,
+    mut closing: watch::Receiver<bool>,
+) {
+    if let Err(error) = stream.set_nodelay(true) {
+        slog::debug!(shared.log.logger(), "no delay not set"; "error" => %error);
+    }
+    let limits = shared.core.borrow().rules().limits();
+    let service_shared = shared.clone();
+    let service = service_fn(move |request| {
+        let shared = service_shared.clone();
+        async move {
+            let _open = OpenRequest::new(&shared);
+            Ok::<_, Infallible>(serve(shared.clone(), request).await)
+        }
+    });
+    // The time for a head includes the rest between two requests, which
+    // callers may use up.
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_limit)
+        .max_buf_size(limits.max_head.max(MIN_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    loop {
+        tokio::select! {
+            // How a connection ends is the caller's affair: its requests have
+            // answers of their own.
+            _ = connection.as_mut() => return,
+            _ = closing.changed() => connection.as_mut().graceful_shutdown(),
+        }
+    }
+}
+
+/// Smallest buffer of a connection.
+const MIN_BUFFER: usize = 8 * 1024;
+
+/// Answers the balancer and whoever reads metrics.
+async fn accept_status(shared: Rc<RelayShared>, listener: TcpListener) {
+    loop {
+        let stream = accept_next(&listener).await;
+        let shared = shared.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |request: hyper::Request<hyper::body::Incoming>| {
+                let answer = answer_status(&shared, request.uri().path());
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            // The one who asked sees how it ended.
+            drop(
+                http1::Builder::new()
+                    .timer(TokioTimer::new())
+                    .header_read_timeout(Duration::from_secs(15))
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await,
+            );
+        });
+    }
+}
+
+fn answer_status(shared: &RelayShared, path: &str) -> Response<Full<Bytes>> {
+    let now = shared.now();
+    let (status, body) = if path == shared.callers.readiness_path {
+        let is_ready = !shared.is_stopping.get() && shared.core.borrow().is_ready(now);
+        let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        (status, Vec::new())
+    } else if path == "/metrics" {
+        let core = shared.core.borrow();
+        (StatusCode::OK, shared.counts.borrow().to_text(&core, now))
+    } else {
+        (StatusCode::NOT_FOUND, Vec::new())
+    };
+    let mut response = Response::new(Full::new(body.into()));
+    *response.status_mut() = status;
+    response
+}
+
+/// Closes what rested too long, and forgets what did not come back.
+async fn sweep(shared: Rc<RelayShared>) {
+    loop {
+        tokio::time::sleep(SWEEP_STEP).await;
+        let now = shared.now();
+        shared.pool.borrow_mut().expire(now);
+        let change = shared.core.borrow_mut().targets.expire(now);
+        shared.log.targets_changed(&change);
+        shared.link.subscribe(&shared.core.borrow(), now);
+    }
+}
+
+/// Name of a process, for its log.
+#[must_use]
+pub fn to_process_name(settings: &RelaySettings) -> Arc<str> {
+    settings.name.clone()
+}
--- /dev/null
+++ b/src/relay/settings.rs
@@ -0,0 +1,105 @@
+//! Settings files of the relay's programs: TOML, checked when read.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+use crate::error::{Error, Result};
+
+/// Settings of an entry that relays.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RelaySettings {
+    /// Name of this process.
+    pub name: Arc<str>,
+    /// Failure domain of its host.
+    pub failure_domain: Arc<str>,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for the balancer's questions.
+    pub readiness_listen: SocketAddr,
+    /// Address for metrics.
+    pub metrics_listen: SocketAddr,
+    /// Address for notes of agents; they use the same port.
+    pub load_listen: SocketAddr,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Longest time between the removal of a key and its last use, in ms.
+    pub revoke_ms: u64,
+    /// Second attempts for each request, over all entries.
+    pub retry_ratio: f64,
+    /// Second attempts in each window beside that, over all entries.
+    pub retry_slack: f64,
+    /// Length of that window, in seconds.
+    pub retry_window_s: u64,
+    /// Longest planned stop, in seconds.
+    pub stop_s: f64,
+}
+
+/// Settings of an agent that advises entries.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AdviserSettings {
+    /// Name of this process.
+    pub name: Arc<str>,
+    /// Address for notes of entries.
+    pub load_listen: SocketAddr,
+    /// The engine beside it.
+    pub target: SocketAddr,
+}
+
+impl RelaySettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// The file can not be read, has an unknown field or a value out of range.
+    pub fn from_file(path: &Path) -> Result<Self> {
+        let settings: RelaySettings = from_file(path)?;
+        let has_order = settings.retry_ratio >= 0.0
+            && settings.retry_slack >= 0.0
+            && settings.retry_window_s > 0
+            && settings.stop_s > 0.0
+            && settings.revoke_ms > 0;
+        if has_order {
+            return Ok(settings);
+        }
+        Err(Error::settings(
+            "retry_window_s, stop_s and revoke_ms must be above zero, retry_ratio and \
+             retry_slack not below",
+        ))
+    }
+
+    /// Longest time between the removal of a key and its last use.
+    #[must_use]
+    pub fn revoke_bound(&self) -> Duration {
+        Duration::from_millis(self.revoke_ms)
+    }
+
+    /// Longest planned stop.
+    #[must_use]
+    pub fn stop_limit(&self) -> Duration {
+        Duration::from_secs_f64(self.stop_s)
+    }
+}
+
+impl AdviserSettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// The file can not be read, or has an unknown field.
+    pub fn from_file(path: &Path) -> Result<Self> {
+        from_file(path)
+    }
+}
+
+fn from_file<T: DeserializeOwned>(path: &Path) -> Result<T> {
+    let text = std::fs::read_to_string(path)?;
+    toml::from_str(&text)
+        .map_err(|error| Error::settings(format!("{}: {}", path.display(), error.message())))
+}
--- /dev/null
+++ b/src/relay/targets.rs
@@ -0,0 +1,311 @@
+//! The targets that this process knows, and what it believes of each.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::engine_rates::EngineRates;
+use super::pass_model::PassModel;
+use crate::time::Tick;
+
+/// How long a target that is missing after an outage of the list may still
+/// come back: live targets are listed again within two seconds.
+const RETURN_SPAN: Duration = Duration::from_millis(1_800);
+
+/// Time that a target is left alone after its first failure.
+const FIRST_EJECTION: Duration = Duration::from_millis(400);
+
+/// Longest time that a target is left alone.
+const LONGEST_EJECTION: Duration = Duration::from_secs(4);
+
+/// Failures in a row after which a target is left alone.
+const TOLERATED_FAILURES: u32 = 2;
+
+/// A target as the platform lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetRecord {
+    /// Names this life of the target; another life has another one.
+    pub incarnation: Arc<str>,
+    /// The service it belongs to.
+    pub service: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: Arc<str>,
+    /// Requests it runs at the same time.
+    pub capacity: usize,
+    /// True where it takes nothing new.
+    pub is_leaving: bool,
+}
+
+/// Why a target failed a request, as far as its health is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetFault {
+    /// Nobody listens there, or the connection broke.
+    Broken,
+    /// It did not answer in time.
+    Silent,
+    /// What it sent is not the answer.
+    Garbled,
+    /// It answered with an error of its own.
+    Error,
+    /// It refused for want of room.
+    Full,
+    /// Another life of the target has the address.
+    Replaced,
+}
+
+/// What is known of one target.
+#[derive(Debug)]
+pub struct TargetState {
+    /// Its entry in the list.
+    pub record: TargetRecord,
+    /// Its passes, none for a plain service.
+    pub model: Option<PassModel>,
+    /// Requests of this process that it has.
+    pub in_flight: usize,
+    /// When it last sent anything.
+    pub heard_at: Tick,
+    /// When the oldest request since then was sent.
+    pub waiting_since: Option<Tick>,
+    failures: u32,
+    ejections: u32,
+    ejected_until: Tick,
+    missing_since: Option<Tick>,
+}
+
+impl TargetState {
+    fn new(record: TargetRecord, rates: Option<&Rc<EngineRates>>, now: Tick) -> Self {
+        TargetState {
+            record,
+            model: rates.map(|rates| PassModel::new(rates.clone())),
+            in_flight: 0,
+            heard_at: now,
+            waiting_since: None,
+            failures: 0,
+            ejections: 0,
+            ejected_until: Tick::default(),
+            missing_since: None,
+        }
+    }
+
+    /// Returns true where requests may be sent there.
+    #[must_use]
+    pub fn is_usable(&self) -> bool {
+        !self.record.is_leaving
+    }
+
+    /// Returns true while it is left alone after failures.
+    #[must_use]
+    pub fn is_ejected(&self, now: Tick) -> bool {
+        now < self.ejected_until
+    }
+
+    /// Notes a request sent there.
+    pub fn note_sent(&mut self, now: Tick) {
+        self.in_flight += 1;
+        self.waiting_since.get_or_insert(now);
+    }
+
+    /// Notes that a request is no longer there.
+    pub fn note_ended(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        if self.in_flight == 0 {
+            self.waiting_since = None;
+        }
+    }
+
+    /// Notes bytes of an answer.
+    pub fn note_heard(&mut self, now: Tick) {
+        self.heard_at = now;
+        self.waiting_since = (self.in_flight > 0).then_some(now);
+    }
+
+    /// How long it has sent nothing while it should have.
+    #[must_use]
+    pub fn silence(&self, now: Tick) -> Duration {
+        self.waiting_since.map_or(Duration::ZERO, |at| now.since(at))
+    }
+
+    /// Notes a request that it served.
+    pub fn note_success(&mut self) {
+        self.failures = 0;
+        self.ejections = 0;
+        self.ejected_until = Tick::default();
+    }
+
+    /// Notes a failure. Returns the time for which it is left alone, if any.
+    pub fn note_failure(&mut self, fault: TargetFault, now: Tick) -> Option<Duration> {
+        match fault {
+            TargetFault::Full => return None,
+            TargetFault::Replaced => {
+                self.record.is_leaving = true;
+                return None;
+            }
+            TargetFault::Broken | TargetFault::Silent => self.failures += TOLERATED_FAILURES,
+            TargetFault::Garbled | TargetFault::Error => self.failures += 1,
+        }
+        if self.failures < TOLERATED_FAILURES || self.is_ejected(now) {
+            return None;
+        }
+        let span = FIRST_EJECTION.saturating_mul(1 << self.ejections.min(8)).min(LONGEST_EJECTION);
+        self.ejections += 1;
+        self.failures = 0;
+        self.ejected_until = now + span;
+        Some(span)
+    }
+}
+
+/// All targets that are known.
+#[derive(Debug, Default)]
+pub struct TargetSet {
+    targets: HashMap<Arc<str>, TargetState>,
+    has_list: bool,
+}
+
+/// What a list changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ListChange {
+    /// Targets that are new.
+    pub added: Vec<Arc<str>>,
+    /// Targets that take nothing new from now on.
+    pub leaving: Vec<Arc<str>>,
+    /// Targets that are gone.
+    pub removed: Vec<Arc<str>>,
+}
+
+impl TargetSet {
+    /// Returns true once a list was taken.
+    #[must_use]
+    pub fn has_list(&self) -> bool {
+        self.has_list
+    }
+
+    /// Finds a target.
+    #[must_use]
+    pub fn get(&self, incarnation: &str) -> Option<&TargetState> {
+        self.targets.get(incarnation)
+    }
+
+    /// Finds a target, to change what is known of it.
+    pub fn get_mut(&mut self, incarnation: &str) -> Option<&mut TargetState> {
+        self.targets.get_mut(incarnation)
+    }
+
+    /// All targets.
+    pub fn iter(&self) -> impl Iterator<Item = &TargetState> {
+        self.targets.values()
+    }
+
+    /// All targets, to change what is known of them.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut TargetState> {
+        self.targets.values_mut()
+    }
+
+    /// The targets of a service that may be sent requests.
+    pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a TargetState> {
+        let targets = self.targets.values();
+        targets.filter(move |target| &*target.record.service == service && target.is_usable())
+    }
+
+    /// Takes a whole list. After an outage of the list, what is missing may
+    /// still come back for a while and is kept.
+    pub fn take_list(
+        &mut self,
+        records: Vec<TargetRecord>,
+        is_after_outage: bool,
+        rates: &dyn Fn(&str) -> Option<Rc<EngineRates>>,
+        now: Tick,
+    ) -> ListChange {
+        let listed: HashSet<Arc<str>> =
+            records.iter().map(|record| record.incarnation.clone()).collect();
+        let mut change = ListChange::default();
+        for record in records {
+            self.take_record(record, rates, now, &mut change);
+        }
+        for target in self.targets.values_mut() {
+            if listed.contains(&target.record.incarnation) {
+                continue;
+            }
+            if is_after_outage && self.has_list {
+                target.missing_since.get_or_insert(now);
+            } else if target.missing_since.is_none() {
+                target.missing_since = Some(now - RETURN_SPAN);
+            }
+        }
+        self.has_list = true;
+        self.remove_missing(now, &mut change);
+        change
+    }
+
+    /// Takes a change of one target.
+    pub fn take_change(
+        &mut self,
+        record: TargetRecord,
+        rates: &dyn Fn(&str) -> Option<Rc<EngineRates>>,
+        now: Tick,
+    ) -> ListChange {
+        let mut change = ListChange::default();
+        self.take_record(record, rates, now, &mut change);
+        change
+    }
+
+    /// Takes the removal of one target from the list. After an outage it may
+    /// still come back for a while and is kept.
+    pub fn take_removal(
+        &mut self,
+        incarnation: &str,
+        is_after_outage: bool,
+        now: Tick,
+    ) -> ListChange {
+        let mut change = ListChange::default();
+        if let Some(target) = self.targets.get_mut(incarnation) {
+            let since = if is_after_outage { now } else { now - RETURN_SPAN };
+            target.missing_since.get_or_insert(since);
+        }
+        self.remove_missing(now, &mut change);
+        change
+    }
+
+    /// Removes what has been missing for too long.
+    pub fn expire(&mut self, now: Tick) -> ListChange {
+        let mut change = ListChange::default();
+        self.remove_missing(now, &mut change);
+        change
+    }
+
+    fn take_record(
+        &mut self,
+        record: TargetRecord,
+        rates: &dyn Fn(&str) -> Option<Rc<EngineRates>>,
+        now: Tick,
+        change: &mut ListChange,
+    ) {
+        let name = record.incarnation.clone();
+        if let Some(target) = self.targets.get_mut(&name) {
+            if record.is_leaving && !target.record.is_leaving {
+                change.leaving.push(name);
+            }
+            target.missing_since = None;
+            // A target that said it is leaving does not come back.
+            let is_leaving = record.is_leaving || target.record.is_leaving;
+            target.record = TargetRecord { is_leaving, ..record };
+            return;
+        }
+        let rates = rates(&record.service);
+        self.targets.insert(name.clone(), TargetState::new(record, rates.as_ref(), now));
+        change.added.push(name);
+    }
+
+    fn remove_missing(&mut self, now: Tick, change: &mut ListChange) {
+        self.targets.retain(|name, target| {
+            let is_gone = target.missing_since.is_some_and(|at| now.since(at) >= RETURN_SPAN);
+            if is_gone {
+                change.removed.push(name.clone());
+            }
+            !is_gone
+        });
+    }
+}
