Wait for a foretold first event, pack short prompts, take late rates

Cause: (1) a prompt that is read for two seconds is silent meanwhile, and was taken elsewhere after 0.9 s: 40 of 49 long prompts were read twice. (2) Short prompts spread over all engines, so that long ones found none to be read at.

Change: silence counts beside the foretold time; twice the gain of packing, quadratic loss by time; rates are set when they come.

--- a/src/relay/core.rs
+++ b/src/relay/core.rs
@@ -117,9 +117,8 @@
         let rules = self.rules.clone();
         for target in self.targets.iter_mut() {
             let rates = rules.service(&target.record.service);
-            let rates = rates.and_then(|service| service.engine.as_ref());
-            if let (Some(model), Some(rates)) = (&mut target.model, rates) {
-                model.set_rates(rates);
+            if let Some(rates) = rates.and_then(|service| service.engine.as_ref()) {
+                target.set_rates(rates);
             }
         }
         true
@@ -208,8 +207,7 @@
                 model.advance(now);
             }
         }
-        let query =
-            PlacementQuery { service, failure_domain: &self.limits.failure_domain, tried };
+        let query = PlacementQuery { service, failure_domain: &self.limits.failure_domain, tried };
         match need {
             Some(need) => place_prompt(&self.targets, &query, need, now),
             None => place_call(&self.targets, &query, now),
@@ -231,11 +229,7 @@
         if let Some(need) = need {
             self.begin_stream(placement, need, key, now);
         }
-        AttemptShare {
-            target: placement.target.clone(),
-            helpers: placement.helpers.clone(),
-            key,
-        }
+        AttemptShare { target: placement.target.clone(), helpers: placement.helpers.clone(), key }
     }
 
     fn begin_stream(
@@ -245,8 +239,7 @@
         key: StreamKey,
         now: Tick,
     ) {
-        let Some(rates) = self.targets.get(&placement.target).and_then(|t| t.model.as_ref())
-        else {
+        let Some(rates) = self.targets.get(&placement.target).and_then(|t| t.model.as_ref()) else {
             return;
         };
         let parts = placement.helpers.len() + 1;
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -17,7 +17,7 @@
 use super::event_stream::EventSplitter;
 use super::forward::{AttemptFault, OpenAnswer, RelayJob, open};
 use super::placement::{Placement, PromptNeed};
-use super::record::{PlacedLine, RequestEnd, RequestLine};
+use super::record::{PlacedLine, RequestEnd, RequestLine, StreamPace};
 use super::rules::{Access, RouteRule};
 use super::server::RelayShared;
 use super::targets::TargetFault;
@@ -103,12 +103,20 @@
     id: Arc<str>,
     arrived: Tick,
     targets: Vec<Arc<str>>,
+    pace: StreamPace,
     is_ended: bool,
 }
 
 impl RequestLedger {
     fn new(shared: &Rc<RelayShared>, id: Arc<str>, arrived: Tick) -> Self {
-        RequestLedger { shared: shared.clone(), id, arrived, targets: Vec::new(), is_ended: false }
+        RequestLedger {
+            shared: shared.clone(),
+            id,
+            arrived,
+            targets: Vec::new(),
+            pace: StreamPace::default(),
+            is_ended: false,
+        }
     }
 
     fn end(&mut self, end: RequestEnd, status: StatusCode, why: &str) {
@@ -124,6 +132,7 @@
             why,
             targets: &self.targets.join(","),
             took: now.since(self.arrived),
+            pace: self.pace,
             version: core.rules().version(),
             proof_age: core.lease().age(now),
         };
@@ -307,8 +316,7 @@
         let verdict = fault.verdict.to_string();
         shared.log.attempt_failed(&job.id, target, &fault.why, &verdict, now);
         if !fault.is_timeout
-            && let Some(span) =
-                shared.core.borrow_mut().note_failure(target, fault.fault, now)
+            && let Some(span) = shared.core.borrow_mut().note_failure(target, fault.fault, now)
         {
             shared.log.ejected(target, span);
         }
@@ -326,8 +334,8 @@
             return false;
         }
         let may_repeat = fault.verdict.may_retry(job.route.repeat.is_repeatable());
-        let is_in_bound = self.runs < job.route.max_targets
-            && self.sends < job.route.max_targets + REFUSED_SENDS;
+        let is_in_bound =
+            self.runs < job.route.max_targets && self.sends < job.route.max_targets + REFUSED_SENDS;
         may_repeat
             && is_in_bound
             && (!fault.is_sent || shared.core.borrow_mut().take_retry(&job.service, now))
@@ -339,8 +347,7 @@
             let why = if self.why.is_empty() { "no target can take it now" } else { &self.why };
             return RelayFault::refused("no_room", why, NO_ROOM_RETRY);
         }
-        let status =
-            if is_timeout { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
+        let status = if is_timeout { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
         RelayFault::failed(status, "target_failed", self.why.clone())
     }
 }
@@ -463,10 +470,8 @@
         Ok(StreamStart::Head(head)) => head.map(|()| RelayBody::Parts(receiver)),
         Ok(StreamStart::Whole(answer)) => answer.map(|body| RelayBody::Whole(Full::new(body))),
         Ok(StreamStart::Fault(fault)) => fault.into_answer(&shared.callers, &id),
-        Err(_) => {
-            RelayFault::failed(StatusCode::BAD_GATEWAY, "stream_lost", "the stream was lost")
-                .into_answer(&shared.callers, &id)
-        }
+        Err(_) => RelayFault::failed(StatusCode::BAD_GATEWAY, "stream_lost", "the stream was lost")
+            .into_answer(&shared.callers, &id),
     }
 }
 
@@ -486,8 +491,16 @@
         ledger.targets.push(placement.target.clone());
         splitter.clear_rest();
         let may_hedge = series.may_hedge(job);
-        let result =
-            stream_once(shared, job, &placement, &mut splitter, output, may_hedge).await;
+        let result = stream_once(
+            shared,
+            job,
+            &placement,
+            &mut splitter,
+            output,
+            &mut ledger.pace,
+            may_hedge,
+        )
+        .await;
         match result {
             Ok(status) => return ledger.end(RequestEnd::Answered, status, ""),
             Err(fault) => {
@@ -529,6 +542,7 @@
     placement: &Placement,
     splitter: &mut EventSplitter,
     output: &mut StreamOutput,
+    pace: &mut StreamPace,
     may_hedge: bool,
 ) -> Result<StatusCode, AttemptFault> {
     let resume_after = splitter.last_id().or(job.head.resume_after);
@@ -541,8 +555,7 @@
     (shared.targets.clear_answer)(&mut parts.headers);
     parts.headers.remove(CONTENT_LENGTH);
     let mut start = Some(Response::from_parts(parts, ()));
-    while let Some(frame) =
-        next_frame(shared, job, &placement.target, &mut body, may_hedge).await?
+    while let Some(frame) = next_frame(shared, job, &placement.target, &mut body, may_hedge).await?
     {
         let events = splitter.push(&frame);
         let events = events.map_err(|_| AttemptFault::garbled("no stream of events"))?;
@@ -552,6 +565,7 @@
         {
             output.begin(StreamStart::Head(start));
         }
+        pace.note(job.arrived, shared.now());
         if output.parts.send(Ok(events)).await.is_err() {
             return Err(AttemptFault::broken("the caller left"));
         }
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -23,9 +23,13 @@
 use crate::verdict::Verdict;
 
 /// Silence of a target with work after which a request that may be repeated
-/// is taken elsewhere: longer than any pass that is in time for its writers.
+/// is taken elsewhere, beside the time that its first event was foretold to
+/// take: longer than any pass that is in time for its writers.
 const SILENCE_LIMIT: Duration = Duration::from_millis(900);
 
+/// Part of the foretold time to the first event that is waited in any case.
+const FORETOLD_PART: f64 = 1.5;
+
 /// Part of the objective of a plain call after which another target is tried.
 const HEDGE_PART: f64 = 0.8;
 
@@ -157,7 +161,7 @@
     let connection = guard.connection.insert(connection);
     let request = to_request(shared, job, placement, resume_after);
     let sending = connection.sender.send_request(request);
-    let waiting = wait_for_head(shared, job, &placement.target, may_hedge);
+    let waiting = wait_for_head(shared, job, placement, may_hedge);
     let response = tokio::select! {
         response = sending => response,
         fault = waiting => return Err(fault),
@@ -226,10 +230,12 @@
 async fn wait_for_head(
     shared: &RelayShared,
     job: &RelayJob,
-    target: &str,
+    placement: &Placement,
     may_hedge: bool,
 ) -> AttemptFault {
-    let hedge_at = shared.now() + job.route.objective.mul_f64(HEDGE_PART);
+    let sent_at = shared.now();
+    let hedge_at = sent_at + job.route.objective.mul_f64(HEDGE_PART);
+    let foretold = placement.first.mul_f64(FORETOLD_PART);
     loop {
         tokio::time::sleep(LOOK_STEP.min(job.deadline.since(shared.now()))).await;
         let now = shared.now();
@@ -242,7 +248,8 @@
         if job.need.is_none() && now >= hedge_at {
             return AttemptFault::silent("no answer within the objective");
         }
-        if job.need.is_some() && shared.silence_of(target) >= SILENCE_LIMIT {
+        let is_due = now.since(sent_at) >= foretold + SILENCE_LIMIT;
+        if job.need.is_some() && is_due && shared.silence_of(&placement.target) >= SILENCE_LIMIT {
             return AttemptFault::silent("the target has sent nothing for too long");
         }
     }
--- a/src/relay/pass_model.rs
+++ b/src/relay/pass_model.rs
@@ -278,9 +278,10 @@
 
     /// What the writers lose by a pass of such a length.
     fn harm(&self, pass: Duration) -> f32 {
-        let writers = self.streams.values().filter(|stream| {
-            stream.load.is_writer() && stream.phase != Phase::Waiting
-        });
+        let writers = self
+            .streams
+            .values()
+            .filter(|stream| stream.load.is_writer() && stream.phase != Phase::Waiting);
         let harmed = writers.map(|stream| {
             // A pass a little under the limit may turn out a little over it.
             let part = pass.as_micros() as f64 / stream.load.pause_us.max(1) as f64;
--- a/src/relay/placement.rs
+++ b/src/relay/placement.rs
@@ -33,7 +33,7 @@
 
 /// Gain of a short request for each other one that writes at the same engine:
 /// it leaves other engines free for long prompts.
-const PACKING_GAIN: f32 = 0.01;
+const PACKING_GAIN: f32 = 0.02;
 
 /// Cost of an engine in another failure domain.
 const DISTANCE_COST: f32 = 0.004;
@@ -122,9 +122,9 @@
     let targets = candidates(set, query, now);
     let count = targets.len();
     let best = targets.into_iter().min_by(|a, b| {
-        call_cost(a, query).total_cmp(&call_cost(b, query)).then_with(|| {
-            a.record.incarnation.cmp(&b.record.incarnation)
-        })
+        call_cost(a, query)
+            .total_cmp(&call_cost(b, query))
+            .then_with(|| a.record.incarnation.cmp(&b.record.incarnation))
     })?;
     Some(Placement {
         target: best.record.incarnation.clone(),
@@ -175,7 +175,8 @@
     now: Tick,
 ) -> Option<Placement> {
     let targets = candidates(set, query, now);
-    let read = targets.iter().find_map(|target| target.model.as_ref())?.rates().read_time(need.prompt);
+    let read =
+        targets.iter().find_map(|target| target.model.as_ref())?.rates().read_time(need.prompt);
     let mut best: Option<Placement> = None;
     for size in GROUP_SIZES {
         if size > targets.len() || size > MAX_HELPERS + 1 {
@@ -284,5 +285,6 @@
 fn time_cost(need: &PromptNeed, first: Duration) -> f32 {
     let part = first.as_secs_f64() / need.first_limit.as_secs_f64().max(1e-3);
     let late = if part > FIRST_PART { LATE_LOSS } else { 0.0 };
-    need.value() * (late + TIME_LOSS * (part as f32).min(4.0))
+    let part = part as f32;
+    need.value() * (late + TIME_LOSS * (part * part).min(4.0))
 }
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -51,6 +51,27 @@
     CallerLeft,
 }
 
+/// How fast the events of a stream came.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StreamPace {
+    /// Time from its arrival to the first event.
+    pub first: Option<Duration>,
+    /// Longest pause between two events.
+    pub longest_pause: Duration,
+    last: Option<Tick>,
+}
+
+impl StreamPace {
+    /// Notes events that were passed on.
+    pub fn note(&mut self, arrived: Tick, now: Tick) {
+        self.first.get_or_insert(now.since(arrived));
+        if let Some(last) = self.last {
+            self.longest_pause = self.longest_pause.max(now.since(last));
+        }
+        self.last = Some(now);
+    }
+}
+
 /// One line of a request.
 #[derive(Debug)]
 pub struct RequestLine<'a> {
@@ -66,6 +87,8 @@
     pub targets: &'a str,
     /// Time from its arrival.
     pub took: Duration,
+    /// Time to the first event of a stream, and its longest pause.
+    pub pace: StreamPace,
     /// Version of the configuration.
     pub version: u64,
     /// Age of the proof that it is current.
@@ -150,6 +173,8 @@
         info!(self.logger, "request";
             "id" => line.id, "end" => %line.end, "status" => line.status, "why" => line.why,
             "targets" => line.targets, "took_ms" => line.took.as_millis() as u64,
+            "first_ms" => line.pace.first.map(|span| span.as_millis() as u64),
+            "longest_pause_ms" => line.pace.longest_pause.as_millis() as u64,
             "config_version" => line.version,
             "proof_age_ms" => line.proof_age.map(|age| age.as_millis() as u64),
             "left_out" => left_out);
--- a/src/relay/rules.rs
+++ b/src/relay/rules.rs
@@ -201,12 +201,7 @@
     /// # Errors
     ///
     /// No route takes it, or its key is not one of the configuration.
-    pub fn admit(
-        &self,
-        host: &str,
-        path: &str,
-        key: Option<&str>,
-    ) -> Result<Access, AccessFault> {
+    pub fn admit(&self, host: &str, path: &str, key: Option<&str>) -> Result<Access, AccessFault> {
         let route = self.find_route(host, path).ok_or(AccessFault::NoRoute)?;
         let account = key.and_then(|key| self.keys.get(key)).cloned();
         if self.has_accounts && !route.is_public && account.is_none() {
--- a/src/relay/targets.rs
+++ b/src/relay/targets.rs
@@ -91,6 +91,15 @@
         }
     }
 
+    /// Takes the rates of its engine, which may come later than the target
+    /// itself: configuration and list are read separately.
+    pub fn set_rates(&mut self, rates: &Rc<EngineRates>) {
+        match &mut self.model {
+            Some(model) => model.set_rates(rates),
+            None => self.model = Some(PassModel::new(rates.clone())),
+        }
+    }
+
     /// Returns true where requests may be sent there.
     #[must_use]
     pub fn is_usable(&self) -> bool {
