Follow passes by later events, let long reads be silent, hold a due pass

Cause: (1) the first event of a jointly read prompt comes within a pass and was taken for its end, so the model ran ahead and several parts fell into one pass (seen: 79 + 85 + 83 ms beside 55 ms of writing, foretold harm 0, real pause 272 ms). (2) The model turned a pass at its foretold end though nothing had arrived, when another entry's part was not known yet. (3) The learned pace only ever fell.

Change: a pass ends by events after the first; a due pass waits 120 ms for its events; pace only from reports; silence at least 1.3 s and the objective.

What is left of the long ones are those over one engine's memory, refused today.

--- a/src/relay/core.rs
+++ b/src/relay/core.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::engine_rates::EngineRates;
 use super::freshness::FreshnessLease;
 use super::load_note::LoadNote;
 use super::pass_model::{StreamKey, StreamLoad};
@@ -114,13 +113,7 @@
             return false;
         };
         self.rules = Rc::new(RuleTable::from_config(config));
-        let rules = self.rules.clone();
-        for target in self.targets.iter_mut() {
-            let rates = rules.service(&target.record.service);
-            if let Some(rates) = rates.and_then(|service| service.engine.as_ref()) {
-                target.set_rates(rates);
-            }
-        }
+        self.set_rates();
         true
     }
 
@@ -131,14 +124,27 @@
         is_after_outage: bool,
         now: Tick,
     ) -> ListChange {
-        let rules = self.rules.clone();
-        self.targets.take_list(records, is_after_outage, &|name| find_rates(&rules, name), now)
+        let change = self.targets.take_list(records, is_after_outage, now);
+        self.set_rates();
+        change
+    }
+
+    /// Gives each target the rates of its service. Configuration and list are
+    /// read separately, and either may come first.
+    fn set_rates(&mut self) {
+        for target in self.targets.iter_mut() {
+            let service = self.rules.service(&target.record.service);
+            if let Some(rates) = service.and_then(|service| service.engine.as_ref()) {
+                target.set_rates(rates, self.entry);
+            }
+        }
     }
 
     /// Takes a change of one target.
     pub fn take_change(&mut self, record: TargetRecord, now: Tick) -> ListChange {
-        let rules = self.rules.clone();
-        self.targets.take_change(record, &|name| find_rates(&rules, name), now)
+        let change = self.targets.take_change(record, now);
+        self.set_rates();
+        change
     }
 
     /// Finds the route and account of a request that was read at `now`.
@@ -274,11 +280,16 @@
         }
     }
 
-    /// Notes bytes of an answer: a pass of its engine has ended.
+    /// Notes bytes of an answer.
     pub fn note_heard(&mut self, target: &str, now: Tick) {
-        let Some(target) = self.targets.get_mut(target) else { return };
-        target.note_heard(now);
-        if let Some(model) = &mut target.model {
+        if let Some(target) = self.targets.get_mut(target) {
+            target.note_heard(now);
+        }
+    }
+
+    /// Notes an event that its engine sent at the end of a pass.
+    pub fn note_pass(&mut self, target: &str, now: Tick) {
+        if let Some(model) = self.model(target) {
             model.note_pass(now);
         }
     }
@@ -349,7 +360,3 @@
         services.map(|service| service.name.clone()).collect()
     }
 }
-
-fn find_rates(rules: &RuleTable, service: &str) -> Option<Rc<EngineRates>> {
-    rules.service(service)?.engine.clone()
-}
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -43,10 +43,10 @@
 
 /// Silence within a stream after which it is continued elsewhere, in pauses
 /// that are just in time.
-const SILENT_PAUSES: u32 = 3;
+const SILENT_PAUSES: u32 = 4;
 
 /// Least such silence.
-const MIN_SILENCE: Duration = Duration::from_millis(1_000);
+const MIN_SILENCE: Duration = Duration::from_millis(1_400);
 
 /// Answer tokens that are assumed where a caller says nothing.
 const ASSUMED_ANSWER: u64 = 1_500;
@@ -293,7 +293,7 @@
         let line = PlacedLine {
             id: &job.id,
             target: &placement.target,
-            helpers: placement.helpers.len(),
+            helpers: &placement.helpers,
             prompt: job.need.map_or(0, |need| need.prompt),
             first: placement.first,
             cost: placement.cost,
@@ -555,8 +555,15 @@
     (shared.targets.clear_answer)(&mut parts.headers);
     parts.headers.remove(CONTENT_LENGTH);
     let mut start = Some(Response::from_parts(parts, ()));
+    // The first event comes as soon as the prompt is read, the others at the
+    // end of a pass.
+    let mut is_begun = false;
     while let Some(frame) = next_frame(shared, job, &placement.target, &mut body, may_hedge).await?
     {
+        if is_begun {
+            shared.core.borrow_mut().note_pass(&placement.target, shared.now());
+        }
+        is_begun = true;
         let events = splitter.push(&frame);
         let events = events.map_err(|_| AttemptFault::garbled("no stream of events"))?;
         let Some(events) = events else { continue };
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -22,10 +22,10 @@
 use crate::time::Tick;
 use crate::verdict::Verdict;
 
-/// Silence of a target with work after which a request that may be repeated
-/// is taken elsewhere, beside the time that its first event was foretold to
-/// take: longer than any pass that is in time for its writers.
-const SILENCE_LIMIT: Duration = Duration::from_millis(900);
+/// Least silence of a target with work after which a prompt is taken elsewhere,
+/// beside the time that its first event was foretold to take. Callers of short
+/// prompts wait for two seconds.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_300);
 
 /// Part of the foretold time to the first event that is waited in any case.
 const FORETOLD_PART: f64 = 1.5;
@@ -236,6 +236,8 @@
     let sent_at = shared.now();
     let hedge_at = sent_at + job.route.objective.mul_f64(HEDGE_PART);
     let foretold = placement.first.mul_f64(FORETOLD_PART);
+    // A long prompt is dear to read again, and its caller waits longer.
+    let silence = SILENCE_LIMIT.max(job.route.objective);
     loop {
         tokio::time::sleep(LOOK_STEP.min(job.deadline.since(shared.now()))).await;
         let now = shared.now();
@@ -248,8 +250,8 @@
         if job.need.is_none() && now >= hedge_at {
             return AttemptFault::silent("no answer within the objective");
         }
-        let is_due = now.since(sent_at) >= foretold + SILENCE_LIMIT;
-        if job.need.is_some() && is_due && shared.silence_of(&placement.target) >= SILENCE_LIMIT {
+        let is_due = now.since(sent_at) >= foretold + silence;
+        if job.need.is_some() && is_due && shared.silence_of(&placement.target) >= silence {
             return AttemptFault::silent("the target has sent nothing for too long");
         }
     }
--- a/src/relay/pass_model.rs
+++ b/src/relay/pass_model.rs
@@ -16,14 +16,14 @@
 /// Events that arrive closer together than this belong to one pass.
 const SAME_PASS: Duration = Duration::from_millis(15);
 
+/// How long a pass may last longer than foretold where its end would be seen.
+const PASS_GRACE: Duration = Duration::from_millis(120);
+
 /// Passes that a stream may last longer than foretold before it is forgotten.
 /// Its end is usually announced; this is for announcements that were lost.
 const OVERRUN_PASSES: u32 = 40;
 
-/// Part of a new measurement in the learned pace.
-const PACE_WEIGHT: f64 = 0.15;
-
-/// Bounds of the learned pace, one being the declared rates.
+/// Bounds of a reported pace, one being the declared rates.
 const PACE_BOUNDS: (f64, f64) = (0.7, 12.0);
 
 /// Names a stream among those of all entries.
@@ -81,8 +81,12 @@
 /// What would become of a prompt that is sent to an engine now.
 #[derive(Clone, Copy, Debug)]
 pub struct PassForecast {
-    /// Time until its first event.
+    /// Time until its first event where it is read here alone: the end of the
+    /// pass that reads it.
     pub first: Duration,
+    /// Time until it is read. A prompt that is read jointly has its first event
+    /// when the last of its parts is read, also within a pass.
+    pub read: Duration,
     /// Length of the pass that reads it.
     pub pass: Duration,
     /// Length of a pass afterwards, with it among the writers.
@@ -99,6 +103,8 @@
 #[derive(Debug)]
 pub struct PassModel {
     rates: Rc<EngineRates>,
+    /// The entry that sees the events of its own streams.
+    observer: u64,
     streams: HashMap<StreamKey, ModelStream>,
     pass_start: Tick,
     pass_end: Tick,
@@ -108,9 +114,10 @@
 impl PassModel {
     /// Model of an engine that does nothing.
     #[must_use]
-    pub fn new(rates: Rc<EngineRates>) -> Self {
+    pub fn new(rates: Rc<EngineRates>, observer: u64) -> Self {
         PassModel {
             rates,
+            observer,
             streams: HashMap::new(),
             pass_start: Tick::default(),
             pass_end: Tick::default(),
@@ -155,10 +162,10 @@
     /// Adds a stream that was sent now.
     pub fn add(&mut self, key: StreamKey, load: StreamLoad, now: Tick) {
         self.advance(now);
+        let is_idle = !self.is_working();
         self.streams.insert(key, ModelStream { load, phase: Phase::Waiting });
-        if self.pass_end <= now {
-            self.pass_end = now;
-            self.advance(now);
+        if is_idle {
+            self.start_pass(now);
         }
     }
 
@@ -172,19 +179,34 @@
         self.streams.retain(|key, _| key.entry != entry);
     }
 
-    /// Plays the passes up to `now`.
+    /// Plays the passes up to `now`. A pass whose end is due is not over while
+    /// events that would come with it are missing: it reads more than is known.
     pub fn advance(&mut self, now: Tick) {
-        while self.pass_end <= now {
-            self.turn_pass();
-            let length = self.pass_length();
-            if length.is_zero() {
-                return;
-            }
-            self.pass_start = self.pass_end;
-            self.pass_end = self.pass_end + length;
+        while self.is_working() && self.pass_end + self.grace() <= now {
+            self.start_pass(self.pass_end);
         }
     }
 
+    /// Returns true while a pass is under way.
+    fn is_working(&self) -> bool {
+        self.streams.values().any(|stream| stream.phase != Phase::Waiting)
+    }
+
+    fn start_pass(&mut self, at: Tick) {
+        self.turn_pass();
+        self.pass_start = at;
+        self.pass_end = at + self.pass_length();
+    }
+
+    /// How long the end of a pass may be late by what is not known here.
+    fn grace(&self) -> Duration {
+        let mut streams = self.streams.iter();
+        let is_seen = streams.any(|(key, stream)| {
+            key.entry == self.observer && matches!(stream.phase, Phase::Writing(_))
+        });
+        if is_seen { PASS_GRACE } else { Duration::ZERO }
+    }
+
     /// What was read writes now, and what waited is read.
     fn turn_pass(&mut self) {
         let overrun = OVERRUN_PASSES;
@@ -219,21 +241,7 @@
         if at.since(self.pass_start) < SAME_PASS {
             return;
         }
-        let spent = at.since(self.pass_start).as_secs_f64();
-        let foretold = self.pass_end.since(self.pass_start).as_secs_f64();
-        // A pass that is late by more than half has more to do than is known
-        // here, which says nothing of the pace.
-        if foretold > 0.0 && spent <= foretold {
-            self.learn_pace(spent / foretold);
-        }
-        self.pass_end = at;
-        self.advance(at);
-    }
-
-    /// Takes part of a measured ratio of real to foretold time into the pace.
-    pub fn learn_pace(&mut self, ratio: f64) {
-        let measured = (self.pace * ratio).clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
-        self.pace += (measured - self.pace) * PACE_WEIGHT;
+        self.start_pass(at);
     }
 
     /// Takes the pace that the engine itself reports.
@@ -268,6 +276,7 @@
         let later = self.rates.write_time(writers + 1, context + load.context).mul_f64(self.pace);
         PassForecast {
             first: wait + pass,
+            read: wait + pending.mul_f64(self.pace),
             pass,
             steady: later,
             harm: self.harm(pass),
--- a/src/relay/placement.rs
+++ b/src/relay/placement.rs
@@ -214,7 +214,7 @@
             }
             let Some(model) = &target.model else { continue };
             let forecast = model.forecast(&load, now);
-            let cost = forecast.harm * LATE_LOSS + time_cost(need, forecast.first);
+            let cost = forecast.harm * LATE_LOSS + time_cost(need, forecast.read);
             helpers.push(Candidate { target, forecast, cost });
         }
         helpers.sort_by(|a, b| a.cost.total_cmp(&b.cost));
@@ -223,8 +223,11 @@
             return None;
         }
     }
-    let others = helpers.iter().map(|helper| helper.forecast.first).max();
-    let start = first.forecast.first.max(others.unwrap_or_default());
+    let others = helpers.iter().map(|helper| helper.forecast.read).max();
+    let start = match others {
+        Some(others) => first.forecast.read.max(others),
+        None => first.forecast.first,
+    };
     let harm: f32 = helpers.iter().map(|helper| helper.forecast.harm * LATE_LOSS).sum();
     let writer_harm = first.forecast.harm * LATE_LOSS;
     let own = first.cost - writer_harm - time_cost(need, first.forecast.first);
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -7,6 +7,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
+use std::sync::Arc;
 use std::time::Duration;
 
 use slog::{Drain, Logger, info, o, warn};
@@ -18,7 +19,7 @@
 const QUEUE_LINES: usize = 1_024;
 
 /// Lines of a kind in each second: a line costs some 20 us of a small host.
-const LINES_PER_SECOND: u32 = 20;
+const LINES_PER_SECOND: u32 = 400;
 
 /// Makes the logger of a process. Lines go to standard output.
 #[must_use]
@@ -102,8 +103,8 @@
     pub id: &'a str,
     /// The target that answers.
     pub target: &'a str,
-    /// How many targets help.
-    pub helpers: usize,
+    /// The targets that help.
+    pub helpers: &'a [Arc<str>],
     /// Tokens of the prompt.
     pub prompt: u64,
     /// Foretold time to the first event.
@@ -184,7 +185,7 @@
     pub fn placed(&self, line: &PlacedLine<'_>, now: Tick) {
         let Some(left_out) = self.take_line("placed", now) else { return };
         info!(self.logger, "placed";
-            "id" => line.id, "target" => line.target, "helpers" => line.helpers,
+            "id" => line.id, "target" => line.target, "helpers" => line.helpers.len(), "helped_by" => line.helpers.join(","),
             "prompt_tokens" => line.prompt, "first_ms" => line.first.as_millis() as u64,
             "cost" => line.cost, "harm" => line.harm, "candidates" => line.candidates,
             "left_out" => left_out);
--- a/src/relay/targets.rs
+++ b/src/relay/targets.rs
@@ -77,10 +77,10 @@
 }
 
 impl TargetState {
-    fn new(record: TargetRecord, rates: Option<&Rc<EngineRates>>, now: Tick) -> Self {
+    fn new(record: TargetRecord, now: Tick) -> Self {
         TargetState {
             record,
-            model: rates.map(|rates| PassModel::new(rates.clone())),
+            model: None,
             in_flight: 0,
             heard_at: now,
             waiting_since: None,
@@ -91,12 +91,11 @@
         }
     }
 
-    /// Takes the rates of its engine, which may come later than the target
-    /// itself: configuration and list are read separately.
-    pub fn set_rates(&mut self, rates: &Rc<EngineRates>) {
+    /// Takes the rates of its engine. `observer` is this entry's incarnation.
+    pub fn set_rates(&mut self, rates: &Rc<EngineRates>, observer: u64) {
         match &mut self.model {
             Some(model) => model.set_rates(rates),
-            None => self.model = Some(PassModel::new(rates.clone())),
+            None => self.model = Some(PassModel::new(rates.clone(), observer)),
         }
     }
 
@@ -225,14 +224,13 @@
         &mut self,
         records: Vec<TargetRecord>,
         is_after_outage: bool,
-        rates: &dyn Fn(&str) -> Option<Rc<EngineRates>>,
         now: Tick,
     ) -> ListChange {
         let listed: HashSet<Arc<str>> =
             records.iter().map(|record| record.incarnation.clone()).collect();
         let mut change = ListChange::default();
         for record in records {
-            self.take_record(record, rates, now, &mut change);
+            self.take_record(record, now, &mut change);
         }
         for target in self.targets.values_mut() {
             if listed.contains(&target.record.incarnation) {
@@ -250,14 +248,9 @@
     }
 
     /// Takes a change of one target.
-    pub fn take_change(
-        &mut self,
-        record: TargetRecord,
-        rates: &dyn Fn(&str) -> Option<Rc<EngineRates>>,
-        now: Tick,
-    ) -> ListChange {
+    pub fn take_change(&mut self, record: TargetRecord, now: Tick) -> ListChange {
         let mut change = ListChange::default();
-        self.take_record(record, rates, now, &mut change);
+        self.take_record(record, now, &mut change);
         change
     }
 
@@ -285,13 +278,7 @@
         change
     }
 
-    fn take_record(
-        &mut self,
-        record: TargetRecord,
-        rates: &dyn Fn(&str) -> Option<Rc<EngineRates>>,
-        now: Tick,
-        change: &mut ListChange,
-    ) {
+    fn take_record(&mut self, record: TargetRecord, now: Tick, change: &mut ListChange) {
         let name = record.incarnation.clone();
         if let Some(target) = self.targets.get_mut(&name) {
             if record.is_leaving && !target.record.is_leaving {
@@ -303,8 +290,7 @@
             target.record = TargetRecord { is_leaving, ..record };
             return;
         }
-        let rates = rates(&record.service);
-        self.targets.insert(name.clone(), TargetState::new(record, rates.as_ref(), now));
+        self.targets.insert(name.clone(), TargetState::new(record, now));
         change.added.push(name);
     }
 
