--- a/src/relay/core.rs
+++ b/src/relay/core.rs
@@ -250,11 +250,13 @@
         };
         let parts = placement.helpers.len() + 1;
         let read = rates.rates().read_time(need.prompt);
-        let own = need.to_load(read, parts, rates.rates().passes(need.answer));
+        let holders = placement.seats.len() + 1;
+        let own = need.to_load(read, parts, holders, rates.rates().passes(need.answer));
         let part = need.to_helper_load(read, parts);
         self.add_load(&placement.target, key, own, now);
-        for helper in &placement.helpers {
-            self.add_load(helper, key, part, now);
+        for (at, helper) in placement.helpers.iter().enumerate() {
+            let load = if at < placement.seats.len() { own } else { part };
+            self.add_load(helper, key, load, now);
         }
     }
 
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -15,6 +15,7 @@
 use super::connections::{TargetConnection, connect};
 use super::core::AttemptShare;
 use super::dialect::{AnswerHead, CallerHead, HelperSeat, TargetHead};
+use super::memory_hold::MemoryHold;
 use super::placement::{Placement, PromptNeed};
 use super::rules::RouteRule;
 use super::server::RelayShared;
@@ -111,6 +112,7 @@
     shared: Rc<RelayShared>,
     pub(super) share: AttemptShare,
     connection: Option<TargetConnection>,
+    _memory: Option<MemoryHold>,
 }
 
 impl AttemptGuard {
@@ -156,10 +158,15 @@
         core.begin(placement, job.need.as_ref(), shared.now())
     };
     shared.send_notes();
-    let mut guard = AttemptGuard { shared: shared.clone(), share, connection: None };
+    let mut guard = AttemptGuard { shared: shared.clone(), share, connection: None, _memory: None };
+    let mut helpers = to_seats(shared, placement)?;
+    if !placement.seats.is_empty() {
+        let hold = MemoryHold::reserve(shared, placement, &mut helpers).await;
+        guard._memory = Some(hold.map_err(AttemptFault::not_sent)?);
+    }
     let connection = obtain(shared, job, &placement.target, address).await?;
     let connection = guard.connection.insert(connection);
-    let request = to_request(shared, job, placement, resume_after);
+    let request = to_request(shared, job, placement, &helpers, resume_after);
     let sending = connection.sender.send_request(request);
     let waiting = wait_for_head(shared, job, placement, may_hedge);
     let response = tokio::select! {
@@ -197,25 +204,30 @@
     connect(address).await.map_err(|fault| AttemptFault::not_sent(fault.to_string()))
 }
 
+/// The helpers with their addresses, all of which have to be known.
+fn to_seats(shared: &RelayShared, placement: &Placement) -> Result<Vec<HelperSeat>, AttemptFault> {
+    let seats = placement.helpers.iter().map(|name| {
+        let address = shared.address_of(name);
+        address.map(|address| HelperSeat { address, reservation: None })
+    });
+    let seats: Option<Vec<_>> = seats.collect();
+    seats.ok_or_else(|| AttemptFault::not_sent("a helper is gone"))
+}
+
 fn to_request(
     shared: &RelayShared,
     job: &RelayJob,
     placement: &Placement,
+    helpers: &[HelperSeat],
     resume_after: Option<u64>,
 ) -> Request<Full<Bytes>> {
-    let helpers: Vec<HelperSeat> = placement
-        .helpers
-        .iter()
-        .filter_map(|name| shared.address_of(name))
-        .map(|address| HelperSeat { address, reservation: None })
-        .collect();
     let mut headers = job.headers.clone();
     let head = TargetHead {
         incarnation: &placement.target,
         account: job.account.as_deref(),
         time_left: job.deadline.since(shared.now()),
         resume_after,
-        helpers: &helpers,
+        helpers,
     };
     (shared.targets.set_head)(&mut headers, &head);
     let mut request = Request::new(Full::new(job.body.clone()));
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -30,6 +30,7 @@
 pub mod freshness;
 pub mod load_link;
 pub mod load_note;
+mod memory_hold;
 pub mod pass_model;
 pub mod placement;
 pub mod record;
--- a/src/relay/placement.rs
+++ b/src/relay/placement.rs
@@ -67,14 +67,14 @@
         1.0 + self.prompt as f32 / TOKENS_PER_VALUE
     }
 
-    /// What it costs the engine that writes its answer, where `parts` engines
-    /// read the prompt.
+    /// What it costs an engine that holds its memory, where `parts` engines
+    /// read the prompt and `holders` hold it.
     #[must_use]
-    pub fn to_load(&self, read: Duration, parts: usize, passes: u32) -> StreamLoad {
+    pub fn to_load(&self, read: Duration, parts: usize, holders: usize, passes: u32) -> StreamLoad {
         StreamLoad {
             read_us: (read / parts as u32).as_micros() as u64,
-            context: self.prompt + self.answer / 2,
-            memory: self.prompt + self.answer,
+            context: (self.prompt + self.answer / 2) / holders as u64,
+            memory: (self.prompt + self.answer) / holders as u64,
             passes,
             pause_us: self.longest_pause.as_micros() as u64,
             value: self.value(),
@@ -84,17 +84,29 @@
     /// What it costs an engine that only reads a part.
     #[must_use]
     pub fn to_helper_load(&self, read: Duration, parts: usize) -> StreamLoad {
-        StreamLoad { context: 0, memory: 0, passes: 0, ..self.to_load(read, parts, 0) }
+        StreamLoad { context: 0, memory: 0, passes: 0, ..self.to_load(read, parts, 1, 0) }
     }
 }
 
+/// Memory that has to be reserved at a helper.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemorySeat {
+    /// The helper.
+    pub target: Arc<str>,
+    /// How many tokens it holds.
+    pub tokens: u64,
+}
+
 /// Where a request goes, and why there.
 #[derive(Clone, Debug)]
 pub struct Placement {
     /// The target that answers.
     pub target: Arc<str>,
-    /// Targets that help to read the prompt.
+    /// Targets that help to read the prompt, those with memory first.
     pub helpers: Vec<Arc<str>>,
+    /// Memory to be reserved at the first of the helpers, where the prompt is
+    /// larger than the target's own.
+    pub seats: Vec<MemorySeat>,
     /// Foretold time to the first event.
     pub first: Duration,
     /// Foretold cost, in short requests.
@@ -129,6 +141,7 @@
     Some(Placement {
         target: best.record.incarnation.clone(),
         helpers: Vec::new(),
+        seats: Vec::new(),
         first: Duration::ZERO,
         cost: call_cost(best, query),
         harm: 0.0,
@@ -205,7 +218,7 @@
     now: Tick,
 ) -> Option<Placement> {
     let first = best_writer(targets, query, need, read, size, now)?;
-    let mut helpers = Vec::new();
+    let mut helpers: Vec<Candidate<'_>> = Vec::new();
     if size > 1 {
         let load = need.to_helper_load(read, size);
         for target in targets {
@@ -223,6 +236,7 @@
             return None;
         }
     }
+    let seats = plan_memory(need, &first, &mut helpers)?;
     let others = helpers.iter().map(|helper| helper.forecast.read).max();
     let start = match others {
         Some(others) => first.forecast.read.max(others),
@@ -234,6 +248,7 @@
     Some(Placement {
         target: first.target.record.incarnation.clone(),
         helpers: helpers.iter().map(|helper| helper.target.record.incarnation.clone()).collect(),
+        seats,
         first: start,
         cost: own + harm + writer_harm + time_cost(need, start),
         harm: harm + writer_harm,
@@ -251,17 +266,51 @@
 ) -> Option<Candidate<'a>> {
     let candidates = targets.iter().filter_map(|target| {
         let model = target.model.as_ref()?;
-        let load = need.to_load(read, size, model.rates().passes(need.answer));
+        let load = need.to_load(read, size, 1, model.rates().passes(need.answer));
         let forecast = model.forecast(&load, now);
-        if forecast.memory + load.memory > model.rates().memory_tokens {
-            return None;
-        }
         let cost = writer_cost(target, model.rates().capacity, query, need, &forecast);
         Some(Candidate { target, forecast, cost })
     });
     candidates.min_by(|a, b| a.cost.total_cmp(&b.cost))
 }
 
+/// Part of an engine's free memory that a prompt may be given: what others
+/// take at the same moment is not known yet.
+const MEMORY_PART: f64 = 0.9;
+
+fn free_memory(candidate: &Candidate<'_>) -> u64 {
+    let model = candidate.target.model.as_ref();
+    let all = model.map_or(0, |model| model.rates().memory_tokens);
+    (all.saturating_sub(candidate.forecast.memory) as f64 * MEMORY_PART) as u64
+}
+
+/// Spreads the memory of a prompt that is larger than the writer's over as few
+/// helpers as can hold it, and puts these first. None where they can not.
+fn plan_memory(
+    need: &PromptNeed,
+    writer: &Candidate<'_>,
+    helpers: &mut [Candidate<'_>],
+) -> Option<Vec<MemorySeat>> {
+    let memory = need.prompt + need.answer;
+    let own = free_memory(writer);
+    if memory <= own {
+        return Some(Vec::new());
+    }
+    helpers.sort_by_key(|helper| std::cmp::Reverse(free_memory(helper)));
+    for count in 1..=helpers.len() {
+        let share = memory.div_ceil(count as u64 + 1);
+        if share <= own && share <= free_memory(&helpers[count - 1]) {
+            let holders = helpers[..count].iter();
+            let seats = holders.map(|helper| MemorySeat {
+                target: helper.target.record.incarnation.clone(),
+                tokens: share,
+            });
+            return Some(seats.collect());
+        }
+    }
+    None
+}
+
 fn writer_cost(
     target: &TargetState,
     capacity: usize,
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -28,6 +28,7 @@
 use super::retry_budget::RetryBound;
 use super::settings::RelaySettings;
 use crate::Result;
+use crate::client::HttpClient;
 use crate::clock::{ProcessClock, new_incarnation};
 use crate::time::Tick;
 use crate::web::accept_next;
@@ -73,6 +74,8 @@
     pub(super) is_closed_to_new: Cell<bool>,
     pub(super) away_at: Cell<Option<Tick>>,
     pub(super) link: LoadLink,
+    pub(super) orders: HttpClient,
+    order_number: Cell<u32>,
     clock: ProcessClock,
     open: Cell<usize>,
 }
@@ -91,6 +94,13 @@
         core.targets.get(target).map_or(Duration::ZERO, |target| target.silence(self.now()))
     }
 
+    /// A number that no other order of this process has.
+    pub(super) fn next_order(&self) -> u32 {
+        let number = self.order_number.get();
+        self.order_number.set(number.wrapping_add(1));
+        number
+    }
+
     /// Sends what the core has to tell agents.
     pub(super) fn send_notes(&self) {
         let mut core = self.core.borrow_mut();
@@ -168,6 +178,8 @@
         is_closed_to_new: Cell::new(false),
         away_at: Cell::new(None),
         link,
+        orders: HttpClient::new(1),
+        order_number: Cell::new(0),
         clock: ProcessClock::new(),
         open: Cell::new(0),
     });
