Refuse early what loses less by coming back

Cause: under overload all came late: short prompts queued behind full engines, and the largest ones harmed more than they are worth.

Change: an attempt that would cost more than a refusal (0.65 of the request's value) is refused within a quarter of its objective, with a spread time to come back; writers that are already late count for nothing in what a pass harms.

--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -35,6 +35,10 @@
 /// Time to come back after a refusal for want of room.
 const NO_ROOM_RETRY: Duration = Duration::from_millis(150);
 
+/// Time to come back after a refusal for overload, in milliseconds: a short
+/// answer takes some two seconds, so a good part of the places is free again.
+const BUSY_RETRY_MS: std::ops::Range<u64> = 800..2_400;
+
 /// Sends beyond the targets that may run a request: those that were refused.
 const REFUSED_SENDS: usize = 2;
 
@@ -279,6 +283,11 @@
         }
     }
 
+    /// Returns true where nothing was sent yet.
+    fn is_fresh(&self) -> bool {
+        self.tried.is_empty()
+    }
+
     /// Returns true where another target could be tried after a silence.
     fn may_hedge(&self, job: &RelayJob) -> bool {
         job.route.repeat.is_repeatable() && self.runs + 1 < job.route.max_targets
@@ -488,6 +497,12 @@
         let Some(placement) = series.place(shared, job) else {
             return fail_stream(job, output, &series, false, ledger).await;
         };
+        if series.is_fresh() && is_better_refused(shared, job, &placement) {
+            let why = "the engines are too busy to be in time";
+            let fault = RelayFault::refused("overloaded", why, busy_retry());
+            ledger.end_fault(&fault);
+            return output.begin(StreamStart::Fault(fault));
+        }
         ledger.targets.push(placement.target.clone());
         splitter.clear_rest();
         let may_hedge = series.may_hedge(job);
@@ -516,6 +531,18 @@
     }
 }
 
+/// Returns true where nothing is lost by refusing that serving would keep.
+fn is_better_refused(shared: &RelayShared, job: &RelayJob, placement: &Placement) -> bool {
+    let waited = shared.now().since(job.arrived);
+    job.need.is_some_and(|need| placement.is_worse_than_refusal(&need, waited))
+}
+
+/// When to come back after a refusal for overload, spread so that those who
+/// are refused together do not come back together.
+fn busy_retry() -> Duration {
+    Duration::from_millis(rand::random_range(BUSY_RETRY_MS))
+}
+
 async fn fail_stream(
     job: &RelayJob,
     output: &mut StreamOutput,
--- a/src/relay/pass_model.rs
+++ b/src/relay/pass_model.rs
@@ -193,11 +193,22 @@
     }
 
     fn start_pass(&mut self, at: Tick) {
+        self.note_late(at.since(self.pass_start));
         self.turn_pass();
         self.pass_start = at;
         self.pass_end = at + self.pass_length();
     }
 
+    /// A writer whose pause was too long is late: it has nothing more to lose.
+    fn note_late(&mut self, spent: Duration) {
+        for stream in self.streams.values_mut() {
+            let is_late = spent.as_micros() as u64 > stream.load.pause_us;
+            if is_late && matches!(stream.phase, Phase::Writing(_)) {
+                stream.load.value = 0.0;
+            }
+        }
+    }
+
     /// How long the end of a pass may be late by what is not known here.
     fn grace(&self) -> Duration {
         let mut streams = self.streams.iter();
--- a/src/relay/placement.rs
+++ b/src/relay/placement.rs
@@ -128,6 +128,22 @@
     pub tried: &'a [Arc<str>],
 }
 
+/// What a request loses that is refused at once, as part of its value: it may
+/// come back and be served in time, which earns somewhat over half.
+const REFUSAL_LOSS: f32 = 0.65;
+
+/// Part of the time for the first event within which a refusal is early.
+const EARLY_PART: f64 = 0.25;
+
+impl Placement {
+    /// Returns true where refusing a request at once loses less than serving
+    /// it so, `waited` after its arrival.
+    #[must_use]
+    pub fn is_worse_than_refusal(&self, need: &PromptNeed, waited: Duration) -> bool {
+        waited < need.first_limit.mul_f64(EARLY_PART) && self.cost > need.value() * REFUSAL_LOSS
+    }
+}
+
 /// Chooses a target for a plain call, none where there is none.
 #[must_use]
 pub fn place_call(set: &TargetSet, query: &PlacementQuery<'_>, now: Tick) -> Option<Placement> {
