Count a stream as open until its last event

Cause: LOST on botes mix: a planned stop looked only at requests whose head was still to come, found none after 2.6 s and ended the process with 13 streams under way.

Change: the count lives with the request's ledger, which ends with the answer.

--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -19,7 +19,7 @@
 use super::placement::{Placement, PromptNeed};
 use super::record::{PlacedLine, RequestEnd, RequestLine, StreamPace};
 use super::rules::{Access, RouteRule};
-use super::server::RelayShared;
+use super::server::{OpenRequest, RelayShared};
 use super::targets::TargetFault;
 use crate::time::Tick;
 use crate::verdict::Verdict;
@@ -109,6 +109,8 @@
     targets: Vec<Arc<str>>,
     pace: StreamPace,
     is_ended: bool,
+    /// A planned stop waits for the end of the answer, not of its head.
+    _open: OpenRequest,
 }
 
 impl RequestLedger {
@@ -120,6 +122,7 @@
             targets: Vec::new(),
             pace: StreamPace::default(),
             is_ended: false,
+            _open: OpenRequest::new(shared),
         }
     }
 
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -116,17 +116,17 @@
     }
 }
 
-/// Counts a request as open while it lives.
-struct OpenRequest<'a>(&'a RelayShared);
+/// Counts a request as open while its answer is not whole.
+pub(super) struct OpenRequest(Rc<RelayShared>);
 
-impl<'a> OpenRequest<'a> {
-    fn new(shared: &'a RelayShared) -> Self {
+impl OpenRequest {
+    pub(super) fn new(shared: &Rc<RelayShared>) -> Self {
         shared.open.set(shared.open.get() + 1);
-        OpenRequest(shared)
+        OpenRequest(shared.clone())
     }
 }
 
-impl Drop for OpenRequest<'_> {
+impl Drop for OpenRequest {
     fn drop(&mut self) {
         self.0.open.set(self.0.open.get() - 1);
     }
@@ -245,10 +245,7 @@
     let service_shared = shared.clone();
     let service = service_fn(move |request| {
         let shared = service_shared.clone();
-        async move {
-            let _open = OpenRequest::new(&shared);
-            Ok::<_, Infallible>(serve(shared.clone(), request).await)
-        }
+        async move { Ok::<_, Infallible>(serve(shared, request).await) }
     });
     // The time for a head includes the rest between two requests, which
     // callers may use up.
