Reload settings by SIGHUP, prove by reads and hear by long watches

Each entry read the configuration once a second.

Change: settings are read again by SIGHUP and every 5 s; the configuration is read each 2 s as a proof, and a watch of 25 s from the store's revision tells of changes sooner; after an outage both watches are made anew.

--- a/src/program.rs
+++ b/src/program.rs
@@ -62,3 +62,13 @@
         _ = interrupt.recv() => {}
     }
 }
+
+/// Calls `reload` each time the process is told that its settings changed.
+pub async fn on_reload_signal(mut reload: impl FnMut()) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        return std::future::pending().await;
+    };
+    while hangup.recv().await.is_some() {
+        reload();
+    }
+}
--- a/src/relay/adviser.rs
+++ b/src/relay/adviser.rs
@@ -14,6 +14,7 @@
 use crate::Result;
 use crate::client::{HttpClient, full};
 use crate::clock::ProcessClock;
+use crate::program::on_reload_signal;
 
 /// Time between two looks at the engine's report while it works.
 const REPORT_STEP: Duration = Duration::from_millis(400);
@@ -44,10 +45,16 @@
     let mut buffer = [0; MAX_NOTE];
     let mut step = tokio::time::interval(REPORT_STEP);
     step.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    // Nothing of an agent's settings can change while it runs, and a signal
+    // that says so must not end it.
+    let hangups =
+        on_reload_signal(|| slog::info!(logger, "settings not reloaded: none can change"));
     tokio::pin!(stop);
+    tokio::pin!(hangups);
     loop {
         tokio::select! {
             () = &mut stop => break,
+            () = &mut hangups => break,
             _ = step.tick() => {
                 send_all(&socket, set.expire(clock.now()));
                 if set.is_busy() {
--- a/src/relay/core.rs
+++ b/src/relay/core.rs
@@ -79,6 +79,15 @@
         }
     }
 
+    /// Takes changed limits. What was proven and spent before stays so.
+    pub fn set_limits(&mut self, limits: RelayLimits) {
+        self.lease.set_bound(limits.revoke_bound);
+        for budget in self.budgets.values_mut() {
+            budget.set_bound(limits.retry_bound);
+        }
+        self.limits = limits;
+    }
+
     /// The rules in force here.
     #[must_use]
     pub fn rules(&self) -> Rc<RuleTable> {
--- a/src/relay/feed.rs
+++ b/src/relay/feed.rs
@@ -12,15 +12,18 @@
 use super::targets::TargetRecord;
 use crate::Result;
 
-/// Time between two reads of the configuration. A change has to be in force
-/// within two seconds of its acknowledgement, and the proof of freshness ages.
-const CONFIG_STEP: Duration = Duration::from_millis(1_000);
+/// Time between two reads of the configuration that prove it current, well
+/// under the time for which a proof holds. A watch tells of changes sooner.
+const CONFIG_STEP: Duration = Duration::from_millis(2_000);
+
+/// Least time between two reads of the configuration, when it changes often.
+const CONFIG_MIN_STEP: Duration = Duration::from_millis(200);
 
 /// Time between two reads while the store does not answer.
 const RETRY_STEP: Duration = Duration::from_millis(250);
 
-/// Longest wait of one watch.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Longest wait of one watch: each is priced as a call.
+const WATCH_WAIT: Duration = Duration::from_secs(25);
 
 /// Time between two events of a watch that are read: events come in groups,
 /// and each answer is priced.
@@ -34,6 +37,8 @@
 pub struct ConfigRead {
     /// Revision of the object.
     pub revision: u64,
+    /// Revision of the whole store up to which this is true.
+    pub store_revision: u64,
     /// The configuration, none where the revision is the one that is known.
     pub config: Option<RelayConfig>,
 }
@@ -74,6 +79,10 @@
     pub read_config: Box<dyn Fn(u64) -> Call<Option<ConfigRead>>>,
     /// Reads the whole list of targets linearizably.
     pub list_targets: Box<dyn Fn() -> Call<TargetList>>,
+    /// Waits until the configuration has changed after a revision of the store,
+    /// or the time is up. Returns the revision to go on from, none where the
+    /// store has forgotten what happened since.
+    pub watch_config: Box<dyn Fn(u64, Duration) -> Call<Option<u64>>>,
     /// Waits for changes of the list after a revision.
     pub watch_targets: Box<dyn Fn(u64, Duration) -> Call<TargetWatch>>,
 }
@@ -82,50 +91,115 @@
 pub(super) async fn follow_config(shared: Rc<RelayShared>, feed: Rc<PlatformFeed>) {
     let mut known = 0;
     let mut is_there = true;
+    let mut watching: Option<AbortOnDrop> = None;
     loop {
         let sent_at = shared.now();
         let result = (feed.read_config)(known).await;
         shared.counts.borrow_mut().store_calls += 1;
-        match result {
-            Ok(Some(read)) => {
-                known = read.revision;
-                let mut core = shared.core.borrow_mut();
-                if core.take_config(read.config, sent_at) {
-                    shared.log.config_changed(core.rules().version());
-                }
-            }
-            // Nothing to obey yet: nothing is proven, and nobody is let in.
-            Ok(None) => {}
+        let read = match result {
+            Ok(read) => read,
             Err(error) => {
-                shared.counts.borrow_mut().store_failures += 1;
-                shared.away_at.set(Some(shared.now()));
-                if is_there {
-                    shared.log.dependency("store", false, &error.to_string());
-                }
+                note_lost(&shared, is_there, &error);
                 is_there = false;
+                watching = None;
                 tokio::time::sleep(RETRY_STEP).await;
                 continue;
             }
-        }
+        };
         if !is_there {
             shared.log.dependency("store", true, "");
+            // What a watch heard during the outage can not be relied on.
+            shared.outages.send_modify(|count| *count += 1);
         }
         is_there = true;
+        // Without a configuration there is nothing to obey yet: nothing is
+        // proven, and nobody is let in.
+        if let Some(read) = read {
+            known = read.revision;
+            let mut core = shared.core.borrow_mut();
+            if core.take_config(read.config, sent_at) {
+                shared.log.config_changed(core.rules().version());
+            }
+            drop(core);
+            if watching.as_ref().is_none_or(AbortOnDrop::is_finished) {
+                let task = watch_config(shared.clone(), feed.clone(), read.store_revision);
+                watching = Some(AbortOnDrop(tokio::task::spawn_local(task)));
+            }
+        }
         let spent = shared.now().since(sent_at);
-        tokio::time::sleep(CONFIG_STEP.saturating_sub(spent)).await;
+        tokio::time::sleep(CONFIG_MIN_STEP.saturating_sub(spent)).await;
+        let rest = CONFIG_STEP.saturating_sub(shared.now().since(sent_at));
+        // Whether told by the watch or not, the configuration is read.
+        drop(tokio::time::timeout(rest, shared.config_changed.notified()).await);
+    }
+}
+
+/// A task that ends with its handle.
+struct AbortOnDrop(tokio::task::JoinHandle<()>);
+
+impl AbortOnDrop {
+    fn is_finished(&self) -> bool {
+        self.0.is_finished()
+    }
+}
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+fn note_lost(shared: &RelayShared, was_there: bool, error: &crate::Error) {
+    shared.counts.borrow_mut().store_failures += 1;
+    shared.away_at.set(Some(shared.now()));
+    if was_there {
+        shared.log.dependency("store", false, &error.to_string());
+    }
+}
+
+/// Tells of changes of the configuration until the store does not answer or
+/// has forgotten what happened. A watch that brings nothing proves nothing.
+async fn watch_config(shared: Rc<RelayShared>, feed: Rc<PlatformFeed>, mut revision: u64) {
+    loop {
+        let result = (feed.watch_config)(revision, WATCH_WAIT).await;
+        shared.counts.borrow_mut().store_calls += 1;
+        match result {
+            Ok(Some(next)) => {
+                if next != revision {
+                    shared.config_changed.notify_one();
+                }
+                revision = next;
+            }
+            Ok(None) => {
+                shared.config_changed.notify_one();
+                return;
+            }
+            Err(error) => {
+                shared.log.dependency("configuration watch", false, &error.to_string());
+                return;
+            }
+        }
     }
 }
 
 /// Follows the list of targets for as long as the process runs.
 pub(super) async fn follow_targets(shared: Rc<RelayShared>, feed: Rc<PlatformFeed>) {
     let mut heard_at = shared.now();
+    let mut outages = shared.outages.subscribe();
     loop {
+        outages.mark_unchanged();
         let Some(mut revision) = read_list(&shared, &feed, heard_at).await else {
             tokio::time::sleep(RETRY_STEP).await;
             continue;
         };
         heard_at = shared.now();
-        while let Some(next) = watch_once(&shared, &feed, revision).await {
+        loop {
+            let next = tokio::select! {
+                next = watch_once(&shared, &feed, revision) => next,
+                // The connection of the watch may hang since an outage.
+                _ = outages.changed() => None,
+            };
+            let Some(next) = next else { break };
             heard_at = shared.now();
             revision = next;
         }
--- a/src/relay/freshness.rs
+++ b/src/relay/freshness.rs
@@ -28,6 +28,11 @@
         FreshnessLease { span: bound.saturating_sub(MARGIN), proven_at: None }
     }
 
+    /// Takes a changed bound.
+    pub fn set_bound(&mut self, bound: Duration) {
+        self.span = bound.saturating_sub(MARGIN);
+    }
+
     /// Renews the lease by a read that was sent at `sent_at`.
     pub fn renew(&mut self, sent_at: Tick) {
         self.proven_at = self.proven_at.max(Some(sent_at));
--- a/src/relay/retry_budget.rs
+++ b/src/relay/retry_budget.rs
@@ -40,6 +40,11 @@
         RetryBudget { bound, requests: VecDeque::new(), retries: VecDeque::new() }
     }
 
+    /// Takes a changed bound.
+    pub fn set_bound(&mut self, bound: RetryBound) {
+        self.bound = bound;
+    }
+
     /// Counts a request of a caller.
     pub fn note_request(&mut self, now: Tick) {
         self.expire(now);
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -4,7 +4,6 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,22 +13,22 @@
 use hyper::{Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::task::LocalSet;
 
 use super::connections::ConnectionPool;
-use super::core::{RelayCore, RelayLimits};
+use super::core::RelayCore;
 use super::counts::RelayCounts;
 use super::dialect::{CallerDialect, TargetDialect};
 use super::exchange::serve;
 use super::feed::{PlatformFeed, follow_config, follow_targets};
 use super::load_link::LoadLink;
-use super::record::DecisionLog;
-use super::retry_budget::RetryBound;
-use super::settings::RelaySettings;
+use super::record::{DecisionLog, new_stdout_logger};
+use super::settings::{RelaySettings, SettingsFile};
 use crate::Result;
 use crate::client::HttpClient;
 use crate::clock::{ProcessClock, new_incarnation};
+use crate::program::on_reload_signal;
 use crate::time::Tick;
 use crate::web::accept_next;
 
@@ -46,6 +45,9 @@
 /// How often kept connections and missing targets are looked through.
 const SWEEP_STEP: Duration = Duration::from_millis(250);
 
+/// How often the settings file is looked at.
+const SETTINGS_STEP: Duration = Duration::from_secs(5);
+
 /// How often a stopping process looks whether it may end.
 const STOP_STEP: Duration = Duration::from_millis(50);
 
@@ -73,6 +75,10 @@
     pub(super) is_stopping: Cell<bool>,
     pub(super) is_closed_to_new: Cell<bool>,
     pub(super) away_at: Cell<Option<Tick>>,
+    /// Counts the times that the store came back.
+    pub(super) outages: watch::Sender<u64>,
+    /// Told by the watch of the configuration.
+    pub(super) config_changed: Notify,
     pub(super) link: LoadLink,
     pub(super) orders: HttpClient,
     order_number: Cell<u32>,
@@ -136,36 +142,30 @@
 ///
 /// # Errors
 ///
-/// An address can not be listened on.
+/// The settings file is not right, or an address can not be listened on.
 pub async fn run_relay(
-    settings: RelaySettings,
-    adapter: RelayAdapter,
-    logger: slog::Logger,
+    file: SettingsFile,
+    adapter: impl FnOnce(&RelaySettings) -> RelayAdapter,
     stop: impl Future<Output = ()>,
 ) -> Result<()> {
+    let settings = file.read()?;
+    let adapter = adapter(&settings);
     let local = LocalSet::new();
-    local.run_until(run_local(settings, adapter, logger, stop)).await
+    local.run_until(run_local(file, settings, adapter, stop)).await
 }
 
 async fn run_local(
+    file: SettingsFile,
     settings: RelaySettings,
     adapter: RelayAdapter,
-    logger: slog::Logger,
     stop: impl Future<Output = ()>,
 ) -> Result<()> {
+    let logger = new_stdout_logger(&settings.name);
     let callers = TcpListener::bind(settings.listen).await?;
     let readiness = TcpListener::bind(settings.readiness_listen).await?;
     let metrics = TcpListener::bind(settings.metrics_listen).await?;
     let link = LoadLink::bind(settings.load_listen).await?;
-    let limits = RelayLimits {
-        failure_domain: settings.failure_domain.clone(),
-        revoke_bound: settings.revoke_bound(),
-        retry_bound: RetryBound {
-            ratio: settings.retry_ratio,
-            slack: settings.retry_slack,
-            window: Duration::from_secs(settings.retry_window_s),
-        },
-    };
+    let limits = settings.to_limits();
     slog::info!(logger, "start"; "listen" => %settings.listen, "version" => env!("CARGO_PKG_VERSION"));
     let shared = Rc::new(RelayShared {
         core: RefCell::new(RelayCore::new(limits, new_incarnation().0)),
@@ -177,6 +177,8 @@
         is_stopping: Cell::new(false),
         is_closed_to_new: Cell::new(false),
         away_at: Cell::new(None),
+        outages: watch::Sender::new(0),
+        config_changed: Notify::new(),
         link,
         orders: HttpClient::new(1),
         order_number: Cell::new(0),
@@ -192,11 +194,39 @@
     tokio::task::spawn_local(accept_status(shared.clone(), metrics));
     tokio::task::spawn_local(sweep(shared.clone()));
     tokio::task::spawn_local(super::load_link::receive(shared.clone()));
+    let stop_limit = settings.stop_limit();
+    tokio::task::spawn_local(follow_settings(shared.clone(), file, settings));
     stop.await;
-    drain(&shared, settings.stop_limit(), &close).await;
+    drain(&shared, stop_limit, &close).await;
     Ok(())
 }
 
+/// Reads the settings file again when the process is told to, and from time to
+/// time: it may also change without a word. What can not change while the
+/// process runs is left as it was, and said so.
+async fn follow_settings(shared: Rc<RelayShared>, file: SettingsFile, settings: RelaySettings) {
+    let current = RefCell::new(settings);
+    let reload = |is_told: bool| match file.read() {
+        Ok(settings) if settings != *current.borrow() => {
+            shared.core.borrow_mut().set_limits(settings.to_limits());
+            slog::info!(shared.log.logger(), "settings reloaded";
+                "applied" => "revoke_ms, retry_ratio, retry_slack, retry_window_s");
+            *current.borrow_mut() = settings;
+        }
+        Ok(_) if is_told => slog::info!(shared.log.logger(), "settings reloaded, none changed"),
+        Ok(_) => {}
+        Err(error) => slog::warn!(shared.log.logger(), "settings not reloaded, the old ones hold";
+            "error" => %error),
+    };
+    let timed = async {
+        loop {
+            tokio::time::sleep(SETTINGS_STEP).await;
+            reload(false);
+        }
+    };
+    tokio::join!(on_reload_signal(|| reload(true)), timed);
+}
+
 /// A planned stop: callers are sent elsewhere, what is open goes on.
 async fn drain(shared: &RelayShared, limit: Duration, close: &watch::Sender<bool>) {
     let begin = shared.now();
@@ -318,9 +348,3 @@
         shared.link.subscribe(&shared.core.borrow(), now);
     }
 }
-
-/// Name of a process, for its log.
-#[must_use]
-pub fn to_process_name(settings: &RelaySettings) -> Arc<str> {
-    settings.name.clone()
-}
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -1,17 +1,19 @@
 //! Settings files of the relay's programs: TOML, checked when read.
 
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
+use super::core::RelayLimits;
+use super::retry_budget::RetryBound;
 use crate::error::{Error, Result};
 
 /// Settings of an entry that relays.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RelaySettings {
     /// Name of this process.
@@ -74,6 +76,20 @@
         ))
     }
 
+    /// The limits that may change while the process runs.
+    #[must_use]
+    pub fn to_limits(&self) -> RelayLimits {
+        RelayLimits {
+            failure_domain: self.failure_domain.clone(),
+            revoke_bound: self.revoke_bound(),
+            retry_bound: RetryBound {
+                ratio: self.retry_ratio,
+                slack: self.retry_slack,
+                window: Duration::from_secs(self.retry_window_s),
+            },
+        }
+    }
+
     /// Longest time between the removal of a key and its last use.
     #[must_use]
     pub fn revoke_bound(&self) -> Duration {
@@ -98,6 +114,29 @@
     }
 }
 
+/// A settings file that is read again while the process runs.
+#[derive(Debug)]
+pub struct SettingsFile {
+    path: PathBuf,
+}
+
+impl SettingsFile {
+    /// A file at `path`.
+    #[must_use]
+    pub fn new(path: PathBuf) -> Self {
+        SettingsFile { path }
+    }
+
+    /// Reads and checks the file.
+    ///
+    /// # Errors
+    ///
+    /// See [`RelaySettings::from_file`].
+    pub fn read(&self) -> Result<RelaySettings> {
+        RelaySettings::from_file(&self.path)
+    }
+}
+
 fn from_file<T: DeserializeOwned>(path: &Path) -> Result<T> {
     let text = std::fs::read_to_string(path)?;
     toml::from_str(&text)
