Let long prompts wait a little for a moment of less harm

Cause: where a short burst turns into a long one, all engines are full of short answers for two seconds, and the first long prompts made them late.

Change: a prompt over 24k tokens waits up to 0.15 of its time for the first event while its reading would harm others by more than 0.04 of its value.

--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -42,6 +42,9 @@
 /// Sends beyond the targets that may run a request: those that were refused.
 const REFUSED_SENDS: usize = 2;
 
+/// Wait before a prompt is placed anew: about a pass.
+const PLACE_WAIT: Duration = Duration::from_millis(50);
+
 /// Wait before another target is tried after refusals.
 const REFUSED_WAIT: Duration = Duration::from_millis(30);
 
@@ -500,6 +503,10 @@
         let Some(placement) = series.place(shared, job) else {
             return fail_stream(job, output, &series, false, ledger).await;
         };
+        if series.is_fresh() && is_worth_waiting(shared, job, &placement) {
+            tokio::time::sleep(PLACE_WAIT).await;
+            continue;
+        }
         if series.is_fresh() && is_better_refused(shared, job, &placement) {
             let why = "the engines are too busy to be in time";
             let fault = RelayFault::refused("overloaded", why, busy_retry());
@@ -534,6 +541,12 @@
     }
 }
 
+/// Returns true where a better moment to place a prompt may come soon.
+fn is_worth_waiting(shared: &RelayShared, job: &RelayJob, placement: &Placement) -> bool {
+    let waited = shared.now().since(job.arrived);
+    job.need.is_some_and(|need| placement.is_worth_waiting(&need, waited))
+}
+
 /// Returns true where nothing is lost by refusing that serving would keep.
 fn is_better_refused(shared: &RelayShared, job: &RelayJob, placement: &Placement) -> bool {
     let waited = shared.now().since(job.arrived);
--- a/src/relay/placement.rs
+++ b/src/relay/placement.rs
@@ -135,7 +135,23 @@
 /// Part of the time for the first event within which a refusal is early.
 const EARLY_PART: f64 = 0.25;
 
+/// Part of its time for the first event that a long prompt waits for a moment
+/// at which its reading harms fewer.
+const WAIT_PART: f64 = 0.15;
+
+/// Harm to others, as part of the value of a prompt, from which it waits.
+const WAIT_HARM: f32 = 0.04;
+
 impl Placement {
+    /// Returns true where a prompt should wait a little, `waited` after its
+    /// arrival: engines that are full of short answers now are free soon.
+    #[must_use]
+    pub fn is_worth_waiting(&self, need: &PromptNeed, waited: Duration) -> bool {
+        need.prompt > SHORT_TOKENS
+            && waited < need.first_limit.mul_f64(WAIT_PART)
+            && self.harm > need.value() * WAIT_HARM
+    }
+
     /// Returns true where refusing a request at once loses less than serving
     /// it so, `waited` after its arrival.
     #[must_use]
