Keep one target for each address

Cause: after a loss of all power the list still held the entries of the former runners (36 where 18 ran).

Change: of targets with one address only the one that was listed last is used.

--- a/src/relay/targets.rs
+++ b/src/relay/targets.rs
@@ -38,6 +38,8 @@
     pub capacity: usize,
     /// True where it takes nothing new.
     pub is_leaving: bool,
+    /// When it was listed first, in a count that only grows.
+    pub listed_at: u64,
 }
 
 /// Why a target failed a request, as far as its health is concerned.
@@ -74,6 +76,7 @@
     ejections: u32,
     ejected_until: Tick,
     missing_since: Option<Tick>,
+    is_superseded: bool,
 }
 
 impl TargetState {
@@ -88,6 +91,7 @@
             ejections: 0,
             ejected_until: Tick::default(),
             missing_since: None,
+            is_superseded: false,
         }
     }
 
@@ -102,7 +106,7 @@
     /// Returns true where requests may be sent there.
     #[must_use]
     pub fn is_usable(&self) -> bool {
-        !self.record.is_leaving
+        !self.record.is_leaving && !self.is_superseded
     }
 
     /// Returns true while it is left alone after failures.
@@ -244,6 +248,7 @@
         }
         self.has_list = true;
         self.remove_missing(now, &mut change);
+        self.mark_superseded();
         change
     }
 
@@ -251,6 +256,7 @@
     pub fn take_change(&mut self, record: TargetRecord, now: Tick) -> ListChange {
         let mut change = ListChange::default();
         self.take_record(record, now, &mut change);
+        self.mark_superseded();
         change
     }
 
@@ -294,6 +300,20 @@
         change.added.push(name);
     }
 
+    /// Marks targets whose address a later one has: their entries outlive them
+    /// for a while, and the address would be asked twice.
+    fn mark_superseded(&mut self) {
+        let mut newest: HashMap<SocketAddr, u64> = HashMap::new();
+        for target in self.targets.values() {
+            let listed_at = newest.entry(target.record.address).or_default();
+            *listed_at = target.record.listed_at.max(*listed_at);
+        }
+        for target in self.targets.values_mut() {
+            let newest = newest.get(&target.record.address);
+            target.is_superseded = newest.is_some_and(|at| *at > target.record.listed_at);
+        }
+    }
+
     fn remove_missing(&mut self, now: Tick, change: &mut ListChange) {
         self.targets.retain(|name, target| {
             let is_gone = target.missing_since.is_some_and(|at| now.since(at) >= RETURN_SPAN);
@@ -302,5 +322,8 @@
             }
             !is_gone
         });
+        if !change.removed.is_empty() {
+            self.mark_superseded();
+        }
     }
 }
