Give a target that has left nothing two seconds after its removal

Change: 1.6 s, looked at before each placement.

Measured: the new test fails on the old code (a request is placed at 1.8 s).

--- a/src/relay/core.rs
+++ b/src/relay/core.rs
@@ -227,6 +227,7 @@
         tried: &[Arc<str>],
         now: Tick,
     ) -> Option<Placement> {
+        drop(self.targets.expire(now));
         for target in self.targets.iter_mut() {
             if let Some(model) = &mut target.model {
                 model.advance(now);
--- a/src/relay/targets.rs
+++ b/src/relay/targets.rs
@@ -11,8 +11,10 @@
 use crate::time::Tick;
 
 /// How long a target that is missing after an outage of the list may still
-/// come back: live targets are listed again within two seconds.
-const RETURN_SPAN: Duration = Duration::from_millis(1_800);
+/// come back. Live targets are listed again within two seconds; one that has
+/// left must not be sent anything after two seconds, and a request needs some
+/// time to get there.
+const RETURN_SPAN: Duration = Duration::from_millis(1_600);
 
 /// Time that a target is left alone after its first failure.
 const FIRST_EJECTION: Duration = Duration::from_millis(400);
@@ -217,7 +219,8 @@
         self.targets.values_mut()
     }
 
-    /// The targets of a service that may be sent requests.
+    /// The targets of a service that may be sent requests. What has been missing
+    /// for too long has to be removed before, see [`TargetSet::expire`].
     pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a TargetState> {
         let targets = self.targets.values();
         targets.filter(move |target| &*target.record.service == service && target.is_usable())
--- a/tests/relay/targets.rs
+++ b/tests/relay/targets.rs
@@ -13,6 +13,24 @@
     set
 }
 
+fn new_core() -> RelayCore {
+    let retry_bound = RetryBound { ratio: 0.2, slack: 100.0, window: ms(10_000) };
+    let revoke_bound = ms(5_000);
+    RelayCore::new(RelayLimits { failure_domain: name("here"), revoke_bound, retry_bound }, 1)
+}
+
+fn engine_config() -> RelayConfig {
+    let service = ServiceRule { name: name("engines"), engine: Some(rates()) };
+    RelayConfig { version: 1, services: vec![service], ..RelayConfig::default() }
+}
+
+fn ready_core() -> RelayCore {
+    let mut core = new_core();
+    core.take_config(Some(engine_config()), at(0));
+    core.take_list(vec![record("a", 1)], false, at(0));
+    core
+}
+
 fn usable(set: &TargetSet) -> Vec<String> {
     let mut names: Vec<_> =
         set.usable("engines").map(|target| target.record.incarnation.to_string()).collect();
@@ -38,6 +56,16 @@
     assert_eq!(usable(&set), ["a"]);
 }
 
+/// Past failure: a target that had left was looked for only each 250 ms and got
+/// a request 2,009 ms after its removal.
+#[test]
+fn what_does_not_come_back_gets_nothing_two_seconds_after_its_removal() {
+    let mut core = ready_core();
+    core.targets.take_removal("a", true, at(1_000));
+    assert!(core.place("engines", Some(&need(5_000)), &[], at(2_500)).is_some());
+    assert!(core.place("engines", Some(&need(5_000)), &[], at(2_800)).is_none());
+}
+
 #[test]
 fn a_removal_heard_after_an_outage_waits_as_well() {
     let mut set = listed(&[record("a", 1), record("b", 2)]);
@@ -76,8 +104,6 @@
     let mut core = RelayCore::new(limits, 1);
     core.take_list(vec![record("a", 1)], false, at(0));
     assert!(core.place("engines", Some(&need(5_000)), &[], at(0)).is_none());
-    let service = ServiceRule { name: name("engines"), engine: Some(rates()) };
-    let config = RelayConfig { version: 1, services: vec![service], ..RelayConfig::default() };
-    core.take_config(Some(config), at(1));
+    core.take_config(Some(engine_config()), at(1));
     assert!(core.place("engines", Some(&need(5_000)), &[], at(2)).is_some());
 }
