--- a/src/relay/core.rs
+++ b/src/relay/core.rs
@@ -1,6 +1,7 @@
 //! What the relay of one entry knows and decides, without input or output.
 
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -333,6 +334,18 @@
         self.targets.get_mut(target)?.note_failure(fault, now)
     }
 
+    /// Notes that a helper was the cause of a refusal of `target`. Returns
+    /// true where it was one: it is left alone for a while then.
+    pub fn note_helper_failure(&mut self, target: &str, helper: SocketAddr, now: Tick) -> bool {
+        let mut targets = self.targets.iter_mut();
+        let found = targets
+            .find(|other| other.record.address == helper && &*other.record.incarnation != target);
+        let Some(found) = found else { return false };
+        // How long it is left alone is logged where it fails itself.
+        let _ = found.note_failure(TargetFault::Broken, now);
+        true
+    }
+
     /// Takes a note from an agent.
     pub fn take_note(&mut self, note: LoadNote, now: Tick) {
         match note {
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -335,13 +335,17 @@
         let now = shared.now();
         let verdict = fault.verdict.to_string();
         shared.log.attempt_failed(&job.id, target, &fault.why, &verdict, now);
+        let is_of_helper = fault.blamed.is_some_and(|address| {
+            shared.core.borrow_mut().note_helper_failure(target, address, now)
+        });
+        let is_of_target = !fault.is_stale && !is_of_helper;
         if !fault.is_timeout
-            && !fault.is_stale
+            && is_of_target
             && let Some(span) = shared.core.borrow_mut().note_failure(target, fault.fault, now)
         {
             shared.log.ejected(target, span);
         }
-        if !fault.is_stale {
+        if is_of_target {
             self.tried.push(target.clone());
         }
         self.worst = self.worst.join(fault.verdict);
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -69,6 +69,8 @@
     pub(super) answer: Option<Box<Response<Bytes>>>,
     /// The request's time is up.
     pub(super) is_timeout: bool,
+    /// A helper that is at fault, and not the target itself.
+    pub(super) blamed: Option<SocketAddr>,
     /// It was on a kept connection, which its target may have forgotten: it
     /// says nothing of the target itself.
     pub(super) is_stale: bool,
@@ -83,6 +85,7 @@
             is_sent: true,
             answer: None,
             is_timeout: false,
+            blamed: None,
             is_stale: false,
         }
     }
@@ -287,8 +290,12 @@
     }
     if head.is_not_run {
         let fault = if head.is_replaced { TargetFault::Replaced } else { TargetFault::Full };
-        let why = format!("the target refused with {}", parts.status.as_u16());
-        return Err(AttemptFault::new(fault, Verdict::NotRun, why));
+        let why = match head.blamed {
+            Some(address) => format!("refused with {} for {address}", parts.status.as_u16()),
+            None => format!("the target refused with {}", parts.status.as_u16()),
+        };
+        let fault = AttemptFault::new(fault, Verdict::NotRun, why);
+        return Err(AttemptFault { blamed: head.blamed, ..fault });
     }
     if head.is_encoded {
         return Err(AttemptFault::garbled("answer in a content encoding"));
