--- a/src/relay/placement.rs
+++ b/src/relay/placement.rs
@@ -18,6 +18,10 @@
 /// Numbers of engines that are tried for a prompt.
 const GROUP_SIZES: [usize; 11] = [1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17];
 
+/// Cost of each helper, as part of a prompt's value: its part delays what is
+/// read there next, and its failure makes the prompt late.
+const HELPER_COST: f32 = 0.001;
+
 /// Shortest part of a prompt that is worth an engine of its own.
 const MIN_PART: Duration = Duration::from_millis(25);
 
@@ -276,13 +280,14 @@
     };
     let harm: f32 = helpers.iter().map(|helper| helper.forecast.harm * LATE_LOSS).sum();
     let writer_harm = first.forecast.harm * LATE_LOSS;
+    let group_cost = need.value() * HELPER_COST * helpers.len() as f32;
     let own = first.cost - writer_harm - time_cost(need, first.forecast.first);
     Some(Placement {
         target: first.target.record.incarnation.clone(),
         helpers: helpers.iter().map(|helper| helper.target.record.incarnation.clone()).collect(),
         seats,
         first: start,
-        cost: own + harm + writer_harm + time_cost(need, start),
+        cost: own + harm + writer_harm + time_cost(need, start) + group_cost,
         harm: harm + writer_harm,
         candidates: targets.len(),
     })
