Fill an engine's last places last, and spread the entries' choices

Change: the last two places cost a little more, and each entry prefers engines in an order of its own.

--- a/src/relay/core.rs
+++ b/src/relay/core.rs
@@ -234,7 +234,8 @@
                 model.advance(now);
             }
         }
-        let query = PlacementQuery { service, failure_domain: &self.limits.failure_domain, tried };
+        let failure_domain = &self.limits.failure_domain;
+        let query = PlacementQuery { service, failure_domain, tried, entry: self.entry };
         match need {
             Some(need) => place_prompt(&self.targets, &query, need, now),
             None => place_call(&self.targets, &query, now),
--- a/src/relay/placement.rs
+++ b/src/relay/placement.rs
@@ -39,6 +39,17 @@
 /// it leaves other engines free for long prompts.
 const PACKING_GAIN: f32 = 0.02;
 
+/// Places of an engine that are filled last: other entries fill them at the
+/// same moment, and one too many waits for an end.
+const KEPT_FREE: usize = 2;
+
+/// Cost of taking one of them.
+const NEAR_FULL_COST: f32 = 0.1;
+
+/// Greatest difference by which entries prefer different engines, so that they
+/// do not all choose the same one at the same moment.
+const SPREAD: f32 = 0.03;
+
 /// Cost of an engine in another failure domain.
 const DISTANCE_COST: f32 = 0.004;
 
@@ -130,6 +141,18 @@
     pub failure_domain: &'a str,
     /// Targets that have had it.
     pub tried: &'a [Arc<str>],
+    /// Incarnation of this entry.
+    pub entry: u64,
+}
+
+impl PlacementQuery<'_> {
+    /// How little this entry likes a target, from 0 to 1, at random but always
+    /// the same.
+    fn preference(&self, target: &str) -> f32 {
+        const STEPS: u64 = 1 << 16;
+        let hash = xxhash_rust::xxh3::xxh3_64_with_seed(target.as_bytes(), self.entry);
+        (hash % STEPS) as f32 / STEPS as f32
+    }
 }
 
 /// What a request loses that is refused at once, as part of its value: it may
@@ -365,7 +388,12 @@
     if forecast.active >= capacity {
         cost += QUEUE_COST * (forecast.active + 1 - capacity) as f32;
     } else if need.prompt <= SHORT_TOKENS {
-        cost -= PACKING_GAIN * forecast.active as f32;
+        let packed = forecast.active.min(capacity.saturating_sub(KEPT_FREE));
+        cost -= PACKING_GAIN * packed as f32;
+        if forecast.active + KEPT_FREE >= capacity {
+            cost += NEAR_FULL_COST;
+        }
+        cost += SPREAD * query.preference(&target.record.incarnation);
     }
     cost
 }
--- a/tests/relay/places.rs
+++ b/tests/relay/places.rs
@@ -10,7 +10,7 @@
 use crate::fixture::{at, check, engines, key, ms, name, need, short_load};
 
 const QUERY: PlacementQuery<'static> =
-    PlacementQuery { service: "engines", failure_domain: "here", tried: &[] };
+    PlacementQuery { service: "engines", failure_domain: "here", tried: &[], entry: 1 };
 
 fn place(set: &TargetSet, need: &PromptNeed) -> Option<Placement> {
     place_prompt(set, &QUERY, need, at(1_000))
