--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -19,7 +19,7 @@
 const QUEUE_LINES: usize = 1_024;
 
 /// Lines of a kind in each second: a line costs some 20 us of a small host.
-const LINES_PER_SECOND: u32 = 400;
+const LINES_PER_SECOND: u32 = 20;
 
 /// Makes the logger of a process. Lines go to standard output.
 pub fn new_stdout_logger(process: &str) -> Logger {
