--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -38,4 +38,5 @@
 pub mod rules;
 pub mod server;
 pub mod settings;
+pub mod stop;
 pub mod targets;
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -25,6 +25,7 @@
 use super::load_link::LoadLink;
 use super::record::{DecisionLog, new_stdout_logger};
 use super::settings::{RelaySettings, SettingsFile};
+use super::stop::{StopPhase, StopPlan};
 use crate::Result;
 use crate::client::HttpClient;
 use crate::clock::{ProcessClock, new_incarnation};
@@ -32,16 +33,6 @@
 use crate::time::Tick;
 use crate::web::accept_next;
 
-/// Time from the beginning of a stop in which new requests are served: the
-/// balancer needs two seconds to send callers elsewhere.
-const STOP_SERVES: Duration = Duration::from_millis(3_200);
-
-/// Time of a stop that is kept back from the platform's limit.
-const STOP_MARGIN: Duration = Duration::from_millis(700);
-
-/// Time within which the balancer has certainly sent callers elsewhere.
-const BALANCER_LAG: Duration = Duration::from_millis(2_600);
-
 /// How often kept connections and missing targets are looked through.
 const SWEEP_STEP: Duration = Duration::from_millis(250);
 
@@ -232,15 +223,13 @@
     let begin = shared.now();
     shared.is_stopping.set(true);
     slog::info!(shared.log.logger(), "stop begun"; "open" => shared.open.get());
+    let plan = StopPlan::new(limit);
     loop {
         tokio::time::sleep(STOP_STEP).await;
-        let spent = shared.now().since(begin);
-        if spent >= STOP_SERVES {
-            shared.is_closed_to_new.set(true);
-        }
-        let is_idle = shared.open.get() == 0 && spent >= BALANCER_LAG;
-        if is_idle || spent + STOP_MARGIN >= limit {
-            break;
+        match plan.phase(shared.now().since(begin), shared.open.get()) {
+            StopPhase::Serving => {}
+            StopPhase::Finishing => shared.is_closed_to_new.set(true),
+            StopPhase::Ended => break,
         }
     }
     shared.is_closed_to_new.set(true);
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -7,4 +7,5 @@
 mod passes;
 mod places;
 mod rules;
+mod stop;
 mod targets;
