--- a/src/error.rs
+++ b/src/error.rs
@@ -71,6 +71,13 @@
         Error::from_code(ErrorCode::Frame(text))
     }
 
+    /// A fault in flags, variables or a settings file.
+    #[cold]
+    #[must_use]
+    pub fn from_settings(text: impl Into<String>) -> Self {
+        Error::settings(text)
+    }
+
     /// An answer of the platform that is not what it should be.
     #[cold]
     #[must_use]
--- a/src/relay/counts.rs
+++ b/src/relay/counts.rs
@@ -2,15 +2,20 @@
 
 use std::time::Duration;
 
+use prometheus::{HistogramVec, IntGauge};
+
 use super::core::RelayCore;
 use super::record::RequestEnd;
-use crate::metrics::MetricsPage;
+use crate::metrics::{CountMirror, MetricsPage, length_class};
 use crate::time::Tick;
 
-/// What is counted while requests are served.
-#[derive(Debug, Default)]
+/// What is counted while requests are served, and the page that shows it.
+#[derive(Debug)]
 pub(super) struct RelayCounts {
     pub(super) requests: u64,
+    pub(super) attempts: u64,
+    pub(super) failed_attempts: u64,
+    pub(super) ejections: u64,
     pub(super) store_calls: u64,
     pub(super) store_failures: u64,
     answered: u64,
@@ -18,6 +23,56 @@
     failed: u64,
     broken: u64,
     caller_left: u64,
+    page: MetricsPage,
+    mirrors: [CountMirror; 11],
+    first_event: HistogramVec,
+    config_version: IntGauge,
+    proof_age: IntGauge,
+    targets: IntGauge,
+}
+
+impl Default for RelayCounts {
+    fn default() -> Self {
+        let page = MetricsPage::default();
+        let mirrors = [
+            page.add_count("shalelane_relay_requests_total", "requests read"),
+            page.add_count("shalelane_relay_attempts_total", "sends to targets"),
+            page.add_count("shalelane_relay_failed_attempts_total", "sends without an answer"),
+            page.add_count("shalelane_relay_ejections_total", "times a target was left alone"),
+            page.add_count("shalelane_relay_store_calls_total", "calls to the store"),
+            page.add_count("shalelane_relay_store_failures_total", "failed calls to the store"),
+            page.add_count("shalelane_relay_answered_total", "requests answered whole"),
+            page.add_count("shalelane_relay_refused_total", "requests refused as not run"),
+            page.add_count("shalelane_relay_failed_total", "requests that failed"),
+            page.add_count("shalelane_relay_broken_total", "answers that broke off"),
+            page.add_count("shalelane_relay_caller_left_total", "callers that left"),
+        ];
+        let first_event = page.add_first_token(
+            "shalelane_relay_first_event_seconds",
+            "time to the first event of a stream, by length of its prompt",
+        );
+        RelayCounts {
+            requests: 0,
+            attempts: 0,
+            failed_attempts: 0,
+            ejections: 0,
+            store_calls: 0,
+            store_failures: 0,
+            answered: 0,
+            refused: 0,
+            failed: 0,
+            broken: 0,
+            caller_left: 0,
+            config_version: page
+                .add_gauge("shalelane_relay_config_version", "configuration in force"),
+            proof_age: page
+                .add_gauge("shalelane_relay_proof_age_ms", "age of the proof that it is current"),
+            targets: page.add_gauge("shalelane_relay_targets", "known targets"),
+            first_event,
+            mirrors,
+            page,
+        }
+    }
 }
 
 impl RelayCounts {
@@ -32,39 +87,34 @@
         *count += 1;
     }
 
+    /// Notes the time to the first event of a stream.
+    pub(super) fn note_first(&self, prompt_tokens: u64, first: Duration) {
+        let class = length_class(prompt_tokens);
+        self.first_event.with_label_values(&[class]).observe(first.as_secs_f64());
+    }
+
     /// The page that is scraped.
     pub(super) fn to_text(&self, core: &RelayCore, now: Tick) -> Vec<u8> {
-        let page = MetricsPage::default();
         let counts = [
-            ("shalelane_relay_requests_total", "requests read", self.requests),
-            ("shalelane_relay_answered_total", "requests answered whole", self.answered),
-            ("shalelane_relay_refused_total", "requests refused as not run", self.refused),
-            ("shalelane_relay_failed_total", "requests that failed", self.failed),
-            ("shalelane_relay_broken_total", "answers that broke off", self.broken),
-            ("shalelane_relay_caller_left_total", "callers that left", self.caller_left),
-            ("shalelane_relay_store_calls_total", "calls to the store", self.store_calls),
-            ("shalelane_relay_store_failures_total", "failed calls", self.store_failures),
+            self.requests,
+            self.attempts,
+            self.failed_attempts,
+            self.ejections,
+            self.store_calls,
+            self.store_failures,
+            self.answered,
+            self.refused,
+            self.failed,
+            self.broken,
+            self.caller_left,
         ];
-        for (name, help, count) in counts {
-            page.add_count(name, help).follow(count);
+        for (mirror, count) in self.mirrors.iter().zip(counts) {
+            mirror.follow(count);
         }
         let age = core.lease().age(now).unwrap_or(Duration::MAX);
-        let gauges = [
-            (
-                "shalelane_relay_config_version",
-                "configuration in force",
-                core.rules().version() as i64,
-            ),
-            (
-                "shalelane_relay_proof_age_ms",
-                "age of the proof that it is current",
-                i64::try_from(age.as_millis()).unwrap_or(i64::MAX),
-            ),
-            ("shalelane_relay_targets", "known targets", core.targets.iter().count() as i64),
-        ];
-        for (name, help, value) in gauges {
-            page.add_gauge(name, help).set(value);
-        }
-        page.to_text()
+        self.config_version.set(core.rules().version() as i64);
+        self.proof_age.set(i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
+        self.targets.set(core.targets.iter().count() as i64);
+        self.page.to_text()
     }
 }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -335,6 +335,7 @@
         let now = shared.now();
         let verdict = fault.verdict.to_string();
         shared.log.attempt_failed(&job.id, target, &fault.why, &verdict, now);
+        shared.counts.borrow_mut().failed_attempts += 1;
         let is_of_helper = fault.blamed.is_some_and(|address| {
             shared.core.borrow_mut().note_helper_failure(target, address, now)
         });
@@ -344,6 +345,7 @@
             && let Some(span) = shared.core.borrow_mut().note_failure(target, fault.fault, now)
         {
             shared.log.ejected(target, span);
+            shared.counts.borrow_mut().ejections += 1;
         }
         if is_of_target {
             self.tried.push(target.clone());
@@ -627,6 +629,10 @@
         {
             output.begin(StreamStart::Head(start));
         }
+        if pace.first.is_none() {
+            let prompt = job.need.map_or(0, |need| need.prompt);
+            shared.counts.borrow().note_first(prompt, shared.now().since(job.arrived));
+        }
         pace.note(job.arrived, shared.now());
         if output.parts.send(Ok(events)).await.is_err() {
             return Err(AttemptFault::broken("the caller left"));
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -166,6 +166,7 @@
         core.begin(placement, job.need.as_ref(), shared.now())
     };
     shared.send_notes();
+    shared.counts.borrow_mut().attempts += 1;
     let mut guard = AttemptGuard { shared: shared.clone(), share, connection: None, memory: None };
     let mut helpers = to_seats(shared, placement)?;
     if !placement.seats.is_empty() {
