Follow the line of reads as engines were measured to read it

The model had all that waits read in order in one pass.

Change: PassModel keeps the line of reads in that order; PassOutlook plays it to its end with and without the prompt that is weighed, so harm is what others lose more by it: writers by their longest pass, prompts in line by coming late, and the prompt itself by long passes after its first event. One measure of loss (loss.rs). The first event of a stream tells the model that it is read.

Left: what saturates an engine for those who come later is not weighed; short streams are late when a short burst follows a long one.

--- a/src/relay/core.rs
+++ b/src/relay/core.rs
@@ -273,8 +273,10 @@
         let parts = placement.helpers.len() + 1;
         let read = rates.rates().read_time(need.prompt);
         let holders = placement.seats.len() + 1;
-        let own = need.to_load(read, parts, holders, rates.rates().passes(need.answer));
-        let part = need.to_helper_load(read, parts);
+        let start_us = placement.first.as_micros() as u64;
+        let passes = rates.rates().passes(need.answer);
+        let own = StreamLoad { start_us, ..need.to_load(read, parts, holders, passes) };
+        let part = StreamLoad { start_us, ..need.to_helper_load(read, parts) };
         self.add_load(&placement.target, key, own, now);
         for (at, helper) in placement.helpers.iter().enumerate() {
             let load = if at < placement.seats.len() { own } else { part };
@@ -311,6 +313,15 @@
         }
     }
 
+    /// Notes the first event of a stream: its prompt has been read.
+    pub fn note_first(&mut self, share: &AttemptShare, now: Tick) {
+        for name in std::iter::once(&share.target).chain(&share.helpers) {
+            if let Some(model) = self.model(name) {
+                model.note_first(share.key, now);
+            }
+        }
+    }
+
     /// Notes an event that its engine sent at the end of a pass.
     pub fn note_pass(&mut self, target: &str, now: Tick) {
         if let Some(model) = self.model(target) {
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -141,6 +141,7 @@
         prompt: head.prompt_tokens.unwrap_or(0),
         answer: head.guessed_answer_tokens.unwrap_or(most).min(most),
         first_limit: route.objective,
+        waited: Duration::ZERO,
         longest_pause: route.longest_pause,
     })
 }
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -55,6 +55,14 @@
     pub(super) need: Option<PromptNeed>,
 }
 
+impl RelayJob {
+    /// What its prompt asks of an engine at `now`.
+    pub(super) fn need_at(&self, now: Tick) -> Option<PromptNeed> {
+        let waited = now.since(self.arrived);
+        self.need.map(|need| PromptNeed { waited, ..need })
+    }
+}
+
 /// Why an attempt brought no answer.
 pub(super) struct AttemptFault {
     /// What it says of the target.
@@ -163,7 +171,8 @@
     };
     let share = {
         let mut core = shared.core.borrow_mut();
-        core.begin(placement, job.need.as_ref(), shared.now())
+        let now = shared.now();
+        core.begin(placement, job.need_at(now).as_ref(), now)
     };
     shared.send_notes();
     shared.counts.borrow_mut().attempts += 1;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -7,7 +7,9 @@
 //! - [`rules`]: what a configuration allows, and to whom,
 //! - [`freshness`]: whether that is known to be current,
 //! - [`targets`]: which targets there are, and which of them work,
-//! - [`engine_rates`], [`pass_model`]: what a prompt costs an engine,
+//! - [`engine_rates`], [`pass_model`], [`pass_outlook`]: what a prompt costs an
+//!   engine and those who wait there,
+//! - [`loss`]: what requests lose by coming late,
 //! - [`placement`]: where a request goes, and who helps to read its prompt,
 //! - [`retry_budget`]: how often it may be tried again,
 //! - [`event_stream`]: which events of a stream are whole.
@@ -32,8 +34,10 @@
 mod ledger;
 pub mod load_link;
 pub mod load_note;
+pub mod loss;
 mod memory_hold;
 pub mod pass_model;
+pub mod pass_outlook;
 pub mod placement;
 pub mod record;
 pub mod retry_budget;
--- /dev/null
+++ b/src/relay/pass_outlook.rs
@@ -0,0 +1,204 @@
+//! What would become of one more prompt at an engine, and of those before it.
+
+use std::time::Duration;
+
+use super::engine_rates::{EngineRates, from_ms};
+use super::loss::{first_event_loss, pause_loss};
+use super::pass_model::{PendingRead, StreamKey, StreamLoad, put_in_line};
+use crate::time::Tick;
+
+/// Most passes that are played ahead. What is read later is lost anyway.
+const MAX_PASSES: usize = 64;
+
+/// Names the prompt that is weighed among those in line.
+const WEIGHED: StreamKey = StreamKey { entry: 0, number: 0 };
+
+/// What would become of a prompt that is sent to an engine now.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PassForecast {
+    /// Time until it is read, and writes: the end of the pass that reads it
+    /// where others write.
+    pub read: Duration,
+    /// Longest pass of the engine after that, until all in line is read.
+    pub pause: Duration,
+    /// Length of a pass afterwards, with it among the writers.
+    pub steady: Duration,
+    /// What others there lose by it, in short requests.
+    pub harm: f32,
+    /// Requests there that are not helpers.
+    pub active: usize,
+    /// Memory that is taken there, in tokens.
+    pub memory: u64,
+}
+
+/// A stream that writes, as far as passes concern it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct OutlookWriter {
+    is_weighed: bool,
+    context: u64,
+    value: f32,
+    /// Longest pause between its events that is in time.
+    limit: Duration,
+    /// Longest pass that it has to wait for.
+    longest: Duration,
+}
+
+impl OutlookWriter {
+    /// A writer that waits for a pass of such a length.
+    pub(super) fn from_load(load: &StreamLoad, longest: Duration) -> Self {
+        OutlookWriter {
+            is_weighed: false,
+            context: load.context,
+            value: load.value,
+            limit: Duration::from_micros(load.pause_us),
+            longest,
+        }
+    }
+}
+
+/// The state of an engine at one moment.
+#[derive(Debug)]
+pub struct PassOutlook<'a> {
+    pub(super) rates: &'a EngineRates,
+    pub(super) pace: f64,
+    pub(super) now: Tick,
+    /// Time until the pass that is under way ends, none where nobody writes.
+    pub(super) wait: Option<Duration>,
+    /// Those who write after it.
+    pub(super) writers: Vec<OutlookWriter>,
+    /// What is read after it, the first in line first.
+    pub(super) line: Vec<PendingRead>,
+    /// Requests there that are not helpers.
+    pub(super) active: usize,
+    /// Memory that is taken there, in tokens.
+    pub(super) memory: u64,
+    /// What those there lose as it is.
+    pub(super) loss: f32,
+}
+
+/// Passes that are played ahead.
+struct PassPlay<'a> {
+    outlook: &'a PassOutlook<'a>,
+    time: Duration,
+    line: Vec<PendingRead>,
+    writers: Vec<OutlookWriter>,
+    /// When the weighed prompt was read.
+    weighed_read: Duration,
+    loss: f32,
+}
+
+impl PassOutlook<'_> {
+    /// Works out what those there lose as it is.
+    pub(super) fn with_loss(mut self) -> Self {
+        let loss = self.play(self.line.clone()).loss;
+        self.loss = loss;
+        self
+    }
+
+    /// Foretells what would become of a load sent now.
+    #[must_use]
+    pub fn forecast(&self, load: &StreamLoad) -> PassForecast {
+        let mut line = Vec::with_capacity(self.line.len() + 1);
+        line.extend_from_slice(&self.line);
+        put_in_line(&mut line, PendingRead::new(WEIGHED, *load, self.now));
+        let played = self.play(line);
+        let context = self.writers.iter().map(|writer| writer.context).sum::<u64>() + load.context;
+        let steady = self.rates.write_ms(self.writers.len() + 1, context) * self.pace;
+        let weighed = played.writers.iter().find(|writer| writer.is_weighed);
+        PassForecast {
+            read: played.weighed_read,
+            pause: weighed.map_or(Duration::ZERO, |writer| writer.longest),
+            steady: from_ms(steady),
+            harm: played.loss - self.loss,
+            active: self.active,
+            memory: self.memory,
+        }
+    }
+
+    /// Plays passes until all of a line is read.
+    fn play(&self, line: Vec<PendingRead>) -> PassPlay<'_> {
+        let mut play = PassPlay {
+            outlook: self,
+            time: self.wait.unwrap_or_default(),
+            line,
+            writers: self.writers.clone(),
+            weighed_read: Duration::ZERO,
+            loss: 0.0,
+        };
+        for _ in 0..MAX_PASSES {
+            if play.line.is_empty() {
+                break;
+            }
+            if play.writers.is_empty() {
+                play.read_first();
+            } else {
+                play.turn_pass();
+            }
+        }
+        play.note_pauses();
+        play
+    }
+}
+
+impl PassPlay<'_> {
+    /// Reads what is first in line, where nobody writes.
+    fn read_first(&mut self) {
+        let first = self.line.remove(0);
+        self.time += from_ms(first.solo_ms(self.outlook.rates) * self.outlook.pace);
+        self.note_read(&first);
+    }
+
+    /// Plays one pass for the writers.
+    fn turn_pass(&mut self) {
+        let rates = self.outlook.rates;
+        let context = self.writers.iter().map(|writer| writer.context).sum();
+        let mut budget = rates.pass_tokens();
+        let mut length = rates.write_ms(self.writers.len(), context);
+        for pending in &mut self.line {
+            let (tokens, time) = pending.take(budget, rates);
+            budget -= tokens;
+            length += time;
+        }
+        let length = from_ms(length * self.outlook.pace);
+        self.time += length;
+        for writer in &mut self.writers {
+            writer.longest = writer.longest.max(length);
+        }
+        let (read, line) = self.line.iter().partition::<Vec<_>, _>(|pending| pending.is_read());
+        self.line = line;
+        for pending in read {
+            self.note_read(&pending);
+        }
+    }
+
+    fn note_read(&mut self, read: &PendingRead) {
+        let load = &read.load;
+        let is_weighed = read.key == WEIGHED;
+        if is_weighed {
+            self.weighed_read = self.time;
+        } else {
+            self.loss += self.first_loss(read);
+        }
+        if load.is_writer() {
+            let writer = OutlookWriter::from_load(load, Duration::ZERO);
+            self.writers.push(OutlookWriter { is_weighed, ..writer });
+        }
+    }
+
+    /// What a prompt that is read now loses by coming late.
+    fn first_loss(&self, read: &PendingRead) -> f32 {
+        let load = &read.load;
+        let since = self.outlook.now.since(read.placed_at);
+        // A part that is read before the others has time left.
+        let start = Duration::from_micros(load.start_us).max(since + self.time);
+        let first = Duration::from_micros(load.waited_us) + start;
+        first_event_loss(load.value, first, Duration::from_micros(load.limit_us))
+    }
+
+    /// Adds what writers lose by the longest pass that they wait for.
+    fn note_pauses(&mut self) {
+        let others = self.writers.iter().filter(|writer| !writer.is_weighed);
+        let losses = others.map(|writer| pause_loss(writer.value, writer.longest, writer.limit));
+        self.loss += losses.sum::<f32>();
+    }
+}
--- a/src/relay/placement.rs
+++ b/src/relay/placement.rs
@@ -8,7 +8,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::pass_model::{PassForecast, StreamLoad};
+use super::loss::{FIRST_PART, LATE_LOSS, first_event_loss, pause_loss};
+use super::pass_model::StreamLoad;
+use super::pass_outlook::{PassForecast, PassOutlook};
 use super::targets::{TargetSet, TargetState};
 use crate::time::Tick;
 
@@ -28,13 +30,6 @@
 /// Tokens that make a request count for as much as one more short one.
 const TOKENS_PER_VALUE: f32 = 10_000.0;
 
-/// What a request loses by coming late, as part of its value.
-const LATE_LOSS: f32 = 0.75;
-
-/// What a request loses by using up its time for the first event, as part of
-/// its value: an answer that is foretold to be just in time may be late.
-const TIME_LOSS: f32 = 0.25;
-
 /// Gain of a short request for each other one that writes at the same engine:
 /// it leaves other engines free for long prompts.
 const PACKING_GAIN: f32 = 0.02;
@@ -59,9 +54,6 @@
 /// Prompts up to this length count as short ones.
 const SHORT_TOKENS: u64 = 24_000;
 
-/// Part of its time for the first event within which a prompt should start.
-const FIRST_PART: f64 = 0.8;
-
 /// What a prompt asks for.
 #[derive(Clone, Copy, Debug)]
 pub struct PromptNeed {
@@ -69,8 +61,10 @@
     pub prompt: u64,
     /// Tokens of the answer, as far as known.
     pub answer: u64,
-    /// Time left for the first event.
+    /// Time from its arrival for a first event in time.
     pub first_limit: Duration,
+    /// Time since its arrival.
+    pub waited: Duration,
     /// Longest pause between events.
     pub longest_pause: Duration,
 }
@@ -88,6 +82,11 @@
     pub fn to_load(&self, read: Duration, parts: usize, holders: usize, passes: u32) -> StreamLoad {
         StreamLoad {
             read_us: (read / parts as u32).as_micros() as u64,
+            tokens: self.prompt / parts as u64,
+            is_part: parts > 1,
+            waited_us: self.waited.as_micros() as u64,
+            start_us: 0,
+            limit_us: self.first_limit.as_micros() as u64,
             context: (self.prompt + self.answer / 2) / holders as u64,
             memory: (self.prompt + self.answer) / holders as u64,
             passes,
@@ -170,20 +169,21 @@
 const WAIT_HARM: f32 = 0.04;
 
 impl Placement {
-    /// Returns true where a prompt should wait a little, `waited` after its
-    /// arrival: engines that are full of short answers now are free soon.
+    /// Returns true where a prompt should wait a little: engines that are busy
+    /// now are free soon.
     #[must_use]
-    pub fn is_worth_waiting(&self, need: &PromptNeed, waited: Duration) -> bool {
+    pub fn is_worth_waiting(&self, need: &PromptNeed) -> bool {
         need.prompt > SHORT_TOKENS
-            && waited < need.first_limit.mul_f64(WAIT_PART)
+            && need.waited < need.first_limit.mul_f64(WAIT_PART)
             && self.harm > need.value() * WAIT_HARM
     }
 
     /// Returns true where refusing a request at once loses less than serving
-    /// it so, `waited` after its arrival.
+    /// it so.
     #[must_use]
-    pub fn is_worse_than_refusal(&self, need: &PromptNeed, waited: Duration) -> bool {
-        waited < need.first_limit.mul_f64(EARLY_PART) && self.cost > need.value() * REFUSAL_LOSS
+    pub fn is_worse_than_refusal(&self, need: &PromptNeed) -> bool {
+        need.waited < need.first_limit.mul_f64(EARLY_PART)
+            && self.cost > need.value() * REFUSAL_LOSS
     }
 }
 
@@ -232,6 +232,13 @@
     if well.is_empty() { fresh } else { well }
 }
 
+/// A target, and what is known of its passes.
+struct EngineOutlook<'a> {
+    target: &'a TargetState,
+    outlook: PassOutlook<'a>,
+}
+
+#[derive(Clone, Copy)]
 struct Candidate<'a> {
     target: &'a TargetState,
     forecast: PassForecast,
@@ -246,18 +253,23 @@
     need: &PromptNeed,
     now: Tick,
 ) -> Option<Placement> {
-    let targets = candidates(set, query, now);
-    let read =
-        targets.iter().find_map(|target| target.model.as_ref())?.rates().read_time(need.prompt);
+    let engines: Vec<_> = candidates(set, query, now)
+        .into_iter()
+        .filter_map(|target| {
+            let outlook = target.model.as_ref()?.outlook(now);
+            Some(EngineOutlook { target, outlook })
+        })
+        .collect();
+    let read = engines.first()?.outlook.rates.read_time(need.prompt);
     let mut best: Option<Placement> = None;
     for size in GROUP_SIZES {
-        if size > targets.len() || size > MAX_HELPERS + 1 {
+        if size > engines.len() || size > MAX_HELPERS + 1 {
             break;
         }
         if size > 1 && read / (size as u32) < MIN_PART {
             break;
         }
-        let Some(placement) = place_group(&targets, query, need, read, size, now) else {
+        let Some(placement) = place_group(&engines, query, need, read, size) else {
             continue;
         };
         if best.as_ref().is_none_or(|best| placement.cost < best.cost) {
@@ -269,78 +281,61 @@
 
 /// The best group of `size` engines: the one that writes, and helpers.
 fn place_group(
-    targets: &[&TargetState],
+    engines: &[EngineOutlook<'_>],
     query: &PlacementQuery<'_>,
     need: &PromptNeed,
     read: Duration,
     size: usize,
-    now: Tick,
 ) -> Option<Placement> {
-    let first = best_writer(targets, query, need, read, size, now)?;
-    let mut helpers: Vec<Candidate<'_>> = Vec::new();
-    if size > 1 {
-        let load = need.to_helper_load(read, size);
-        for target in targets {
-            if std::ptr::eq(*target, first.target) {
-                continue;
-            }
-            let Some(model) = &target.model else { continue };
-            let forecast = model.forecast(&load, now);
-            let cost = forecast.harm * LATE_LOSS + time_cost(need, forecast.read);
-            helpers.push(Candidate { target, forecast, cost });
-        }
-        helpers.sort_by(|a, b| a.cost.total_cmp(&b.cost));
-        helpers.truncate(size - 1);
-        if helpers.len() < size - 1 {
-            return None;
-        }
+    let rates = engines.first()?.outlook.rates;
+    let load = need.to_load(read, size, 1, rates.passes(need.answer));
+    let mut members: Vec<_> = engines
+        .iter()
+        .map(|engine| {
+            let forecast = engine.outlook.forecast(&load);
+            let cost = forecast.harm + time_cost(need, forecast.read);
+            Candidate { target: engine.target, forecast, cost }
+        })
+        .collect();
+    let place = best_writer(&members, query, need)?;
+    let first = members.swap_remove(place);
+    members.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+    members.truncate(size - 1);
+    if members.len() < size - 1 {
+        return None;
     }
-    let seats = plan_memory(need, &first, &mut helpers)?;
-    let others = helpers.iter().map(|helper| helper.forecast.read).max();
-    let start = match others {
-        Some(others) => first.forecast.read.max(others),
-        None => first.forecast.first,
-    };
-    let harm: f32 = helpers.iter().map(|helper| helper.forecast.harm * LATE_LOSS).sum();
-    let writer_harm = first.forecast.harm * LATE_LOSS;
-    let group_cost = need.value() * HELPER_COST * helpers.len() as f32;
-    let own = first.cost - writer_harm - time_cost(need, first.forecast.first);
+    let seats = plan_memory(need, rates.memory_tokens, &first, &mut members)?;
+    let group = members.iter().chain([&first]);
+    let start = group.clone().map(|member| member.forecast.read).max()?;
+    let harm: f32 = group.map(|member| member.forecast.harm).sum();
+    let group_cost = need.value() * HELPER_COST * members.len() as f32;
+    let own = writer_cost(&first, query, need);
     Some(Placement {
         target: first.target.record.incarnation.clone(),
-        helpers: helpers.iter().map(|helper| helper.target.record.incarnation.clone()).collect(),
+        helpers: members.iter().map(|helper| helper.target.record.incarnation.clone()).collect(),
         seats,
         first: start,
-        cost: own + harm + writer_harm + time_cost(need, start) + group_cost,
-        harm: harm + writer_harm,
-        candidates: targets.len(),
+        cost: own + harm + time_cost(need, start) + group_cost,
+        harm,
+        candidates: engines.len(),
     })
 }
 
-fn best_writer<'a>(
-    targets: &[&'a TargetState],
+/// The place of the member that writes at the least cost.
+fn best_writer(
+    members: &[Candidate<'_>],
     query: &PlacementQuery<'_>,
     need: &PromptNeed,
-    read: Duration,
-    size: usize,
-    now: Tick,
-) -> Option<Candidate<'a>> {
-    let candidates = targets.iter().filter_map(|target| {
-        let model = target.model.as_ref()?;
-        let load = need.to_load(read, size, 1, model.rates().passes(need.answer));
-        let forecast = model.forecast(&load, now);
-        let cost = writer_cost(target, model.rates().capacity, query, need, &forecast);
-        Some(Candidate { target, forecast, cost })
-    });
-    candidates.min_by(|a, b| a.cost.total_cmp(&b.cost))
+) -> Option<usize> {
+    let costs = members.iter().map(|member| member.cost + writer_cost(member, query, need));
+    costs.enumerate().min_by(|a, b| a.1.total_cmp(&b.1)).map(|(place, _)| place)
 }
 
 /// Part of an engine's free memory that a prompt may be given: what others
 /// take at the same moment is not known yet.
 const MEMORY_PART: f64 = 0.9;
 
-fn free_memory(candidate: &Candidate<'_>) -> u64 {
-    let model = candidate.target.model.as_ref();
-    let all = model.map_or(0, |model| model.rates().memory_tokens);
+fn free_memory(all: u64, candidate: &Candidate<'_>) -> u64 {
     (all.saturating_sub(candidate.forecast.memory) as f64 * MEMORY_PART) as u64
 }
 
@@ -348,18 +343,19 @@
 /// helpers as can hold it, and puts these first. None where they can not.
 fn plan_memory(
     need: &PromptNeed,
+    all: u64,
     writer: &Candidate<'_>,
     helpers: &mut [Candidate<'_>],
 ) -> Option<Vec<MemorySeat>> {
     let memory = need.prompt + need.answer;
-    let own = free_memory(writer);
+    let own = free_memory(all, writer);
     if memory <= own {
         return Some(Vec::new());
     }
-    helpers.sort_by_key(|helper| std::cmp::Reverse(free_memory(helper)));
+    helpers.sort_by_key(|helper| std::cmp::Reverse(free_memory(all, helper)));
     for count in 1..=helpers.len() {
         let share = memory.div_ceil(count as u64 + 1);
-        if share <= own && share <= free_memory(&helpers[count - 1]) {
+        if share <= own && share <= free_memory(all, &helpers[count - 1]) {
             let holders = helpers[..count].iter();
             let seats = holders.map(|helper| MemorySeat {
                 target: helper.target.record.incarnation.clone(),
@@ -371,37 +367,32 @@
     None
 }
 
-fn writer_cost(
-    target: &TargetState,
-    capacity: usize,
-    query: &PlacementQuery<'_>,
-    need: &PromptNeed,
-    forecast: &PassForecast,
-) -> f32 {
-    let mut cost = forecast.harm * LATE_LOSS + time_cost(need, forecast.first);
-    if forecast.steady.as_secs_f64() > need.longest_pause.as_secs_f64() * FIRST_PART {
+/// What it costs that a member writes, beside the reading.
+fn writer_cost(writer: &Candidate<'_>, query: &PlacementQuery<'_>, need: &PromptNeed) -> f32 {
+    let record = &writer.target.record;
+    let PassForecast { active, steady, pause, .. } = writer.forecast;
+    let capacity = record.capacity;
+    let mut cost = pause_loss(need.value(), pause, need.longest_pause);
+    if steady.as_secs_f64() > need.longest_pause.as_secs_f64() * FIRST_PART {
         cost += need.value() * LATE_LOSS;
     }
-    if *target.record.failure_domain != *query.failure_domain {
+    if *record.failure_domain != *query.failure_domain {
         cost += DISTANCE_COST;
     }
-    if forecast.active >= capacity {
-        cost += QUEUE_COST * (forecast.active + 1 - capacity) as f32;
+    if active >= capacity {
+        cost += QUEUE_COST * (active + 1 - capacity) as f32;
     } else if need.prompt <= SHORT_TOKENS {
-        let packed = forecast.active.min(capacity.saturating_sub(KEPT_FREE));
+        let packed = active.min(capacity.saturating_sub(KEPT_FREE));
         cost -= PACKING_GAIN * packed as f32;
-        if forecast.active + KEPT_FREE >= capacity {
+        if active + KEPT_FREE >= capacity {
             cost += NEAR_FULL_COST;
         }
-        cost += SPREAD * query.preference(&target.record.incarnation);
+        cost += SPREAD * query.preference(&record.incarnation);
     }
     cost
 }
 
 /// What the request itself loses where its first event comes after `first`.
 fn time_cost(need: &PromptNeed, first: Duration) -> f32 {
-    let part = first.as_secs_f64() / need.first_limit.as_secs_f64().max(1e-3);
-    let late = if part > FIRST_PART { LATE_LOSS } else { 0.0 };
-    let part = part as f32;
-    need.value() * (late + TIME_LOSS * (part * part).min(4.0))
+    first_event_loss(need.value(), need.waited + first, need.first_limit)
 }
--- a/src/relay/series.rs
+++ b/src/relay/series.rs
@@ -69,7 +69,7 @@
     pub(super) fn place(&self, shared: &RelayShared, job: &RelayJob) -> Option<Placement> {
         let mut core = shared.core.borrow_mut();
         let now = shared.now();
-        let placement = core.place(&job.service, job.need.as_ref(), &self.tried, now)?;
+        let placement = core.place(&job.service, job.need_at(now).as_ref(), &self.tried, now)?;
         drop(core);
         let line = PlacedLine {
             id: &job.id,
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -150,14 +150,12 @@
 
 /// Returns true where a better moment to place a prompt may come soon.
 fn is_worth_waiting(shared: &RelayShared, job: &RelayJob, placement: &Placement) -> bool {
-    let waited = shared.now().since(job.arrived);
-    job.need.is_some_and(|need| placement.is_worth_waiting(&need, waited))
+    job.need_at(shared.now()).is_some_and(|need| placement.is_worth_waiting(&need))
 }
 
 /// Returns true where nothing is lost by refusing that serving would keep.
 fn is_better_refused(shared: &RelayShared, job: &RelayJob, placement: &Placement) -> bool {
-    let waited = shared.now().since(job.arrived);
-    job.need.is_some_and(|need| placement.is_worse_than_refusal(&need, waited))
+    job.need_at(shared.now()).is_some_and(|need| placement.is_worse_than_refusal(&need))
 }
 
 /// When to come back after a refusal for overload, spread so that those who
@@ -212,6 +210,8 @@
     {
         if is_begun {
             shared.core.borrow_mut().note_pass(&placement.target, shared.now());
+        } else {
+            shared.core.borrow_mut().note_first(&guard.share, shared.now());
         }
         is_begun = true;
         let events = splitter.push(&frame);
