--- a/src/relay/core.rs
+++ b/src/relay/core.rs
@@ -313,6 +313,19 @@
         }
     }
 
+    /// Time until the prompt of an attempt should be read, as far as it is known
+    /// what else its engines have to read.
+    pub fn time_to_read(&mut self, share: &AttemptShare, now: Tick) -> Duration {
+        let mut longest = Duration::ZERO;
+        for name in std::iter::once(&share.target).chain(&share.helpers) {
+            if let Some(model) = self.model(name) {
+                model.advance(now);
+                longest = longest.max(model.time_to_read(share.key, now));
+            }
+        }
+        longest
+    }
+
     /// Notes the first event of a stream: its prompt has been read.
     pub fn note_first(&mut self, share: &AttemptShare, now: Tick) {
         for name in std::iter::once(&share.target).chain(&share.helpers) {
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -184,10 +184,11 @@
     }
     let connection = obtain(shared, job, &placement.target, address).await?;
     let is_reused = connection.is_reused;
+    let share = &guard.share;
     let connection = guard.connection.insert(connection);
     let request = to_request(shared, job, placement, &helpers, resume_after);
     let sending = connection.sender.send_request(request);
-    let waiting = wait_for_head(shared, job, placement, may_hedge);
+    let waiting = wait_for_head(shared, job, placement, share, may_hedge);
     let response = tokio::select! {
         response = sending => response,
         fault = waiting => return Err(fault),
@@ -266,6 +267,7 @@
     shared: &RelayShared,
     job: &RelayJob,
     placement: &Placement,
+    share: &AttemptShare,
     may_hedge: bool,
 ) -> AttemptFault {
     let sent_at = shared.now();
@@ -286,7 +288,10 @@
             return AttemptFault::silent("no answer within the objective");
         }
         let is_due = now.since(sent_at) >= foretold + silence;
-        if job.need.is_some() && is_due && shared.silence_of(&placement.target) >= silence {
+        let is_silent = || shared.silence_of(&placement.target) >= silence;
+        // What came later may be read before it: that is no fault of its target.
+        let is_in_line = || !shared.core.borrow_mut().time_to_read(share, now).is_zero();
+        if job.need.is_some() && is_due && is_silent() && !is_in_line() {
             return AttemptFault::silent("the target has sent nothing for too long");
         }
     }
--- a/src/relay/pass_model.rs
+++ b/src/relay/pass_model.rs
@@ -415,6 +415,16 @@
         outlook.with_loss()
     }
 
+    /// Time until a stream that is known is read, zero where it is.
+    #[must_use]
+    pub fn time_to_read(&self, key: StreamKey, now: Tick) -> Duration {
+        let in_pass = self.pass.as_ref().filter(|pass| pass.reads.iter().any(|r| r.key == key));
+        match in_pass {
+            Some(pass) => pass.end.since(now),
+            None => self.outlook(now).time_to_read(key).unwrap_or_default(),
+        }
+    }
+
     /// Foretells what would become of a load sent now, to which the passes have
     /// been played.
     #[must_use]
--- a/src/relay/pass_outlook.rs
+++ b/src/relay/pass_outlook.rs
@@ -82,15 +82,16 @@
     time: Duration,
     line: Vec<PendingRead>,
     writers: Vec<OutlookWriter>,
-    /// When the weighed prompt was read.
-    weighed_read: Duration,
+    /// The prompt that is asked about, and when it was read.
+    asked: StreamKey,
+    asked_read: Option<Duration>,
     loss: f32,
 }
 
 impl PassOutlook<'_> {
     /// Works out what those there lose as it is.
     pub(super) fn with_loss(mut self) -> Self {
-        let loss = self.play(self.line.clone()).loss;
+        let loss = self.play(self.line.clone(), WEIGHED).loss;
         self.loss = loss;
         self
     }
@@ -101,12 +102,12 @@
         let mut line = Vec::with_capacity(self.line.len() + 1);
         line.extend_from_slice(&self.line);
         put_in_line(&mut line, PendingRead::new(WEIGHED, *load, self.now));
-        let played = self.play(line);
+        let played = self.play(line, WEIGHED);
         let context = self.writers.iter().map(|writer| writer.context).sum::<u64>() + load.context;
         let steady = self.rates.write_ms(self.writers.len() + 1, context) * self.pace;
         let weighed = played.writers.iter().find(|writer| writer.is_weighed);
         PassForecast {
-            read: played.weighed_read,
+            read: played.asked_read.unwrap_or_default(),
             pause: weighed.map_or(Duration::ZERO, |writer| writer.longest),
             steady: from_ms(steady),
             harm: played.loss - self.loss,
@@ -115,14 +116,20 @@
         }
     }
 
+    /// Time until a prompt in line is read, none where it is not in line.
+    pub(super) fn time_to_read(&self, key: StreamKey) -> Option<Duration> {
+        self.play(self.line.clone(), key).asked_read
+    }
+
     /// Plays passes until all of a line is read.
-    fn play(&self, line: Vec<PendingRead>) -> PassPlay<'_> {
+    fn play(&self, line: Vec<PendingRead>, asked: StreamKey) -> PassPlay<'_> {
         let mut play = PassPlay {
             outlook: self,
             time: self.wait.unwrap_or_default(),
             line,
             writers: self.writers.clone(),
-            weighed_read: Duration::ZERO,
+            asked,
+            asked_read: None,
             loss: 0.0,
         };
         for _ in 0..MAX_PASSES {
@@ -174,9 +181,10 @@
     fn note_read(&mut self, read: &PendingRead) {
         let load = &read.load;
         let is_weighed = read.key == WEIGHED;
-        if is_weighed {
-            self.weighed_read = self.time;
-        } else {
+        if read.key == self.asked {
+            self.asked_read = Some(self.time);
+        }
+        if !is_weighed {
             self.loss += self.first_loss(read);
         }
         if load.is_writer() {
--- a/src/relay/placement.rs
+++ b/src/relay/placement.rs
@@ -289,20 +289,20 @@
 ) -> Option<Placement> {
     let rates = engines.first()?.outlook.rates;
     let load = need.to_load(read, size, 1, rates.passes(need.answer));
-    let mut members: Vec<_> = engines
-        .iter()
-        .map(|engine| {
-            let forecast = engine.outlook.forecast(&load);
-            let cost = forecast.harm + time_cost(need, forecast.read);
-            Candidate { target: engine.target, forecast, cost }
-        })
-        .collect();
-    let place = best_writer(&members, query, need)?;
-    let first = members.swap_remove(place);
-    members.sort_by(|a, b| a.cost.total_cmp(&b.cost));
-    members.truncate(size - 1);
-    if members.len() < size - 1 {
-        return None;
+    let writers = weigh(engines, need, &load);
+    let first = *writers.iter().min_by(|a, b| {
+        let cost = |member| writer_cost(member, query, need) + member.cost;
+        cost(*a).total_cmp(&cost(*b))
+    })?;
+    let mut members = Vec::new();
+    if size > 1 {
+        members = weigh(engines, need, &need.to_helper_load(read, size));
+        members.retain(|member| !std::ptr::eq(member.target, first.target));
+        members.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        members.truncate(size - 1);
+        if members.len() < size - 1 {
+            return None;
+        }
     }
     let seats = plan_memory(need, rates.memory_tokens, &first, &mut members)?;
     let group = members.iter().chain([&first]);
@@ -321,14 +321,18 @@
     })
 }
 
-/// The place of the member that writes at the least cost.
-fn best_writer(
-    members: &[Candidate<'_>],
-    query: &PlacementQuery<'_>,
+/// What a load would come to at each engine.
+fn weigh<'a>(
+    engines: &[EngineOutlook<'a>],
     need: &PromptNeed,
-) -> Option<usize> {
-    let costs = members.iter().map(|member| member.cost + writer_cost(member, query, need));
-    costs.enumerate().min_by(|a, b| a.1.total_cmp(&b.1)).map(|(place, _)| place)
+    load: &StreamLoad,
+) -> Vec<Candidate<'a>> {
+    let weighed = engines.iter().map(|engine| {
+        let forecast = engine.outlook.forecast(load);
+        let cost = forecast.harm + time_cost(need, forecast.read);
+        Candidate { target: engine.target, forecast, cost }
+    });
+    weighed.collect()
 }
 
 /// Part of an engine's free memory that a prompt may be given: what others
--- a/tests/relay/passes.rs
+++ b/tests/relay/passes.rs
@@ -202,3 +202,16 @@
     model.advance(at(60_000));
     assert!(model.is_empty());
 }
+
+/// Past failure: prompts that others went before were taken to be lost, and
+/// were read again elsewhere.
+#[test]
+fn a_prompt_that_waits_in_line_is_known_to_wait() {
+    let mut model = PassModel::new(rates(), OBSERVER);
+    model.add(key(1), helper_load(200_040, 2), at(0));
+    model.add(key(2), helper_load(200_040, 2), at(500));
+    model.advance(at(1_000));
+    assert_near(model.time_to_read(key(1), at(1_000)).as_millis() as u64, 1_716);
+    model.advance(at(2_800));
+    assert!(model.time_to_read(key(1), at(2_800)).is_zero(), "it has been read");
+}
--- a/tests/relay/places.rs
+++ b/tests/relay/places.rs
@@ -2,12 +2,13 @@
 
 use std::collections::HashSet;
 
+use shalelane::relay::pass_model::StreamLoad;
 use shalelane::relay::placement::{
     MAX_HELPERS, Placement, PlacementQuery, PromptNeed, place_call, place_prompt,
 };
 use shalelane::relay::targets::{TargetFault, TargetSet};
 
-use crate::fixture::{at, check, engines, key, ms, name, need, short_load};
+use crate::fixture::{at, check, engines, helper_load, key, ms, name, need, part_load, short_load};
 
 const QUERY: PlacementQuery<'static> =
     PlacementQuery { service: "engines", failure_domain: "here", tried: &[], entry: 1 };
@@ -128,3 +129,22 @@
     }
     check(property as fn(u8, Vec<(u8, u8)>, u32) -> bool);
 }
+
+/// Past failure: engines that only help were weighed as though they were to
+/// write, which made prompts in line there seem to gain by it.
+#[test]
+fn a_helper_is_not_weighed_as_a_writer() {
+    let mut set = engines(3);
+    for target in set.iter_mut() {
+        let model = target.model.as_mut().unwrap();
+        // The first writes soon, and waits for the pass that reads the second.
+        for (number, load) in [(2, helper_load(800_000, 16)), (1, part_load(50_040, 2))] {
+            model.add(key(number), StreamLoad { limit_us: 600_000_000, ..load }, at(990));
+        }
+        model.advance(at(1_000));
+    }
+    let placement = place(&set, &need(300_000)).unwrap();
+    // At the one that writes they share a pass, which spares them a pause.
+    let gain = need(50_040).value() * 0.75;
+    assert!(placement.harm > -gain - 0.01, "{placement:?}");
+}
