Leave last places, come back later, ask the store less often

Change: the last places of an engine cost more the fewer are left, and a quarter is not packed; the time to come back goes by the time limit of the first event and what the caller has left; watches ask again after 0.4 of the bound for leaving targets, a new setting drain_ms, but after 0.2 s in the first five seconds; a proof each 2.6 s; a stream whose engine has a pass under way by its model is waited for.

Tests: places.rs the_last_place_is_left_to_others_while_there_are_more (fails on the code before, run there), passes.rs a_long_pass_is_known_to_last.

--- a/src/relay/core.rs
+++ b/src/relay/core.rs
@@ -22,6 +22,8 @@
     pub failure_domain: Arc<str>,
     /// Longest time between the removal of a key and its last use.
     pub revoke_bound: Duration,
+    /// Longest time in which a target that is leaving may still get requests.
+    pub drain_bound: Duration,
     /// Bound on second attempts over all entries.
     pub retry_bound: RetryBound,
 }
@@ -89,6 +91,12 @@
         self.limits = limits;
     }
 
+    /// What does not change with configuration and targets.
+    #[must_use]
+    pub fn limits(&self) -> &RelayLimits {
+        &self.limits
+    }
+
     /// The rules in force here.
     #[must_use]
     pub fn rules(&self) -> Rc<RuleTable> {
@@ -326,6 +334,11 @@
         longest
     }
 
+    /// Time until the pass that an engine has under way should end.
+    pub fn time_to_pass_end(&mut self, target: &str, now: Tick) -> Duration {
+        self.model(target).map_or(Duration::ZERO, |model| model.time_to_pass_end(now))
+    }
+
     /// Notes the first event of a stream: its prompt has been read.
     pub fn note_first(&mut self, share: &AttemptShare, now: Tick) {
         for name in std::iter::once(&share.target).chain(&share.helpers) {
--- a/src/relay/feed.rs
+++ b/src/relay/feed.rs
@@ -11,10 +11,11 @@
 use super::server::RelayShared;
 use super::targets::TargetRecord;
 use crate::Result;
+use crate::time::Tick;
 
 /// Time between two reads of the configuration that prove it current, well
 /// under the time for which a proof holds. A watch tells of changes sooner.
-const CONFIG_STEP: Duration = Duration::from_secs(2);
+const CONFIG_STEP: Duration = Duration::from_millis(2_600);
 
 /// Least time between two reads of the configuration, when it changes often.
 const CONFIG_MIN_STEP: Duration = Duration::from_millis(200);
@@ -25,9 +26,17 @@
 /// Longest wait of one watch: each is priced as a call.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
 
-/// Time between two events of a watch that are read: events come in groups,
-/// and each answer is priced. What leaves has to be known within two seconds.
-const WATCH_STEP: Duration = Duration::from_millis(600);
+/// Part of the bound for leaving targets that passes between two answers of a
+/// watch: changes come in groups, and each answer is priced. What is left of
+/// the bound is for a slow store and for requests on their way.
+const WATCH_PART: f64 = 0.4;
+
+/// Time between two answers of a watch in the first seconds of a process, when
+/// targets may be starting as well and each that is missed is missed dearly.
+const FIRST_WATCH_STEP: Duration = Duration::from_millis(200);
+
+/// How long a process counts as starting.
+const START_SPAN: Duration = Duration::from_secs(5);
 
 /// Longest time after which the list is read again while the store is away;
 /// the read of the configuration, which is tried more often, ends the wait.
@@ -212,11 +221,7 @@
 }
 
 /// Reads the whole list. Returns its revision, none where that failed.
-async fn read_list(
-    shared: &RelayShared,
-    feed: &PlatformFeed,
-    heard_at: crate::time::Tick,
-) -> Option<u64> {
+async fn read_list(shared: &RelayShared, feed: &PlatformFeed, heard_at: Tick) -> Option<u64> {
     let result = (feed.list_targets)().await;
     shared.counts.borrow_mut().store_calls += 1;
     let now = shared.now();
@@ -247,11 +252,12 @@
     match result {
         Ok(TargetWatch::Changes(changes, next)) => {
             let is_empty = changes.is_empty();
+            let now = shared.now();
             for change in changes {
                 take_change(shared, change);
             }
             if !is_empty {
-                tokio::time::sleep(WATCH_STEP).await;
+                tokio::time::sleep(watch_step(shared, now)).await;
             }
             Some(next)
         }
@@ -263,6 +269,15 @@
     }
 }
 
+/// Time until the next answer of the watch is asked for.
+fn watch_step(shared: &RelayShared, now: Tick) -> Duration {
+    // Ticks count from the start of the process.
+    if now < Tick::default() + START_SPAN {
+        return FIRST_WATCH_STEP;
+    }
+    shared.core.borrow().limits().drain_bound.mul_f64(WATCH_PART)
+}
+
 fn take_change(shared: &RelayShared, change: TargetChange) {
     let now = shared.now();
     let mut core = shared.core.borrow_mut();
--- a/src/relay/pass_model.rs
+++ b/src/relay/pass_model.rs
@@ -415,6 +415,13 @@
         outlook.with_loss()
     }
 
+    /// Time until the pass that is under way should end, zero where there is none
+    /// or it is due.
+    pub fn time_to_pass_end(&mut self, now: Tick) -> Duration {
+        self.advance(now);
+        self.pass.as_ref().map_or(Duration::ZERO, |pass| pass.end.since(now))
+    }
+
     /// Time until a stream that is known is read, zero where it is.
     #[must_use]
     pub fn time_to_read(&self, key: StreamKey, now: Tick) -> Duration {
--- a/src/relay/placement.rs
+++ b/src/relay/placement.rs
@@ -34,12 +34,15 @@
 /// it leaves other engines free for long prompts.
 const PACKING_GAIN: f32 = 0.02;
 
-/// Places of an engine that are filled last: other entries fill them at the
-/// same moment, and one too many waits for an end.
-const KEPT_FREE: usize = 2;
+/// Part of an engine's places that are not packed, as a divisor of them: other
+/// entries fill them at the same moment, and one too many waits for an end.
+const KEPT_FREE_PART: usize = 4;
 
-/// Cost of taking one of them.
-const NEAR_FULL_COST: f32 = 0.1;
+/// Cost of taking the last place of an engine, in short requests.
+const NEAR_FULL_COST: f32 = 0.3;
+
+/// Part of that cost that is left for each place more that is free.
+const NEAR_FULL_DECAY: f32 = 0.4;
 
 /// Greatest difference by which entries prefer different engines, so that they
 /// do not all choose the same one at the same moment.
@@ -385,12 +388,12 @@
     }
     if active >= capacity {
         cost += QUEUE_COST * (active + 1 - capacity) as f32;
-    } else if need.prompt <= SHORT_TOKENS {
-        let packed = active.min(capacity.saturating_sub(KEPT_FREE));
+    } else {
+        cost += NEAR_FULL_COST * NEAR_FULL_DECAY.powi((capacity - active) as i32 - 1);
+    }
+    if active < capacity && need.prompt <= SHORT_TOKENS {
+        let packed = active.min(capacity - capacity / KEPT_FREE_PART);
         cost -= PACKING_GAIN * packed as f32;
-        if active + KEPT_FREE >= capacity {
-            cost += NEAR_FULL_COST;
-        }
         cost += SPREAD * query.preference(&record.incarnation);
     }
     cost
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -32,6 +32,9 @@
     pub store: SocketAddr,
     /// Longest time between the removal of a key and its last use, in ms.
     pub revoke_ms: u64,
+    /// Longest time in which a target that is leaving may still get requests,
+    /// from when the platform's store says so, in ms.
+    pub drain_ms: u64,
     /// Second attempts for each request, over all entries.
     pub retry_ratio: f64,
     /// Second attempts in each window beside that, over all entries.
@@ -66,13 +69,14 @@
             && settings.retry_slack >= 0.0
             && settings.retry_window_s > 0
             && settings.stop_s > 0.0
-            && settings.revoke_ms > 0;
+            && settings.revoke_ms > 0
+            && settings.drain_ms > 0;
         if has_order {
             return Ok(settings);
         }
         Err(Error::settings(
-            "retry_window_s, stop_s and revoke_ms must be above zero, retry_ratio and \
-             retry_slack not below",
+            "retry_window_s, stop_s, revoke_ms and drain_ms must be above zero, retry_ratio \
+             and retry_slack not below",
         ))
     }
 
@@ -82,6 +86,7 @@
         RelayLimits {
             failure_domain: self.failure_domain.clone(),
             revoke_bound: self.revoke_bound(),
+            drain_bound: Duration::from_millis(self.drain_ms),
             retry_bound: RetryBound {
                 ratio: self.retry_ratio,
                 slack: self.retry_slack,
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -13,6 +13,7 @@
 
 use super::answer::{BrokenAnswer, RelayAnswer, RelayBody, RelayFault};
 use super::call::MAX_ANSWER;
+use super::core::AttemptShare;
 use super::event_stream::EventSplitter;
 use super::forward::{AttemptFault, OpenAnswer, RelayJob, open};
 use super::ledger::RequestLedger;
@@ -28,9 +29,17 @@
 /// Parts of an answer that wait for a slow caller.
 const QUEUED_PARTS: usize = 8;
 
-/// Time to come back after a refusal for overload, in milliseconds: a short
-/// answer takes some two seconds, so a good part of the places is free again.
-const BUSY_RETRY_MS: std::ops::Range<u64> = 800..2_400;
+/// Time to come back after a refusal for overload, in times to the first event:
+/// short answers take some two seconds, so a good part of the places is free
+/// again; long prompts come in bursts that last longer.
+const BUSY_RETRY: std::ops::Range<f64> = 2.7..8.0;
+
+/// Part of the time that a caller has left within which it comes back: callers
+/// wait no longer than a third.
+const RETRY_PART: f64 = 0.33;
+
+/// How much less than that it may be, at random.
+const RETRY_SPREAD: std::ops::Range<f64> = 0.6..1.0;
 
 /// Wait before a prompt is placed anew: about a pass.
 const PLACE_WAIT: Duration = Duration::from_millis(50);
@@ -42,6 +51,10 @@
 /// Least such silence.
 const MIN_SILENCE: Duration = Duration::from_millis(1_400);
 
+/// Least time to the first event of callers who wait longer than two seconds
+/// for the next event, too.
+const PATIENT_OBJECTIVE: Duration = Duration::from_secs(1);
+
 /// What a stream's task tells the one that answers the caller.
 enum StreamStart {
     /// The head of the answer; its parts follow.
@@ -118,7 +131,7 @@
         }
         if series.is_fresh() && is_better_refused(shared, job, &placement) {
             let why = "the engines are too busy to be in time";
-            let fault = RelayFault::refused("overloaded", why, busy_retry());
+            let fault = RelayFault::refused("overloaded", why, busy_retry(shared, job));
             ledger.end_fault(&fault);
             return output.begin(StreamStart::Fault(fault));
         }
@@ -160,8 +173,10 @@
 
 /// When to come back after a refusal for overload, spread so that those who
 /// are refused together do not come back together.
-fn busy_retry() -> Duration {
-    Duration::from_millis(rand::random_range(BUSY_RETRY_MS))
+fn busy_retry(shared: &RelayShared, job: &RelayJob) -> Duration {
+    let wanted = job.route.objective.mul_f64(rand::random_range(BUSY_RETRY));
+    let most = job.deadline.since(shared.now()).mul_f64(RETRY_PART);
+    wanted.min(most.mul_f64(rand::random_range(RETRY_SPREAD)))
 }
 
 async fn fail_stream(
@@ -206,8 +221,7 @@
     // The first event comes as soon as the prompt is read, the others at the
     // end of a pass.
     let mut is_begun = false;
-    while let Some(frame) = next_frame(shared, job, &placement.target, &mut body, may_hedge).await?
-    {
+    while let Some(frame) = next_frame(shared, job, &guard.share, &mut body, may_hedge).await? {
         if is_begun {
             shared.core.borrow_mut().note_pass(&placement.target, shared.now());
         } else {
@@ -271,24 +285,31 @@
 async fn next_frame(
     shared: &RelayShared,
     job: &RelayJob,
-    target: &str,
+    share: &AttemptShare,
     body: &mut Incoming,
     may_hedge: bool,
 ) -> Result<Option<Bytes>, AttemptFault> {
     let silence = (job.route.longest_pause * SILENT_PAUSES).max(MIN_SILENCE);
-    let now = shared.now();
-    let silent_at = if may_hedge { now + silence } else { Tick::NEVER };
-    let limit = silent_at.min(job.deadline).since(now);
+    let mut silent_at = if may_hedge { shared.now() + silence } else { Tick::NEVER };
     loop {
+        let limit = silent_at.min(job.deadline).since(shared.now());
         let Ok(frame) = tokio::time::timeout(limit, body.frame()).await else {
-            if shared.now() >= job.deadline {
+            let now = shared.now();
+            if now >= job.deadline {
                 return Err(AttemptFault::timeout(Verdict::MayHaveRun));
             }
-            return Err(AttemptFault::silent("the stream stands still"));
+            // A long pass is no fault of its target, but callers of short
+            // prompts do not wait for its end.
+            let pass = shared.core.borrow_mut().time_to_pass_end(&share.target, now);
+            if pass.is_zero() || job.route.objective < PATIENT_OBJECTIVE {
+                return Err(AttemptFault::silent("the stream stands still"));
+            }
+            silent_at = now + pass;
+            continue;
         };
         let Some(frame) = frame else { return Ok(None) };
         let frame = frame.map_err(|error| AttemptFault::broken(error.to_string()))?;
-        shared.core.borrow_mut().note_heard(target, shared.now());
+        shared.core.borrow_mut().note_heard(&share.target, shared.now());
         if let Ok(data) = frame.into_data() {
             return Ok(Some(data));
         }
--- a/tests/relay/passes.rs
+++ b/tests/relay/passes.rs
@@ -215,3 +215,13 @@
     model.advance(at(2_800));
     assert!(model.time_to_read(key(1), at(2_800)).is_zero(), "it has been read");
 }
+
+#[test]
+fn a_long_pass_is_known_to_last() {
+    let mut model = writers_elsewhere(1);
+    model.advance(at(200));
+    model.add(key(100), helper_load(200_040, 2), at(200));
+    let left = |model: &mut PassModel, now| model.time_to_pass_end(at(now)).as_millis() as u64;
+    assert_near(left(&mut model, 300), 1_165);
+    assert!(left(&mut PassModel::new(rates(), OBSERVER), 300) == 0, "nobody writes");
+}
--- a/tests/relay/places.rs
+++ b/tests/relay/places.rs
@@ -43,6 +43,19 @@
     assert_ne!(place(&set, &need(5_000)).unwrap().target, name("e0"));
 }
 
+/// Past failure: entries that chose at the same moment filled an engine over its
+/// places, and one in twenty short prompts waited there for an end.
+#[test]
+fn the_last_place_is_left_to_others_while_there_are_more() {
+    let mut set = engines(2);
+    busy(&mut set, 1, 15);
+    let model = set.get_mut("e1").unwrap().model.as_mut().unwrap();
+    for number in 0..4 {
+        model.add(key(1_000 + number), short_load(), at(0));
+    }
+    assert_eq!(place(&set, &need(5_000)).unwrap().target, name("e1"));
+}
+
 #[test]
 fn long_prompts_are_read_jointly_and_away_from_short_writers() {
     let mut set = engines(12);
--- a/tests/relay/rules.rs
+++ b/tests/relay/rules.rs
@@ -37,7 +37,12 @@
 
 fn core() -> RelayCore {
     let retry_bound = RetryBound { ratio: 0.2, slack: 100.0, window: ms(10_000) };
-    let limits = RelayLimits { failure_domain: name("here"), revoke_bound: ms(5_000), retry_bound };
+    let limits = RelayLimits {
+        failure_domain: name("here"),
+        revoke_bound: ms(5_000),
+        drain_bound: ms(2_000),
+        retry_bound,
+    };
     RelayCore::new(limits, 1)
 }
 
--- a/tests/relay/targets.rs
+++ b/tests/relay/targets.rs
@@ -16,7 +16,15 @@
 fn new_core() -> RelayCore {
     let retry_bound = RetryBound { ratio: 0.2, slack: 100.0, window: ms(10_000) };
     let revoke_bound = ms(5_000);
-    RelayCore::new(RelayLimits { failure_domain: name("here"), revoke_bound, retry_bound }, 1)
+    RelayCore::new(
+        RelayLimits {
+            failure_domain: name("here"),
+            revoke_bound,
+            drain_bound: ms(2_000),
+            retry_bound,
+        },
+        1,
+    )
 }
 
 fn engine_config() -> RelayConfig {
@@ -100,7 +108,12 @@
 #[test]
 fn a_target_listed_before_the_configuration_takes_prompts() {
     let retry_bound = RetryBound { ratio: 0.2, slack: 100.0, window: ms(10_000) };
-    let limits = RelayLimits { failure_domain: name("here"), revoke_bound: ms(5_000), retry_bound };
+    let limits = RelayLimits {
+        failure_domain: name("here"),
+        revoke_bound: ms(5_000),
+        drain_bound: ms(2_000),
+        retry_bound,
+    };
     let mut core = RelayCore::new(limits, 1);
     core.take_list(vec![record("a", 1)], false, at(0));
     assert!(core.place("engines", Some(&need(5_000)), &[], at(0)).is_none());
