Take configurations from the watch, and ask less often

Change: what the watch brings is adopted at once, as news that proves nothing about what came later; proofs are read as before. 300 ms pass between two answers of the watch. A read that finds what the watch did not tell replaces it. While reads fail the watch is kept until the store is back; reads are retried each 400 ms (250).

--- a/src/relay/core.rs
+++ b/src/relay/core.rs
@@ -126,10 +126,16 @@
     /// another version came into force.
     pub fn take_config(&mut self, config: Option<RelayConfig>, sent_at: Tick) -> bool {
         self.lease.renew(sent_at);
+        config.is_some_and(|config| self.take_news(config))
+    }
+
+    /// Takes a configuration that a watch told of, which proves nothing about
+    /// later ones. Returns true where it came into force.
+    pub fn take_news(&mut self, config: RelayConfig) -> bool {
         // A lower version than the one in force would be a step back.
-        let Some(config) = config.filter(|config| config.version > self.rules.version()) else {
+        if config.version <= self.rules.version() {
             return false;
-        };
+        }
         self.rules = Rc::new(RuleTable::from_config(config));
         self.set_rates();
         true
--- a/src/relay/feed.rs
+++ b/src/relay/feed.rs
@@ -17,11 +17,13 @@
 /// under the time for which a proof holds. A watch tells of changes sooner.
 const CONFIG_STEP: Duration = Duration::from_millis(2_600);
 
-/// Least time between two reads of the configuration, when it changes often.
-const CONFIG_MIN_STEP: Duration = Duration::from_millis(200);
+/// Time between two answers of its watch, when it changes often: each is priced,
+/// and the last one brings the others with it.
+const NEWS_STEP: Duration = Duration::from_millis(300);
 
-/// Time between two reads while the store does not answer.
-const RETRY_STEP: Duration = Duration::from_millis(250);
+/// Time between two reads while the store does not answer: short against the
+/// time for which a proof holds, long against the price of each.
+const RETRY_STEP: Duration = Duration::from_millis(400);
 
 /// Longest wait of one watch: each is priced as a call.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
@@ -56,6 +58,24 @@
     pub config: Option<RelayConfig>,
 }
 
+/// A change of the configuration that a watch told of.
+#[derive(Debug)]
+pub struct ConfigNews {
+    /// Revision of the object.
+    pub revision: u64,
+    /// The configuration.
+    pub config: RelayConfig,
+}
+
+/// What a watch of the configuration brought.
+#[derive(Debug)]
+pub enum ConfigWatch {
+    /// The newest change, if any, up to a revision of the store.
+    Changes(Option<ConfigNews>, u64),
+    /// The store has forgotten changes since then: it is to be read anew.
+    Forgotten,
+}
+
 /// A read of the whole list of targets.
 #[derive(Debug)]
 pub struct TargetList {
@@ -93,9 +113,8 @@
     /// Reads the whole list of targets linearizably.
     pub list_targets: Box<dyn Fn() -> Call<TargetList>>,
     /// Waits until the configuration has changed after a revision of the store,
-    /// or the time is up. Returns the revision to go on from, none where the
-    /// store has forgotten what happened since.
-    pub watch_config: Box<dyn Fn(u64, Duration) -> Call<Option<u64>>>,
+    /// or the time is up.
+    pub watch_config: Box<dyn Fn(u64, Duration) -> Call<ConfigWatch>>,
     /// Waits for changes of the list after a revision.
     pub watch_targets: Box<dyn Fn(u64, Duration) -> Call<TargetWatch>>,
 }
@@ -114,21 +133,26 @@
             Err(error) => {
                 note_lost(&shared, is_there, &error);
                 is_there = false;
-                watching = None;
                 tokio::time::sleep(RETRY_STEP).await;
                 continue;
             }
         };
         if !is_there {
             shared.log.dependency("store", true, "");
-            // What a watch heard during the outage can not be relied on.
+            // What a watch heard during the outage can not be relied on, and its
+            // connection may hang.
             shared.outages.send_modify(|count| *count += 1);
+            watching = None;
         }
         is_there = true;
         // Without a configuration there is nothing to obey yet: nothing is
         // proven, and nobody is let in.
         if let Some(read) = read {
             known = read.revision;
+            // A watch that did not tell of a change may be deaf.
+            if read.config.is_some() {
+                watching = None;
+            }
             let mut core = shared.core.borrow_mut();
             if core.take_config(read.config, sent_at) {
                 shared.log.config_changed(core.rules().version());
@@ -139,11 +163,29 @@
                 watching = Some(AbortOnDrop(tokio::task::spawn_local(task)));
             }
         }
-        let spent = shared.now().since(sent_at);
-        tokio::time::sleep(CONFIG_MIN_STEP.saturating_sub(spent)).await;
-        let rest = CONFIG_STEP.saturating_sub(shared.now().since(sent_at));
-        // Whether told by the watch or not, the configuration is read.
-        drop(tokio::time::timeout(rest, shared.config_changed.notified()).await);
+        take_news_until(&shared, sent_at + CONFIG_STEP, &mut known).await;
+    }
+}
+
+/// Takes what the watch tells until the next read is due, or the watch has
+/// nothing more to tell.
+async fn take_news_until(shared: &RelayShared, due: Tick, known: &mut u64) {
+    loop {
+        let rest = due.since(shared.now());
+        if tokio::time::timeout(rest, shared.config_changed.notified()).await.is_err() {
+            return;
+        }
+        let news = shared.config_news.borrow_mut().take();
+        let Some(news) = news else {
+            // Not at once: a watch that fails again and again would have the
+            // store asked in a loop.
+            return tokio::time::sleep(NEWS_STEP).await;
+        };
+        *known = news.revision;
+        let mut core = shared.core.borrow_mut();
+        if core.take_news(news.config) {
+            shared.log.config_changed(core.rules().version());
+        }
     }
 }
 
@@ -177,22 +219,23 @@
         let result = (feed.watch_config)(revision, WATCH_WAIT).await;
         shared.counts.borrow_mut().store_calls += 1;
         match result {
-            Ok(Some(next)) => {
-                if next != revision {
+            Ok(ConfigWatch::Changes(news, next)) => {
+                revision = next;
+                if news.is_some() {
+                    *shared.config_news.borrow_mut() = news;
                     shared.config_changed.notify_one();
+                    tokio::time::sleep(NEWS_STEP).await;
                 }
-                revision = next;
-            }
-            Ok(None) => {
-                shared.config_changed.notify_one();
-                return;
             }
+            Ok(ConfigWatch::Forgotten) => break,
             Err(error) => {
                 shared.log.dependency("configuration watch", false, &error.to_string());
-                return;
+                break;
             }
         }
     }
+    // Whatever the reason, only a read tells what holds now.
+    shared.config_changed.notify_one();
 }
 
 /// Follows the list of targets for as long as the process runs.
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -21,7 +21,7 @@
 use super::counts::RelayCounts;
 use super::dialect::{CallerDialect, TargetDialect};
 use super::exchange::serve;
-use super::feed::{PlatformFeed, follow_config, follow_targets};
+use super::feed::{ConfigNews, PlatformFeed, follow_config, follow_targets};
 use super::load_link::LoadLink;
 use super::record::{DecisionLog, new_stdout_logger};
 use super::settings::{RelaySettings, SettingsFile};
@@ -68,8 +68,10 @@
     pub(super) away_at: Cell<Option<Tick>>,
     /// Counts the times that the store came back.
     pub(super) outages: watch::Sender<u64>,
-    /// Told by the watch of the configuration.
+    /// Told by the watch of the configuration, with news or at its end.
     pub(super) config_changed: Notify,
+    /// The newest change that it told of and that was not taken yet.
+    pub(super) config_news: RefCell<Option<ConfigNews>>,
     pub(super) link: LoadLink,
     pub(super) orders: HttpClient,
     order_number: Cell<u32>,
@@ -170,6 +172,7 @@
         away_at: Cell::new(None),
         outages: watch::Sender::new(0),
         config_changed: Notify::new(),
+        config_news: RefCell::default(),
         link,
         orders: HttpClient::new(1),
         order_number: Cell::new(0),
