Read max_completion_tokens, and tell a stream's tokens where that is wanted

Cause: both fields of a chat request were unknown to the entry and ignored, so 256 parts came for 8 that were asked for.

Change: max_completion_tokens wins over max_tokens; with stream_options.include_usage a stream ends with a part that has no choices and the usage, and other parts have none.

--- a/src/entry/answers.rs
+++ b/src/entry/answers.rs
@@ -35,6 +35,8 @@
     pub(super) is_chat: bool,
     pub(super) id: String,
     pub(super) model: String,
+    /// A stream ends with a part of its own that tells its tokens.
+    pub(super) has_usage_part: bool,
 }
 
 #[derive(Serialize)]
@@ -42,7 +44,7 @@
     id: &'a str,
     object: &'static str,
     model: &'a str,
-    choices: [CompletionChoice<'a>; 1],
+    choices: Vec<CompletionChoice<'a>>,
     #[serde(skip_serializing_if = "Option::is_none")]
     usage: Option<CompletionUsage>,
 }
@@ -78,6 +80,17 @@
     cached_tokens: u64,
 }
 
+impl CompletionUsage {
+    fn from_completion(done: &Completion) -> Self {
+        CompletionUsage {
+            prompt_tokens: done.prompt_tokens,
+            completion_tokens: done.answer_tokens,
+            total_tokens: done.prompt_tokens + done.answer_tokens,
+            prompt_tokens_details: CachedUsage { cached_tokens: done.cached_tokens },
+        }
+    }
+}
+
 impl AnswerShape {
     fn to_json(&self, text: &[u8], done: Option<&Completion>, is_part: bool) -> Vec<u8> {
         let text = String::from_utf8_lossy(text);
@@ -89,19 +102,30 @@
             delta: if self.is_chat && is_part { chat() } else { None },
             finish_reason: done.map(|done| &*done.finish_reason),
         };
-        let usage = done.map(|done| CompletionUsage {
-            prompt_tokens: done.prompt_tokens,
-            completion_tokens: done.answer_tokens,
-            total_tokens: done.prompt_tokens + done.answer_tokens,
-            prompt_tokens_details: CachedUsage { cached_tokens: done.cached_tokens },
-        });
+        let has_usage = !(is_part && self.has_usage_part);
+        let usage = done.filter(|_| has_usage).map(CompletionUsage::from_completion);
+        self.to_body(vec![choice], usage, is_part)
+    }
+
+    /// The part of a stream that tells only its tokens.
+    fn to_usage_event(&self, done: &Completion) -> Bytes {
+        let usage = Some(CompletionUsage::from_completion(done));
+        to_sse(&self.to_body(Vec::new(), usage, true))
+    }
+
+    fn to_body(
+        &self,
+        choices: Vec<CompletionChoice<'_>>,
+        usage: Option<CompletionUsage>,
+        is_part: bool,
+    ) -> Vec<u8> {
         let object = match (self.is_chat, is_part) {
             (true, true) => "chat.completion.chunk",
             (true, false) => "chat.completion",
             (false, _) => "text_completion",
         };
-        let body =
-            CompletionBody { id: &self.id, object, model: &self.model, choices: [choice], usage };
+        let body = CompletionBody { id: &self.id, object, model: &self.model, choices, usage };
+        // Texts and numbers always have a form in JSON.
         serde_json::to_vec(&body).unwrap_or_default()
     }
 
@@ -178,6 +202,9 @@
         }
         Reply::Done(done) => {
             let _ = parts.send(shape.to_event(b"", Some(done)));
+            if shape.has_usage_part {
+                let _ = parts.send(shape.to_usage_event(done));
+            }
             let _ = parts.send(Bytes::from_static(b"data: [DONE]\n\n"));
             true
         }
--- a/src/entry/ask.rs
+++ b/src/entry/ask.rs
@@ -52,6 +52,8 @@
     pub answer_tokens: u64,
     /// Whether the answer is wanted as a stream.
     pub stream: bool,
+    /// Whether a stream is to end with a part that tells its tokens.
+    pub usage_part: bool,
     /// Marks of the prompt.
     pub marks: PrefixMarks,
 }
@@ -66,14 +68,25 @@
     messages: Option<Vec<ChatMessage<'a>>>,
     #[serde(default)]
     max_tokens: Option<u64>,
+    /// The newer name of `max_tokens`, which wins.
+    #[serde(default)]
+    max_completion_tokens: Option<u64>,
     #[serde(default)]
     stream: bool,
+    #[serde(default)]
+    stream_options: Option<StreamOptions>,
     #[serde(borrow, default)]
     adapter: Option<Cow<'a, str>>,
     #[serde(borrow, default)]
     version: Option<Cow<'a, str>>,
 }
 
+#[derive(Deserialize)]
+struct StreamOptions {
+    #[serde(default)]
+    include_usage: bool,
+}
+
 #[derive(Deserialize)]
 struct ChatMessage<'a> {
     #[serde(borrow)]
@@ -150,21 +163,30 @@
             prompt_bytes += text.len() as u64;
             marks.update(text.as_bytes());
         }
-        let answer_tokens = read.max_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS);
-        if answer_tokens == 0 || answer_tokens > MAX_ANSWER_TOKENS {
-            let text = format!("`max_tokens` must be from 1 to {MAX_ANSWER_TOKENS}");
-            return Err(AskFault::new(400, "bad_max_tokens", text));
-        }
+        let answer_tokens = read_answer_tokens(&read)?;
         Ok(ModelAsk {
             model: read.model.into_owned(),
             prompt_bytes,
             answer_tokens,
             stream: read.stream,
+            usage_part: read.stream_options.is_some_and(|options| options.include_usage),
             marks: marks.into_marks(),
         })
     }
 }
 
+fn read_answer_tokens(read: &ModelBody<'_>) -> Result<u64, AskFault> {
+    let wanted = read.max_completion_tokens.or(read.max_tokens);
+    let tokens = wanted.unwrap_or(DEFAULT_ANSWER_TOKENS);
+    if tokens == 0 || tokens > MAX_ANSWER_TOKENS {
+        let text = format!(
+            "`max_completion_tokens` or `max_tokens` must be from 1 to {MAX_ANSWER_TOKENS}"
+        );
+        return Err(AskFault::new(400, "bad_max_tokens", text));
+    }
+    Ok(tokens)
+}
+
 fn find_model<'a>(
     read: &ModelBody<'_>,
     policy: &AccountPolicy,
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -214,7 +214,12 @@
         body,
         repeatable,
     };
-    let shape = AnswerShape { is_chat: path.contains("chat"), id: id.to_owned(), model: ask.model };
+    let shape = AnswerShape {
+        is_chat: path.contains("chat"),
+        id: id.to_owned(),
+        model: ask.model,
+        has_usage_part: ask.usage_part,
+    };
     let prompt_tokens = ask.prompt_bytes / 4;
     let mut caller = CallerLink::open(shared, arrival, claim);
     let first = caller.next().await;
