Ask a target again after lost answers at all that may have the request

Change: the bound is on targets. After lost answers at as many as are allowed, a repeatable request goes once more to one of these, within the budget of second attempts. A failure of the target's own is given to the caller as before.

--- a/src/relay/core.rs
+++ b/src/relay/core.rs
@@ -9,7 +9,9 @@
 use super::freshness::FreshnessLease;
 use super::load_note::LoadNote;
 use super::pass_model::{StreamKey, StreamLoad};
-use super::placement::{Placement, PlacementQuery, PromptNeed, place_call, place_prompt};
+use super::placement::{
+    Placement, PlacementQuery, PromptNeed, TargetScope, place_call, place_prompt,
+};
 use super::retry_budget::{RetryBound, RetryBudget};
 use super::rules::{Access, AccessFault, RelayConfig, RouteRule, RuleTable};
 use super::targets::{ListChange, TargetFault, TargetRecord, TargetSet};
@@ -239,7 +241,7 @@
         &mut self,
         service: &str,
         need: Option<&PromptNeed>,
-        tried: &[Arc<str>],
+        scope: TargetScope<'_>,
         now: Tick,
     ) -> Option<Placement> {
         drop(self.targets.expire(now));
@@ -249,7 +251,7 @@
             }
         }
         let failure_domain = &self.limits.failure_domain;
-        let query = PlacementQuery { service, failure_domain, tried, entry: self.entry };
+        let query = PlacementQuery { service, failure_domain, scope, entry: self.entry };
         match need {
             Some(need) => place_prompt(&self.targets, &query, need, now),
             None => place_call(&self.targets, &query, now),
--- a/src/relay/placement.rs
+++ b/src/relay/placement.rs
@@ -134,15 +134,33 @@
     pub candidates: usize,
 }
 
-/// What a request may not use, and where it comes from.
+/// Which targets a request may go to.
+#[derive(Clone, Copy, Debug)]
+pub enum TargetScope<'a> {
+    /// Others than those that have had it.
+    Untried(&'a [Arc<str>]),
+    /// Those that have run it: a bound on their number is reached.
+    Only(&'a [Arc<str>]),
+}
+
+impl TargetScope<'_> {
+    fn holds(self, target: &Arc<str>) -> bool {
+        match self {
+            TargetScope::Untried(tried) => !tried.contains(target),
+            TargetScope::Only(allowed) => allowed.contains(target),
+        }
+    }
+}
+
+/// What a request may use, and where it comes from.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementQuery<'a> {
     /// The service.
     pub service: &'a str,
     /// Failure domain of this process.
     pub failure_domain: &'a str,
-    /// Targets that have had it.
-    pub tried: &'a [Arc<str>],
+    /// Where it may go.
+    pub scope: TargetScope<'a>,
     /// Incarnation of this entry.
     pub entry: u64,
 }
@@ -220,8 +238,8 @@
     busy + if is_far { CALL_DISTANCE } else { 0.0 }
 }
 
-/// The usable targets of a service; those that were tried or are left alone
-/// only where there are no others.
+/// The usable targets in a request's scope; those that are left alone only where
+/// there are no others.
 fn candidates<'a>(
     set: &'a TargetSet,
     query: &PlacementQuery<'a>,
@@ -229,7 +247,7 @@
 ) -> Vec<&'a TargetState> {
     let fresh: Vec<_> = set
         .usable(query.service)
-        .filter(|target| !query.tried.contains(&target.record.incarnation))
+        .filter(|target| query.scope.holds(&target.record.incarnation))
         .collect();
     let well: Vec<_> = fresh.iter().copied().filter(|target| !target.is_ejected(now)).collect();
     if well.is_empty() { fresh } else { well }
--- a/src/relay/series.rs
+++ b/src/relay/series.rs
@@ -8,7 +8,7 @@
 
 use super::answer::RelayFault;
 use super::forward::{AttemptFault, RelayJob};
-use super::placement::Placement;
+use super::placement::{Placement, TargetScope};
 use super::record::PlacedLine;
 use super::server::RelayShared;
 use crate::verdict::Verdict;
@@ -19,12 +19,18 @@
 /// Sends beyond the targets that may run a request: those that were refused.
 const REFUSED_SENDS: usize = 2;
 
+/// Runs beyond the targets that may have a request, at one that has run it: the
+/// bound is on the number of targets, and a lost answer says little of the next.
+const REPEATED_RUNS: usize = 1;
+
 /// Wait before another target is tried after refusals.
 const REFUSED_WAIT: Duration = Duration::from_millis(30);
 
 /// The attempts of one request.
 pub(super) struct AttemptSeries {
     tried: Vec<Arc<str>>,
+    /// Targets that may have run it.
+    ran_at: Vec<Arc<str>>,
     /// Attempts that may have run.
     runs: usize,
     sends: usize,
@@ -37,6 +43,7 @@
     pub(super) fn new() -> Self {
         AttemptSeries {
             tried: Vec::new(),
+            ran_at: Vec::new(),
             runs: 0,
             sends: 0,
             worst: Verdict::NotRun,
@@ -69,7 +76,12 @@
     pub(super) fn place(&self, shared: &RelayShared, job: &RelayJob) -> Option<Placement> {
         let mut core = shared.core.borrow_mut();
         let now = shared.now();
-        let placement = core.place(&job.service, job.need_at(now).as_ref(), &self.tried, now)?;
+        let scope = if self.ran_at.len() < job.route.max_targets {
+            TargetScope::Untried(&self.tried)
+        } else {
+            TargetScope::Only(&self.ran_at)
+        };
+        let placement = core.place(&job.service, job.need_at(now).as_ref(), scope, now)?;
         drop(core);
         let line = PlacedLine {
             id: &job.id,
@@ -116,6 +128,9 @@
         self.answer = fault.answer.or(self.answer.take());
         if fault.verdict != Verdict::NotRun && !fault.is_stale {
             self.runs += 1;
+            if !self.ran_at.contains(target) {
+                self.ran_at.push(target.clone());
+            }
         }
         if fault.is_sent {
             self.sends += 1;
@@ -124,8 +139,10 @@
             return false;
         }
         let may_repeat = fault.verdict.may_retry(job.route.repeat.is_repeatable());
-        let is_in_bound =
-            self.runs < job.route.max_targets && self.sends < job.route.max_targets + REFUSED_SENDS;
+        // A failure of the target's own is an answer that the caller can have.
+        let repeated = if self.answer.is_none() { REPEATED_RUNS } else { 0 };
+        let most_runs = job.route.max_targets + repeated;
+        let is_in_bound = self.runs < most_runs && self.sends < most_runs + REFUSED_SENDS;
         may_repeat
             && is_in_bound
             && (!fault.is_sent || shared.core.borrow_mut().take_retry(&job.service, now))
--- a/tests/relay/places.rs
+++ b/tests/relay/places.rs
@@ -4,14 +4,18 @@
 
 use shalelane::relay::pass_model::StreamLoad;
 use shalelane::relay::placement::{
-    MAX_HELPERS, Placement, PlacementQuery, PromptNeed, place_call, place_prompt,
+    MAX_HELPERS, Placement, PlacementQuery, PromptNeed, TargetScope, place_call, place_prompt,
 };
 use shalelane::relay::targets::{TargetFault, TargetSet};
 
 use crate::fixture::{at, check, engines, helper_load, key, ms, name, need, part_load, short_load};
 
-const QUERY: PlacementQuery<'static> =
-    PlacementQuery { service: "engines", failure_domain: "here", tried: &[], entry: 1 };
+const QUERY: PlacementQuery<'static> = PlacementQuery {
+    service: "engines",
+    failure_domain: "here",
+    scope: TargetScope::Untried(&[]),
+    entry: 1,
+};
 
 fn place(set: &TargetSet, need: &PromptNeed) -> Option<Placement> {
     place_prompt(set, &QUERY, need, at(1_000))
@@ -106,11 +110,13 @@
 fn a_target_that_was_tried_is_not_tried_again() {
     let set = engines(2);
     let tried = [name("e0")];
-    let query = PlacementQuery { tried: &tried, ..QUERY };
+    let query = PlacementQuery { scope: TargetScope::Untried(&tried), ..QUERY };
     assert_eq!(place_call(&set, &query, at(0)).unwrap().target, name("e1"));
     let tried = [name("e0"), name("e1")];
-    let query = PlacementQuery { tried: &tried, ..QUERY };
+    let query = PlacementQuery { scope: TargetScope::Untried(&tried), ..QUERY };
     assert!(place_call(&set, &query, at(0)).is_none());
+    let query = PlacementQuery { scope: TargetScope::Only(&tried[1..]), ..QUERY };
+    assert_eq!(place_call(&set, &query, at(0)).unwrap().target, name("e1"));
 }
 
 #[test]
--- a/tests/relay/targets.rs
+++ b/tests/relay/targets.rs
@@ -1,12 +1,15 @@
 //! Which targets are known and used.
 
 use shalelane::relay::core::{RelayCore, RelayLimits};
+use shalelane::relay::placement::TargetScope;
 use shalelane::relay::retry_budget::RetryBound;
 use shalelane::relay::rules::{RelayConfig, ServiceRule};
 use shalelane::relay::targets::{TargetRecord, TargetSet};
 
 use crate::fixture::{at, ms, name, need, rates, record};
 
+const ANY: TargetScope<'static> = TargetScope::Untried(&[]);
+
 fn listed(records: &[TargetRecord]) -> TargetSet {
     let mut set = TargetSet::default();
     set.take_list(records.to_vec(), false, at(0));
@@ -70,8 +73,8 @@
 fn what_does_not_come_back_gets_nothing_two_seconds_after_its_removal() {
     let mut core = ready_core();
     core.targets.take_removal("a", true, at(1_000));
-    assert!(core.place("engines", Some(&need(5_000)), &[], at(2_500)).is_some());
-    assert!(core.place("engines", Some(&need(5_000)), &[], at(2_800)).is_none());
+    assert!(core.place("engines", Some(&need(5_000)), ANY, at(2_500)).is_some());
+    assert!(core.place("engines", Some(&need(5_000)), ANY, at(2_800)).is_none());
 }
 
 #[test]
@@ -116,7 +119,7 @@
     };
     let mut core = RelayCore::new(limits, 1);
     core.take_list(vec![record("a", 1)], false, at(0));
-    assert!(core.place("engines", Some(&need(5_000)), &[], at(0)).is_none());
+    assert!(core.place("engines", Some(&need(5_000)), ANY, at(0)).is_none());
     core.take_config(Some(engine_config()), at(1));
-    assert!(core.place("engines", Some(&need(5_000)), &[], at(2)).is_some());
+    assert!(core.place("engines", Some(&need(5_000)), ANY, at(2)).is_some());
 }
