--- a/src/relay/adviser.rs
+++ b/src/relay/adviser.rs
@@ -8,9 +8,9 @@
 use tokio::net::UdpSocket;
 
 use super::dialect::TargetDialect;
-use super::load_link::{NoteOut, SubscriberSet};
 use super::load_note::{LoadNote, MAX_NOTE};
 use super::settings::AdviserSettings;
+use super::subscriber_set::{NoteOut, SubscriberSet};
 use crate::Result;
 use crate::client::{HttpClient, full};
 use crate::clock::ProcessClock;
--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -83,6 +83,9 @@
     pub tokens: u64,
     /// How long it lasts without renewal.
     pub hold: Duration,
+    /// Whether it may wait for memory that is not free now. Nothing new is let
+    /// in at the target while it does.
+    pub may_wait: bool,
 }
 
 /// What a target says to a reservation.
@@ -108,12 +111,6 @@
 /// What a target says of itself.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct TargetReport {
-    /// Requests that run.
-    pub active: usize,
-    /// Requests that wait.
-    pub queued: usize,
-    /// Memory that is taken, in tokens.
-    pub memory_used: u64,
     /// How much slower than declared it works.
     pub pace: f64,
 }
--- a/src/relay/engine_rates.rs
+++ b/src/relay/engine_rates.rs
@@ -26,8 +26,6 @@
     pub read_per_s: f64,
     /// Time for a million pairs of a token and one before it, in milliseconds.
     pub pairs_ms_per_m: f64,
-    /// More time of a step while a jointly read prompt is written, in milliseconds.
-    pub hop_ms: f64,
 }
 
 impl EngineRates {
--- a/src/relay/memory_hold.rs
+++ b/src/relay/memory_hold.rs
@@ -63,7 +63,10 @@
         wanted.sort_by_key(|(helper, _)| helper.address);
         for (helper, seat) in wanted {
             let id = format!("{:016x}{:08x}", shared.core.borrow().entry(), shared.next_order());
-            let reservation = Reservation { id: id.into(), tokens: seat.tokens, hold: HOLD };
+            // One that waits keeps others out, and its turn may come too late.
+            let may_wait = false;
+            let tokens = seat.tokens;
+            let reservation = Reservation { id: id.into(), tokens, hold: HOLD, may_wait };
             helper.reservation = Some(reservation.id.clone());
             // Noted before it is asked for: an order without an answer may
             // have been carried out and has to be given back.
--- /dev/null
+++ b/src/relay/subscriber_set.rs
@@ -0,0 +1,118 @@
+//! The agent's list of the entries that use its engine: each is told what the
+//! others give to it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::load_note::LoadNote;
+use super::pass_model::StreamKey;
+use crate::time::Tick;
+
+/// Time without a subscription after which an entry counts as gone.
+const SUBSCRIBER_SPAN: Duration = Duration::from_millis(2_500);
+
+/// The entries that an agent knows, and what their streams cost its engine.
+#[derive(Debug, Default)]
+pub struct SubscriberSet {
+    subscribers: HashMap<SocketAddr, Subscriber>,
+    streams: HashMap<StreamKey, LoadNote>,
+}
+
+#[derive(Debug)]
+struct Subscriber {
+    entry: u64,
+    heard_at: Tick,
+}
+
+/// A datagram to be sent.
+#[derive(Debug, PartialEq)]
+pub struct NoteOut {
+    /// Where to.
+    pub to: SocketAddr,
+    /// What.
+    pub note: LoadNote,
+}
+
+impl SubscriberSet {
+    /// Takes a note of an entry and says what is to be sent.
+    pub fn on_note(
+        &mut self,
+        note: &LoadNote,
+        from: SocketAddr,
+        pace_percent: u32,
+        now: Tick,
+    ) -> Vec<NoteOut> {
+        match note {
+            LoadNote::Subscribe { entry } => self.on_subscribe(*entry, from, pace_percent, now),
+            LoadNote::Placed { key, .. } => {
+                self.streams.insert(*key, note.clone());
+                self.to_others(from, note)
+            }
+            LoadNote::Ended { key, .. } => {
+                self.streams.remove(key);
+                self.to_others(from, note)
+            }
+            LoadNote::Welcome { .. } | LoadNote::EntryGone { .. } => Vec::new(),
+        }
+    }
+
+    fn on_subscribe(
+        &mut self,
+        entry: u64,
+        from: SocketAddr,
+        pace_percent: u32,
+        now: Tick,
+    ) -> Vec<NoteOut> {
+        let known = self.subscribers.insert(from, Subscriber { entry, heard_at: now });
+        let entries = self.subscribers.len() as u32;
+        let target = "".into();
+        let welcome = LoadNote::Welcome { target, entries, pace_percent };
+        let mut out = vec![NoteOut { to: from, note: welcome }];
+        let is_new = known.as_ref().is_none_or(|known| known.entry != entry);
+        if let Some(known) = known.filter(|known| known.entry != entry) {
+            out.extend(self.drop_entry(known.entry));
+        }
+        if is_new {
+            out.extend(self.streams.values().map(|note| NoteOut { to: from, note: note.clone() }));
+        }
+        out
+    }
+
+    fn to_others(&self, from: SocketAddr, note: &LoadNote) -> Vec<NoteOut> {
+        let others = self.subscribers.keys().filter(|to| **to != from);
+        others.map(|to| NoteOut { to: *to, note: note.clone() }).collect()
+    }
+
+    /// Forgets entries that were not heard of, and says what is to be sent.
+    pub fn expire(&mut self, now: Tick) -> Vec<NoteOut> {
+        let gone: Vec<u64> = self
+            .subscribers
+            .values()
+            .filter(|subscriber| now.since(subscriber.heard_at) > SUBSCRIBER_SPAN)
+            .map(|subscriber| subscriber.entry)
+            .collect();
+        self.subscribers.retain(|_, subscriber| !gone.contains(&subscriber.entry));
+        gone.into_iter().flat_map(|entry| self.drop_entry(entry)).collect()
+    }
+
+    /// Forgets the streams of an entry: they ended with their connections.
+    fn drop_entry(&mut self, entry: u64) -> Vec<NoteOut> {
+        let target = self.streams.iter().find(|(key, _)| key.entry == entry);
+        let target = target.and_then(|(_, note)| match note {
+            LoadNote::Placed { target, .. } => Some(target.clone()),
+            _ => None,
+        });
+        self.streams.retain(|key, _| key.entry != entry);
+        let Some(target) = target else { return Vec::new() };
+        let note = LoadNote::EntryGone { target, entry };
+        let others = self.subscribers.keys();
+        others.map(|to| NoteOut { to: *to, note: note.clone() }).collect()
+    }
+
+    /// Returns true where some stream is known.
+    #[must_use]
+    pub fn is_busy(&self) -> bool {
+        !self.streams.is_empty()
+    }
+}
--- a/standins/src/chaos/mod.rs
+++ b/standins/src/chaos/mod.rs
@@ -3,7 +3,9 @@
 //! A run is made from its seed alone. The cores check their invariants in
 //! every turn; the callers check every answer; at the end nothing may be held.
 
+mod agents;
 mod callers;
+mod entries;
 mod faults;
 mod links;
 mod plan;
--- a/tests/relay/fixture.rs
+++ b/tests/relay/fixture.rs
@@ -33,7 +33,6 @@
         context_ms_per_k: 0.00254,
         read_per_s: 256_000.0,
         pairs_ms_per_m: 0.0917,
-        hop_ms: 0.1,
     })
 }
 
