--- a/standins/src/chaos/mod.rs
+++ b/standins/src/chaos/mod.rs
@@ -4,6 +4,7 @@
 //! every turn; the callers check every answer; at the end nothing may be held.
 
 mod agents;
+mod arrivals;
 mod callers;
 mod entries;
 mod faults;
