Count the relay's own failures by their code

Cause: refusals had one counter, so an alert on it told nothing of the reason.

Change: shalelane_relay_faults_total with the code of the answer as its one label; the codes are the fixed ones of the answers.

Not measured: one more counter a failure.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntGauge, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 /// Buckets of a time to the first token, in seconds.
@@ -38,6 +39,17 @@
         })
     }
 
+    /// Counters of one kind, told apart by a label with few values.
+    pub(crate) fn add_counts(&self, name: &str, help: &str, label: &str) -> IntCounterVec {
+        match IntCounterVec::new(Opts::new(name, help), &[label]) {
+            Ok(counters) => {
+                self.add(counters.clone());
+                counters
+            }
+            Err(error) => unreachable!("metric {name}: {error}"),
+        }
+    }
+
     pub(crate) fn add_gauge(&self, name: &str, help: &str) -> IntGauge {
         match IntGauge::new(name, help) {
             Ok(gauge) => {
--- a/src/relay/counts.rs
+++ b/src/relay/counts.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use prometheus::{HistogramVec, IntGauge};
+use prometheus::{HistogramVec, IntCounterVec, IntGauge};
 
 use super::core::RelayCore;
 use super::record::RequestEnd;
@@ -26,6 +26,7 @@
     page: MetricsPage,
     mirrors: [CountMirror; 11],
     first_event: HistogramVec,
+    faults: IntCounterVec,
     config_version: IntGauge,
     proof_age: IntGauge,
     targets: IntGauge,
@@ -69,6 +70,11 @@
                 .add_gauge("shalelane_relay_proof_age_ms", "age of the proof that it is current"),
             targets: page.add_gauge("shalelane_relay_targets", "known targets"),
             first_event,
+            faults: page.add_counts(
+                "shalelane_relay_faults_total",
+                "requests that the relay answered with a failure of its own, by its code",
+                "code",
+            ),
             mirrors,
             page,
         }
@@ -87,6 +93,11 @@
         *count += 1;
     }
 
+    /// Notes a failure that the relay answers itself. Codes are few and fixed.
+    pub(super) fn note_fault(&self, code: &'static str) {
+        self.faults.with_label_values(&[code]).inc();
+    }
+
     /// Notes the time to the first event of a stream.
     pub(super) fn note_first(&self, prompt_tokens: u64, first: Duration) {
         let class = length_class(prompt_tokens);
--- a/src/relay/ledger.rs
+++ b/src/relay/ledger.rs
@@ -57,6 +57,7 @@
     }
 
     pub(super) fn end_fault(&mut self, fault: &RelayFault) {
+        self.shared.counts.borrow().note_fault(fault.code);
         let is_refused = fault.verdict == Verdict::NotRun;
         let end = if is_refused { RequestEnd::Refused } else { RequestEnd::Failed };
         self.end(end, fault.status, &fault.why);
