--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -51,8 +51,9 @@
 /// Least such silence.
 const MIN_SILENCE: Duration = Duration::from_millis(1_400);
 
-/// Least time to the first event of callers who wait longer than two seconds
-/// for the next event, too.
+/// Least objective of requests that are left in a pass that lasts long: callers
+/// wait for an event for four objectives or two seconds, whichever is longer, so
+/// from here on they wait longer than a pass does.
 const PATIENT_OBJECTIVE: Duration = Duration::from_secs(1);
 
 /// What a stream's task tells the one that answers the caller.
