Serve on by the last proven configuration where settings say fail open

Change: setting fail_closed and StalePolicy in the freshness lease. Failing open, requests are let in by the last configuration that was proven; a route or key that is not known then gets 503, no final answer. A process that never proved one lets nobody in. Public routes need no proof under either policy. Entries tell agents the age of their proof; one whose proof lapsed while others hold theirs is not ready. Log lines and a metric say so.

--- a/src/relay/core.rs
+++ b/src/relay/core.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::freshness::FreshnessLease;
+use super::freshness::{FreshnessLease, StalePolicy};
 use super::load_note::LoadNote;
 use super::pass_model::{StreamKey, StreamLoad};
 use super::placement::{
@@ -24,6 +24,8 @@
     pub failure_domain: Arc<str>,
     /// Longest time between the removal of a key and its last use.
     pub revoke_bound: Duration,
+    /// What is done while the configuration can not be proven current.
+    pub stale_policy: StalePolicy,
     /// Longest time in which a target that is leaving may still get requests.
     pub drain_bound: Duration,
     /// Bound on second attempts over all entries.
@@ -72,7 +74,7 @@
     #[must_use]
     pub fn new(limits: RelayLimits, entry: u64) -> Self {
         RelayCore {
-            lease: FreshnessLease::new(limits.revoke_bound),
+            lease: FreshnessLease::new(limits.revoke_bound, limits.stale_policy),
             limits,
             entry,
             next_number: 0,
@@ -86,7 +88,7 @@
 
     /// Takes changed limits. What was proven and spent before stays so.
     pub fn set_limits(&mut self, limits: RelayLimits) {
-        self.lease.set_bound(limits.revoke_bound);
+        self.lease.set_bound(limits.revoke_bound, limits.stale_policy);
         for budget in self.budgets.values_mut() {
             budget.set_bound(limits.retry_bound);
         }
@@ -117,10 +119,12 @@
         self.entry
     }
 
-    /// Returns true where requests can be served.
+    /// Returns true where requests can be served, and others would not serve them
+    /// better.
     #[must_use]
     pub fn is_ready(&self, now: Tick) -> bool {
-        self.lease.is_held(now) && self.targets.has_list()
+        let is_let_in = self.lease.permits_keys(now) && !self.lease.is_behind(now);
+        is_let_in && self.targets.has_list()
     }
 
     /// Takes the result of a linearizable read that was sent at `sent_at`;
@@ -177,7 +181,8 @@
     ///
     /// # Errors
     ///
-    /// The configuration is not known to be current, or does not allow it.
+    /// The configuration does not allow it, or is not known to be current where
+    /// it has to be.
     pub fn admit(
         &mut self,
         host: &str,
@@ -185,13 +190,23 @@
         key: Option<&str>,
         now: Tick,
     ) -> Result<Access, Refusal> {
-        if !self.lease.is_held(now) {
+        if !self.lease.permits_public() {
             return Err(Refusal::NotFresh);
         }
-        self.rules.admit(host, path, key).map_err(|fault| match fault {
-            AccessFault::NoRoute => Refusal::NoRoute,
-            AccessFault::BadKey => Refusal::BadKey,
-        })
+        match self.rules.admit(host, path, key) {
+            Ok(access) if self.may_serve(&access.route, now) => Ok(access),
+            Ok(_) => Err(Refusal::NotFresh),
+            // A newer configuration may know the route or the key.
+            Err(_) if !self.lease.is_held(now) => Err(Refusal::NotFresh),
+            Err(AccessFault::NoRoute) => Err(Refusal::NoRoute),
+            Err(AccessFault::BadKey) => Err(Refusal::BadKey),
+        }
+    }
+
+    /// Returns true where a request of a route that was admitted may be served.
+    #[must_use]
+    pub fn may_serve(&self, route: &RouteRule, now: Tick) -> bool {
+        self.lease.permits_keys(now) || (route.is_public && self.lease.permits_public())
     }
 
     /// The service that a request of a route goes to, by a number that stays
@@ -395,8 +410,11 @@
     /// Takes a note from an agent.
     pub fn take_note(&mut self, note: LoadNote, now: Tick) {
         match note {
-            LoadNote::Welcome { target, entries, pace_percent } => {
+            LoadNote::Welcome { target, entries, pace_percent, proof_age_ms } => {
                 self.entries = Some(self.entries.unwrap_or(0).max(entries as usize));
+                if let Some(age) = proof_age_ms {
+                    self.lease.note_other(now - Duration::from_millis(age.into()));
+                }
                 if let Some(model) = self.model(&target) {
                     model.set_pace(f64::from(pace_percent) / 100.0);
                 }
--- a/src/relay/counts.rs
+++ b/src/relay/counts.rs
@@ -29,6 +29,7 @@
     faults: IntCounterVec,
     config_version: IntGauge,
     proof_age: IntGauge,
+    serves_unproven: IntGauge,
     targets: IntGauge,
 }
 
@@ -68,6 +69,10 @@
                 .add_gauge("shalelane_relay_config_version", "configuration in force"),
             proof_age: page
                 .add_gauge("shalelane_relay_proof_age_ms", "age of the proof that it is current"),
+            serves_unproven: page.add_gauge(
+                "shalelane_relay_serves_unproven",
+                "1 while callers are served by a configuration that can not be proven current",
+            ),
             targets: page.add_gauge("shalelane_relay_targets", "known targets"),
             first_event,
             faults: page.add_counts(
@@ -125,6 +130,8 @@
         let age = core.lease().age(now).unwrap_or(Duration::MAX);
         self.config_version.set(core.rules().version() as i64);
         self.proof_age.set(i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
+        let is_unproven = core.lease().permits_keys(now) && !core.lease().is_held(now);
+        self.serves_unproven.set(i64::from(is_unproven));
         self.targets.set(core.targets.iter().count() as i64);
         self.page.to_text()
     }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -96,9 +96,9 @@
     let time_limit = head.patience.unwrap_or(access.route.time_limit).min(access.route.time_limit);
     let deadline = arrived + time_limit;
     let body = read_body(body, limits.max_body, time_limit).await.map_err(to_body_fault)?;
-    // The body may have taken long: the configuration has to be current when
-    // it was there whole, too.
-    if !shared.core.borrow().lease().is_held(shared.now()) {
+    // The body may have taken long: what let the request in has to hold when it
+    // was there whole, too.
+    if !shared.core.borrow().may_serve(&access.route, shared.now()) {
         return Err(to_refusal(Refusal::NotFresh));
     }
     if head.attempt.is_none() {
--- a/src/relay/load_link.rs
+++ b/src/relay/load_link.rs
@@ -56,7 +56,9 @@
             return;
         }
         self.subscribed_at.set(Some(now));
-        let note = LoadNote::Subscribe { entry: core.entry() };
+        let age = core.lease().age(now);
+        let proof_age_ms = age.and_then(|age| u32::try_from(age.as_millis()).ok());
+        let note = LoadNote::Subscribe { entry: core.entry(), proof_age_ms };
         for target in core.targets.iter().filter(|target| target.model.is_some()) {
             self.send_to(target.record.address, &note);
         }
@@ -86,10 +88,10 @@
 /// the one at the agent's own host.
 fn name_target(core: &RelayCore, note: LoadNote, from: SocketAddr) -> LoadNote {
     match note {
-        LoadNote::Welcome { target, entries, pace_percent } if target.is_empty() => {
+        LoadNote::Welcome { target, entries, pace_percent, proof_age_ms } if target.is_empty() => {
             let beside = core.targets.iter().find(|target| target.record.address.ip() == from.ip());
             let target = beside.map_or(target, |beside| beside.record.incarnation.clone());
-            LoadNote::Welcome { target, entries, pace_percent }
+            LoadNote::Welcome { target, entries, pace_percent, proof_age_ms }
         }
         note => note,
     }
--- a/src/relay/load_note.rs
+++ b/src/relay/load_note.rs
@@ -21,6 +21,8 @@
     Subscribe {
         /// Incarnation of the entry.
         entry: u64,
+        /// Age of its proof that its configuration is current, in milliseconds.
+        proof_age_ms: Option<u32>,
     },
     /// The agent's answer.
     #[serde(rename = "w")]
@@ -31,6 +33,8 @@
         entries: u32,
         /// How much slower than declared the engine works, in hundredths.
         pace_percent: u32,
+        /// Age of the newest proof that another entry has, in milliseconds.
+        proof_age_ms: Option<u32>,
     },
     /// A stream was given to the engine.
     #[serde(rename = "p")]
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -12,6 +12,7 @@
 
 use slog::{Drain, Logger, info, o, warn};
 
+use super::freshness::StalePolicy;
 use super::targets::ListChange;
 use crate::time::Tick;
 
@@ -208,6 +209,17 @@
         info!(self.logger, "configuration in force"; "config_version" => version);
     }
 
+    /// The proof that the configuration is current lapsed or is back.
+    pub fn proof_changed(&self, is_held: bool, age: Option<Duration>, policy: StalePolicy) {
+        let age_ms = age.map(|age| age.as_millis() as u64);
+        if is_held {
+            info!(self.logger, "configuration proven"; "proof_age_ms" => age_ms);
+        } else {
+            warn!(self.logger, "configuration not proven";
+                "proof_age_ms" => age_ms, "policy" => ?policy);
+        }
+    }
+
     /// The list of targets changed.
     pub fn targets_changed(&self, change: &ListChange) {
         if *change == ListChange::default() {
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -204,7 +204,7 @@
         Ok(settings) if settings != *current.borrow() => {
             shared.core.borrow_mut().set_limits(settings.to_limits());
             slog::info!(shared.log.logger(), "settings reloaded";
-                "applied" => "revoke_ms, drain_ms, retry_ratio, retry_slack, retry_window_s");
+                "applied" => "revoke_ms, fail_closed, drain_ms, retry_ratio, retry_slack, retry_window_s");
             *current.borrow_mut() = settings;
         }
         Ok(_) if is_told => slog::info!(shared.log.logger(), "settings reloaded, none changed"),
@@ -331,6 +331,7 @@
 
 /// Closes what rested too long, and forgets what did not come back.
 async fn sweep(shared: Rc<RelayShared>) {
+    let mut was_held = false;
     loop {
         tokio::time::sleep(SWEEP_STEP).await;
         let now = shared.now();
@@ -338,5 +339,17 @@
         let change = shared.core.borrow_mut().targets.expire(now);
         shared.log.targets_changed(&change);
         shared.link.subscribe(&shared.core.borrow(), now);
+        was_held = log_proof(&shared, was_held, now);
     }
 }
+
+/// Says where the proof of the configuration lapsed or is back. Returns whether
+/// it is held.
+fn log_proof(shared: &RelayShared, was_held: bool, now: Tick) -> bool {
+    let core = shared.core.borrow();
+    let is_held = core.lease().is_held(now);
+    if is_held != was_held {
+        shared.log.proof_changed(is_held, core.lease().age(now), core.limits().stale_policy);
+    }
+    is_held
+}
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -9,6 +9,7 @@
 use serde::de::DeserializeOwned;
 
 use super::core::RelayLimits;
+use super::freshness::StalePolicy;
 use super::retry_budget::RetryBound;
 use crate::error::{Error, Result};
 
@@ -32,6 +33,9 @@
     pub store: SocketAddr,
     /// Longest time between the removal of a key and its last use, in ms.
     pub revoke_ms: u64,
+    /// True where nobody who needs a key is let in while the configuration can
+    /// not be proven current; else the last proven one is served on with.
+    pub fail_closed: bool,
     /// Longest time in which a target that is leaving may still get requests,
     /// from when the platform's store says so, in ms.
     pub drain_ms: u64,
@@ -86,6 +90,7 @@
         RelayLimits {
             failure_domain: self.failure_domain.clone(),
             revoke_bound: self.revoke_bound(),
+            stale_policy: self.stale_policy(),
             drain_bound: Duration::from_millis(self.drain_ms),
             retry_bound: RetryBound {
                 ratio: self.retry_ratio,
@@ -101,6 +106,12 @@
         Duration::from_millis(self.revoke_ms)
     }
 
+    /// What is done while the configuration can not be proven current.
+    #[must_use]
+    pub fn stale_policy(&self) -> StalePolicy {
+        if self.fail_closed { StalePolicy::FailClosed } else { StalePolicy::FailOpen }
+    }
+
     /// Longest planned stop.
     #[must_use]
     pub fn stop_limit(&self) -> Duration {
--- a/src/relay/subscriber_set.rs
+++ b/src/relay/subscriber_set.rs
@@ -23,6 +23,8 @@
 struct Subscriber {
     entry: u64,
     heard_at: Tick,
+    /// When it proved its configuration current.
+    proven_at: Option<Tick>,
 }
 
 /// A datagram to be sent.
@@ -44,7 +46,12 @@
         now: Tick,
     ) -> Vec<NoteOut> {
         match note {
-            LoadNote::Subscribe { entry } => self.on_subscribe(*entry, from, pace_percent, now),
+            LoadNote::Subscribe { entry, proof_age_ms } => {
+                let proof_age = proof_age_ms.map(|age| Duration::from_millis(age.into()));
+                let proven_at = proof_age.map(|age| now - age);
+                let subscriber = Subscriber { entry: *entry, heard_at: now, proven_at };
+                self.on_subscribe(subscriber, from, pace_percent)
+            }
             LoadNote::Placed { key, .. } => {
                 self.streams.insert(*key, note.clone());
                 self.to_others(from, note)
@@ -59,15 +66,17 @@
 
     fn on_subscribe(
         &mut self,
-        entry: u64,
+        subscriber: Subscriber,
         from: SocketAddr,
         pace_percent: u32,
-        now: Tick,
     ) -> Vec<NoteOut> {
-        let known = self.subscribers.insert(from, Subscriber { entry, heard_at: now });
+        let Subscriber { entry, heard_at: now, .. } = subscriber;
+        let known = self.subscribers.insert(from, subscriber);
+        let proof_age = self.newest_proof(from).map(|at| now.since(at));
+        let proof_age_ms = proof_age.and_then(|age| u32::try_from(age.as_millis()).ok());
         let entries = self.subscribers.len() as u32;
         let target = "".into();
-        let welcome = LoadNote::Welcome { target, entries, pace_percent };
+        let welcome = LoadNote::Welcome { target, entries, pace_percent, proof_age_ms };
         let mut out = vec![NoteOut { to: from, note: welcome }];
         let is_new = known.as_ref().is_none_or(|known| known.entry != entry);
         if let Some(known) = known.filter(|known| known.entry != entry) {
@@ -79,6 +88,12 @@
         out
     }
 
+    /// The newest proof that others than the entry at `to` have.
+    fn newest_proof(&self, to: SocketAddr) -> Option<Tick> {
+        let others = self.subscribers.iter().filter(|(from, _)| **from != to);
+        others.filter_map(|(_, subscriber)| subscriber.proven_at).max()
+    }
+
     fn to_others(&self, from: SocketAddr, note: &LoadNote) -> Vec<NoteOut> {
         let others = self.subscribers.keys().filter(|to| **to != from);
         others.map(|to| NoteOut { to: *to, note: note.clone() }).collect()
--- a/tests/relay/fixture.rs
+++ b/tests/relay/fixture.rs
@@ -5,9 +5,12 @@
 use std::time::Duration;
 
 use quickcheck::{Gen, QuickCheck, Testable};
+use shalelane::relay::core::RelayLimits;
 use shalelane::relay::engine_rates::EngineRates;
+use shalelane::relay::freshness::StalePolicy;
 use shalelane::relay::pass_model::{StreamKey, StreamLoad};
 use shalelane::relay::placement::PromptNeed;
+use shalelane::relay::retry_budget::RetryBound;
 use shalelane::relay::targets::{TargetRecord, TargetSet};
 use shalelane::time::Tick;
 
@@ -22,6 +25,16 @@
     Tick::default() + ms(millis)
 }
 
+pub fn limits(stale_policy: StalePolicy) -> RelayLimits {
+    RelayLimits {
+        failure_domain: name("here"),
+        revoke_bound: ms(5_000),
+        stale_policy,
+        drain_bound: ms(2_000),
+        retry_bound: RetryBound { ratio: 0.2, slack: 100.0, window: ms(10_000) },
+    }
+}
+
 pub fn rates() -> Rc<EngineRates> {
     Rc::new(EngineRates {
         capacity: 16,
--- a/tests/relay/rules.rs
+++ b/tests/relay/rules.rs
@@ -1,11 +1,11 @@
 //! Routes, keys, and the proof that they are current.
 
-use shalelane::relay::core::{Refusal, RelayCore, RelayLimits};
-use shalelane::relay::freshness::FreshnessLease;
-use shalelane::relay::retry_budget::RetryBound;
+use shalelane::relay::core::{Refusal, RelayCore};
+use shalelane::relay::freshness::{FreshnessLease, StalePolicy};
+use shalelane::relay::load_note::LoadNote;
 use shalelane::relay::rules::{AccountRule, RelayConfig, RepeatRule, RouteRule, WeightedService};
 
-use crate::fixture::{at, ms, name};
+use crate::fixture::{at, check, limits, ms, name};
 
 fn route(path: &str, is_public: bool) -> RouteRule {
     RouteRule {
@@ -36,14 +36,17 @@
 }
 
 fn core() -> RelayCore {
-    let retry_bound = RetryBound { ratio: 0.2, slack: 100.0, window: ms(10_000) };
-    let limits = RelayLimits {
-        failure_domain: name("here"),
-        revoke_bound: ms(5_000),
-        drain_bound: ms(2_000),
-        retry_bound,
-    };
-    RelayCore::new(limits, 1)
+    RelayCore::new(limits(StalePolicy::FailClosed), 1)
+}
+
+fn open_core() -> RelayCore {
+    RelayCore::new(limits(StalePolicy::FailOpen), 1)
+}
+
+/// What an agent tells of the newest proof of another entry.
+fn welcome(proof_age_ms: u32) -> LoadNote {
+    let proof_age_ms = Some(proof_age_ms);
+    LoadNote::Welcome { target: name("t"), entries: 2, pace_percent: 100, proof_age_ms }
 }
 
 #[test]
@@ -69,7 +72,7 @@
 
 #[test]
 fn an_older_proof_does_not_shorten_the_lease() {
-    let mut lease = FreshnessLease::new(ms(5_000));
+    let mut lease = FreshnessLease::new(ms(5_000), StalePolicy::FailClosed);
     lease.renew(at(2_000));
     lease.renew(at(1_000));
     assert!(lease.is_held(at(6_700)));
@@ -90,3 +93,80 @@
     let picked = (0..1_000).map(|number| RelayCore::pick_service(&route, number).unwrap());
     assert_eq!(picked.filter(|service| **service == *"b").count(), 100);
 }
+
+#[test]
+fn failing_open_serves_on_by_the_last_proven_configuration() {
+    let mut core = open_core();
+    core.take_config(Some(config(1, &["k"])), at(0));
+    assert!(core.admit("h", "/a/x", Some("k"), at(60_000)).is_ok());
+    // What it does not know may have come since: that is no final answer.
+    assert_eq!(core.admit("h", "/a/x", Some("q"), at(4_000)).unwrap_err(), Refusal::BadKey);
+    assert_eq!(core.admit("h", "/a/x", Some("q"), at(60_000)).unwrap_err(), Refusal::NotFresh);
+    assert_eq!(core.admit("g", "/a/x", Some("k"), at(60_000)).unwrap_err(), Refusal::NotFresh);
+}
+
+#[test]
+fn failing_open_lets_nobody_in_before_a_configuration_was_proven() {
+    let mut core = open_core();
+    assert_eq!(core.admit("h", "/a/x", Some("k"), at(1)).unwrap_err(), Refusal::NotFresh);
+    // A watch tells of it, and proves nothing.
+    core.take_news(config(1, &["k"]));
+    assert_eq!(core.admit("h", "/a/x", Some("k"), at(2)).unwrap_err(), Refusal::NotFresh);
+}
+
+#[test]
+fn a_public_route_needs_no_proof_of_keys() {
+    let mut core = core();
+    core.take_config(Some(config(1, &["k"])), at(0));
+    assert!(core.admit("h", "/a/b/c", None, at(60_000)).is_ok());
+    assert_eq!(core.admit("h", "/a/x", Some("k"), at(60_000)).unwrap_err(), Refusal::NotFresh);
+}
+
+#[test]
+fn an_entry_that_is_cut_off_alone_sends_callers_to_others() {
+    let mut core = open_core();
+    core.take_list(Vec::new(), false, at(0));
+    core.take_config(Some(config(1, &["k"])), at(0));
+    core.take_note(welcome(500), at(4_000));
+    assert!(core.is_ready(at(4_000)), "its own proof still holds");
+    core.take_note(welcome(500), at(6_000));
+    assert!(!core.is_ready(at(6_000)));
+    assert!(core.admit("h", "/a/x", Some("k"), at(6_000)).is_ok(), "who comes is served");
+    core.take_config(None, at(6_100));
+    assert!(core.is_ready(at(6_200)));
+}
+
+#[test]
+fn entries_that_are_all_cut_off_all_serve_on() {
+    let mut core = open_core();
+    core.take_list(Vec::new(), false, at(0));
+    core.take_config(Some(config(1, &["k"])), at(0));
+    // The other's last read was sent 2.6 s later.
+    core.take_note(welcome(2_400), at(5_000));
+    assert!(core.is_ready(at(5_000)));
+    assert!(core.is_ready(at(60_000)));
+}
+
+#[test]
+fn a_removed_key_opens_nothing_after_the_bound_where_the_entry_fails_closed() {
+    // Reads that answer or not, a removal at any time, and a look at any time.
+    fn holds(reads: Vec<(u16, bool)>, removed: u16, looked: u16) -> bool {
+        let mut core = core();
+        let mut now = 0;
+        core.take_config(Some(config(1, &["k"])), at(0));
+        for (step, is_answered) in reads {
+            now += u64::from(step);
+            if now > u64::from(looked) {
+                break;
+            }
+            if is_answered {
+                let is_removed = now >= u64::from(removed);
+                let news = is_removed.then(|| config(2, &["q"]));
+                core.take_config(news, at(now));
+            }
+        }
+        let is_let_in = core.admit("h", "/a/x", Some("k"), at(looked.into())).is_ok();
+        !is_let_in || u64::from(looked) < u64::from(removed) + 5_000
+    }
+    check(holds as fn(Vec<(u16, bool)>, u16, u16) -> bool);
+}
--- a/tests/relay/targets.rs
+++ b/tests/relay/targets.rs
@@ -1,12 +1,12 @@
 //! Which targets are known and used.
 
-use shalelane::relay::core::{RelayCore, RelayLimits};
+use shalelane::relay::core::RelayCore;
+use shalelane::relay::freshness::StalePolicy;
 use shalelane::relay::placement::TargetScope;
-use shalelane::relay::retry_budget::RetryBound;
 use shalelane::relay::rules::{RelayConfig, ServiceRule};
 use shalelane::relay::targets::{TargetRecord, TargetSet};
 
-use crate::fixture::{at, ms, name, need, rates, record};
+use crate::fixture::{at, limits, ms, name, need, rates, record};
 
 const ANY: TargetScope<'static> = TargetScope::Untried(&[]);
 
@@ -17,17 +17,7 @@
 }
 
 fn new_core() -> RelayCore {
-    let retry_bound = RetryBound { ratio: 0.2, slack: 100.0, window: ms(10_000) };
-    let revoke_bound = ms(5_000);
-    RelayCore::new(
-        RelayLimits {
-            failure_domain: name("here"),
-            revoke_bound,
-            drain_bound: ms(2_000),
-            retry_bound,
-        },
-        1,
-    )
+    RelayCore::new(limits(StalePolicy::FailClosed), 1)
 }
 
 fn engine_config() -> RelayConfig {
@@ -110,14 +100,7 @@
 /// configuration, and no engine took a prompt for the rest of the day.
 #[test]
 fn a_target_listed_before_the_configuration_takes_prompts() {
-    let retry_bound = RetryBound { ratio: 0.2, slack: 100.0, window: ms(10_000) };
-    let limits = RelayLimits {
-        failure_domain: name("here"),
-        revoke_bound: ms(5_000),
-        drain_bound: ms(2_000),
-        retry_bound,
-    };
-    let mut core = RelayCore::new(limits, 1);
+    let mut core = new_core();
     core.take_list(vec![record("a", 1)], false, at(0));
     assert!(core.place("engines", Some(&need(5_000)), ANY, at(0)).is_none());
     core.take_config(Some(engine_config()), at(1));
