--- a/tests/relay/targets.rs
+++ b/tests/relay/targets.rs
@@ -6,7 +6,7 @@
 use shalelane::relay::rules::{RelayConfig, ServiceRule};
 use shalelane::relay::targets::{TargetRecord, TargetSet};
 
-use crate::fixture::{at, limits, ms, name, need, rates, record};
+use crate::fixture::{at, limits, name, need, rates, record};
 
 const ANY: TargetScope<'static> = TargetScope::Untried(&[]);
 
