Put what the relay weighs into one struct

Cause: the weights and switches of the relay's decisions stood as constants in four files, so that no mechanism could be switched off to learn its worth.

Change: RelayPolicy, a table of the settings file with defaults; placement, passes, attempts and notes go by it. Nothing is decided differently.

--- a/src/relay/core.rs
+++ b/src/relay/core.rs
@@ -12,6 +12,7 @@
 use super::placement::{
     Placement, PlacementQuery, PromptNeed, TargetScope, place_call, place_prompt,
 };
+use super::policy::RelayPolicy;
 use super::retry_budget::{RetryBound, RetryBudget};
 use super::rules::{Access, AccessFault, RelayConfig, RouteRule, RuleTable};
 use super::targets::{ListChange, TargetFault, TargetRecord, TargetSet};
@@ -30,6 +31,8 @@
     pub drain_bound: Duration,
     /// Bound on second attempts over all entries.
     pub retry_bound: RetryBound,
+    /// What is weighed when a request is placed.
+    pub policy: RelayPolicy,
 }
 
 /// Why a request is refused before anything is done.
@@ -166,6 +169,9 @@
             let service = self.rules.service(&target.record.service);
             if let Some(rates) = service.and_then(|service| service.engine.as_ref()) {
                 target.set_rates(rates, self.entry);
+                if let Some(model) = &mut target.model {
+                    model.set_grace(Duration::from_millis(self.limits.policy.pass_grace_ms));
+                }
             }
         }
     }
@@ -265,8 +271,8 @@
                 model.advance(now);
             }
         }
-        let failure_domain = &self.limits.failure_domain;
-        let query = PlacementQuery { service, failure_domain, scope, entry: self.entry };
+        let RelayLimits { failure_domain, policy, .. } = &self.limits;
+        let query = PlacementQuery { service, failure_domain, scope, entry: self.entry, policy };
         match need {
             Some(need) => place_prompt(&self.targets, &query, need, now),
             None => place_call(&self.targets, &query, now),
@@ -415,7 +421,9 @@
                 if let Some(age) = proof_age_ms {
                     self.lease.note_other(now - Duration::from_millis(age.into()));
                 }
-                if let Some(model) = self.model(&target) {
+                if self.limits.policy.follows_pace
+                    && let Some(model) = self.model(&target)
+                {
                     model.set_pace(f64::from(pace_percent) / 100.0);
                 }
             }
@@ -449,7 +457,8 @@
 
     /// Takes the notes that are to be sent to agents.
     pub fn take_notes(&mut self) -> Vec<LoadNote> {
-        std::mem::take(&mut self.notes)
+        let notes = std::mem::take(&mut self.notes);
+        if self.limits.policy.sends_notes { notes } else { Vec::new() }
     }
 
     /// Names of the services that have engines.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -10,6 +10,7 @@
 //! - [`engine_rates`], [`pass_model`], [`pass_outlook`]: what a prompt costs an
 //!   engine and those who wait there,
 //! - [`loss`]: what requests lose by coming late,
+//! - [`policy`]: what is weighed, and how much,
 //! - [`placement`]: where a request goes, and who helps to read its prompt,
 //! - [`retry_budget`]: how often it may be tried again,
 //! - [`event_stream`]: which events of a stream are whole.
@@ -40,6 +41,7 @@
 pub mod pass_outlook;
 mod pending_read;
 pub mod placement;
+pub mod policy;
 pub mod record;
 pub mod retry_budget;
 pub mod rules;
--- a/src/relay/pass_model.rs
+++ b/src/relay/pass_model.rs
@@ -23,14 +23,12 @@
 use super::engine_rates::{EngineRates, from_ms};
 use super::pass_outlook::{OutlookWriter, PassForecast, PassOutlook};
 use super::pending_read::{PendingRead, put_in_line};
+use super::policy::RelayPolicy;
 use crate::time::Tick;
 
 /// Events that arrive closer together than this belong to one pass.
 const SAME_PASS: Duration = Duration::from_millis(15);
 
-/// How long a pass may last longer than foretold where its end would be seen.
-const PASS_GRACE: Duration = Duration::from_millis(120);
-
 /// Passes that a stream may last longer than foretold before it is forgotten.
 /// Its end is usually announced; this is for announcements that were lost.
 const OVERRUN_PASSES: u32 = 40;
@@ -111,6 +109,8 @@
     /// Up to when the line was followed.
     played_to: Tick,
     pace: f64,
+    /// How long a pass may last longer than foretold where its end would be seen.
+    grace: Duration,
 }
 
 impl PassModel {
@@ -125,6 +125,7 @@
             pass: None,
             played_to: Tick::default(),
             pace: 1.0,
+            grace: Duration::from_millis(RelayPolicy::DEFAULT.pass_grace_ms),
         }
     }
 
@@ -139,6 +140,11 @@
         self.rates = rates.clone();
     }
 
+    /// Sets how long the end of a pass may be late by what is not known here.
+    pub fn set_grace(&mut self, grace: Duration) {
+        self.grace = grace;
+    }
+
     /// How much slower than declared the engine is.
     #[must_use]
     pub fn pace(&self) -> f64 {
@@ -281,7 +287,7 @@
     /// How long the end of a pass may be late by what is not known here.
     fn grace(&self) -> Duration {
         let is_seen = self.writers.keys().any(|key| key.entry == self.observer);
-        if is_seen { PASS_GRACE } else { Duration::ZERO }
+        if is_seen { self.grace } else { Duration::ZERO }
     }
 
     /// Notes the first event of a stream at `at`: its prompt has been read.
--- a/src/relay/placement.rs
+++ b/src/relay/placement.rs
@@ -11,49 +11,16 @@
 use super::loss::{FIRST_PART, LATE_LOSS, first_event_loss, pause_loss};
 use super::pass_model::StreamLoad;
 use super::pass_outlook::{PassForecast, PassOutlook};
+use super::policy::RelayPolicy;
 use super::targets::{TargetSet, TargetState};
 use crate::time::Tick;
 
-/// Most engines that read a prompt beside the one that writes.
-pub const MAX_HELPERS: usize = 16;
-
 /// Numbers of engines that are tried for a prompt.
 const GROUP_SIZES: [usize; 11] = [1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17];
 
-/// Cost of each helper, as part of a prompt's value: its part delays what is
-/// read there next, and its failure makes the prompt late.
-const HELPER_COST: f32 = 0.001;
-
-/// Shortest part of a prompt that is worth an engine of its own.
-const MIN_PART: Duration = Duration::from_millis(25);
-
 /// Tokens that make a request count for as much as one more short one.
 const TOKENS_PER_VALUE: f32 = 10_000.0;
 
-/// Gain of a short request for each other one that writes at the same engine:
-/// it leaves other engines free for long prompts.
-const PACKING_GAIN: f32 = 0.02;
-
-/// Part of an engine's places that are not packed, as a divisor of them: other
-/// entries fill them at the same moment, and one too many waits for an end.
-const KEPT_FREE_PART: usize = 4;
-
-/// Cost of taking the last place of an engine, in short requests.
-const NEAR_FULL_COST: f32 = 0.3;
-
-/// Part of that cost that is left for each place more that is free.
-const NEAR_FULL_DECAY: f32 = 0.4;
-
-/// Greatest difference by which entries prefer different engines, so that they
-/// do not all choose the same one at the same moment.
-const SPREAD: f32 = 0.03;
-
-/// Cost of an engine in another failure domain.
-const DISTANCE_COST: f32 = 0.004;
-
-/// Cost of each request over an engine's capacity: it waits for an end.
-const QUEUE_COST: f32 = 0.6;
-
 /// Prompts up to this length count as short ones.
 const SHORT_TOKENS: u64 = 24_000;
 
@@ -163,6 +130,8 @@
     pub scope: TargetScope<'a>,
     /// Incarnation of this entry.
     pub entry: u64,
+    /// What is weighed, and how much.
+    pub policy: &'a RelayPolicy,
 }
 
 impl PlacementQuery<'_> {
@@ -175,36 +144,22 @@
     }
 }
 
-/// What a request loses that is refused at once, as part of its value: it may
-/// come back and be served in time, which earns somewhat over half.
-const REFUSAL_LOSS: f32 = 0.65;
-
-/// Part of the time for the first event within which a refusal is early.
-const EARLY_PART: f64 = 0.25;
-
-/// Part of its time for the first event that a long prompt waits for a moment
-/// at which its reading harms fewer.
-const WAIT_PART: f64 = 0.15;
-
-/// Harm to others, as part of the value of a prompt, from which it waits.
-const WAIT_HARM: f32 = 0.04;
-
 impl Placement {
     /// Returns true where a prompt should wait a little: engines that are busy
     /// now are free soon.
     #[must_use]
-    pub fn is_worth_waiting(&self, need: &PromptNeed) -> bool {
+    pub fn is_worth_waiting(&self, need: &PromptNeed, policy: &RelayPolicy) -> bool {
         need.prompt > SHORT_TOKENS
-            && need.waited < need.first_limit.mul_f64(WAIT_PART)
-            && self.harm > need.value() * WAIT_HARM
+            && need.waited < need.first_limit.mul_f64(policy.wait_part)
+            && self.harm > need.value() * policy.wait_harm
     }
 
     /// Returns true where refusing a request at once loses less than serving
     /// it so.
     #[must_use]
-    pub fn is_worse_than_refusal(&self, need: &PromptNeed) -> bool {
-        need.waited < need.first_limit.mul_f64(EARLY_PART)
-            && self.cost > need.value() * REFUSAL_LOSS
+    pub fn is_worse_than_refusal(&self, need: &PromptNeed, policy: &RelayPolicy) -> bool {
+        need.waited < need.first_limit.mul_f64(policy.early_part)
+            && self.cost > need.value() * policy.refusal_loss
     }
 }
 
@@ -229,13 +184,10 @@
     })
 }
 
-/// Share of a plain target's slots that distance is worth.
-const CALL_DISTANCE: f32 = 0.2;
-
 fn call_cost(target: &TargetState, query: &PlacementQuery<'_>) -> f32 {
     let busy = target.in_flight as f32 / target.record.capacity.max(1) as f32;
     let is_far = *target.record.failure_domain != *query.failure_domain;
-    busy + if is_far { CALL_DISTANCE } else { 0.0 }
+    busy + if is_far { query.policy.call_distance } else { 0.0 }
 }
 
 /// The usable targets in a request's scope; those that are left alone only where
@@ -249,7 +201,8 @@
         .usable(query.service)
         .filter(|target| query.scope.holds(&target.record.incarnation))
         .collect();
-    let well: Vec<_> = fresh.iter().copied().filter(|target| !target.is_ejected(now)).collect();
+    let is_well = |target: &&TargetState| !(query.policy.ejects && target.is_ejected(now));
+    let well: Vec<_> = fresh.iter().copied().filter(is_well).collect();
     if well.is_empty() { fresh } else { well }
 }
 
@@ -284,10 +237,10 @@
     let read = engines.first()?.outlook.rates.read_time(need.prompt);
     let mut best: Option<Placement> = None;
     for size in GROUP_SIZES {
-        if size > engines.len() || size > MAX_HELPERS + 1 {
+        if size > engines.len() || size > query.policy.most_helpers + 1 {
             break;
         }
-        if size > 1 && read / (size as u32) < MIN_PART {
+        if size > 1 && read / (size as u32) < Duration::from_millis(query.policy.min_part_ms) {
             break;
         }
         let Some(placement) = place_group(&engines, query, need, read, size) else {
@@ -310,14 +263,14 @@
 ) -> Option<Placement> {
     let rates = engines.first()?.outlook.rates;
     let load = need.to_load(read, size, 1, rates.passes(need.answer));
-    let writers = weigh(engines, need, &load);
+    let writers = weigh(engines, need, &load, query.policy);
     let first = *writers.iter().min_by(|a, b| {
         let cost = |member| writer_cost(member, query, need) + member.cost;
         cost(*a).total_cmp(&cost(*b))
     })?;
     let mut members = Vec::new();
     if size > 1 {
-        members = weigh(engines, need, &need.to_helper_load(read, size));
+        members = weigh(engines, need, &need.to_helper_load(read, size), query.policy);
         members.retain(|member| !std::ptr::eq(member.target, first.target));
         members.sort_by(|a, b| a.cost.total_cmp(&b.cost));
         members.truncate(size - 1);
@@ -329,7 +282,8 @@
     let group = members.iter().chain([&first]);
     let start = group.clone().map(|member| member.forecast.read).max()?;
     let harm: f32 = group.map(|member| member.forecast.harm).sum();
-    let group_cost = need.value() * HELPER_COST * members.len() as f32;
+    let harm = harm * query.policy.harm_weight;
+    let group_cost = need.value() * query.policy.helper_cost * members.len() as f32;
     let own = writer_cost(&first, query, need);
     Some(Placement {
         target: first.target.record.incarnation.clone(),
@@ -347,10 +301,11 @@
     engines: &[EngineOutlook<'a>],
     need: &PromptNeed,
     load: &StreamLoad,
+    policy: &RelayPolicy,
 ) -> Vec<Candidate<'a>> {
     let weighed = engines.iter().map(|engine| {
         let forecast = engine.outlook.forecast(load);
-        let cost = forecast.harm + time_cost(need, forecast.read);
+        let cost = forecast.harm * policy.harm_weight + time_cost(need, forecast.read);
         Candidate { target: engine.target, forecast, cost }
     });
     weighed.collect()
@@ -394,6 +349,7 @@
 
 /// What it costs that a member writes, beside the reading.
 fn writer_cost(writer: &Candidate<'_>, query: &PlacementQuery<'_>, need: &PromptNeed) -> f32 {
+    let policy = query.policy;
     let record = &writer.target.record;
     let PassForecast { active, steady, pause, .. } = writer.forecast;
     let capacity = record.capacity;
@@ -402,17 +358,17 @@
         cost += need.value() * LATE_LOSS;
     }
     if *record.failure_domain != *query.failure_domain {
-        cost += DISTANCE_COST;
+        cost += policy.distance_cost;
     }
     if active >= capacity {
-        cost += QUEUE_COST * (active + 1 - capacity) as f32;
+        cost += policy.queue_cost * (active + 1 - capacity) as f32;
     } else {
-        cost += NEAR_FULL_COST * NEAR_FULL_DECAY.powi((capacity - active) as i32 - 1);
+        cost += policy.near_full_cost * policy.near_full_decay.powi((capacity - active) as i32 - 1);
     }
     if active < capacity && need.prompt <= SHORT_TOKENS {
-        let packed = active.min(capacity - capacity / KEPT_FREE_PART);
-        cost -= PACKING_GAIN * packed as f32;
-        cost += SPREAD * query.preference(&record.incarnation);
+        let packed = active.min(capacity - capacity / policy.kept_free_divisor);
+        cost -= policy.packing_gain * packed as f32;
+        cost += policy.spread * query.preference(&record.incarnation);
     }
     cost
 }
--- /dev/null
+++ b/src/relay/policy.rs
@@ -0,0 +1,99 @@
+//! What the relay weighs when it decides, in one place.
+//!
+//! Costs are in short requests unless said otherwise. The defaults hold for any
+//! fleet: they were found on several deployments (`docs/design/decisions.md`),
+//! and each mechanism can be switched off there by one field.
+
+use serde::Deserialize;
+
+/// Weights and switches of the relay's decisions.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[expect(clippy::struct_excessive_bools, reason = "each switches off a mechanism of its own")]
+pub struct RelayPolicy {
+    /// Most engines that read a prompt beside the one that writes, zero for none.
+    pub most_helpers: usize,
+    /// Shortest part of a prompt that is worth an engine of its own, in ms.
+    pub min_part_ms: u64,
+    /// Cost of each helper, as part of a prompt's value: its part delays what is
+    /// read there next, and its failure makes the prompt late.
+    pub helper_cost: f32,
+    /// How much of what others lose by a placement counts, one for all.
+    pub harm_weight: f32,
+    /// Gain of a short request for each other one that writes at the same engine:
+    /// it leaves other engines free for long prompts.
+    pub packing_gain: f32,
+    /// Part of an engine's places that are not packed, as a divisor of them: other
+    /// entries fill them at the same moment, and one too many waits for an end.
+    pub kept_free_divisor: usize,
+    /// Cost of taking the last place of an engine.
+    pub near_full_cost: f32,
+    /// Part of that cost that is left for each place more that is free.
+    pub near_full_decay: f32,
+    /// Greatest difference by which entries prefer different engines, so that they
+    /// do not all choose the same one at the same moment.
+    pub spread: f32,
+    /// Cost of an engine in another failure domain.
+    pub distance_cost: f32,
+    /// Cost of each request over an engine's capacity: it waits for an end.
+    pub queue_cost: f32,
+    /// Share of a plain target's slots that distance is worth.
+    pub call_distance: f32,
+    /// What a request loses that is refused at once, as part of its value.
+    pub refusal_loss: f32,
+    /// Part of the time for the first event within which a refusal is early.
+    pub early_part: f64,
+    /// Part of its time for the first event that a long prompt waits for a moment
+    /// at which its reading harms fewer.
+    pub wait_part: f64,
+    /// Harm to others, as part of the value of a prompt, from which it waits.
+    pub wait_harm: f32,
+    /// Whether a request is taken elsewhere where its target is silent.
+    pub hedges: bool,
+    /// Whether targets are left alone after failures.
+    pub ejects: bool,
+    /// Runs beyond the targets that may have a request, at one that has run it: the
+    /// bound is on the number of targets, and a lost answer says little of the next.
+    pub repeated_runs: usize,
+    /// Whether entries tell one another what they place.
+    pub sends_notes: bool,
+    /// Whether the pace that engines report is used.
+    pub follows_pace: bool,
+    /// How long the end of a pass may be later than foretold where this entry
+    /// would see it, in ms: the engine reads more than is known.
+    pub pass_grace_ms: u64,
+}
+
+impl RelayPolicy {
+    /// What holds where the settings say nothing else.
+    pub const DEFAULT: RelayPolicy = RelayPolicy {
+        most_helpers: 16,
+        min_part_ms: 25,
+        helper_cost: 0.001,
+        harm_weight: 1.0,
+        packing_gain: 0.02,
+        kept_free_divisor: 4,
+        near_full_cost: 0.3,
+        near_full_decay: 0.4,
+        spread: 0.03,
+        distance_cost: 0.004,
+        queue_cost: 0.6,
+        call_distance: 0.2,
+        refusal_loss: 0.65,
+        early_part: 0.25,
+        wait_part: 0.15,
+        wait_harm: 0.04,
+        hedges: true,
+        ejects: true,
+        repeated_runs: 1,
+        sends_notes: true,
+        follows_pace: true,
+        pass_grace_ms: 120,
+    };
+}
+
+impl Default for RelayPolicy {
+    fn default() -> Self {
+        RelayPolicy::DEFAULT
+    }
+}
--- a/src/relay/series.rs
+++ b/src/relay/series.rs
@@ -19,10 +19,6 @@
 /// Sends beyond the targets that may run a request: those that were refused.
 const REFUSED_SENDS: usize = 2;
 
-/// Runs beyond the targets that may have a request, at one that has run it: the
-/// bound is on the number of targets, and a lost answer says little of the next.
-const REPEATED_RUNS: usize = 1;
-
 /// Wait before another target is tried after refusals.
 const REFUSED_WAIT: Duration = Duration::from_millis(30);
 
@@ -65,6 +61,9 @@
         job: &RelayJob,
         target: &Arc<str>,
     ) -> bool {
+        if !shared.core.borrow().limits().policy.hedges {
+            return false;
+        }
         let mut tried = self.tried.clone();
         tried.push(target.clone());
         job.route.repeat.is_repeatable()
@@ -139,8 +138,9 @@
             return false;
         }
         let may_repeat = fault.verdict.may_retry(job.route.repeat.is_repeatable());
+        let policy = shared.core.borrow().limits().policy;
         // A failure of the target's own is an answer that the caller can have.
-        let repeated = if self.answer.is_none() { REPEATED_RUNS } else { 0 };
+        let repeated = if self.answer.is_none() { policy.repeated_runs } else { 0 };
         let most_runs = job.route.max_targets + repeated;
         let is_in_bound = self.runs < most_runs && self.sends < most_runs + REFUSED_SENDS;
         may_repeat
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -10,6 +10,7 @@
 
 use super::core::RelayLimits;
 use super::freshness::StalePolicy;
+use super::policy::RelayPolicy;
 use super::retry_budget::RetryBound;
 use crate::error::{Error, Result};
 
@@ -47,6 +48,9 @@
     pub retry_window_s: u64,
     /// Longest planned stop, in seconds.
     pub stop_s: f64,
+    /// What is weighed when it decides, where it differs from the defaults.
+    #[serde(default)]
+    pub policy: RelayPolicy,
 }
 
 /// Settings of an agent that advises entries.
@@ -91,6 +95,7 @@
             failure_domain: self.failure_domain.clone(),
             revoke_bound: self.revoke_bound(),
             stale_policy: self.stale_policy(),
+            policy: self.policy,
             drain_bound: Duration::from_millis(self.drain_ms),
             retry_bound: RetryBound {
                 ratio: self.retry_ratio,
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -164,12 +164,14 @@
 
 /// Returns true where a better moment to place a prompt may come soon.
 fn is_worth_waiting(shared: &RelayShared, job: &RelayJob, placement: &Placement) -> bool {
-    job.need_at(shared.now()).is_some_and(|need| placement.is_worth_waiting(&need))
+    let policy = shared.core.borrow().limits().policy;
+    job.need_at(shared.now()).is_some_and(|need| placement.is_worth_waiting(&need, &policy))
 }
 
 /// Returns true where nothing is lost by refusing that serving would keep.
 fn is_better_refused(shared: &RelayShared, job: &RelayJob, placement: &Placement) -> bool {
-    job.need_at(shared.now()).is_some_and(|need| placement.is_worse_than_refusal(&need))
+    let policy = shared.core.borrow().limits().policy;
+    job.need_at(shared.now()).is_some_and(|need| placement.is_worse_than_refusal(&need, &policy))
 }
 
 /// When to come back after a refusal for overload, spread so that those who
--- a/tests/relay/fixture.rs
+++ b/tests/relay/fixture.rs
@@ -10,6 +10,7 @@
 use shalelane::relay::freshness::StalePolicy;
 use shalelane::relay::pass_model::{StreamKey, StreamLoad};
 use shalelane::relay::placement::PromptNeed;
+use shalelane::relay::policy::RelayPolicy;
 use shalelane::relay::retry_budget::RetryBound;
 use shalelane::relay::targets::{TargetRecord, TargetSet};
 use shalelane::time::Tick;
@@ -32,6 +33,7 @@
         stale_policy,
         drain_bound: ms(2_000),
         retry_bound: RetryBound { ratio: 0.2, slack: 100.0, window: ms(10_000) },
+        policy: RelayPolicy::DEFAULT,
     }
 }
 
--- a/tests/relay/places.rs
+++ b/tests/relay/places.rs
@@ -4,8 +4,9 @@
 
 use shalelane::relay::pass_model::StreamLoad;
 use shalelane::relay::placement::{
-    MAX_HELPERS, Placement, PlacementQuery, PromptNeed, TargetScope, place_call, place_prompt,
+    Placement, PlacementQuery, PromptNeed, TargetScope, place_call, place_prompt,
 };
+use shalelane::relay::policy::RelayPolicy;
 use shalelane::relay::targets::{TargetFault, TargetSet};
 
 use crate::fixture::{at, check, engines, helper_load, key, ms, name, need, part_load, short_load};
@@ -15,6 +16,7 @@
     failure_domain: "here",
     scope: TargetScope::Untried(&[]),
     entry: 1,
+    policy: &RelayPolicy::DEFAULT,
 };
 
 fn place(set: &TargetSet, need: &PromptNeed) -> Option<Placement> {
@@ -91,9 +93,12 @@
     busy(&mut set, 3, 18);
     let need = need(5_000);
     let placement = place(&set, &need).unwrap();
-    assert!(placement.is_worse_than_refusal(&need), "{placement:?}");
+    assert!(placement.is_worse_than_refusal(&need, &RelayPolicy::DEFAULT), "{placement:?}");
     let late = PromptNeed { waited: ms(200), ..need };
-    assert!(!placement.is_worse_than_refusal(&late), "too late for an early refusal");
+    assert!(
+        !placement.is_worse_than_refusal(&late, &RelayPolicy::DEFAULT),
+        "too late for an early refusal"
+    );
 }
 
 #[test]
@@ -137,7 +142,7 @@
         let members: HashSet<_> = placement.helpers.iter().chain([&placement.target]).collect();
         let memory: u64 = placement.seats.iter().map(|seat| seat.tokens).sum();
         members.len() == placement.helpers.len() + 1
-            && placement.helpers.len() <= MAX_HELPERS
+            && placement.helpers.len() <= RelayPolicy::DEFAULT.most_helpers
             && placement.seats.len() <= placement.helpers.len()
             && placement
                 .seats
