Decide at arrival whether a prompt is served, by what is lost

Callers that come back were taken for new ones, with all of their time.

Change: one decision at arrival. What can not be served in the time left is refused at once. Else a prompt is refused where what it loses itself (at most what lateness costs), what others there lose and what its reading takes from prompts to come (a price on engines' time that rises with what is in line) is more than it is worth; a caller that comes back is refused at more harm only. That it has come before shows in the time it has left against others of its route (PatienceBook). A prompt waits only while others are spared more by that than it loses, and is not refused after it waited.

--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -110,7 +110,13 @@
     else {
         return Err(RelayFault::refused("no_service", "the route has none", NO_ROOM_RETRY));
     };
-    let need = to_need(shared, &route, &service, &head);
+    let waited_before = shared.core.borrow_mut().time_spent(&route, head.patience);
+    let need = to_need(shared, &route, &service, &head).map(|need| PromptNeed {
+        waited: waited_before,
+        time_left: time_limit,
+        is_return: !waited_before.is_zero(),
+        ..need
+    });
     shared.core.borrow_mut().note_request(&service, shared.now());
     Ok(RelayJob {
         route,
@@ -123,6 +129,7 @@
         headers: parts.headers,
         body,
         arrived,
+        waited_before,
         deadline,
         need,
     })
@@ -142,6 +149,8 @@
         answer: head.guessed_answer_tokens.unwrap_or(most).min(most),
         first_limit: route.objective,
         waited: Duration::ZERO,
+        time_left: route.time_limit,
+        is_return: false,
         longest_pause: route.longest_pause,
     })
 }
--- a/src/relay/pass_outlook.rs
+++ b/src/relay/pass_outlook.rs
@@ -117,6 +117,13 @@
         }
     }
 
+    /// Time to read all that is in line, without what is written meanwhile.
+    #[must_use]
+    pub fn time_in_line(&self) -> Duration {
+        let reads = self.line.iter().map(|pending| pending.read_ms(self.rates));
+        from_ms(reads.sum::<f64>() * self.pace)
+    }
+
     /// Time until a prompt in line is read, none where it is not in line.
     pub(super) fn time_to_read(&self, key: StreamKey) -> Option<Duration> {
         self.play(self.line.clone(), key).asked_read
--- a/src/relay/placement.rs
+++ b/src/relay/placement.rs
@@ -33,8 +33,12 @@
     pub answer: u64,
     /// Time from its arrival for a first event in time.
     pub first_limit: Duration,
-    /// Time since its arrival.
+    /// Time since its caller first asked.
     pub waited: Duration,
+    /// Time until its caller wants no answer any more.
+    pub time_left: Duration,
+    /// True where its caller was refused before and has come back.
+    pub is_return: bool,
     /// Longest pause between events.
     pub longest_pause: Duration,
 }
@@ -97,6 +101,11 @@
     pub cost: f32,
     /// What others lose by it, part of `cost`.
     pub harm: f32,
+    /// What the request itself loses, at most what it does by coming late.
+    pub own: f32,
+    /// What requests to come lose by the places and the time of engines that it
+    /// takes.
+    pub claim: f32,
     /// Targets that were weighed.
     pub candidates: usize,
 }
@@ -145,21 +154,32 @@
 }
 
 impl Placement {
-    /// Returns true where a prompt should wait a little: engines that are busy
-    /// now are free soon.
+    /// Returns true where a prompt should wait for `step` and be placed anew: what
+    /// others are then spared is more than what it loses by coming later.
     #[must_use]
-    pub fn is_worth_waiting(&self, need: &PromptNeed, policy: &RelayPolicy) -> bool {
-        need.prompt > SHORT_TOKENS
-            && need.waited < need.first_limit.mul_f64(policy.wait_part)
-            && self.harm > need.value() * policy.wait_harm
+    pub fn is_worth_waiting(
+        &self,
+        need: &PromptNeed,
+        step: Duration,
+        policy: &RelayPolicy,
+    ) -> bool {
+        if need.prompt <= SHORT_TOKENS || self.first + step >= need.time_left {
+            return false;
+        }
+        let later = time_cost(need, self.first + step) - time_cost(need, self.first);
+        let fade = Duration::from_millis(policy.harm_fade_ms).as_secs_f32();
+        self.harm * step.as_secs_f32() > later * fade
     }
 
     /// Returns true where refusing a request at once loses less than serving
-    /// it so.
+    /// it so, or where it can not be served in the time that it has.
     #[must_use]
     pub fn is_worse_than_refusal(&self, need: &PromptNeed, policy: &RelayPolicy) -> bool {
-        need.waited < need.first_limit.mul_f64(policy.early_part)
-            && self.cost > need.value() * policy.refusal_loss
+        if self.first >= need.time_left {
+            return true;
+        }
+        let again = if need.is_return { policy.second_refusal_loss } else { 0.0 };
+        self.own + self.harm + self.claim > need.value() * (1.0 + again)
     }
 }
 
@@ -180,6 +200,8 @@
         first: Duration::ZERO,
         cost: call_cost(best, query),
         harm: 0.0,
+        own: 0.0,
+        claim: 0.0,
         candidates: count,
     })
 }
@@ -250,7 +272,17 @@
             best = Some(placement);
         }
     }
-    best
+    let engine_cost = engine_cost(&engines, read, query.policy);
+    best.map(|best| Placement { claim: best.claim + engine_cost, ..best })
+}
+
+/// What requests to come lose by the time that engines read a prompt: nothing
+/// while engines have nothing to read, and more the longer their lines are.
+fn engine_cost(engines: &[EngineOutlook<'_>], read: Duration, policy: &RelayPolicy) -> f32 {
+    let lines = engines.iter().map(|engine| engine.outlook.time_in_line().as_secs_f32());
+    let backlog = lines.sum::<f32>() / engines.len() as f32;
+    let half = Duration::from_millis(policy.half_price_backlog_ms).as_secs_f32();
+    policy.engine_price * read.as_secs_f32() * backlog / (backlog + half)
 }
 
 /// The best group of `size` engines: the one that writes, and helpers.
@@ -265,7 +297,10 @@
     let load = need.to_load(read, size, 1, rates.passes(need.answer));
     let writers = weigh(engines, need, &load, query.policy);
     let first = *writers.iter().min_by(|a, b| {
-        let cost = |member| writer_cost(member, query, need) + member.cost;
+        let cost = |member| {
+            let own = writer_cost(member, query, need) + queue_cost(member, query.policy);
+            own + member.cost
+        };
         cost(*a).total_cmp(&cost(*b))
     })?;
     let mut members = Vec::new();
@@ -284,14 +319,17 @@
     let harm: f32 = group.map(|member| member.forecast.harm).sum();
     let harm = harm * query.policy.harm_weight;
     let group_cost = need.value() * query.policy.helper_cost * members.len() as f32;
-    let own = writer_cost(&first, query, need);
+    let own = writer_cost(&first, query, need) + time_cost(need, start);
+    let queue = queue_cost(&first, query.policy);
     Some(Placement {
         target: first.target.record.incarnation.clone(),
         helpers: members.iter().map(|helper| helper.target.record.incarnation.clone()).collect(),
         seats,
         first: start,
-        cost: own + harm + time_cost(need, start) + group_cost,
+        cost: own + queue + harm + group_cost,
         harm,
+        own: own.min(need.value() * LATE_LOSS),
+        claim: queue,
         candidates: engines.len(),
     })
 }
@@ -347,6 +385,13 @@
     None
 }
 
+/// What it costs that a member has no place free: the request waits there for an
+/// end, and so do those that come after it.
+fn queue_cost(writer: &Candidate<'_>, policy: &RelayPolicy) -> f32 {
+    let capacity = writer.target.record.capacity;
+    policy.queue_cost * (writer.forecast.active + 1).saturating_sub(capacity) as f32
+}
+
 /// What it costs that a member writes, beside the reading.
 fn writer_cost(writer: &Candidate<'_>, query: &PlacementQuery<'_>, need: &PromptNeed) -> f32 {
     let policy = query.policy;
@@ -360,9 +405,7 @@
     if *record.failure_domain != *query.failure_domain {
         cost += policy.distance_cost;
     }
-    if active >= capacity {
-        cost += policy.queue_cost * (active + 1 - capacity) as f32;
-    } else {
+    if active < capacity {
         cost += policy.near_full_cost * policy.near_full_decay.powi((capacity - active) as i32 - 1);
     }
     if active < capacity && need.prompt <= SHORT_TOKENS {
--- a/src/relay/policy.rs
+++ b/src/relay/policy.rs
@@ -39,15 +39,17 @@
     pub queue_cost: f32,
     /// Share of a plain target's slots that distance is worth.
     pub call_distance: f32,
-    /// What a request loses that is refused at once, as part of its value.
-    pub refusal_loss: f32,
-    /// Part of the time for the first event within which a refusal is early.
-    pub early_part: f64,
-    /// Part of its time for the first event that a long prompt waits for a moment
-    /// at which its reading harms fewer.
-    pub wait_part: f64,
-    /// Harm to others, as part of the value of a prompt, from which it waits.
-    pub wait_harm: f32,
+    /// What a caller loses who is refused for the second time, beside the request,
+    /// as part of its value.
+    pub second_refusal_loss: f32,
+    /// Most that a second of an engine's reading is worth to requests to come.
+    pub engine_price: f32,
+    /// Mean time to read what is in line at engines for which half of that is
+    /// counted, in ms.
+    pub half_price_backlog_ms: u64,
+    /// Time in which what others lose by a long prompt is likely to have gone, so
+    /// that it may be worth to wait a little, in ms.
+    pub harm_fade_ms: u64,
     /// Whether a request is taken elsewhere where its target is silent.
     pub hedges: bool,
     /// Whether targets are left alone after failures.
@@ -79,10 +81,10 @@
         distance_cost: 0.004,
         queue_cost: 0.6,
         call_distance: 0.2,
-        refusal_loss: 0.65,
-        early_part: 0.25,
-        wait_part: 0.15,
-        wait_harm: 0.04,
+        second_refusal_loss: 0.3,
+        engine_price: 4.0,
+        half_price_backlog_ms: 500,
+        harm_fade_ms: 300,
         hedges: true,
         ejects: true,
         repeated_runs: 1,
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -41,8 +41,10 @@
 /// How much less than that it may be, at random.
 const RETRY_SPREAD: std::ops::Range<f64> = 0.6..1.0;
 
-/// Wait before a prompt is placed anew: about a pass.
-const PLACE_WAIT: Duration = Duration::from_millis(50);
+/// Part of the objective after which a prompt that waits is placed anew, as its
+/// divisor: a pass or two for long prompts, and a decision costs a small host
+/// some milliseconds.
+const PLACE_WAITS: u32 = 30;
 
 /// Silence within a stream after which it is continued elsewhere, in pauses
 /// that are just in time.
@@ -122,20 +124,22 @@
 ) {
     let mut series = AttemptSeries::new();
     let mut splitter = EventSplitter::default();
+    let mut is_new = true;
     loop {
         let Some(placement) = series.place(shared, job) else {
             return fail_stream(job, output, &series, false, ledger).await;
         };
-        if series.is_fresh() && is_worth_waiting(shared, job, &placement) {
-            tokio::time::sleep(PLACE_WAIT).await;
-            continue;
-        }
-        if series.is_fresh() && is_better_refused(shared, job, &placement) {
+        if is_new && is_better_refused(shared, job, &placement) {
             let why = "the engines are too busy to be in time";
             let fault = RelayFault::refused("overloaded", why, busy_retry(shared, job));
             ledger.end_fault(&fault);
             return output.begin(StreamStart::Fault(fault));
         }
+        is_new = false;
+        if series.is_fresh() && is_worth_waiting(shared, job, &placement) {
+            tokio::time::sleep(job.route.objective / PLACE_WAITS).await;
+            continue;
+        }
         ledger.targets.push(placement.target.clone());
         splitter.clear_rest();
         let may_hedge = series.may_hedge(shared, job, &placement.target);
@@ -164,8 +168,9 @@
 
 /// Returns true where a better moment to place a prompt may come soon.
 fn is_worth_waiting(shared: &RelayShared, job: &RelayJob, placement: &Placement) -> bool {
+    let step = job.route.objective / PLACE_WAITS;
     let policy = shared.core.borrow().limits().policy;
-    job.need_at(shared.now()).is_some_and(|need| placement.is_worth_waiting(&need, &policy))
+    job.need_at(shared.now()).is_some_and(|need| placement.is_worth_waiting(&need, step, &policy))
 }
 
 /// Returns true where nothing is lost by refusing that serving would keep.
