--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -124,18 +124,16 @@
 ) {
     let mut series = AttemptSeries::new();
     let mut splitter = EventSplitter::default();
-    let mut is_new = true;
     loop {
         let Some(placement) = series.place(shared, job) else {
             return fail_stream(job, output, &series, false, ledger).await;
         };
-        if is_new && is_better_refused(shared, job, &placement) {
+        if series.is_fresh() && is_better_refused(shared, job, &placement) {
             let why = "the engines are too busy to be in time";
             let fault = RelayFault::refused("overloaded", why, busy_retry(shared, job));
             ledger.end_fault(&fault);
             return output.begin(StreamStart::Fault(fault));
         }
-        is_new = false;
         if series.is_fresh() && is_worth_waiting(shared, job, &placement) {
             tokio::time::sleep(job.route.objective / PLACE_WAITS).await;
             continue;
