Place callers that come back like new ones, and send them on at once

Prompts of callers that came back were taken as late from the start and were refused or left behind.

Change: both taken back; PatienceBook and the price of a second refusal go.

--- a/src/relay/core.rs
+++ b/src/relay/core.rs
@@ -9,7 +9,6 @@
 use super::freshness::{FreshnessLease, StalePolicy};
 use super::load_note::LoadNote;
 use super::pass_model::{StreamKey, StreamLoad};
-use super::patience::PatienceBook;
 use super::placement::{
     Placement, PlacementQuery, PromptNeed, TargetScope, place_call, place_prompt,
 };
@@ -71,7 +70,6 @@
     budgets: HashMap<Arc<str>, RetryBudget>,
     entries: Option<usize>,
     notes: Vec<LoadNote>,
-    patience: PatienceBook,
 }
 
 impl RelayCore {
@@ -88,7 +86,6 @@
             budgets: HashMap::new(),
             entries: None,
             notes: Vec::new(),
-            patience: PatienceBook::default(),
         }
     }
 
@@ -149,7 +146,6 @@
             return false;
         }
         self.rules = Rc::new(RuleTable::from_config(config));
-        self.patience.clear();
         self.set_rates();
         true
     }
@@ -235,11 +231,6 @@
         None
     }
 
-    /// Time that a caller of a route spent on earlier tries.
-    pub fn time_spent(&mut self, route: &RouteRule, patience: Option<Duration>) -> Duration {
-        self.patience.time_spent(route, patience)
-    }
-
     /// Counts a caller's request against the budget of second attempts.
     pub fn note_request(&mut self, service: &Arc<str>, now: Tick) {
         self.budget(service).note_request(now);
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -16,7 +16,6 @@
 use super::ledger::RequestLedger;
 use super::placement::PromptNeed;
 use super::record::RequestEnd;
-use super::return_time::after_outage;
 use super::rules::{Access, RouteRule};
 use super::series::NO_ROOM_RETRY;
 use super::server::RelayShared;
@@ -24,12 +23,10 @@
 use crate::time::Tick;
 use crate::web::{BodyFault, read_body};
 
-/// Time to come back after a refusal by an entry that stops: another one serves.
-const STOPPING_RETRY: Duration = Duration::from_millis(100);
-
-/// Time that a caller is taken to wait that does not say: the shortest that is
-/// usual for answers in parts.
-const UNKNOWN_PATIENCE: Duration = Duration::from_secs(10);
+/// Time to come back after a refusal by an entry that stops or has no configuration:
+/// another one may serve at once. In an outage for all, callers that came back later
+/// crowded out new ones (`docs/design/decisions.md`).
+const OTHER_ENTRY_RETRY: Duration = Duration::from_millis(100);
 
 /// Answer tokens that are assumed where a caller says nothing.
 const ASSUMED_ANSWER: u64 = 1_500;
@@ -86,7 +83,7 @@
     arrived: Tick,
 ) -> Result<RelayJob, RelayFault> {
     if shared.is_closed_to_new.get() {
-        return Err(RelayFault::refused("stopping", "this entry is stopping", STOPPING_RETRY));
+        return Err(RelayFault::refused("stopping", "this entry is stopping", OTHER_ENTRY_RETRY));
     }
     let (parts, body) = request.into_parts();
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
@@ -95,8 +92,7 @@
         let mut core = shared.core.borrow_mut();
         core.admit(host, parts.uri.path(), head.key.as_deref(), arrived)
     };
-    let patience = head.patience.unwrap_or(UNKNOWN_PATIENCE);
-    let access = access.map_err(|refusal| to_refusal(shared, refusal, patience))?;
+    let access = access.map_err(to_refusal)?;
     let limits = shared.core.borrow().rules().limits();
     let time_limit = head.patience.unwrap_or(access.route.time_limit).min(access.route.time_limit);
     let deadline = arrived + time_limit;
@@ -104,7 +100,7 @@
     // The body may have taken long: what let the request in has to hold when it
     // was there whole, too.
     if !shared.core.borrow().may_serve(&access.route, shared.now()) {
-        return Err(to_refusal(shared, Refusal::NotFresh, patience));
+        return Err(to_refusal(Refusal::NotFresh));
     }
     if head.attempt.is_none() {
         let why = "the request names no attempt";
@@ -115,13 +111,8 @@
     else {
         return Err(RelayFault::refused("no_service", "the route has none", NO_ROOM_RETRY));
     };
-    let waited_before = shared.core.borrow_mut().time_spent(&route, head.patience);
-    let need = to_need(shared, &route, &service, &head).map(|need| PromptNeed {
-        waited: waited_before,
-        time_left: time_limit,
-        is_return: !waited_before.is_zero(),
-        ..need
-    });
+    let need = to_need(shared, &route, &service, &head);
+    let need = need.map(|need| PromptNeed { time_left: time_limit, ..need });
     shared.core.borrow_mut().note_request(&service, shared.now());
     Ok(RelayJob {
         route,
@@ -134,7 +125,6 @@
         headers: parts.headers,
         body,
         arrived,
-        waited_before,
         deadline,
         need,
     })
@@ -155,22 +145,16 @@
         first_limit: route.objective,
         waited: Duration::ZERO,
         time_left: route.time_limit,
-        is_return: false,
         longest_pause: route.longest_pause,
     })
 }
 
 #[cold]
-fn to_refusal(shared: &RelayShared, refusal: Refusal, patience: Duration) -> RelayFault {
+fn to_refusal(refusal: Refusal) -> RelayFault {
     match refusal {
         Refusal::NotFresh => {
-            let now = shared.now();
-            let core = shared.core.borrow();
-            // Ticks count from the start of the process.
-            let lasted = core.lease().age(now).unwrap_or(now.since(Tick::default()));
-            let after = after_outage(lasted, core.lease().others_hold(now), patience);
             let why = "the configuration can not be proven current here";
-            RelayFault::refused("not_ready", why, after)
+            RelayFault::refused("not_ready", why, OTHER_ENTRY_RETRY)
         }
         Refusal::NoRoute => {
             RelayFault::bad(StatusCode::NOT_FOUND, "no_route", "no route takes this path")
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -54,8 +54,6 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     pub(super) arrived: Tick,
-    /// Time that its caller spent on earlier tries.
-    pub(super) waited_before: Duration,
     /// When its time is up.
     pub(super) deadline: Tick,
     /// What its prompt asks of an engine, none for a plain call.
@@ -70,7 +68,7 @@
 
     /// What its prompt asks of an engine at `now`.
     pub(super) fn need_at(&self, now: Tick) -> Option<PromptNeed> {
-        let waited = self.waited_before + now.since(self.arrived);
+        let waited = now.since(self.arrived);
         let time_left = self.deadline.since(now);
         self.need.map(|need| PromptNeed { waited, time_left, ..need })
     }
--- a/src/relay/freshness.rs
+++ b/src/relay/freshness.rs
@@ -95,8 +95,7 @@
     }
 
     /// Returns true where another entry is known to hold a proof.
-    #[must_use]
-    pub fn others_hold(&self, now: Tick) -> bool {
+    fn others_hold(&self, now: Tick) -> bool {
         self.is_current(self.others_at, now)
     }
 
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -7,7 +7,6 @@
 //! - [`rules`]: what a configuration allows, and to whom,
 //! - [`freshness`]: whether that is known to be current,
 //! - [`targets`]: which targets there are, and which of them work,
-//! - [`patience`]: which callers have come before,
 //! - [`engine_rates`], [`pass_model`], [`pass_outlook`]: what a prompt costs an
 //!   engine and those who wait there,
 //! - [`loss`]: what requests lose by coming late,
@@ -41,7 +40,6 @@
 mod memory_hold;
 pub mod pass_model;
 pub mod pass_outlook;
-pub mod patience;
 mod pending_read;
 pub mod placement;
 pub mod policy;
--- a/src/relay/placement.rs
+++ b/src/relay/placement.rs
@@ -33,12 +33,10 @@
     pub answer: u64,
     /// Time from its arrival for a first event in time.
     pub first_limit: Duration,
-    /// Time since its caller first asked.
+    /// Time since its arrival.
     pub waited: Duration,
     /// Time until its caller wants no answer any more.
     pub time_left: Duration,
-    /// True where its caller was refused before and has come back.
-    pub is_return: bool,
     /// Longest pause between events.
     pub longest_pause: Duration,
 }
@@ -173,7 +171,7 @@
         step: Duration,
         policy: &RelayPolicy,
     ) -> PlacementAction {
-        if self.is_worse_than_refusal(need, policy) {
+        if self.is_worse_than_refusal(need) {
             PlacementAction::Refuse
         } else if self.is_worth_waiting(need, step, policy) {
             PlacementAction::Wait
@@ -195,12 +193,11 @@
 
     /// Returns true where refusing a request loses less than serving it so, or
     /// where it can not be served in the time that it has.
-    fn is_worse_than_refusal(&self, need: &PromptNeed, policy: &RelayPolicy) -> bool {
+    fn is_worse_than_refusal(&self, need: &PromptNeed) -> bool {
         if self.first >= need.time_left {
             return true;
         }
-        let again = if need.is_return { policy.second_refusal_loss } else { 0.0 };
-        self.own + self.harm + self.claim > need.value() * (1.0 + again)
+        self.own + self.harm + self.claim > need.value()
     }
 }
 
--- a/src/relay/policy.rs
+++ b/src/relay/policy.rs
@@ -39,9 +39,6 @@
     pub queue_cost: f32,
     /// Share of a plain target's slots that distance is worth.
     pub call_distance: f32,
-    /// What a caller loses who is refused for the second time, beside the request,
-    /// as part of its value.
-    pub second_refusal_loss: f32,
     /// Most that a second of an engine's reading is worth to requests to come.
     pub engine_price: f32,
     /// Mean time to read what is in line at engines for which half of that is
@@ -81,7 +78,6 @@
         distance_cost: 0.004,
         queue_cost: 0.6,
         call_distance: 0.2,
-        second_refusal_loss: 0.3,
         engine_price: 4.0,
         half_price_backlog_ms: 500,
         harm_fade_ms: 300,
--- a/src/relay/return_time.rs
+++ b/src/relay/return_time.rs
@@ -9,9 +9,6 @@
 /// free again; long prompts come in bursts that last longer.
 const BUSY_OBJECTIVES: std::ops::Range<f64> = 2.7..8.0;
 
-/// Least time to come back where another entry may serve at once.
-const OTHER_ENTRY: Duration = Duration::from_millis(100);
-
 /// Part of the time that a caller has left within which it comes back: callers
 /// wait no longer than a third.
 const LEFT_PART: f64 = 0.33;
@@ -28,15 +25,6 @@
     within(wanted.max(placement.first), need.time_left)
 }
 
-/// Time to come back where no configuration is proven, which has lasted for
-/// `lasted`: nobody knows for how long, so it is taken to last as long again.
-/// Where `others_serve`, another entry may be met at once.
-#[must_use]
-pub fn after_outage(lasted: Duration, others_serve: bool, time_left: Duration) -> Duration {
-    let wanted = if others_serve { OTHER_ENTRY } else { lasted.max(OTHER_ENTRY) };
-    within(wanted, time_left)
-}
-
 fn within(wanted: Duration, time_left: Duration) -> Duration {
     wanted.min(time_left.mul_f64(LEFT_PART * rand::random_range(SPREAD)))
 }
