Check the policy's divisors when the settings are read

Cause: read as a newcomer, the [policy] table let an operator set a divisor to zero, and the first placement would have ended the process. Change: RelayPolicy::check, at the start and at each reload.

--- a/src/relay/policy.rs
+++ b/src/relay/policy.rs
@@ -6,6 +6,8 @@
 
 use serde::Deserialize;
 
+use crate::error::{Error, Result};
+
 /// Weights and switches of the relay's decisions.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -90,6 +92,21 @@
     };
 }
 
+impl RelayPolicy {
+    /// Checks values that others are divided by.
+    ///
+    /// # Errors
+    ///
+    /// One of them is zero.
+    pub fn check(&self) -> Result<()> {
+        if self.kept_free_divisor > 0 && self.half_price_backlog_ms > 0 {
+            return Ok(());
+        }
+        let why = "kept_free_divisor and half_price_backlog_ms of the policy must be above zero";
+        Err(Error::settings(why))
+    }
+}
+
 impl Default for RelayPolicy {
     fn default() -> Self {
         RelayPolicy::DEFAULT
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -80,6 +80,7 @@
             && settings.revoke_ms > 0
             && settings.drain_ms > 0;
         if has_order {
+            settings.policy.check()?;
             return Ok(settings);
         }
         Err(Error::settings(
