--- a/tests/relay/places.rs
+++ b/tests/relay/places.rs
@@ -137,7 +137,7 @@
 }
 
 /// Past failure: a prompt that had been taken waited, and was then placed where it
-/// made the short streams of eight engines stand still.
+/// made the short streams of six engines stand still.
 #[test]
 fn a_prompt_that_waited_is_not_sent_where_it_harms_more_than_it_is_worth() {
     let need = PromptNeed { waited: ms(400), ..need(210_000) };
