Give the relay's files folders by job

Cause: thirty-five files stood side by side in src/relay, ten of them in one circle, since the state that tasks share lived beside what starts them all.

Change: moves only. decide/ is pure, discovery/ is what is known of the platform, peers/ what processes say to one another, proxy/ a request's way. RelayShared has a file of its own below its users; the feed's formats and the tasks that follow it are two files, as are an entry's socket for notes and the task that reads it.

Conclusion: decisions stand apart from input and output by folder.

--- a/src/relay/core.rs
+++ b/src/relay/core.rs
@@ -6,16 +6,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::freshness::{FreshnessLease, StalePolicy};
-use super::load_note::LoadNote;
-use super::pass_model::{StreamKey, StreamLoad};
-use super::placement::{
+use super::decide::pass_model::{StreamKey, StreamLoad};
+use super::decide::placement::{
     Placement, PlacementQuery, PromptNeed, TargetScope, place_call, place_prompt,
 };
-use super::policy::RelayPolicy;
-use super::retry_budget::{RetryBound, RetryBudget};
-use super::rules::{Access, AccessFault, RelayConfig, RouteRule, RuleTable};
-use super::targets::{ListChange, TargetFault, TargetRecord, TargetSet};
+use super::decide::policy::RelayPolicy;
+use super::decide::retry_budget::{RetryBound, RetryBudget};
+use super::decide::targets::{ListChange, TargetFault, TargetRecord, TargetSet};
+use super::discovery::freshness::{FreshnessLease, StalePolicy};
+use super::discovery::rules::{Access, AccessFault, RelayConfig, RouteRule, RuleTable};
+use super::peers::load_note::LoadNote;
 use crate::time::Tick;
 
 /// What does not change while the process runs.
@@ -451,7 +451,7 @@
         self.entries = None;
     }
 
-    fn model(&mut self, target: &str) -> Option<&mut super::pass_model::PassModel> {
+    fn model(&mut self, target: &str) -> Option<&mut super::decide::pass_model::PassModel> {
         self.targets.get_mut(target)?.model.as_mut()
     }
 
--- a/src/relay/counts.rs
+++ b/src/relay/counts.rs
@@ -11,13 +11,13 @@
 
 /// What is counted while requests are served, and the page that shows it.
 #[derive(Debug)]
-pub(super) struct RelayCounts {
-    pub(super) requests: u64,
-    pub(super) attempts: u64,
-    pub(super) failed_attempts: u64,
-    pub(super) ejections: u64,
-    pub(super) store_calls: u64,
-    pub(super) store_failures: u64,
+pub(crate) struct RelayCounts {
+    pub(crate) requests: u64,
+    pub(crate) attempts: u64,
+    pub(crate) failed_attempts: u64,
+    pub(crate) ejections: u64,
+    pub(crate) store_calls: u64,
+    pub(crate) store_failures: u64,
     answered: u64,
     refused: u64,
     failed: u64,
@@ -88,7 +88,7 @@
 }
 
 impl RelayCounts {
-    pub(super) fn note_end(&mut self, end: RequestEnd) {
+    pub(crate) fn note_end(&mut self, end: RequestEnd) {
         let count = match end {
             RequestEnd::Answered => &mut self.answered,
             RequestEnd::Refused => &mut self.refused,
@@ -100,18 +100,18 @@
     }
 
     /// Notes a failure that the relay answers itself. Codes are few and fixed.
-    pub(super) fn note_fault(&self, code: &'static str) {
+    pub(crate) fn note_fault(&self, code: &'static str) {
         self.faults.with_label_values(&[code]).inc();
     }
 
     /// Notes the time to the first event of a stream.
-    pub(super) fn note_first(&self, prompt_tokens: u64, first: Duration) {
+    pub(crate) fn note_first(&self, prompt_tokens: u64, first: Duration) {
         let class = length_class(prompt_tokens);
         self.first_event.with_label_values(&[class]).observe(first.as_secs_f64());
     }
 
     /// The page that is scraped.
-    pub(super) fn to_text(&self, core: &RelayCore, lost_lines: u64, now: Tick) -> Vec<u8> {
+    pub(crate) fn to_text(&self, core: &RelayCore, lost_lines: u64, now: Tick) -> Vec<u8> {
         let counts = [
             self.requests,
             self.attempts,
--- /dev/null
+++ b/src/relay/decide/mod.rs
@@ -0,0 +1,21 @@
+//! What is decided about a request, without sockets, clocks or tasks.
+//!
+//! - [`targets`]: which targets there are, and which of them work,
+//! - [`engine_rates`], [`pass_model`], [`pass_outlook`]: what a prompt costs an
+//!   engine and those who wait there,
+//! - [`loss`]: what requests lose by coming late,
+//! - [`policy`]: what is weighed, and how much,
+//! - [`placement`]: where a request goes, and who helps to read its prompt,
+//! - [`return_time`]: when callers that are refused are told to come back,
+//! - [`retry_budget`]: how often it may be tried again.
+
+pub mod engine_rates;
+pub mod loss;
+pub mod pass_model;
+pub mod pass_outlook;
+mod pending_read;
+pub mod placement;
+pub mod policy;
+pub mod retry_budget;
+pub mod return_time;
+pub mod targets;
--- /dev/null
+++ b/src/relay/discovery/follow.rs
@@ -0,0 +1,254 @@
+//! Follows the platform's store: when it is read, and what for.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::feed::{ConfigWatch, PlatformFeed, TargetChange, TargetWatch};
+use crate::relay::shared::RelayShared;
+use crate::time::Tick;
+
+/// Time between two reads of the configuration that prove it current, well
+/// under the time for which a proof holds. A watch tells of changes sooner.
+const CONFIG_STEP: Duration = Duration::from_millis(2_600);
+
+/// Time between two answers of its watch, when it changes often: each is priced,
+/// and the last one brings the others with it.
+const NEWS_STEP: Duration = Duration::from_millis(300);
+
+/// Time between two reads while the store does not answer: short against the
+/// time for which a proof holds, long against the price of each.
+const RETRY_STEP: Duration = Duration::from_millis(400);
+
+/// Longest wait of one watch: each is priced as a call.
+const WATCH_WAIT: Duration = Duration::from_secs(25);
+
+/// Part of the bound for leaving targets that passes between two answers of a
+/// watch: changes come in groups, and each answer is priced. What is left of
+/// the bound is for a slow store and for requests on their way.
+const WATCH_PART: f64 = 0.4;
+
+/// Time between two answers of a watch in the first seconds of a process, when
+/// targets may be starting as well and each that is missed is missed dearly.
+const FIRST_WATCH_STEP: Duration = Duration::from_millis(200);
+
+/// How long a process counts as starting.
+const START_SPAN: Duration = Duration::from_secs(5);
+
+/// Longest time after which the list is read again while the store is away;
+/// the read of the configuration, which is tried more often, ends the wait.
+const LIST_RETRY: Duration = Duration::from_secs(1);
+
+/// Time without an answer after which entries of the list may have lapsed.
+const OUTAGE: Duration = Duration::from_millis(1_500);
+
+/// Follows the configuration for as long as the process runs.
+pub(crate) async fn follow_config(shared: Rc<RelayShared>, feed: Rc<PlatformFeed>) {
+    let mut known = 0;
+    let mut is_there = true;
+    let mut watching: Option<AbortOnDrop> = None;
+    loop {
+        let sent_at = shared.now();
+        let result = (feed.read_config)(known).await;
+        shared.counts.borrow_mut().store_calls += 1;
+        let read = match result {
+            Ok(read) => read,
+            Err(error) => {
+                note_lost(&shared, is_there, &error);
+                is_there = false;
+                tokio::time::sleep(RETRY_STEP).await;
+                continue;
+            }
+        };
+        if !is_there {
+            shared.log.dependency("store", true, "");
+            // What a watch heard during the outage can not be relied on, and its
+            // connection may hang.
+            shared.outages.send_modify(|count| *count += 1);
+            watching = None;
+        }
+        is_there = true;
+        // Without a configuration there is nothing to obey yet: nothing is
+        // proven, and nobody is let in.
+        if let Some(read) = read {
+            known = read.revision;
+            // A watch that did not tell of a change may be deaf.
+            if read.config.is_some() {
+                watching = None;
+            }
+            let mut core = shared.core.borrow_mut();
+            if core.take_config(read.config, sent_at) {
+                shared.log.config_changed(core.rules().version());
+            }
+            drop(core);
+            if watching.as_ref().is_none_or(AbortOnDrop::is_finished) {
+                let task = watch_config(shared.clone(), feed.clone(), read.store_revision);
+                watching = Some(AbortOnDrop(tokio::task::spawn_local(task)));
+            }
+        }
+        take_news_until(&shared, sent_at + CONFIG_STEP, &mut known).await;
+    }
+}
+
+/// Takes what the watch tells until the next read is due, or the watch has
+/// nothing more to tell.
+async fn take_news_until(shared: &RelayShared, due: Tick, known: &mut u64) {
+    loop {
+        let rest = due.since(shared.now());
+        if tokio::time::timeout(rest, shared.config_changed.notified()).await.is_err() {
+            return;
+        }
+        let news = shared.config_news.borrow_mut().take();
+        let Some(news) = news else {
+            // Not at once: a watch that fails again and again would have the
+            // store asked in a loop.
+            return tokio::time::sleep(NEWS_STEP).await;
+        };
+        *known = news.revision;
+        let mut core = shared.core.borrow_mut();
+        if core.take_news(news.config) {
+            shared.log.config_changed(core.rules().version());
+        }
+    }
+}
+
+/// A task that ends with its handle.
+struct AbortOnDrop(tokio::task::JoinHandle<()>);
+
+impl AbortOnDrop {
+    fn is_finished(&self) -> bool {
+        self.0.is_finished()
+    }
+}
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+fn note_lost(shared: &RelayShared, was_there: bool, error: &crate::Error) {
+    shared.counts.borrow_mut().store_failures += 1;
+    shared.away_at.set(Some(shared.now()));
+    if was_there {
+        shared.log.dependency("store", false, &error.to_string());
+    }
+}
+
+/// Tells of changes of the configuration until the store does not answer or
+/// has forgotten what happened. A watch that brings nothing proves nothing.
+async fn watch_config(shared: Rc<RelayShared>, feed: Rc<PlatformFeed>, mut revision: u64) {
+    loop {
+        let result = (feed.watch_config)(revision, WATCH_WAIT).await;
+        shared.counts.borrow_mut().store_calls += 1;
+        match result {
+            Ok(ConfigWatch::Changes(news, next)) => {
+                revision = next;
+                if news.is_some() {
+                    *shared.config_news.borrow_mut() = news;
+                    shared.config_changed.notify_one();
+                    tokio::time::sleep(NEWS_STEP).await;
+                }
+            }
+            Ok(ConfigWatch::Forgotten) => break,
+            Err(error) => {
+                shared.log.dependency("configuration watch", false, &error.to_string());
+                break;
+            }
+        }
+    }
+    // Whatever the reason, only a read tells what holds now.
+    shared.config_changed.notify_one();
+}
+
+/// Follows the list of targets for as long as the process runs.
+pub(crate) async fn follow_targets(shared: Rc<RelayShared>, feed: Rc<PlatformFeed>) {
+    let mut heard_at = shared.now();
+    let mut outages = shared.outages.subscribe();
+    loop {
+        outages.mark_unchanged();
+        let Some(mut revision) = read_list(&shared, &feed, heard_at).await else {
+            // Whether told of the store's return or not, the list is read.
+            drop(tokio::time::timeout(LIST_RETRY, outages.changed()).await);
+            continue;
+        };
+        heard_at = shared.now();
+        loop {
+            let next = tokio::select! {
+                next = watch_once(&shared, &feed, revision) => next,
+                // The connection of the watch may hang since an outage.
+                _ = outages.changed() => None,
+            };
+            let Some(next) = next else { break };
+            heard_at = shared.now();
+            revision = next;
+        }
+    }
+}
+
+/// Reads the whole list. Returns its revision, none where that failed.
+async fn read_list(shared: &RelayShared, feed: &PlatformFeed, heard_at: Tick) -> Option<u64> {
+    let result = (feed.list_targets)().await;
+    shared.counts.borrow_mut().store_calls += 1;
+    let now = shared.now();
+    match result {
+        Ok(list) => {
+            let is_after_outage = now.since(heard_at) > WATCH_WAIT + OUTAGE;
+            let change = {
+                let mut core = shared.core.borrow_mut();
+                core.take_list(list.records, is_after_outage || shared.was_away(now), now)
+            };
+            shared.log.targets_changed(&change);
+            Some(list.revision)
+        }
+        Err(error) => {
+            shared.away_at.set(Some(now));
+            shared.counts.borrow_mut().store_failures += 1;
+            shared.log.dependency("target list", false, &error.to_string());
+            None
+        }
+    }
+}
+
+/// Waits for one answer of a watch. Returns the next revision, none where the
+/// list has to be read anew.
+async fn watch_once(shared: &RelayShared, feed: &PlatformFeed, revision: u64) -> Option<u64> {
+    let result = (feed.watch_targets)(revision, WATCH_WAIT).await;
+    shared.counts.borrow_mut().store_calls += 1;
+    match result {
+        Ok(TargetWatch::Changes(changes, next)) => {
+            let is_empty = changes.is_empty();
+            let now = shared.now();
+            for change in changes {
+                take_change(shared, change);
+            }
+            if !is_empty {
+                tokio::time::sleep(watch_step(shared, now)).await;
+            }
+            Some(next)
+        }
+        Ok(TargetWatch::Forgotten) => None,
+        Err(error) => {
+            shared.log.dependency("target watch", false, &error.to_string());
+            None
+        }
+    }
+}
+
+/// Time until the next answer of the watch is asked for.
+fn watch_step(shared: &RelayShared, now: Tick) -> Duration {
+    // Ticks count from the start of the process.
+    if now < Tick::default() + START_SPAN {
+        return FIRST_WATCH_STEP;
+    }
+    shared.core.borrow().limits().drain_bound.mul_f64(WATCH_PART)
+}
+
+fn take_change(shared: &RelayShared, change: TargetChange) {
+    let now = shared.now();
+    let mut core = shared.core.borrow_mut();
+    let change = match change {
+        TargetChange::Listed(record) => core.take_change(record, now),
+        TargetChange::Removed(name) => core.targets.take_removal(&name, shared.was_away(now), now),
+    };
+    shared.log.targets_changed(&change);
+}
--- /dev/null
+++ b/src/relay/discovery/mod.rs
@@ -0,0 +1,11 @@
+//! What a process knows of its platform, and how current that is.
+//!
+//! - [`feed`]: how the platform's store is read,
+//! - `follow`: when and what for,
+//! - [`rules`]: what a configuration allows, and to whom,
+//! - [`freshness`]: whether that is known to be current.
+
+pub mod feed;
+pub(crate) mod follow;
+pub mod freshness;
+pub mod rules;
--- a/src/relay/discovery/rules.rs
+++ b/src/relay/discovery/rules.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::engine_rates::EngineRates;
+use crate::relay::decide::engine_rates::EngineRates;
 
 /// Whether and how a request of a route may be sent again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/relay/peers/adviser.rs
+++ b/src/relay/peers/adviser.rs
@@ -7,14 +7,14 @@
 use hyper::Request;
 use tokio::net::UdpSocket;
 
-use super::dialect::TargetDialect;
 use super::load_note::{LoadNote, MAX_NOTE};
-use super::settings::AdviserSettings;
 use super::subscriber_set::{NoteOut, SubscriberSet};
 use crate::Result;
 use crate::client::{HttpClient, full};
 use crate::clock::ProcessClock;
 use crate::program::on_reload_signal;
+use crate::relay::proxy::dialect::TargetDialect;
+use crate::relay::settings::AdviserSettings;
 
 /// Time between two looks at the engine's report while it works.
 const REPORT_STEP: Duration = Duration::from_millis(400);
--- a/src/relay/peers/load_link.rs
+++ b/src/relay/peers/load_link.rs
@@ -2,15 +2,13 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::net::UdpSocket;
 
-use super::core::RelayCore;
-use super::load_note::{LoadNote, MAX_NOTE};
-use super::server::RelayShared;
+use super::load_note::LoadNote;
 use crate::Result;
+use crate::relay::core::RelayCore;
 use crate::time::Tick;
 
 /// Time between two subscriptions; an agent forgets an entry after a few.
@@ -18,22 +16,22 @@
 
 /// The entry's socket for notes.
 #[derive(Debug)]
-pub(super) struct LoadLink {
-    socket: UdpSocket,
+pub(crate) struct LoadLink {
+    pub(crate) socket: UdpSocket,
     port: u16,
     subscribed_at: Cell<Option<Tick>>,
 }
 
 impl LoadLink {
     /// Listens; agents listen on the same port of their hosts.
-    pub(super) async fn bind(address: SocketAddr) -> Result<Self> {
+    pub(crate) async fn bind(address: SocketAddr) -> Result<Self> {
         let socket = UdpSocket::bind(address).await?;
         let port = socket.local_addr()?.port();
         Ok(LoadLink { socket, port, subscribed_at: Cell::new(None) })
     }
 
     /// Sends a note to the agent beside its engine.
-    pub(super) fn send(&self, core: &RelayCore, note: &LoadNote) {
+    pub(crate) fn send(&self, core: &RelayCore, note: &LoadNote) {
         let (LoadNote::Placed { target, .. } | LoadNote::Ended { target, .. }) = note else {
             return;
         };
@@ -51,7 +49,7 @@
     }
 
     /// Tells the agents from time to time that this entry uses their engines.
-    pub(super) fn subscribe(&self, core: &RelayCore, now: Tick) {
+    pub(crate) fn subscribe(&self, core: &RelayCore, now: Tick) {
         if self.subscribed_at.get().is_some_and(|at| now.since(at) < SUBSCRIBE_STEP) {
             return;
         }
@@ -64,35 +62,3 @@
         }
     }
 }
-
-/// Takes what agents send, for as long as the process runs.
-pub(super) async fn receive(shared: Rc<RelayShared>) {
-    let mut buffer = [0; MAX_NOTE];
-    loop {
-        // A failed read is the echo of a datagram that nobody took.
-        let Ok((length, from)) = shared.link.socket.recv_from(&mut buffer).await else {
-            tokio::task::yield_now().await;
-            continue;
-        };
-        let Ok(note) = LoadNote::from_bytes(&buffer[..length]) else {
-            continue;
-        };
-        let now = shared.now();
-        let mut core = shared.core.borrow_mut();
-        let note = name_target(&core, note, from);
-        core.take_note(note, now);
-    }
-}
-
-/// An agent that has not heard of its target yet leaves its name open: it is
-/// the one at the agent's own host.
-fn name_target(core: &RelayCore, note: LoadNote, from: SocketAddr) -> LoadNote {
-    match note {
-        LoadNote::Welcome { target, entries, pace_percent, proof_age_ms } if target.is_empty() => {
-            let beside = core.targets.iter().find(|target| target.record.address.ip() == from.ip());
-            let target = beside.map_or(target, |beside| beside.record.incarnation.clone());
-            LoadNote::Welcome { target, entries, pace_percent, proof_age_ms }
-        }
-        note => note,
-    }
-}
--- a/src/relay/peers/load_note.rs
+++ b/src/relay/peers/load_note.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::pass_model::{StreamKey, StreamLoad};
+use crate::relay::decide::pass_model::{StreamKey, StreamLoad};
 
 /// Largest datagram that is read, in bytes.
 pub const MAX_NOTE: usize = 1_200;
--- /dev/null
+++ b/src/relay/peers/mod.rs
@@ -0,0 +1,11 @@
+//! What the processes of a fleet say to one another.
+//!
+//! Entries tell one another of the work they give to engines through the agents
+//! beside these: [`load_note`] is what is said, [`subscriber_set`] what an agent
+//! knows, [`adviser`] the agent's process, and `load_link` an entry's socket.
+
+pub mod adviser;
+pub(crate) mod load_link;
+pub mod load_note;
+pub(crate) mod receive;
+pub mod subscriber_set;
--- /dev/null
+++ b/src/relay/peers/receive.rs
@@ -0,0 +1,40 @@
+//! Takes the notes that agents send to an entry.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use super::load_note::{LoadNote, MAX_NOTE};
+use crate::relay::core::RelayCore;
+use crate::relay::shared::RelayShared;
+
+/// Takes what agents send, for as long as the process runs.
+pub(crate) async fn receive(shared: Rc<RelayShared>) {
+    let mut buffer = [0; MAX_NOTE];
+    loop {
+        // A failed read is the echo of a datagram that nobody took.
+        let Ok((length, from)) = shared.link.socket.recv_from(&mut buffer).await else {
+            tokio::task::yield_now().await;
+            continue;
+        };
+        let Ok(note) = LoadNote::from_bytes(&buffer[..length]) else {
+            continue;
+        };
+        let now = shared.now();
+        let mut core = shared.core.borrow_mut();
+        let note = name_target(&core, note, from);
+        core.take_note(note, now);
+    }
+}
+
+/// An agent that has not heard of its target yet leaves its name open: it is
+/// the one at the agent's own host.
+fn name_target(core: &RelayCore, note: LoadNote, from: SocketAddr) -> LoadNote {
+    match note {
+        LoadNote::Welcome { target, entries, pace_percent, proof_age_ms } if target.is_empty() => {
+            let beside = core.targets.iter().find(|target| target.record.address.ip() == from.ip());
+            let target = beside.map_or(target, |beside| beside.record.incarnation.clone());
+            LoadNote::Welcome { target, entries, pace_percent, proof_age_ms }
+        }
+        note => note,
+    }
+}
--- a/src/relay/proxy/answer.rs
+++ b/src/relay/proxy/answer.rs
@@ -20,17 +20,17 @@
 /// the end that would make it look whole.
 #[derive(Clone, Copy, Debug, Display, Error)]
 #[display("the answer broke off")]
-pub(super) struct BrokenAnswer;
+pub(crate) struct BrokenAnswer;
 
 /// Body of an answer.
-pub(super) enum RelayBody {
+pub(crate) enum RelayBody {
     /// Whole.
     Whole(Full<Bytes>),
     /// In parts as they come.
     Parts(mpsc::Receiver<Result<Bytes, BrokenAnswer>>),
 }
 
-pub(super) type RelayAnswer = Response<RelayBody>;
+pub(crate) type RelayAnswer = Response<RelayBody>;
 
 impl Body for RelayBody {
     type Data = Bytes;
@@ -67,17 +67,17 @@
 
 /// A failure that the relay answers itself.
 #[derive(Clone, Debug)]
-pub(super) struct RelayFault {
-    pub(super) status: StatusCode,
-    pub(super) code: &'static str,
-    pub(super) why: String,
-    pub(super) verdict: Verdict,
-    pub(super) retry_after: Option<Duration>,
+pub(crate) struct RelayFault {
+    pub(crate) status: StatusCode,
+    pub(crate) code: &'static str,
+    pub(crate) why: String,
+    pub(crate) verdict: Verdict,
+    pub(crate) retry_after: Option<Duration>,
 }
 
 impl RelayFault {
     /// Refused without having run; the caller may come back.
-    pub(super) fn refused(code: &'static str, why: impl Into<String>, after: Duration) -> Self {
+    pub(crate) fn refused(code: &'static str, why: impl Into<String>, after: Duration) -> Self {
         RelayFault {
             status: StatusCode::SERVICE_UNAVAILABLE,
             code,
@@ -88,17 +88,17 @@
     }
 
     /// Refused for what the request is.
-    pub(super) fn bad(status: StatusCode, code: &'static str, why: impl Into<String>) -> Self {
+    pub(crate) fn bad(status: StatusCode, code: &'static str, why: impl Into<String>) -> Self {
         RelayFault { status, code, why: why.into(), verdict: Verdict::NotRun, retry_after: None }
     }
 
     /// Failed, and may have run.
-    pub(super) fn failed(status: StatusCode, code: &'static str, why: impl Into<String>) -> Self {
+    pub(crate) fn failed(status: StatusCode, code: &'static str, why: impl Into<String>) -> Self {
         let verdict = Verdict::MayHaveRun;
         RelayFault { status, code, why: why.into(), verdict, retry_after: None }
     }
 
-    pub(super) fn into_answer(self, dialect: &CallerDialect, id: &str) -> RelayAnswer {
+    pub(crate) fn into_answer(self, dialect: &CallerDialect, id: &str) -> RelayAnswer {
         #[derive(Serialize)]
         struct FaultText<'a> {
             code: &'a str,
--- a/src/relay/proxy/call.rs
+++ b/src/relay/proxy/call.rs
@@ -10,18 +10,18 @@
 use super::answer::{RelayAnswer, RelayBody, RelayFault};
 use super::forward::{AttemptFault, OpenAnswer, RelayJob, open};
 use super::ledger::RequestLedger;
-use super::placement::Placement;
 use super::series::AttemptSeries;
-use super::server::RelayShared;
-use super::targets::TargetFault;
+use crate::relay::decide::placement::Placement;
+use crate::relay::decide::targets::TargetFault;
+use crate::relay::shared::RelayShared;
 use crate::verdict::Verdict;
 use crate::web::{BodyFault, read_body};
 
 /// Largest whole answer of a target, in bytes.
-pub(super) const MAX_ANSWER: usize = 8 * 1024 * 1024;
+pub(crate) const MAX_ANSWER: usize = 8 * 1024 * 1024;
 
 /// Serves a plain call: the answer is read whole before any of it is given.
-pub(super) async fn serve_call(
+pub(crate) async fn serve_call(
     shared: &Rc<RelayShared>,
     job: &RelayJob,
     ledger: &mut RequestLedger,
--- a/src/relay/proxy/exchange.rs
+++ b/src/relay/proxy/exchange.rs
@@ -10,16 +10,16 @@
 
 use super::answer::{RelayAnswer, RelayFault};
 use super::call::serve_call;
-use super::core::{Refusal, RelayCore};
 use super::dialect::CallerHead;
 use super::forward::RelayJob;
 use super::ledger::RequestLedger;
-use super::placement::PromptNeed;
-use super::record::RequestEnd;
-use super::rules::{Access, RouteRule};
 use super::series::NO_ROOM_RETRY;
-use super::server::RelayShared;
 use super::stream::serve_stream;
+use crate::relay::core::{Refusal, RelayCore};
+use crate::relay::decide::placement::PromptNeed;
+use crate::relay::discovery::rules::{Access, RouteRule};
+use crate::relay::record::RequestEnd;
+use crate::relay::shared::RelayShared;
 use crate::time::Tick;
 use crate::web::{BodyFault, read_body};
 
@@ -32,7 +32,7 @@
 const ASSUMED_ANSWER: u64 = 1_500;
 
 /// Serves one request.
-pub(super) async fn serve(shared: Rc<RelayShared>, request: Request<Incoming>) -> RelayAnswer {
+pub(crate) async fn serve(shared: Rc<RelayShared>, request: Request<Incoming>) -> RelayAnswer {
     let arrived = shared.now();
     shared.counts.borrow_mut().requests += 1;
     let head = (shared.callers.parse_head)(request.headers());
--- a/src/relay/proxy/forward.rs
+++ b/src/relay/proxy/forward.rs
@@ -13,13 +13,13 @@
 use hyper::{Method, Request, Response, Uri};
 
 use super::connections::{TargetConnection, connect};
-use super::core::AttemptShare;
 use super::dialect::{AnswerHead, CallerHead, HelperSeat, TargetHead};
 use super::memory_hold::MemoryHold;
-use super::placement::{Placement, PromptNeed};
-use super::rules::RouteRule;
-use super::server::RelayShared;
-use super::targets::TargetFault;
+use crate::relay::core::AttemptShare;
+use crate::relay::decide::placement::{Placement, PromptNeed};
+use crate::relay::decide::targets::TargetFault;
+use crate::relay::discovery::rules::RouteRule;
+use crate::relay::shared::RelayShared;
 use crate::time::Tick;
 use crate::verdict::Verdict;
 
@@ -43,31 +43,31 @@
 const LOOK_STEP: Duration = Duration::from_millis(50);
 
 /// A caller's request, read whole.
-pub(super) struct RelayJob {
-    pub(super) route: Rc<RouteRule>,
-    pub(super) service: Arc<str>,
-    pub(super) account: Option<Arc<str>>,
-    pub(super) head: CallerHead,
-    pub(super) id: Arc<str>,
-    pub(super) method: Method,
-    pub(super) uri: Uri,
-    pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
-    pub(super) arrived: Tick,
+pub(crate) struct RelayJob {
+    pub(crate) route: Rc<RouteRule>,
+    pub(crate) service: Arc<str>,
+    pub(crate) account: Option<Arc<str>>,
+    pub(crate) head: CallerHead,
+    pub(crate) id: Arc<str>,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) arrived: Tick,
     /// When its time is up.
-    pub(super) deadline: Tick,
+    pub(crate) deadline: Tick,
     /// What its prompt asks of an engine, none for a plain call.
-    pub(super) need: Option<PromptNeed>,
+    pub(crate) need: Option<PromptNeed>,
 }
 
 impl RelayJob {
     /// Time after which its prompt is placed anew, where it waits.
-    pub(super) fn place_step(&self) -> Duration {
+    pub(crate) fn place_step(&self) -> Duration {
         self.route.objective / PLACE_WAITS
     }
 
     /// What its prompt asks of an engine at `now`.
-    pub(super) fn need_at(&self, now: Tick) -> Option<PromptNeed> {
+    pub(crate) fn need_at(&self, now: Tick) -> Option<PromptNeed> {
         let waited = now.since(self.arrived);
         let time_left = self.deadline.since(now);
         self.need.map(|need| PromptNeed { waited, time_left, ..need })
@@ -75,24 +75,24 @@
 }
 
 /// Why an attempt brought no answer.
-pub(super) struct AttemptFault {
+pub(crate) struct AttemptFault {
     /// What it says of the target.
-    pub(super) fault: TargetFault,
+    pub(crate) fault: TargetFault,
     /// Whether the request may have run.
-    pub(super) verdict: Verdict,
+    pub(crate) verdict: Verdict,
     /// In a few words.
-    pub(super) why: String,
+    pub(crate) why: String,
     /// Whether anything was sent.
-    pub(super) is_sent: bool,
+    pub(crate) is_sent: bool,
     /// An answer of the target that the caller may get.
-    pub(super) answer: Option<Box<Response<Bytes>>>,
+    pub(crate) answer: Option<Box<Response<Bytes>>>,
     /// The request's time is up.
-    pub(super) is_timeout: bool,
+    pub(crate) is_timeout: bool,
     /// A helper that is at fault, and not the target itself.
-    pub(super) blamed: Option<SocketAddr>,
+    pub(crate) blamed: Option<SocketAddr>,
     /// It was on a kept connection, which its target may have forgotten: it
     /// says nothing of the target itself.
-    pub(super) is_stale: bool,
+    pub(crate) is_stale: bool,
 }
 
 impl AttemptFault {
@@ -114,29 +114,29 @@
         AttemptFault { is_sent: false, ..fault }
     }
 
-    pub(super) fn timeout(verdict: Verdict) -> Self {
+    pub(crate) fn timeout(verdict: Verdict) -> Self {
         let fault = AttemptFault::new(TargetFault::Silent, verdict, "time is up");
         AttemptFault { is_timeout: true, ..fault }
     }
 
-    pub(super) fn broken(why: impl Into<String>) -> Self {
+    pub(crate) fn broken(why: impl Into<String>) -> Self {
         AttemptFault::new(TargetFault::Broken, Verdict::MayHaveRun, why)
     }
 
-    pub(super) fn garbled(why: impl Into<String>) -> Self {
+    pub(crate) fn garbled(why: impl Into<String>) -> Self {
         AttemptFault::new(TargetFault::Garbled, Verdict::MayHaveRun, why)
     }
 
-    pub(super) fn silent(why: impl Into<String>) -> Self {
+    pub(crate) fn silent(why: impl Into<String>) -> Self {
         AttemptFault::new(TargetFault::Silent, Verdict::MayHaveRun, why)
     }
 }
 
 /// What an attempt holds. All of it is given back when this is dropped, and
 /// the connection is closed unless it was kept.
-pub(super) struct AttemptGuard {
+pub(crate) struct AttemptGuard {
     shared: Rc<RelayShared>,
-    pub(super) share: AttemptShare,
+    pub(crate) share: AttemptShare,
     connection: Option<TargetConnection>,
     /// Given back when it is dropped.
     memory: Option<MemoryHold>,
@@ -144,7 +144,7 @@
 
 impl AttemptGuard {
     /// Keeps the connection: the whole answer has been read.
-    pub(super) fn keep(&mut self, answer: &AnswerHead) {
+    pub(crate) fn keep(&mut self, answer: &AnswerHead) {
         let Some(connection) = self.connection.take() else { return };
         if !answer.is_last {
             let now = self.shared.now();
@@ -162,15 +162,15 @@
 }
 
 /// The head of an answer, and what is to come.
-pub(super) struct OpenAnswer {
-    pub(super) guard: AttemptGuard,
-    pub(super) parts: Parts,
-    pub(super) body: Incoming,
-    pub(super) head: AnswerHead,
+pub(crate) struct OpenAnswer {
+    pub(crate) guard: AttemptGuard,
+    pub(crate) parts: Parts,
+    pub(crate) body: Incoming,
+    pub(crate) head: AnswerHead,
 }
 
 /// Sends a request to its target and waits for the head of the answer.
-pub(super) async fn open(
+pub(crate) async fn open(
     shared: &Rc<RelayShared>,
     job: &RelayJob,
     placement: &Placement,
--- a/src/relay/proxy/ledger.rs
+++ b/src/relay/proxy/ledger.rs
@@ -6,25 +6,25 @@
 use hyper::StatusCode;
 
 use super::answer::RelayFault;
-use super::record::{RequestEnd, RequestLine, StreamPace};
-use super::server::{OpenRequest, RelayShared};
+use crate::relay::record::{RequestEnd, RequestLine, StreamPace};
+use crate::relay::shared::{OpenRequest, RelayShared};
 use crate::time::Tick;
 use crate::verdict::Verdict;
 
 /// What is logged of a request when it ends, also where its caller leaves.
-pub(super) struct RequestLedger {
+pub(crate) struct RequestLedger {
     shared: Rc<RelayShared>,
     id: Arc<str>,
     arrived: Tick,
-    pub(super) targets: Vec<Arc<str>>,
-    pub(super) pace: StreamPace,
+    pub(crate) targets: Vec<Arc<str>>,
+    pub(crate) pace: StreamPace,
     is_ended: bool,
     /// A planned stop waits for the end of the answer, not of its head.
     _open: OpenRequest,
 }
 
 impl RequestLedger {
-    pub(super) fn new(shared: &Rc<RelayShared>, id: Arc<str>, arrived: Tick) -> Self {
+    pub(crate) fn new(shared: &Rc<RelayShared>, id: Arc<str>, arrived: Tick) -> Self {
         RequestLedger {
             shared: shared.clone(),
             id,
@@ -36,7 +36,7 @@
         }
     }
 
-    pub(super) fn end(&mut self, end: RequestEnd, status: StatusCode, why: &str) {
+    pub(crate) fn end(&mut self, end: RequestEnd, status: StatusCode, why: &str) {
         self.is_ended = true;
         let shared = &self.shared;
         let now = shared.now();
@@ -56,7 +56,7 @@
         shared.log.request_ended(&line, now);
     }
 
-    pub(super) fn end_fault(&mut self, fault: &RelayFault) {
+    pub(crate) fn end_fault(&mut self, fault: &RelayFault) {
         self.shared.counts.borrow().note_fault(fault.code);
         let is_refused = fault.verdict == Verdict::NotRun;
         let end = if is_refused { RequestEnd::Refused } else { RequestEnd::Failed };
--- a/src/relay/proxy/memory_hold.rs
+++ b/src/relay/proxy/memory_hold.rs
@@ -15,10 +15,10 @@
 use tokio::task::AbortHandle;
 
 use super::dialect::{HelperSeat, Reservation, ReserveReply, TargetCall};
-use super::placement::Placement;
-use super::server::RelayShared;
 use crate::Result;
 use crate::client::full;
+use crate::relay::decide::placement::Placement;
+use crate::relay::shared::RelayShared;
 
 /// How long a reservation lasts without renewal: less than the two seconds
 /// from which memory that nobody uses is held against its owner.
@@ -40,7 +40,7 @@
 }
 
 /// Reservations of one attempt. They are given back when this is dropped.
-pub(super) struct MemoryHold {
+pub(crate) struct MemoryHold {
     shared: Rc<RelayShared>,
     seats: Vec<HeldSeat>,
     renewing: Option<AbortHandle>,
@@ -53,7 +53,7 @@
     /// # Errors
     ///
     /// Some engine refused or did not answer; nothing is held then.
-    pub(super) async fn reserve(
+    pub(crate) async fn reserve(
         shared: &Rc<RelayShared>,
         placement: &Placement,
         helpers: &mut [HelperSeat],
--- a/src/relay/proxy/series.rs
+++ b/src/relay/proxy/series.rs
@@ -8,13 +8,13 @@
 
 use super::answer::RelayFault;
 use super::forward::{AttemptFault, RelayJob};
-use super::placement::{Placement, TargetScope};
-use super::record::PlacedLine;
-use super::server::RelayShared;
+use crate::relay::decide::placement::{Placement, TargetScope};
+use crate::relay::record::PlacedLine;
+use crate::relay::shared::RelayShared;
 use crate::verdict::Verdict;
 
 /// Time to come back after a refusal for want of room.
-pub(super) const NO_ROOM_RETRY: Duration = Duration::from_millis(150);
+pub(crate) const NO_ROOM_RETRY: Duration = Duration::from_millis(150);
 
 /// Sends beyond the targets that may run a request: those that were refused.
 const REFUSED_SENDS: usize = 2;
@@ -23,7 +23,7 @@
 const REFUSED_WAIT: Duration = Duration::from_millis(30);
 
 /// The attempts of one request.
-pub(super) struct AttemptSeries {
+pub(crate) struct AttemptSeries {
     tried: Vec<Arc<str>>,
     /// Targets that may have run it.
     ran_at: Vec<Arc<str>>,
@@ -31,12 +31,12 @@
     runs: usize,
     sends: usize,
     worst: Verdict,
-    pub(super) answer: Option<Box<Response<Bytes>>>,
-    pub(super) why: String,
+    pub(crate) answer: Option<Box<Response<Bytes>>>,
+    pub(crate) why: String,
 }
 
 impl AttemptSeries {
-    pub(super) fn new() -> Self {
+    pub(crate) fn new() -> Self {
         AttemptSeries {
             tried: Vec::new(),
             ran_at: Vec::new(),
@@ -49,13 +49,13 @@
     }
 
     /// Returns true where nothing was sent yet.
-    pub(super) fn is_fresh(&self) -> bool {
+    pub(crate) fn is_fresh(&self) -> bool {
         self.tried.is_empty() && self.sends == 0
     }
 
     /// Returns true where another target could be tried after a silence of
     /// this one. Without another, silence is no reason to end an answer.
-    pub(super) fn may_hedge(
+    pub(crate) fn may_hedge(
         &self,
         shared: &RelayShared,
         job: &RelayJob,
@@ -72,7 +72,7 @@
     }
 
     /// Chooses the next target.
-    pub(super) fn place(&self, shared: &RelayShared, job: &RelayJob) -> Option<Placement> {
+    pub(crate) fn place(&self, shared: &RelayShared, job: &RelayJob) -> Option<Placement> {
         let mut core = shared.core.borrow_mut();
         let now = shared.now();
         let scope = if self.ran_at.len() < job.route.max_targets {
@@ -97,7 +97,7 @@
     }
 
     /// Notes a failed attempt. Returns true where another one may be made.
-    pub(super) fn note_fault(
+    pub(crate) fn note_fault(
         &mut self,
         shared: &RelayShared,
         job: &RelayJob,
@@ -149,7 +149,7 @@
     }
 
     /// The final failure of a request.
-    pub(super) fn to_fault(&self, is_timeout: bool) -> RelayFault {
+    pub(crate) fn to_fault(&self, is_timeout: bool) -> RelayFault {
         if self.worst == Verdict::NotRun {
             let why = if self.why.is_empty() { "no target can take it now" } else { &self.why };
             return RelayFault::refused("no_room", why, NO_ROOM_RETRY);
@@ -159,7 +159,7 @@
     }
 
     /// Waits a little after refusals: what is full now may have room soon.
-    pub(super) async fn pause(&self) {
+    pub(crate) async fn pause(&self) {
         if self.worst == Verdict::NotRun {
             tokio::time::sleep(REFUSED_WAIT).await;
         }
--- a/src/relay/proxy/stream.rs
+++ b/src/relay/proxy/stream.rs
@@ -13,16 +13,16 @@
 
 use super::answer::{BrokenAnswer, RelayAnswer, RelayBody, RelayFault};
 use super::call::MAX_ANSWER;
-use super::core::AttemptShare;
 use super::event_stream::EventSplitter;
 use super::forward::{AttemptFault, OpenAnswer, RelayJob, open};
 use super::ledger::RequestLedger;
-use super::placement::{Placement, PlacementAction, PromptNeed};
-use super::record::{RequestEnd, StreamPace};
-use super::return_time::after_overload;
 use super::series::AttemptSeries;
-use super::server::RelayShared;
-use super::targets::TargetFault;
+use crate::relay::core::AttemptShare;
+use crate::relay::decide::placement::{Placement, PlacementAction, PromptNeed};
+use crate::relay::decide::return_time::after_overload;
+use crate::relay::decide::targets::TargetFault;
+use crate::relay::record::{RequestEnd, StreamPace};
+use crate::relay::shared::RelayShared;
 use crate::time::Tick;
 use crate::verdict::Verdict;
 use crate::web::read_body;
@@ -72,7 +72,7 @@
 }
 
 /// Serves a stream of events.
-pub(super) async fn serve_stream(
+pub(crate) async fn serve_stream(
     shared: &Rc<RelayShared>,
     job: Rc<RelayJob>,
     mut ledger: RequestLedger,
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -13,8 +13,8 @@
 
 use slog::{Drain, Logger, Never, OwnedKVList, Record, info, o, warn};
 
-use super::freshness::StalePolicy;
-use super::targets::ListChange;
+use super::decide::targets::ListChange;
+use super::discovery::freshness::StalePolicy;
 use crate::time::Tick;
 
 /// Lines that wait for the writer.
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,15 +15,15 @@
 use tokio::sync::{Notify, watch};
 use tokio::task::LocalSet;
 
-use super::connections::ConnectionPool;
 use super::core::RelayCore;
-use super::counts::RelayCounts;
-use super::dialect::{CallerDialect, TargetDialect};
-use super::exchange::serve;
-use super::feed::{ConfigNews, PlatformFeed, follow_config, follow_targets};
-use super::load_link::LoadLink;
+use super::discovery::feed::PlatformFeed;
+use super::discovery::follow::{follow_config, follow_targets};
+use super::peers::load_link::LoadLink;
+use super::proxy::dialect::{CallerDialect, TargetDialect};
+use super::proxy::exchange::serve;
 use super::record::{DecisionLog, StdoutLog};
 use super::settings::{RelaySettings, SettingsFile};
+use super::shared::RelayShared;
 use super::stop::{StopPhase, StopPlan};
 use crate::Result;
 use crate::client::HttpClient;
@@ -42,9 +41,6 @@
 /// How often a stopping process looks whether it may end.
 const STOP_STEP: Duration = Duration::from_millis(50);
 
-/// Time after a failed store call for which lapsed entries may come back.
-const AWAY_SPAN: Duration = Duration::from_secs(3);
-
 /// How callers, targets and the platform's store are spoken to.
 pub struct RelayAdapter {
     /// Callers.
@@ -55,82 +51,6 @@
     pub feed: PlatformFeed,
 }
 
-/// What all requests of a process share.
-pub(super) struct RelayShared {
-    pub(super) core: RefCell<RelayCore>,
-    pub(super) pool: RefCell<ConnectionPool>,
-    pub(super) callers: CallerDialect,
-    pub(super) targets: TargetDialect,
-    pub(super) log: DecisionLog,
-    pub(super) counts: RefCell<RelayCounts>,
-    pub(super) is_stopping: Cell<bool>,
-    pub(super) is_closed_to_new: Cell<bool>,
-    pub(super) away_at: Cell<Option<Tick>>,
-    /// Counts the times that the store came back.
-    pub(super) outages: watch::Sender<u64>,
-    /// Told by the watch of the configuration, with news or at its end.
-    pub(super) config_changed: Notify,
-    /// The newest change that it told of and that was not taken yet.
-    pub(super) config_news: RefCell<Option<ConfigNews>>,
-    pub(super) link: LoadLink,
-    pub(super) orders: HttpClient,
-    order_number: Cell<u32>,
-    clock: ProcessClock,
-    open: Cell<usize>,
-}
-
-impl RelayShared {
-    pub(super) fn now(&self) -> Tick {
-        self.clock.now()
-    }
-
-    pub(super) fn address_of(&self, target: &str) -> Option<SocketAddr> {
-        self.core.borrow().targets.get(target).map(|target| target.record.address)
-    }
-
-    pub(super) fn silence_of(&self, target: &str) -> Duration {
-        let core = self.core.borrow();
-        core.targets.get(target).map_or(Duration::ZERO, |target| target.silence(self.now()))
-    }
-
-    /// A number that no other order of this process has.
-    pub(super) fn next_order(&self) -> u32 {
-        let number = self.order_number.get();
-        self.order_number.set(number.wrapping_add(1));
-        number
-    }
-
-    /// Sends what the core has to tell agents.
-    pub(super) fn send_notes(&self) {
-        let mut core = self.core.borrow_mut();
-        for note in core.take_notes() {
-            self.link.send(&core, &note);
-        }
-    }
-
-    /// Returns true where entries of the target list may have lapsed because
-    /// the store was away.
-    pub(super) fn was_away(&self, now: Tick) -> bool {
-        self.away_at.get().is_some_and(|at| now.since(at) < AWAY_SPAN)
-    }
-}
-
-/// Counts a request as open while its answer is not whole.
-pub(super) struct OpenRequest(Rc<RelayShared>);
-
-impl OpenRequest {
-    pub(super) fn new(shared: &Rc<RelayShared>) -> Self {
-        shared.open.set(shared.open.get() + 1);
-        OpenRequest(shared.clone())
-    }
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
-    }
-}
-
 /// Runs the relay until `stop` ends, and then until its requests have ended.
 ///
 /// # Errors
@@ -187,7 +107,7 @@
     tokio::task::spawn_local(accept_status(shared.clone(), readiness));
     tokio::task::spawn_local(accept_status(shared.clone(), metrics));
     tokio::task::spawn_local(sweep(shared.clone()));
-    tokio::task::spawn_local(super::load_link::receive(shared.clone()));
+    tokio::task::spawn_local(super::peers::receive::receive(shared.clone()));
     let stop_limit = settings.stop_limit();
     tokio::task::spawn_local(follow_settings(shared.clone(), file, settings));
     stop.await;
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -9,9 +9,9 @@
 use serde::de::DeserializeOwned;
 
 use super::core::RelayLimits;
-use super::freshness::StalePolicy;
-use super::policy::RelayPolicy;
-use super::retry_budget::RetryBound;
+use super::decide::policy::RelayPolicy;
+use super::decide::retry_budget::RetryBound;
+use super::discovery::freshness::StalePolicy;
 use crate::error::{Error, Result};
 
 /// Settings of an entry that relays.
--- /dev/null
+++ b/src/relay/shared.rs
@@ -0,0 +1,98 @@
+//! State that the tasks of one entry share.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::{Notify, watch};
+
+use super::core::RelayCore;
+use super::counts::RelayCounts;
+use super::discovery::feed::ConfigNews;
+use super::peers::load_link::LoadLink;
+use super::proxy::connections::ConnectionPool;
+use super::proxy::dialect::{CallerDialect, TargetDialect};
+use super::record::DecisionLog;
+use crate::client::HttpClient;
+use crate::clock::ProcessClock;
+use crate::time::Tick;
+
+/// Time after a failed store call for which lapsed entries may come back.
+const AWAY_SPAN: Duration = Duration::from_secs(3);
+
+/// What all requests of a process share.
+pub(crate) struct RelayShared {
+    pub(crate) core: RefCell<RelayCore>,
+    pub(crate) pool: RefCell<ConnectionPool>,
+    pub(crate) callers: CallerDialect,
+    pub(crate) targets: TargetDialect,
+    pub(crate) log: DecisionLog,
+    pub(crate) counts: RefCell<RelayCounts>,
+    pub(crate) is_stopping: Cell<bool>,
+    pub(crate) is_closed_to_new: Cell<bool>,
+    pub(crate) away_at: Cell<Option<Tick>>,
+    /// Counts the times that the store came back.
+    pub(crate) outages: watch::Sender<u64>,
+    /// Told by the watch of the configuration, with news or at its end.
+    pub(crate) config_changed: Notify,
+    /// The newest change that it told of and that was not taken yet.
+    pub(crate) config_news: RefCell<Option<ConfigNews>>,
+    pub(crate) link: LoadLink,
+    pub(crate) orders: HttpClient,
+    pub(crate) order_number: Cell<u32>,
+    pub(crate) clock: ProcessClock,
+    pub(crate) open: Cell<usize>,
+}
+
+impl RelayShared {
+    pub(crate) fn now(&self) -> Tick {
+        self.clock.now()
+    }
+
+    pub(crate) fn address_of(&self, target: &str) -> Option<SocketAddr> {
+        self.core.borrow().targets.get(target).map(|target| target.record.address)
+    }
+
+    pub(crate) fn silence_of(&self, target: &str) -> Duration {
+        let core = self.core.borrow();
+        core.targets.get(target).map_or(Duration::ZERO, |target| target.silence(self.now()))
+    }
+
+    /// A number that no other order of this process has.
+    pub(crate) fn next_order(&self) -> u32 {
+        let number = self.order_number.get();
+        self.order_number.set(number.wrapping_add(1));
+        number
+    }
+
+    /// Sends what the core has to tell agents.
+    pub(crate) fn send_notes(&self) {
+        let mut core = self.core.borrow_mut();
+        for note in core.take_notes() {
+            self.link.send(&core, &note);
+        }
+    }
+
+    /// Returns true where entries of the target list may have lapsed because
+    /// the store was away.
+    pub(crate) fn was_away(&self, now: Tick) -> bool {
+        self.away_at.get().is_some_and(|at| now.since(at) < AWAY_SPAN)
+    }
+}
+
+/// Counts a request as open while its answer is not whole.
+pub(crate) struct OpenRequest(Rc<RelayShared>);
+
+impl OpenRequest {
+    pub(crate) fn new(shared: &Rc<RelayShared>) -> Self {
+        shared.open.set(shared.open.get() + 1);
+        OpenRequest(shared.clone())
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
--- a/tests/relay/budget.rs
+++ b/tests/relay/budget.rs
@@ -1,6 +1,6 @@
 //! Second attempts over all entries.
 
-use shalelane::relay::retry_budget::{RetryBound, RetryBudget};
+use shalelane::relay::decide::retry_budget::{RetryBound, RetryBudget};
 
 use crate::fixture::{at, check, ms};
 
--- a/tests/relay/events.rs
+++ b/tests/relay/events.rs
@@ -1,6 +1,6 @@
 //! Whole events of a stream.
 
-use shalelane::relay::event_stream::EventSplitter;
+use shalelane::relay::proxy::event_stream::EventSplitter;
 
 use crate::fixture::check;
 
--- a/tests/relay/fixture.rs
+++ b/tests/relay/fixture.rs
@@ -6,13 +6,13 @@
 
 use quickcheck::{Gen, QuickCheck, Testable};
 use shalelane::relay::core::RelayLimits;
-use shalelane::relay::engine_rates::EngineRates;
-use shalelane::relay::freshness::StalePolicy;
-use shalelane::relay::pass_model::{StreamKey, StreamLoad};
-use shalelane::relay::placement::PromptNeed;
-use shalelane::relay::policy::RelayPolicy;
-use shalelane::relay::retry_budget::RetryBound;
-use shalelane::relay::targets::{TargetRecord, TargetSet};
+use shalelane::relay::decide::engine_rates::EngineRates;
+use shalelane::relay::decide::pass_model::{StreamKey, StreamLoad};
+use shalelane::relay::decide::placement::PromptNeed;
+use shalelane::relay::decide::policy::RelayPolicy;
+use shalelane::relay::decide::retry_budget::RetryBound;
+use shalelane::relay::decide::targets::{TargetRecord, TargetSet};
+use shalelane::relay::discovery::freshness::StalePolicy;
 use shalelane::time::Tick;
 
 /// The entry that looks on.
--- a/tests/relay/notes.rs
+++ b/tests/relay/notes.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
-use shalelane::relay::load_note::{LoadNote, MAX_NOTE};
-use shalelane::relay::pass_model::StreamKey;
-use shalelane::relay::subscriber_set::{NoteOut, SubscriberSet};
+use shalelane::relay::decide::pass_model::StreamKey;
+use shalelane::relay::peers::load_note::{LoadNote, MAX_NOTE};
+use shalelane::relay::peers::subscriber_set::{NoteOut, SubscriberSet};
 
 use crate::fixture::{at, check, name, short_load};
 
--- a/tests/relay/places.rs
+++ b/tests/relay/places.rs
@@ -2,12 +2,12 @@
 
 use std::collections::HashSet;
 
-use shalelane::relay::pass_model::StreamLoad;
-use shalelane::relay::placement::{
+use shalelane::relay::decide::pass_model::StreamLoad;
+use shalelane::relay::decide::placement::{
     Placement, PlacementAction, PlacementQuery, PromptNeed, TargetScope, place_call, place_prompt,
 };
-use shalelane::relay::policy::RelayPolicy;
-use shalelane::relay::targets::{TargetFault, TargetSet};
+use shalelane::relay::decide::policy::RelayPolicy;
+use shalelane::relay::decide::targets::{TargetFault, TargetSet};
 
 use crate::fixture::{at, check, engines, helper_load, key, ms, name, need, part_load, short_load};
 
--- a/tests/relay/return_time.rs
+++ b/tests/relay/return_time.rs
@@ -1,7 +1,7 @@
 //! When callers that are refused are told to come back.
 
-use shalelane::relay::placement::{Placement, PromptNeed, place_prompt};
-use shalelane::relay::return_time::after_overload;
+use shalelane::relay::decide::placement::{Placement, PromptNeed, place_prompt};
+use shalelane::relay::decide::return_time::after_overload;
 
 use crate::fixture::{at, check, engines, ms, need};
 use crate::places::ANY_QUERY;
--- a/tests/relay/rules.rs
+++ b/tests/relay/rules.rs
@@ -1,9 +1,11 @@
 //! Routes, keys, and the proof that they are current.
 
 use shalelane::relay::core::{Refusal, RelayCore};
-use shalelane::relay::freshness::{FreshnessLease, StalePolicy};
-use shalelane::relay::load_note::LoadNote;
-use shalelane::relay::rules::{AccountRule, RelayConfig, RepeatRule, RouteRule, WeightedService};
+use shalelane::relay::discovery::freshness::{FreshnessLease, StalePolicy};
+use shalelane::relay::discovery::rules::{
+    AccountRule, RelayConfig, RepeatRule, RouteRule, WeightedService,
+};
+use shalelane::relay::peers::load_note::LoadNote;
 
 use crate::fixture::{at, check, limits, ms, name};
 
--- a/tests/relay/targets.rs
+++ b/tests/relay/targets.rs
@@ -1,10 +1,10 @@
 //! Which targets are known and used.
 
 use shalelane::relay::core::RelayCore;
-use shalelane::relay::freshness::StalePolicy;
-use shalelane::relay::placement::TargetScope;
-use shalelane::relay::rules::{RelayConfig, ServiceRule};
-use shalelane::relay::targets::{TargetRecord, TargetSet};
+use shalelane::relay::decide::placement::TargetScope;
+use shalelane::relay::decide::targets::{TargetRecord, TargetSet};
+use shalelane::relay::discovery::freshness::StalePolicy;
+use shalelane::relay::discovery::rules::{RelayConfig, ServiceRule};
 
 use crate::fixture::{at, limits, name, need, rates, record};
 
