Use a bounded part of a large fleet, and one proof for many entries

Every entry subscribed at every agent and was told of every placement of all others, and asked the store each 2.6 s for the same configuration.

Change: an entry uses at most 48 engines of a service, by rendezvous hash, half of them of its own failure domain (decide/engine_subset.rs); it weighs, and is told of, no others. Entries renew their lease by another entry's proof, asked and answered by datagram, and read the store only where they find none that is newer (discovery/proof_share.rs says why that is sound).

Conclusion: what an entry is told has to be bounded; 48 engines leave room for joint reads.

--- a/src/relay/core.rs
+++ b/src/relay/core.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::decide::engine_subset::{SubsetQuery, mark_used};
 use super::decide::pass_model::{StreamKey, StreamLoad};
 use super::decide::placement::{
     Placement, PlacementQuery, PromptNeed, TargetScope, place_call, place_prompt,
@@ -14,6 +15,7 @@
 use super::decide::retry_budget::{RetryBound, RetryBudget};
 use super::decide::targets::{ListChange, TargetFault, TargetRecord, TargetSet};
 use super::discovery::freshness::{FreshnessLease, StalePolicy};
+use super::discovery::proof_share::{PeerProof, PeerVerdict, ProofShare};
 use super::discovery::rules::{Access, AccessFault, RelayConfig, RouteRule, RuleTable};
 use super::peers::load_note::LoadNote;
 use crate::time::Tick;
@@ -65,9 +67,13 @@
     next_number: u64,
     rules: Rc<RuleTable>,
     lease: FreshnessLease,
+    share: ProofShare,
+    /// Revision of the configuration in the store.
+    config_revision: u64,
     /// The targets.
     pub targets: TargetSet,
     budgets: HashMap<Arc<str>, RetryBudget>,
+    /// Most entries that an agent was seen to tell.
     entries: Option<usize>,
     notes: Vec<LoadNote>,
 }
@@ -82,6 +88,8 @@
             entry,
             next_number: 0,
             rules: Rc::default(),
+            share: ProofShare::default(),
+            config_revision: 0,
             targets: TargetSet::default(),
             budgets: HashMap::new(),
             entries: None,
@@ -150,6 +158,37 @@
         true
     }
 
+    /// Notes the revision that the configuration in force has in the store.
+    pub fn set_config_revision(&mut self, revision: u64) {
+        self.config_revision = self.config_revision.max(revision);
+    }
+
+    /// The entry that is to be asked for its proof, and the question: none where
+    /// none is known whose proof is enough newer.
+    pub fn ask_proof(&mut self, now: Tick) -> Option<(SocketAddr, LoadNote)> {
+        let nonce = rand::random();
+        let address = self.share.ask(nonce, self.lease.proven_at()?, now)?;
+        Some((address, LoadNote::AskProof { nonce }))
+    }
+
+    /// Answers another entry's question, where there is anything to tell.
+    #[must_use]
+    pub fn tell_proof(&self, nonce: u64, now: Tick) -> Option<LoadNote> {
+        const ROUNDING: u32 = 1;
+        let age = self.lease.age(now).filter(|_| self.lease.is_held(now))?;
+        let proof_age_ms = u32::try_from(age.as_millis()).ok()? + ROUNDING;
+        Some(LoadNote::TellProof { nonce, revision: self.config_revision, proof_age_ms })
+    }
+
+    /// Takes another entry's answer, and renews the lease by it where it may.
+    pub fn take_proof(&mut self, proof: PeerProof) -> PeerVerdict {
+        let verdict = self.share.take_answer(proof, self.config_revision);
+        if let PeerVerdict::ProvenAt(at) = verdict {
+            self.lease.renew(at);
+        }
+        verdict
+    }
+
     /// Takes a whole list of targets.
     pub fn take_list(
         &mut self,
@@ -159,9 +198,18 @@
     ) -> ListChange {
         let change = self.targets.take_list(records, is_after_outage, now);
         self.set_rates();
+        self.choose_engines(now);
         change
     }
 
+    /// Chooses anew which engines this entry uses.
+    pub fn choose_engines(&mut self, now: Tick) {
+        let RelayLimits { failure_domain, policy, .. } = &self.limits;
+        let query = SubsetQuery { entry: self.entry, failure_domain, most: policy.most_engines };
+        let services: Vec<_> = self.engine_services().into_iter().collect();
+        mark_used(&mut self.targets, &services, query, now);
+    }
+
     /// Gives each target the rates of its service. Configuration and list are
     /// read separately, and either may come first.
     fn set_rates(&mut self) {
@@ -180,6 +228,7 @@
     pub fn take_change(&mut self, record: TargetRecord, now: Tick) -> ListChange {
         let change = self.targets.take_change(record, now);
         self.set_rates();
+        self.choose_engines(now);
         change
     }
 
@@ -238,7 +287,7 @@
 
     /// Takes a second attempt from the budget, false where none is left.
     pub fn take_retry(&mut self, service: &Arc<str>, now: Tick) -> bool {
-        let entries = self.entries;
+        let entries = self.fleet_entries();
         self.budget(service).take(now, entries)
     }
 
@@ -246,12 +295,23 @@
     /// was not tried.
     pub fn could_retry(&mut self, service: &Arc<str>, tried: &[Arc<str>], now: Tick) -> bool {
         let is_new = |name| !tried.contains(name);
-        let has_other =
-            self.targets.usable(service).any(|target| is_new(&target.record.incarnation));
-        let entries = self.entries;
+        let has_other = self
+            .targets
+            .usable(service)
+            .any(|target| target.is_used && is_new(&target.record.incarnation));
+        let entries = self.fleet_entries();
         has_other && self.budget(service).is_left(now, entries)
     }
 
+    /// Entries of the whole fleet. An agent counts those that use its engine,
+    /// which are a part of all where each uses a part of the engines. The largest
+    /// count is taken: rather too many entries than too many second attempts.
+    fn fleet_entries(&self) -> Option<usize> {
+        let engines = || self.targets.iter().filter(|target| target.model.is_some());
+        let used = engines().filter(|target| target.is_used).count();
+        self.entries.map(|entries| (entries * engines().count()).div_ceil(used.max(1)))
+    }
+
     fn budget(&mut self, service: &Arc<str>) -> &mut RetryBudget {
         let bound = self.limits.retry_bound;
         self.budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(bound))
@@ -266,7 +326,7 @@
         now: Tick,
     ) -> Option<Placement> {
         drop(self.targets.expire(now));
-        for target in self.targets.iter_mut() {
+        for target in self.targets.iter_mut().filter(|target| target.is_used) {
             if let Some(model) = &mut target.model {
                 model.advance(now);
             }
@@ -416,10 +476,14 @@
     /// Takes a note from an agent.
     pub fn take_note(&mut self, note: LoadNote, now: Tick) {
         match note {
-            LoadNote::Welcome { target, entries, pace_percent, proof_age_ms } => {
+            LoadNote::Welcome { target, entries, pace_percent, proof_age_ms, proof_from } => {
                 self.entries = Some(self.entries.unwrap_or(0).max(entries as usize));
                 if let Some(age) = proof_age_ms {
-                    self.lease.note_other(now - Duration::from_millis(age.into()));
+                    let proven_at = now - Duration::from_millis(age.into());
+                    self.lease.note_other(proven_at);
+                    if let Some(address) = proof_from {
+                        self.share.note_source(address, proven_at);
+                    }
                 }
                 if self.limits.policy.follows_pace
                     && let Some(model) = self.model(&target)
@@ -446,11 +510,6 @@
         }
     }
 
-    /// Forgets how many entries there are, so that it is counted anew.
-    pub fn recount_entries(&mut self) {
-        self.entries = None;
-    }
-
     fn model(&mut self, target: &str) -> Option<&mut super::decide::pass_model::PassModel> {
         self.targets.get_mut(target)?.model.as_mut()
     }
--- a/src/relay/decide/mod.rs
+++ b/src/relay/decide/mod.rs
@@ -1,6 +1,7 @@
 //! What is decided about a request, without sockets, clocks or tasks.
 //!
 //! - [`targets`]: which targets there are, and which of them work,
+//! - [`engine_subset`]: which engines of a large fleet are used,
 //! - [`engine_rates`], [`pass_model`], [`pass_outlook`]: what a prompt costs an
 //!   engine and those who wait there,
 //! - [`loss`]: what requests lose by coming late,
@@ -10,6 +11,7 @@
 //! - [`retry_budget`]: how often it may be tried again.
 
 pub mod engine_rates;
+pub mod engine_subset;
 pub mod loss;
 pub mod pass_model;
 pub mod pass_outlook;
--- a/src/relay/decide/placement.rs
+++ b/src/relay/decide/placement.rs
@@ -118,10 +118,11 @@
 }
 
 impl TargetScope<'_> {
-    fn holds(self, target: &Arc<str>) -> bool {
+    fn holds(self, target: &TargetState) -> bool {
+        let name = &target.record.incarnation;
         match self {
-            TargetScope::Untried(tried) => !tried.contains(target),
-            TargetScope::Only(allowed) => allowed.contains(target),
+            TargetScope::Untried(tried) => target.is_used && !tried.contains(name),
+            TargetScope::Only(allowed) => allowed.contains(name),
         }
     }
 }
@@ -237,10 +238,8 @@
     query: &PlacementQuery<'a>,
     now: Tick,
 ) -> Vec<&'a TargetState> {
-    let fresh: Vec<_> = set
-        .usable(query.service)
-        .filter(|target| query.scope.holds(&target.record.incarnation))
-        .collect();
+    let fresh: Vec<_> =
+        set.usable(query.service).filter(|target| query.scope.holds(target)).collect();
     let is_well = |target: &&TargetState| !(query.policy.ejects && target.is_ejected(now));
     let well: Vec<_> = fresh.iter().copied().filter(is_well).collect();
     if well.is_empty() { fresh } else { well }
--- a/src/relay/decide/policy.rs
+++ b/src/relay/decide/policy.rs
@@ -13,6 +13,9 @@
 #[serde(default, deny_unknown_fields)]
 #[expect(clippy::struct_excessive_bools, reason = "each switches off a mechanism of its own")]
 pub struct RelayPolicy {
+    /// Most engines of a service that an entry uses, zero for all. What an entry is
+    /// told and weighs grows with them; fewer leave less room for joint reads.
+    pub most_engines: usize,
     /// Most engines that read a prompt beside the one that writes, zero for none.
     pub most_helpers: usize,
     /// Shortest part of a prompt that is worth an engine of its own, in ms.
@@ -68,6 +71,7 @@
 impl RelayPolicy {
     /// What holds where the settings say nothing else.
     pub const DEFAULT: RelayPolicy = RelayPolicy {
+        most_engines: 48,
         most_helpers: 16,
         min_part_ms: 25,
         helper_cost: 0.001,
--- a/src/relay/decide/targets.rs
+++ b/src/relay/decide/targets.rs
@@ -68,6 +68,8 @@
     pub record: TargetRecord,
     /// Its passes, none for a plain service.
     pub model: Option<PassModel>,
+    /// Whether this process uses it: of a large fleet it uses a part.
+    pub is_used: bool,
     /// Requests of this process that it has.
     pub in_flight: usize,
     /// When it last sent anything.
@@ -87,6 +89,7 @@
         TargetState {
             record,
             model: None,
+            is_used: true,
             in_flight: 0,
             heard_at: now,
             waiting_since: None,
--- a/src/relay/discovery/follow.rs
+++ b/src/relay/discovery/follow.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use super::feed::{ConfigWatch, PlatformFeed, TargetChange, TargetWatch};
+use super::proof_share::ProofShare;
 use crate::relay::shared::RelayShared;
 use crate::time::Tick;
 
-/// Time between two reads of the configuration that prove it current, well
-/// under the time for which a proof holds. A watch tells of changes sooner.
-const CONFIG_STEP: Duration = Duration::from_millis(2_600);
+/// Longest wait for agents that are asked who has the newest proof, and for the
+/// entry that has it: some round trips between failure domains.
+const PEER_WAIT: Duration = Duration::from_millis(40);
 
 /// Time between two answers of its watch, when it changes often: each is priced,
 /// and the last one brings the others with it.
@@ -47,6 +48,13 @@
     let mut is_there = true;
     let mut watching: Option<AbortOnDrop> = None;
     loop {
+        // A watch that has ended begins anew with a read.
+        let is_watching = watching.as_ref().is_some_and(|watch| !watch.is_finished());
+        if is_there && is_watching && is_proven_by_peers(&shared).await {
+            let due = next_refresh(&shared);
+            take_news_until(&shared, due, &mut known).await;
+            continue;
+        }
         let sent_at = shared.now();
         let result = (feed.read_config)(known).await;
         shared.counts.borrow_mut().store_calls += 1;
@@ -71,6 +79,7 @@
         // proven, and nobody is let in.
         if let Some(read) = read {
             known = read.revision;
+            shared.core.borrow_mut().set_config_revision(known);
             // A watch that did not tell of a change may be deaf.
             if read.config.is_some() {
                 watching = None;
@@ -85,8 +94,35 @@
                 watching = Some(AbortOnDrop(tokio::task::spawn_local(task)));
             }
         }
-        take_news_until(&shared, sent_at + CONFIG_STEP, &mut known).await;
+        // Others need not read what has just been read here.
+        shared.link.announce(&shared.core.borrow(), shared.now());
+        take_news_until(&shared, next_refresh(&shared), &mut known).await;
+    }
+}
+
+/// When the proof is to be renewed.
+fn next_refresh(shared: &RelayShared) -> Tick {
+    let core = shared.core.borrow();
+    let lease = core.lease();
+    lease.proven_at().unwrap_or(shared.now()) + ProofShare::refresh_age(lease.span())
+}
+
+/// Asks the entry that is said to have the newest proof. Returns true where that
+/// renewed the own one.
+async fn is_proven_by_peers(shared: &RelayShared) -> bool {
+    let before = shared.core.borrow().lease().proven_at();
+    shared.link.ask_around(&shared.core.borrow(), shared.now());
+    tokio::time::sleep(PEER_WAIT).await;
+    let question = shared.core.borrow_mut().ask_proof(shared.now());
+    let Some((address, question)) = question else { return false };
+    shared.link.send_to(address, &question);
+    // Where nobody answers, the store is read.
+    drop(tokio::time::timeout(PEER_WAIT, shared.proof_told.notified()).await);
+    let is_renewed = shared.core.borrow().lease().proven_at() > before;
+    if is_renewed {
+        shared.counts.borrow_mut().shared_proofs += 1;
     }
+    is_renewed
 }
 
 /// Takes what the watch tells until the next read is due, or the watch has
@@ -105,6 +141,7 @@
         };
         *known = news.revision;
         let mut core = shared.core.borrow_mut();
+        core.set_config_revision(news.revision);
         if core.take_news(news.config) {
             shared.log.config_changed(core.rules().version());
         }
--- a/src/relay/discovery/freshness.rs
+++ b/src/relay/discovery/freshness.rs
@@ -99,6 +99,18 @@
         self.is_current(self.others_at, now)
     }
 
+    /// How long a proof lasts.
+    #[must_use]
+    pub fn span(&self) -> Duration {
+        self.span
+    }
+
+    /// When the configuration was proven current last.
+    #[must_use]
+    pub fn proven_at(&self) -> Option<Tick> {
+        self.proven_at
+    }
+
     /// Age of the newest proof, none where there was none.
     #[must_use]
     pub fn age(&self, now: Tick) -> Option<Duration> {
--- a/src/relay/discovery/mod.rs
+++ b/src/relay/discovery/mod.rs
@@ -3,9 +3,11 @@
 //! - [`feed`]: how the platform's store is read,
 //! - `follow`: when and what for,
 //! - [`rules`]: what a configuration allows, and to whom,
-//! - [`freshness`]: whether that is known to be current.
+//! - [`freshness`]: whether that is known to be current,
+//! - [`proof_share`]: how entries learn that from one another.
 
 pub mod feed;
 pub(crate) mod follow;
 pub mod freshness;
+pub mod proof_share;
 pub mod rules;
--- /dev/null
+++ b/src/relay/discovery/proof_share.rs
@@ -0,0 +1,111 @@
+//! One proof for many: an entry takes over the proof of another one.
+//!
+//! The load that it answers: hundreds of entries, each of which asked the store
+//! every few seconds for the same answer, so that the calls grew with the fleet and
+//! came in a herd after an outage.
+//!
+//! An entry that asks another one at its own time `s`, and hears "all changes up to
+//! revision R were known `a` ago", knows that its own configuration was current at
+//! `s - a`, where it has revision R or a later one: the answer was made after the
+//! question, so the proof is at least that new, whatever the network or a pause did
+//! in between. Only steady clocks are compared, each with itself.
+//!
+//! Nobody is chosen to read the store. Each entry looks for a newer proof at a
+//! random part of its lease, and reads for itself where it finds none. An entry
+//! that has no answer of the store does not share: it would hear of no target that
+//! leaves.
+
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::time::Duration;
+
+use crate::time::Tick;
+
+/// Part of a lease after which a newer proof is looked for, at random. Entries that
+/// share a proof look at different moments, and the first of them reads the store
+/// for the others. At the upper end a read that takes a second and fails leaves time
+/// for another one, with leases of five seconds.
+const REFRESH_PART: Range<f64> = 0.42..0.67;
+
+/// How much newer a proof has to be, so that it lasts for a while.
+const LEAST_GAIN: Duration = Duration::from_millis(700);
+
+/// What another entry says of its proof.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerProof {
+    /// The question that it answers.
+    pub nonce: u64,
+    /// Revision of its configuration.
+    pub revision: u64,
+    /// Age of its proof.
+    pub age: Duration,
+}
+
+/// What a proof of another entry is worth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerVerdict {
+    /// The own configuration was current at that moment.
+    ProvenAt(Tick),
+    /// The other one knows a later configuration: the store is to be read.
+    Behind,
+    /// It answers no question of this entry, or is older than this process.
+    Useless,
+}
+
+#[derive(Debug)]
+struct ProofSource {
+    address: SocketAddr,
+    /// About when it proved its configuration: good enough to choose by.
+    proven_at: Tick,
+}
+
+#[derive(Debug)]
+struct OpenQuestion {
+    nonce: u64,
+    sent_at: Tick,
+}
+
+/// Whose proof this entry may take over, and what it has asked.
+#[derive(Debug, Default)]
+pub struct ProofShare {
+    best: Option<ProofSource>,
+    question: Option<OpenQuestion>,
+}
+
+impl ProofShare {
+    /// Age at which a proof is to be renewed that lasts for `span`.
+    #[must_use]
+    pub fn refresh_age(span: Duration) -> Duration {
+        span.mul_f64(rand::random_range(REFRESH_PART))
+    }
+
+    /// Notes that the entry at `address` is said to have proven its configuration
+    /// at about `proven_at`.
+    pub fn note_source(&mut self, address: SocketAddr, proven_at: Tick) {
+        if self.best.as_ref().is_none_or(|best| best.proven_at < proven_at) {
+            self.best = Some(ProofSource { address, proven_at });
+        }
+    }
+
+    /// The entry to be asked where its proof is enough newer than the own one. It
+    /// is asked once: what is known of it has to be heard anew after that.
+    pub fn ask(&mut self, nonce: u64, proven_at: Tick, now: Tick) -> Option<SocketAddr> {
+        let best = self.best.take().filter(|best| best.proven_at >= proven_at + LEAST_GAIN)?;
+        self.question = Some(OpenQuestion { nonce, sent_at: now });
+        Some(best.address)
+    }
+
+    /// Takes an answer. `revision` is that of the own configuration.
+    pub fn take_answer(&mut self, proof: PeerProof, revision: u64) -> PeerVerdict {
+        let question = self.question.take_if(|question| question.nonce == proof.nonce);
+        let Some(question) = question else { return PeerVerdict::Useless };
+        if proof.revision > revision {
+            return PeerVerdict::Behind;
+        }
+        // Ticks count from the start of the process.
+        if Tick::default() + proof.age > question.sent_at {
+            return PeerVerdict::Useless;
+        }
+        PeerVerdict::ProvenAt(question.sent_at - proof.age)
+    }
+}
--- a/src/relay/peers/load_link.rs
+++ b/src/relay/peers/load_link.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rand::seq::IteratorRandom;
 use tokio::net::UdpSocket;
 
 use super::load_note::LoadNote;
@@ -14,6 +15,10 @@
 /// Time between two subscriptions; an agent forgets an entry after a few.
 const SUBSCRIBE_STEP: Duration = Duration::from_millis(750);
 
+/// Agents that are asked for the newest proof: each knows those of the entries that
+/// use its engine, and an entry that reads the store tells its agents at once.
+const ASKED_AGENTS: usize = 3;
+
 /// The entry's socket for notes.
 #[derive(Debug)]
 pub(crate) struct LoadLink {
@@ -36,12 +41,17 @@
             return;
         };
         if let Some(target) = core.targets.get(target) {
-            self.send_to(target.record.address, note);
+            self.send_beside(target.record.address, note);
         }
     }
 
-    fn send_to(&self, target: SocketAddr, note: &LoadNote) {
-        let address = SocketAddr::new(target.ip(), self.port);
+    /// Sends a note to the agent beside a target.
+    fn send_beside(&self, target: SocketAddr, note: &LoadNote) {
+        self.send_to(SocketAddr::new(target.ip(), self.port), note);
+    }
+
+    /// Sends a note to another process.
+    pub(crate) fn send_to(&self, address: SocketAddr, note: &LoadNote) {
         // A note that can not be sent now is worth nothing later.
         if let Ok(bytes) = note.to_bytes() {
             drop(self.socket.try_send_to(&bytes, address));
@@ -53,12 +63,35 @@
         if self.subscribed_at.get().is_some_and(|at| now.since(at) < SUBSCRIBE_STEP) {
             return;
         }
+        self.announce(core, now);
+    }
+
+    /// Tells all agents that this entry uses, of its proof as well.
+    pub(crate) fn announce(&self, core: &RelayCore, now: Tick) {
         self.subscribed_at.set(Some(now));
-        let age = core.lease().age(now);
-        let proof_age_ms = age.and_then(|age| u32::try_from(age.as_millis()).ok());
-        let note = LoadNote::Subscribe { entry: core.entry(), proof_age_ms };
-        for target in core.targets.iter().filter(|target| target.model.is_some()) {
-            self.send_to(target.record.address, &note);
+        let note = to_subscription(core, now);
+        for address in used_engines(core) {
+            self.send_beside(address, &note);
+        }
+    }
+
+    /// Asks a few agents who has the newest proof.
+    pub(crate) fn ask_around(&self, core: &RelayCore, now: Tick) {
+        let note = to_subscription(core, now);
+        for address in used_engines(core).choose_multiple(&mut rand::rng(), ASKED_AGENTS) {
+            self.send_beside(address, &note);
         }
     }
 }
+
+fn to_subscription(core: &RelayCore, now: Tick) -> LoadNote {
+    let age = core.lease().age(now);
+    let proof_age_ms = age.and_then(|age| u32::try_from(age.as_millis()).ok());
+    LoadNote::Subscribe { entry: core.entry(), proof_age_ms }
+}
+
+/// Addresses of the engines that this entry uses.
+fn used_engines(core: &RelayCore) -> impl Iterator<Item = SocketAddr> {
+    let engines = core.targets.iter().filter(|target| target.is_used && target.model.is_some());
+    engines.map(|target| target.record.address)
+}
--- a/src/relay/peers/load_note.rs
+++ b/src/relay/peers/load_note.rs
@@ -4,6 +4,7 @@
 //! engine. Notes are datagrams: one that is lost costs a little foresight, and
 //! waits hold nothing up.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -35,6 +36,24 @@
         pace_percent: u32,
         /// Age of the newest proof that another entry has, in milliseconds.
         proof_age_ms: Option<u32>,
+        /// Where that entry takes questions.
+        proof_from: Option<SocketAddr>,
+    },
+    /// An entry asks another one how current its configuration is.
+    #[serde(rename = "q")]
+    AskProof {
+        /// Names the question; others can not guess it.
+        nonce: u64,
+    },
+    /// The answer, made after the question came.
+    #[serde(rename = "a")]
+    TellProof {
+        /// The question.
+        nonce: u64,
+        /// Revision of the configuration there.
+        revision: u64,
+        /// Age of the proof that it is current, in milliseconds, rounded up.
+        proof_age_ms: u32,
     },
     /// A stream was given to the engine.
     #[serde(rename = "p")]
--- a/src/relay/peers/receive.rs
+++ b/src/relay/peers/receive.rs
@@ -2,9 +2,11 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use super::load_note::{LoadNote, MAX_NOTE};
 use crate::relay::core::RelayCore;
+use crate::relay::discovery::proof_share::{PeerProof, PeerVerdict};
 use crate::relay::shared::RelayShared;
 
 /// Takes what agents send, for as long as the process runs.
@@ -20,9 +22,26 @@
             continue;
         };
         let now = shared.now();
-        let mut core = shared.core.borrow_mut();
-        let note = name_target(&core, note, from);
-        core.take_note(note, now);
+        match note {
+            LoadNote::AskProof { nonce } => {
+                if let Some(answer) = shared.core.borrow().tell_proof(nonce, now) {
+                    shared.link.send_to(from, &answer);
+                }
+            }
+            LoadNote::TellProof { nonce, revision, proof_age_ms } => {
+                let age = Duration::from_millis(proof_age_ms.into());
+                let verdict =
+                    shared.core.borrow_mut().take_proof(PeerProof { nonce, revision, age });
+                if verdict != PeerVerdict::Useless {
+                    shared.proof_told.notify_one();
+                }
+            }
+            note => {
+                let mut core = shared.core.borrow_mut();
+                let note = name_target(&core, note, from);
+                core.take_note(note, now);
+            }
+        }
     }
 }
 
@@ -30,10 +49,12 @@
 /// the one at the agent's own host.
 fn name_target(core: &RelayCore, note: LoadNote, from: SocketAddr) -> LoadNote {
     match note {
-        LoadNote::Welcome { target, entries, pace_percent, proof_age_ms } if target.is_empty() => {
+        LoadNote::Welcome { target, entries, pace_percent, proof_age_ms, proof_from }
+            if target.is_empty() =>
+        {
             let beside = core.targets.iter().find(|target| target.record.address.ip() == from.ip());
             let target = beside.map_or(target, |beside| beside.record.incarnation.clone());
-            LoadNote::Welcome { target, entries, pace_percent, proof_age_ms }
+            LoadNote::Welcome { target, entries, pace_percent, proof_age_ms, proof_from }
         }
         note => note,
     }
--- a/src/relay/peers/subscriber_set.rs
+++ b/src/relay/peers/subscriber_set.rs
@@ -60,7 +60,10 @@
                 self.streams.remove(key);
                 self.to_others(from, note)
             }
-            LoadNote::Welcome { .. } | LoadNote::EntryGone { .. } => Vec::new(),
+            LoadNote::Welcome { .. }
+            | LoadNote::EntryGone { .. }
+            | LoadNote::AskProof { .. }
+            | LoadNote::TellProof { .. } => Vec::new(),
         }
     }
 
@@ -72,11 +75,13 @@
     ) -> Vec<NoteOut> {
         let Subscriber { entry, heard_at: now, .. } = subscriber;
         let known = self.subscribers.insert(from, subscriber);
-        let proof_age = self.newest_proof(from).map(|at| now.since(at));
+        let newest = self.newest_proof(from);
+        let proof_age = newest.map(|(_, at)| now.since(at));
         let proof_age_ms = proof_age.and_then(|age| u32::try_from(age.as_millis()).ok());
+        let proof_from = newest.map(|(address, _)| address);
         let entries = self.subscribers.len() as u32;
         let target = "".into();
-        let welcome = LoadNote::Welcome { target, entries, pace_percent, proof_age_ms };
+        let welcome = LoadNote::Welcome { target, entries, pace_percent, proof_age_ms, proof_from };
         let mut out = vec![NoteOut { to: from, note: welcome }];
         let is_new = known.as_ref().is_none_or(|known| known.entry != entry);
         if let Some(known) = known.filter(|known| known.entry != entry) {
@@ -88,10 +93,11 @@
         out
     }
 
-    /// The newest proof that others than the entry at `to` have.
-    fn newest_proof(&self, to: SocketAddr) -> Option<Tick> {
+    /// The newest proof that others than the entry at `to` have, and who has it.
+    fn newest_proof(&self, to: SocketAddr) -> Option<(SocketAddr, Tick)> {
         let others = self.subscribers.iter().filter(|(from, _)| **from != to);
-        others.filter_map(|(_, subscriber)| subscriber.proven_at).max()
+        let proofs = others.filter_map(|(from, other)| other.proven_at.map(|at| (*from, at)));
+        proofs.max_by_key(|(_, at)| *at)
     }
 
     fn to_others(&self, from: SocketAddr, note: &LoadNote) -> Vec<NoteOut> {
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -93,6 +93,7 @@
         outages: watch::Sender::new(0),
         config_changed: Notify::new(),
         config_news: RefCell::default(),
+        proof_told: Notify::new(),
         link,
         orders: HttpClient::new(1),
         order_number: Cell::new(0),
@@ -258,6 +259,7 @@
         shared.pool.borrow_mut().expire(now);
         let change = shared.core.borrow_mut().targets.expire(now);
         shared.log.targets_changed(&change);
+        shared.core.borrow_mut().choose_engines(now);
         shared.link.subscribe(&shared.core.borrow(), now);
         was_held = log_proof(&shared, was_held, now);
     }
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -38,6 +38,8 @@
     pub(crate) config_changed: Notify,
     /// The newest change that it told of and that was not taken yet.
     pub(crate) config_news: RefCell<Option<ConfigNews>>,
+    /// Told when another entry has answered for its proof.
+    pub(crate) proof_told: Notify,
     pub(crate) link: LoadLink,
     pub(crate) orders: HttpClient,
     pub(crate) order_number: Cell<u32>,
--- a/tests/relay/rules.rs
+++ b/tests/relay/rules.rs
@@ -48,7 +48,13 @@
 /// What an agent tells of the newest proof of another entry.
 fn welcome(proof_age_ms: u32) -> LoadNote {
     let proof_age_ms = Some(proof_age_ms);
-    LoadNote::Welcome { target: name("t"), entries: 2, pace_percent: 100, proof_age_ms }
+    LoadNote::Welcome {
+        target: name("t"),
+        entries: 2,
+        pace_percent: 100,
+        proof_from: None,
+        proof_age_ms,
+    }
 }
 
 #[test]
