Agents tell entries that their engine is down; proofs of others also while turned away

Change: an entry that finds an engine dead asks the agent beside it to look; the agent reads its engine's report at once, and while that is refused (or missed twice) tells every entry that uses the engine, which leaves it alone for a second (peers/engine_watch.rs). An engine that was heard of in the last 400 ms is believed. The count of sends of a request stands apart from its sending (decide/send_count.rs), and an agent's look no longer keeps notes waiting. The entries of a fleet are counted by the mean of what the agents of a subset tell, not by the largest. An entry that the store turns away renews its proof through others.

--- a/src/relay/core.rs
+++ b/src/relay/core.rs
@@ -1,7 +1,7 @@
 //! What the relay of one entry knows and decides, without input or output.
 
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -303,13 +303,18 @@
         has_other && self.budget(service).is_left(now, entries)
     }
 
-    /// Entries of the whole fleet. An agent counts those that use its engine,
-    /// which are a part of all where each uses a part of the engines. The largest
-    /// count is taken: rather too many entries than too many second attempts.
+    /// Entries of the whole fleet. An agent counts those that use its engine, which
+    /// are a part of all where each uses a part of the engines.
     fn fleet_entries(&self) -> Option<usize> {
         let engines = || self.targets.iter().filter(|target| target.model.is_some());
-        let used = engines().filter(|target| target.is_used).count();
-        self.entries.map(|entries| (entries * engines().count()).div_ceil(used.max(1)))
+        let used: Vec<_> = engines().filter(|target| target.is_used).collect();
+        if used.len() == engines().count() {
+            return self.entries;
+        }
+        let told: Vec<_> =
+            used.iter().map(|target| target.subscribers).filter(|n| *n > 0).collect();
+        let all = told.iter().sum::<usize>() * engines().count();
+        (!told.is_empty()).then(|| all.div_ceil(told.len() * used.len()))
     }
 
     fn budget(&mut self, service: &Arc<str>) -> &mut RetryBudget {
@@ -473,11 +478,22 @@
         true
     }
 
+    /// Notes that the agent at `host` says that the engine there is down.
+    pub fn note_down(&mut self, host: IpAddr, now: Tick) {
+        let engines = self.targets.iter_mut().filter(|target| target.model.is_some());
+        for target in engines.filter(|target| target.record.address.ip() == host) {
+            target.note_down(now);
+        }
+    }
+
     /// Takes a note from an agent.
     pub fn take_note(&mut self, note: LoadNote, now: Tick) {
         match note {
             LoadNote::Welcome { target, entries, pace_percent, proof_age_ms, proof_from } => {
                 self.entries = Some(self.entries.unwrap_or(0).max(entries as usize));
+                if let Some(target) = self.targets.get_mut(&target) {
+                    target.subscribers = entries as usize;
+                }
                 if let Some(age) = proof_age_ms {
                     let proven_at = now - Duration::from_millis(age.into());
                     self.lease.note_other(proven_at);
--- a/src/relay/decide/mod.rs
+++ b/src/relay/decide/mod.rs
@@ -8,7 +8,7 @@
 //! - [`policy`]: what is weighed, and how much,
 //! - [`placement`]: where a request goes, and who helps to read its prompt,
 //! - [`return_time`]: when callers that are refused are told to come back,
-//! - [`retry_budget`]: how often it may be tried again.
+//! - [`send_count`], [`retry_budget`]: how often it may be tried again.
 
 pub mod engine_rates;
 pub mod engine_subset;
@@ -20,4 +20,5 @@
 pub mod policy;
 pub mod retry_budget;
 pub mod return_time;
+pub mod send_count;
 pub mod targets;
--- a/src/relay/decide/targets.rs
+++ b/src/relay/decide/targets.rs
@@ -22,6 +22,14 @@
 /// Longest time that a target is left alone.
 const LONGEST_EJECTION: Duration = Duration::from_secs(4);
 
+/// Time that a target is left alone whose agent says that it is down. It says so
+/// again while that is true, so that two notes in a row may be lost.
+const DOWN_SPAN: Duration = Duration::from_secs(1);
+
+/// Time since bytes of a target for which it works, whatever its agent says: an
+/// agent on a slow host may miss reports.
+const ALIVE_SPAN: Duration = Duration::from_millis(400);
+
 /// Failures in a row after which a target is left alone.
 const TOLERATED_FAILURES: u32 = 2;
 
@@ -70,6 +78,8 @@
     pub model: Option<PassModel>,
     /// Whether this process uses it: of a large fleet it uses a part.
     pub is_used: bool,
+    /// Entries that its agent told last, zero where it told nothing.
+    pub subscribers: usize,
     /// Requests of this process that it has.
     pub in_flight: usize,
     /// When it last sent anything.
@@ -90,6 +100,7 @@
             record,
             model: None,
             is_used: true,
+            subscribers: 0,
             in_flight: 0,
             heard_at: now,
             waiting_since: None,
@@ -154,6 +165,14 @@
         self.ejected_until = Tick::default();
     }
 
+    /// Notes that the agent beside it says it is down.
+    pub fn note_down(&mut self, now: Tick) {
+        let was_heard = self.in_flight > 0 && now.since(self.heard_at) < ALIVE_SPAN;
+        if !was_heard {
+            self.ejected_until = self.ejected_until.max(now + DOWN_SPAN);
+        }
+    }
+
     /// Notes a failure. Returns the time for which it is left alone, if any.
     pub fn note_failure(&mut self, fault: TargetFault, now: Tick) -> Option<Duration> {
         match fault {
--- a/src/relay/discovery/follow.rs
+++ b/src/relay/discovery/follow.rs
@@ -63,7 +63,12 @@
             Err(error) => {
                 note_lost(&shared, is_there, &error);
                 is_there = false;
-                tokio::time::sleep(RETRY_STEP).await;
+                // Where only this entry is turned away, others prove for it.
+                if is_proven_by_peers(&shared).await {
+                    take_news_until(&shared, next_refresh(&shared), &mut known).await;
+                } else {
+                    tokio::time::sleep(RETRY_STEP).await;
+                }
                 continue;
             }
         };
--- a/src/relay/discovery/proof_share.rs
+++ b/src/relay/discovery/proof_share.rs
@@ -11,9 +11,9 @@
 //! in between. Only steady clocks are compared, each with itself.
 //!
 //! Nobody is chosen to read the store. Each entry looks for a newer proof at a
-//! random part of its lease, and reads for itself where it finds none. An entry
-//! that has no answer of the store does not share: it would hear of no target that
-//! leaves.
+//! random part of its lease, and reads for itself where it finds none. An entry that
+//! the store turns away serves on by the proofs of others for as long as it has the
+//! configuration that they prove.
 
 use std::net::SocketAddr;
 use std::ops::Range;
--- a/src/relay/peers/adviser.rs
+++ b/src/relay/peers/adviser.rs
@@ -4,27 +4,28 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures_util::FutureExt;
+use futures_util::future::{Fuse, FusedFuture};
+use http_body_util::BodyExt;
 use hyper::Request;
 use tokio::net::UdpSocket;
 
+use super::engine_watch::{EngineWatch, ReportEnd};
 use super::load_note::{LoadNote, MAX_NOTE};
 use super::subscriber_set::{NoteOut, SubscriberSet};
 use crate::Result;
-use crate::client::{HttpClient, full};
+use crate::client::{CallFault, HttpClient, full};
 use crate::clock::ProcessClock;
 use crate::program::on_reload_signal;
 use crate::relay::proxy::dialect::TargetDialect;
 use crate::relay::settings::AdviserSettings;
 
-/// Time between two looks at the engine's report while it works.
-const REPORT_STEP: Duration = Duration::from_millis(400);
+/// How often the agent looks whether there is something to do, beside what comes in.
+const TICK_STEP: Duration = Duration::from_millis(400);
 
 /// Longest time for a report: the engine is on the same host.
 const REPORT_LIMIT: Duration = Duration::from_millis(300);
 
-/// Pace of an engine that works as declared, in hundredths.
-const DECLARED_PACE: u32 = 100;
-
 /// Runs an agent until `stop` ends.
 ///
 /// # Errors
@@ -41,9 +42,10 @@
     let clock = ProcessClock::new();
     let client = HttpClient::new(1);
     let mut set = SubscriberSet::default();
-    let mut pace = DECLARED_PACE;
+    let mut watch = EngineWatch::default();
+    let mut looking = Fuse::terminated();
     let mut buffer = [0; MAX_NOTE];
-    let mut ticks = tokio::time::interval(REPORT_STEP);
+    let mut ticks = tokio::time::interval(TICK_STEP);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     // Nothing of an agent's settings can change while it runs, and a signal
     // that says so must not end it.
@@ -57,18 +59,33 @@
             () = &mut hangups => break,
             _ = ticks.tick() => {
                 send_all(&socket, set.expire(clock.now()));
-                if set.is_busy() {
-                    pace = read_pace(&client, &dialect, settings.target, &logger).await;
+            }
+            end = &mut looking, if !looking.is_terminated() => {
+                let was_down = watch.is_down();
+                if watch.note_report(end) {
+                    send_all(&socket, set.to_down());
+                }
+                if watch.is_down() != was_down {
+                    slog::warn!(logger, "target"; "is_down" => watch.is_down());
                 }
             }
             received = socket.recv_from(&mut buffer) => {
                 // A failed read is the echo of a datagram that nobody took.
                 let Ok((length, from)) = received else { continue };
-                if let Ok(note) = LoadNote::from_bytes(&buffer[..length]) {
-                    send_all(&socket, set.on_note(&note, from, pace, clock.now()));
+                match LoadNote::from_bytes(&buffer[..length]) {
+                    Ok(LoadNote::Suspect) => watch.note_suspicion(),
+                    Ok(note) => {
+                        let pace = watch.pace_percent();
+                        send_all(&socket, set.on_note(&note, from, pace, clock.now()));
+                    }
+                    Err(error) => slog::debug!(logger, "datagram left out"; "error" => %error),
                 }
             }
         }
+        if looking.is_terminated() && watch.is_due(set.is_busy(), clock.now()) {
+            let look = read_report(&client, &dialect, settings.target, &logger);
+            looking = look.boxed_local().fuse();
+        }
     }
     slog::info!(logger, "stop");
     Ok(())
@@ -83,25 +100,41 @@
     }
 }
 
-/// The engine's pace in hundredths, the declared one where it does not tell.
-async fn read_pace(
+/// Looks at the engine's report.
+async fn read_report(
     client: &HttpClient,
     dialect: &TargetDialect,
     target: SocketAddr,
     logger: &slog::Logger,
-) -> u32 {
+) -> ReportEnd {
     let mut request = Request::new(full(""));
     let uri = format!("http://{target}{}", dialect.report_path);
     *request.uri_mut() = uri.parse().unwrap_or_default();
-    let report = match client.call(request, REPORT_LIMIT).await {
-        Ok(response) => (dialect.parse_report)(response.body()),
-        Err(error) => Err(error),
+    let work = async {
+        let response = client.send(request).await?;
+        let body = response.into_body().collect().await;
+        body.map_err(|error| CallFault::Unknown(error.to_string()))
+    };
+    let body = match tokio::time::timeout(REPORT_LIMIT, work).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(CallFault::NotSent(error))) => {
+            slog::debug!(logger, "no report of the target"; "error" => error);
+            return ReportEnd::Refused;
+        }
+        Ok(Err(CallFault::Unknown(error))) => {
+            slog::warn!(logger, "no report of the target"; "error" => error);
+            return ReportEnd::Missed;
+        }
+        Err(elapsed) => {
+            slog::warn!(logger, "no report of the target"; "error" => %elapsed);
+            return ReportEnd::Missed;
+        }
     };
-    match report {
-        Ok(report) => (report.pace * f64::from(DECLARED_PACE)) as u32,
+    match (dialect.parse_report)(&body) {
+        Ok(report) => ReportEnd::Pace((report.pace * 100.0) as u32),
         Err(error) => {
-            slog::warn!(logger, "no report of the target"; "error" => %error);
-            DECLARED_PACE
+            slog::warn!(logger, "report of the target not read"; "error" => %error);
+            ReportEnd::Missed
         }
     }
 }
--- /dev/null
+++ b/src/relay/peers/engine_watch.rs
@@ -0,0 +1,111 @@
+//! Whether the engine beside an agent works, by its reports.
+//!
+//! The load that it answers: engines that crash while prompts are read jointly. Each
+//! entry found each dead engine by requests of its own, several in a row, and used up
+//! the second attempts that a crash leaves it. The agent beside the engine knows
+//! within a report, and tells all.
+
+use std::time::Duration;
+
+use crate::time::Tick;
+
+/// Time between two looks at the engine's report while it works, or is down.
+const REPORT_STEP: Duration = Duration::from_millis(400);
+
+/// Least time between two looks that entries ask for: some of them suspect an
+/// engine at the same moment.
+const SUSPECT_STEP: Duration = Duration::from_millis(100);
+
+/// Reports in a row that do not come in time and mean that the engine is down: a
+/// host that is slow for a moment may miss one.
+const LATE_REPORTS: u32 = 2;
+
+/// Pace of an engine that works as declared, in hundredths.
+const DECLARED_PACE: u32 = 100;
+
+/// How a look at the engine's report ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportEnd {
+    /// It reports this pace, in hundredths.
+    Pace(u32),
+    /// Nobody listens there.
+    Refused,
+    /// There was no report in time, or none that can be read.
+    Missed,
+}
+
+/// What an agent knows of its engine.
+#[derive(Debug)]
+pub struct EngineWatch {
+    pace_percent: u32,
+    missed: u32,
+    is_down: bool,
+    looked_at: Option<Tick>,
+    is_suspected: bool,
+}
+
+impl Default for EngineWatch {
+    fn default() -> Self {
+        EngineWatch {
+            pace_percent: DECLARED_PACE,
+            missed: 0,
+            is_down: false,
+            looked_at: None,
+            is_suspected: false,
+        }
+    }
+}
+
+impl EngineWatch {
+    /// How much slower than declared the engine works, in hundredths.
+    #[must_use]
+    pub fn pace_percent(&self) -> u32 {
+        self.pace_percent
+    }
+
+    /// Returns true while the engine is down.
+    #[must_use]
+    pub fn is_down(&self) -> bool {
+        self.is_down
+    }
+
+    /// Notes that an entry suspects the engine.
+    pub fn note_suspicion(&mut self) {
+        self.is_suspected = true;
+    }
+
+    /// Returns true where the report is to be read now; `is_busy` says that entries
+    /// have given work to the engine.
+    pub fn is_due(&mut self, is_busy: bool, now: Tick) -> bool {
+        let is_asked = is_busy || self.is_down;
+        let step = match (self.is_suspected, is_asked) {
+            (true, _) => SUSPECT_STEP,
+            (false, true) => REPORT_STEP,
+            (false, false) => return false,
+        };
+        if self.looked_at.is_some_and(|at| now.since(at) < step) {
+            return false;
+        }
+        self.looked_at = Some(now);
+        self.is_suspected = false;
+        true
+    }
+
+    /// Takes the end of a look. Returns true where entries are to be told that the
+    /// engine is down.
+    pub fn note_report(&mut self, end: ReportEnd) -> bool {
+        match end {
+            ReportEnd::Pace(pace) => {
+                self.pace_percent = pace;
+                self.missed = 0;
+                self.is_down = false;
+            }
+            ReportEnd::Refused => self.is_down = true,
+            ReportEnd::Missed => {
+                self.missed += 1;
+                self.is_down |= self.missed >= LATE_REPORTS;
+            }
+        }
+        self.is_down
+    }
+}
--- a/src/relay/peers/load_link.rs
+++ b/src/relay/peers/load_link.rs
@@ -50,6 +50,11 @@
         self.send_to(SocketAddr::new(target.ip(), self.port), note);
     }
 
+    /// Asks the agent beside a target to look whether it is down.
+    pub(crate) fn suspect(&self, target: SocketAddr) {
+        self.send_beside(target, &LoadNote::Suspect);
+    }
+
     /// Sends a note to another process.
     pub(crate) fn send_to(&self, address: SocketAddr, note: &LoadNote) {
         // A note that can not be sent now is worth nothing later.
--- a/src/relay/peers/load_note.rs
+++ b/src/relay/peers/load_note.rs
@@ -39,6 +39,12 @@
         /// Where that entry takes questions.
         proof_from: Option<SocketAddr>,
     },
+    /// An entry has reason to think that the engine is down. The agent looks.
+    #[serde(rename = "s")]
+    Suspect,
+    /// The engine beside the agent is down. Sent again while it is.
+    #[serde(rename = "d")]
+    Down,
     /// An entry asks another one how current its configuration is.
     #[serde(rename = "q")]
     AskProof {
--- a/src/relay/peers/mod.rs
+++ b/src/relay/peers/mod.rs
@@ -2,9 +2,10 @@
 //!
 //! Entries tell one another of the work they give to engines through the agents
 //! beside these: [`load_note`] is what is said, [`subscriber_set`] what an agent
-//! knows, [`adviser`] the agent's process, and `load_link` an entry's socket.
+//! knows, [`engine_watch`] whether its engine works, [`adviser`] the agent's process, and `load_link` an entry's socket.
 
 pub mod adviser;
+pub mod engine_watch;
 pub(crate) mod load_link;
 pub mod load_note;
 pub(crate) mod receive;
--- a/src/relay/peers/receive.rs
+++ b/src/relay/peers/receive.rs
@@ -28,6 +28,7 @@
                     shared.link.send_to(from, &answer);
                 }
             }
+            LoadNote::Down => shared.core.borrow_mut().note_down(from.ip(), now),
             LoadNote::TellProof { nonce, revision, proof_age_ms } => {
                 let age = Duration::from_millis(proof_age_ms.into());
                 let verdict =
--- a/src/relay/peers/subscriber_set.rs
+++ b/src/relay/peers/subscriber_set.rs
@@ -60,7 +60,9 @@
                 self.streams.remove(key);
                 self.to_others(from, note)
             }
-            LoadNote::Welcome { .. }
+            LoadNote::Suspect
+            | LoadNote::Down
+            | LoadNote::Welcome { .. }
             | LoadNote::EntryGone { .. }
             | LoadNote::AskProof { .. }
             | LoadNote::TellProof { .. } => Vec::new(),
@@ -131,6 +133,13 @@
         others.map(|to| NoteOut { to: *to, note: note.clone() }).collect()
     }
 
+    /// What is sent while the engine is down: every entry that uses it is told,
+    /// so that not each of them has to find out by a request.
+    #[must_use]
+    pub fn to_down(&self) -> Vec<NoteOut> {
+        self.subscribers.keys().map(|to| NoteOut { to: *to, note: LoadNote::Down }).collect()
+    }
+
     /// Returns true where some stream is known.
     #[must_use]
     pub fn is_busy(&self) -> bool {
--- a/src/relay/proxy/forward.rs
+++ b/src/relay/proxy/forward.rs
@@ -17,6 +17,7 @@
 use super::memory_hold::MemoryHold;
 use crate::relay::core::AttemptShare;
 use crate::relay::decide::placement::{Placement, PromptNeed};
+use crate::relay::decide::send_count::SendEnd;
 use crate::relay::decide::targets::TargetFault;
 use crate::relay::discovery::rules::RouteRule;
 use crate::relay::shared::RelayShared;
@@ -114,6 +115,23 @@
         AttemptFault { is_sent: false, ..fault }
     }
 
+    /// What it was for the count of sends.
+    pub(crate) fn to_end(&self) -> SendEnd {
+        match self.verdict {
+            _ if !self.is_sent => SendEnd::NotSent,
+            _ if self.is_stale => SendEnd::Stale,
+            Verdict::NotRun => SendEnd::Refused,
+            Verdict::MayHaveRun | Verdict::Ran => SendEnd::MayHaveRun,
+        }
+    }
+
+    /// Address of the target, where this attempt says that nobody works there.
+    pub(crate) fn suspect(&self, shared: &RelayShared, target: &str) -> Option<SocketAddr> {
+        let is_of_host = matches!(self.fault, TargetFault::Broken | TargetFault::Silent);
+        let is_suspect = is_of_host && !self.is_stale && !self.is_timeout;
+        is_suspect.then(|| shared.address_of(target)).flatten()
+    }
+
     pub(crate) fn timeout(verdict: Verdict) -> Self {
         let fault = AttemptFault::new(TargetFault::Silent, verdict, "time is up");
         AttemptFault { is_timeout: true, ..fault }
--- a/src/relay/proxy/series.rs
+++ b/src/relay/proxy/series.rs
@@ -9,6 +9,7 @@
 use super::answer::RelayFault;
 use super::forward::{AttemptFault, RelayJob};
 use crate::relay::decide::placement::{Placement, TargetScope};
+use crate::relay::decide::send_count::{SendCount, SendEnd};
 use crate::relay::record::PlacedLine;
 use crate::relay::shared::RelayShared;
 use crate::verdict::Verdict;
@@ -16,9 +17,6 @@
 /// Time to come back after a refusal for want of room.
 pub(crate) const NO_ROOM_RETRY: Duration = Duration::from_millis(150);
 
-/// Sends beyond the targets that may run a request: those that were refused.
-const REFUSED_SENDS: usize = 2;
-
 /// Wait before another target is tried after refusals.
 const REFUSED_WAIT: Duration = Duration::from_millis(30);
 
@@ -27,9 +25,7 @@
     tried: Vec<Arc<str>>,
     /// Targets that may have run it.
     ran_at: Vec<Arc<str>>,
-    /// Attempts that may have run.
-    runs: usize,
-    sends: usize,
+    sends: SendCount,
     worst: Verdict,
     pub(crate) answer: Option<Box<Response<Bytes>>>,
     pub(crate) why: String,
@@ -40,8 +36,7 @@
         AttemptSeries {
             tried: Vec::new(),
             ran_at: Vec::new(),
-            runs: 0,
-            sends: 0,
+            sends: SendCount::default(),
             worst: Verdict::NotRun,
             answer: None,
             why: String::new(),
@@ -50,7 +45,7 @@
 
     /// Returns true where nothing was sent yet.
     pub(crate) fn is_fresh(&self) -> bool {
-        self.tried.is_empty() && self.sends == 0
+        self.tried.is_empty() && self.sends.is_empty()
     }
 
     /// Returns true where another target could be tried after a silence of
@@ -67,7 +62,7 @@
         let mut tried = self.tried.clone();
         tried.push(target.clone());
         job.route.repeat.is_repeatable()
-            && self.runs + 1 < job.route.max_targets
+            && self.sends.runs() + 1 < job.route.max_targets
             && shared.core.borrow_mut().could_retry(&job.service, &tried, shared.now())
     }
 
@@ -111,6 +106,9 @@
         let is_of_helper = fault.blamed.is_some_and(|address| {
             shared.core.borrow_mut().note_helper_failure(target, address, now)
         });
+        if let Some(suspect) = fault.blamed.or_else(|| fault.suspect(shared, target)) {
+            shared.link.suspect(suspect);
+        }
         let is_of_target = !fault.is_stale && !is_of_helper;
         if !fault.is_timeout
             && is_of_target
@@ -122,17 +120,13 @@
         if is_of_target {
             self.tried.push(target.clone());
         }
+        let end = fault.to_end();
         self.worst = self.worst.join(fault.verdict);
         self.why = fault.why;
         self.answer = fault.answer.or(self.answer.take());
-        if fault.verdict != Verdict::NotRun && !fault.is_stale {
-            self.runs += 1;
-            if !self.ran_at.contains(target) {
-                self.ran_at.push(target.clone());
-            }
-        }
-        if fault.is_sent {
-            self.sends += 1;
+        self.sends.note(end);
+        if end == SendEnd::MayHaveRun && !self.ran_at.contains(target) {
+            self.ran_at.push(target.clone());
         }
         if fault.is_timeout || now >= job.deadline {
             return false;
@@ -142,9 +136,8 @@
         // A failure of the target's own is an answer that the caller can have.
         let repeated = if self.answer.is_none() { policy.repeated_runs } else { 0 };
         let most_runs = job.route.max_targets + repeated;
-        let is_in_bound = self.runs < most_runs && self.sends < most_runs + REFUSED_SENDS;
         may_repeat
-            && is_in_bound
+            && self.sends.permits(most_runs)
             && (!fault.is_sent || shared.core.borrow_mut().take_retry(&job.service, now))
     }
 
