Have a few entries watch the list of targets for all

Change: some eight entries watch and pass changes on by datagram through a few agents; the others listen, and read the list where a mark shows that they missed some. Who watches is decided by each for itself from what agents tell; who hears of no watcher watches (discovery/list_share.rs). A watch that stays behind others for 2.5 s is taken to be silent.

--- a/src/relay/core.rs
+++ b/src/relay/core.rs
@@ -14,7 +14,9 @@
 use super::decide::policy::RelayPolicy;
 use super::decide::retry_budget::{RetryBound, RetryBudget};
 use super::decide::targets::{ListChange, TargetFault, TargetRecord, TargetSet};
+use super::discovery::feed::TargetChange;
 use super::discovery::freshness::{FreshnessLease, StalePolicy};
+use super::discovery::list_share::{ListNews, ListShare, NewsVerdict};
 use super::discovery::proof_share::{PeerProof, PeerVerdict, ProofShare};
 use super::discovery::rules::{Access, AccessFault, RelayConfig, RouteRule, RuleTable};
 use super::peers::load_note::LoadNote;
@@ -67,7 +69,8 @@
     next_number: u64,
     rules: Rc<RuleTable>,
     lease: FreshnessLease,
-    share: ProofShare,
+    proof_share: ProofShare,
+    list_share: ListShare,
     /// Revision of the configuration in the store.
     config_revision: u64,
     /// The targets.
@@ -88,7 +91,8 @@
             entry,
             next_number: 0,
             rules: Rc::default(),
-            share: ProofShare::default(),
+            proof_share: ProofShare::default(),
+            list_share: ListShare::default(),
             config_revision: 0,
             targets: TargetSet::default(),
             budgets: HashMap::new(),
@@ -167,7 +171,7 @@
     /// none is known whose proof is enough newer.
     pub fn ask_proof(&mut self, now: Tick) -> Option<(SocketAddr, LoadNote)> {
         let nonce = rand::random();
-        let address = self.share.ask(nonce, self.lease.proven_at()?, now)?;
+        let address = self.proof_share.ask(nonce, self.lease.proven_at()?, now)?;
         Some((address, LoadNote::AskProof { nonce }))
     }
 
@@ -182,7 +186,7 @@
 
     /// Takes another entry's answer, and renews the lease by it where it may.
     pub fn take_proof(&mut self, proof: PeerProof) -> PeerVerdict {
-        let verdict = self.share.take_answer(proof, self.config_revision);
+        let verdict = self.proof_share.take_answer(proof, self.config_revision);
         if let PeerVerdict::ProvenAt(at) = verdict {
             self.lease.renew(at);
         }
@@ -232,6 +236,72 @@
         change
     }
 
+    /// What is known of the list of targets, and who watches it.
+    #[must_use]
+    pub fn list_share(&self) -> &ListShare {
+        &self.list_share
+    }
+
+    /// Notes a list that was read and is true at `revision`; its targets changed last
+    /// at `changed_at`.
+    pub fn note_list(&mut self, revision: u64, changed_at: u64) {
+        self.list_share.note_list(revision, changed_at);
+    }
+
+    /// Takes changes that the own watch brought, up to `revision`. Returns what others
+    /// are to be told, none where they changed nothing.
+    pub fn take_watched(
+        &mut self,
+        changes: Vec<TargetChange>,
+        revision: u64,
+        is_after_outage: bool,
+        now: Tick,
+    ) -> (ListChange, Option<ListNews>) {
+        if changes.is_empty() {
+            return (ListChange::default(), None);
+        }
+        let change = self.take_changes(&changes, is_after_outage, now);
+        let since = self.list_share.note_watched(revision);
+        let news = ListNews { since, mark: self.list_share.mark(), is_after_outage, changes };
+        (change, Some(news))
+    }
+
+    /// Takes changes that another entry tells.
+    pub fn take_list_news(&mut self, news: &ListNews, now: Tick) -> ListChange {
+        match self.list_share.take_news(news, now) {
+            NewsVerdict::Next => self.take_changes(&news.changes, news.is_after_outage, now),
+            NewsVerdict::Known | NewsVerdict::Gap => ListChange::default(),
+        }
+    }
+
+    fn take_changes(
+        &mut self,
+        changes: &[TargetChange],
+        is_after_outage: bool,
+        now: Tick,
+    ) -> ListChange {
+        let mut all = ListChange::default();
+        for change in changes {
+            all.join(match change {
+                TargetChange::Listed(record) => self.take_change(record.clone(), now),
+                TargetChange::Removed(name) => {
+                    self.targets.take_removal(name, is_after_outage, now)
+                }
+            });
+        }
+        all
+    }
+
+    /// Decides from time to time whether this entry watches the list. Returns true
+    /// where that changed.
+    pub fn decide_watching(&mut self, now: Tick) -> bool {
+        let engines = || self.targets.iter().filter(|target| target.model.is_some());
+        let used = engines().filter(|target| target.is_used).count();
+        let part = used as f64 / engines().count().max(1) as f64;
+        let entries = self.fleet_entries().unwrap_or(1);
+        self.list_share.decide(part, entries, rand::random(), now)
+    }
+
     /// Finds the route and account of a request that was read at `now`.
     ///
     /// # Errors
@@ -489,7 +559,16 @@
     /// Takes a note from an agent.
     pub fn take_note(&mut self, note: LoadNote, now: Tick) {
         match note {
-            LoadNote::Welcome { target, entries, pace_percent, proof_age_ms, proof_from } => {
+            LoadNote::Welcome {
+                target,
+                entries,
+                pace_percent,
+                proof_age_ms,
+                proof_from,
+                watchers,
+                list_mark,
+            } => {
+                self.list_share.note_agent(watchers, list_mark, now);
                 self.entries = Some(self.entries.unwrap_or(0).max(entries as usize));
                 if let Some(target) = self.targets.get_mut(&target) {
                     target.subscribers = entries as usize;
@@ -498,7 +577,7 @@
                     let proven_at = now - Duration::from_millis(age.into());
                     self.lease.note_other(proven_at);
                     if let Some(address) = proof_from {
-                        self.share.note_source(address, proven_at);
+                        self.proof_share.note_source(address, proven_at);
                     }
                 }
                 if self.limits.policy.follows_pace
--- a/src/relay/decide/targets.rs
+++ b/src/relay/decide/targets.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use super::engine_rates::EngineRates;
 use super::pass_model::PassModel;
 use crate::time::Tick;
@@ -34,21 +36,28 @@
 const TOLERATED_FAILURES: u32 = 2;
 
 /// A target as the platform lists it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TargetRecord {
     /// Names this life of the target; another life has another one.
+    #[serde(rename = "i")]
     pub incarnation: Arc<str>,
     /// The service it belongs to.
+    #[serde(rename = "s")]
     pub service: Arc<str>,
     /// Where it listens.
+    #[serde(rename = "a")]
     pub address: SocketAddr,
     /// Its failure domain.
+    #[serde(rename = "d")]
     pub failure_domain: Arc<str>,
     /// Requests it runs at the same time.
+    #[serde(rename = "c")]
     pub capacity: usize,
     /// True where it takes nothing new.
+    #[serde(rename = "l")]
     pub is_leaving: bool,
     /// When it was listed first, in a count that only grows.
+    #[serde(rename = "t")]
     pub listed_at: u64,
 }
 
@@ -213,6 +222,15 @@
     pub removed: Vec<Arc<str>>,
 }
 
+impl ListChange {
+    /// Adds what a later change did.
+    pub fn join(&mut self, later: ListChange) {
+        self.added.extend(later.added);
+        self.leaving.extend(later.leaving);
+        self.removed.extend(later.removed);
+    }
+}
+
 impl TargetSet {
     /// Returns true once a list was taken.
     #[must_use]
--- a/src/relay/discovery/feed.rs
+++ b/src/relay/discovery/feed.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use futures_util::future::LocalBoxFuture;
+use serde::{Deserialize, Serialize};
 
 use super::rules::RelayConfig;
 use crate::Result;
@@ -45,14 +46,18 @@
     pub records: Vec<TargetRecord>,
     /// Revision up to which this is true.
     pub revision: u64,
+    /// Revision of the last change of one of them.
+    pub changed_at: u64,
 }
 
 /// One change of the list.
-#[derive(Debug)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum TargetChange {
     /// A target is new or changed.
+    #[serde(rename = "l")]
     Listed(TargetRecord),
     /// A target is no longer listed.
+    #[serde(rename = "r")]
     Removed(std::sync::Arc<str>),
 }
 
--- a/src/relay/discovery/follow.rs
+++ b/src/relay/discovery/follow.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::feed::{ConfigWatch, PlatformFeed, TargetChange, TargetWatch};
+use super::feed::{ConfigWatch, PlatformFeed, TargetWatch};
+use super::list_share::ListNews;
 use super::proof_share::ProofShare;
 use crate::relay::shared::RelayShared;
 use crate::time::Tick;
@@ -213,20 +214,40 @@
             drop(tokio::time::timeout(LIST_RETRY, outages.changed()).await);
             continue;
         };
-        heard_at = shared.now();
         loop {
+            heard_at = shared.now();
             let next = tokio::select! {
-                next = watch_once(&shared, &feed, revision) => next,
+                next = hear_once(&shared, &feed, revision) => next,
                 // The connection of the watch may hang since an outage.
                 _ = outages.changed() => None,
             };
             let Some(next) = next else { break };
-            heard_at = shared.now();
             revision = next;
         }
     }
 }
 
+/// Hears of changes for a while, by an own watch or by the news of others. Returns
+/// the next revision to watch from, none where the list has to be read anew.
+async fn hear_once(shared: &RelayShared, feed: &PlatformFeed, revision: u64) -> Option<u64> {
+    let is_watching = shared.core.borrow().list_share().is_watching();
+    let watching = async {
+        if is_watching {
+            return watch_once(shared, feed, revision).await;
+        }
+        std::future::pending().await
+    };
+    tokio::select! {
+        next = watching => next,
+        () = shared.list_due.notified() => {
+            let core = shared.core.borrow();
+            // All up to the mark is known.
+            let next = revision.max(core.list_share().mark());
+            (!core.list_share().is_behind(shared.now())).then_some(next)
+        }
+    }
+}
+
 /// Reads the whole list. Returns its revision, none where that failed.
 async fn read_list(shared: &RelayShared, feed: &PlatformFeed, heard_at: Tick) -> Option<u64> {
     let result = (feed.list_targets)().await;
@@ -237,6 +258,7 @@
             let is_after_outage = now.since(heard_at) > WATCH_WAIT + OUTAGE;
             let change = {
                 let mut core = shared.core.borrow_mut();
+                core.note_list(list.revision, list.changed_at);
                 core.take_list(list.records, is_after_outage || shared.was_away(now), now)
             };
             shared.log.targets_changed(&change);
@@ -258,12 +280,12 @@
     shared.counts.borrow_mut().store_calls += 1;
     match result {
         Ok(TargetWatch::Changes(changes, next)) => {
-            let is_empty = changes.is_empty();
             let now = shared.now();
-            for change in changes {
-                take_change(shared, change);
-            }
-            if !is_empty {
+            let away = shared.was_away(now);
+            let (change, news) = shared.core.borrow_mut().take_watched(changes, next, away, now);
+            shared.log.targets_changed(&change);
+            if let Some(news) = news {
+                tell_others(shared, news);
                 tokio::time::sleep(watch_step(shared, now)).await;
             }
             Some(next)
@@ -276,6 +298,13 @@
     }
 }
 
+fn tell_others(shared: &RelayShared, news: ListNews) {
+    let core = shared.core.borrow();
+    if core.list_share().tells(rand::random()) {
+        shared.link.tell_list(&core, news);
+    }
+}
+
 /// Time until the next answer of the watch is asked for.
 fn watch_step(shared: &RelayShared, now: Tick) -> Duration {
     // Ticks count from the start of the process.
@@ -284,13 +313,3 @@
     }
     shared.core.borrow().limits().drain_bound.mul_f64(WATCH_PART)
 }
-
-fn take_change(shared: &RelayShared, change: TargetChange) {
-    let now = shared.now();
-    let mut core = shared.core.borrow_mut();
-    let change = match change {
-        TargetChange::Listed(record) => core.take_change(record, now),
-        TargetChange::Removed(name) => core.targets.take_removal(&name, shared.was_away(now), now),
-    };
-    shared.log.targets_changed(&change);
-}
--- /dev/null
+++ b/src/relay/discovery/list_share.rs
@@ -0,0 +1,210 @@
+//! One watch of the list of targets for many entries.
+//!
+//! The load that it answers: hundreds of entries, each of which watched the same
+//! list. Each change woke all of them, and each then asked the store again, most of
+//! all in the seconds in which engines come and go.
+//!
+//! A few entries watch the list and pass on what they hear; the others listen. Nobody
+//! is chosen: agents say how many watchers they know, and an entry begins to watch
+//! where there are too few, and ends where there are too many, by a throw of its own.
+//! An entry that hears of no watcher watches, so a small fleet, a fleet that has just
+//! started and an entry that its peers can not reach all do so.
+//!
+//! A *mark* is a revision of the store up to which all changes of the list are known.
+//! News say from which mark to which they lead, so one that is lost is seen: by the
+//! next news, or by the marks of watchers that agents tell. Then the list is read.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::feed::TargetChange;
+use crate::time::Tick;
+
+/// Entries that watch the list, over the whole fleet: with a third of the fleet cut
+/// off from the store at the same moment, one of eight is left but for once in 6,000.
+const WATCHERS: f64 = 8.0;
+
+/// Watchers below which more of them are wanted.
+const FEWEST_WATCHERS: f64 = 5.0;
+
+/// Watchers above which some are to end. Far enough from the other bound that what
+/// each agent happens to see does not make entries go to and fro.
+const MOST_WATCHERS: f64 = 13.0;
+
+/// Time between two decisions on that: agents are heard of about as often.
+const DECISION_STEP: Duration = Duration::from_secs(1);
+
+/// How long news may come later than a mark that is told: copies of them come through
+/// several agents.
+const NEWS_LAG: Duration = Duration::from_millis(150);
+
+/// How long an entry that watches may be behind others: longer than it rests between
+/// two answers of its watch. From then on its connection is taken to be silent.
+const SILENT_WATCH: Duration = Duration::from_millis(2_500);
+
+/// Changes of the list that one entry tells others.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ListNews {
+    /// They begin at this mark.
+    #[serde(rename = "s")]
+    pub since: u64,
+    /// They end at this mark.
+    #[serde(rename = "m")]
+    pub mark: u64,
+    /// Whether what is gone may come back, since the store was away.
+    #[serde(rename = "o")]
+    pub is_after_outage: bool,
+    /// The changes.
+    #[serde(rename = "c")]
+    pub changes: Vec<TargetChange>,
+}
+
+/// What news are worth to the one who hears them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NewsVerdict {
+    /// They are the next ones.
+    Next,
+    /// They are known.
+    Known,
+    /// Others before them were missed.
+    Gap,
+}
+
+/// What this entry knows of the list, and whether it watches it.
+#[derive(Debug)]
+pub struct ListShare {
+    is_watching: bool,
+    mark: u64,
+    /// Newest mark that is known to exist.
+    told: u64,
+    /// Since when it is known to be newer.
+    behind_since: Option<Tick>,
+    /// Watchers that agents told since the last decision, and how many told.
+    watchers: u32,
+    agents: u32,
+    decided_at: Tick,
+    /// Watchers beside this entry by the last decision, none before the first.
+    others: Option<f64>,
+}
+
+impl Default for ListShare {
+    fn default() -> Self {
+        ListShare {
+            is_watching: true,
+            mark: 0,
+            told: 0,
+            behind_since: None,
+            watchers: 0,
+            agents: 0,
+            decided_at: Tick::default(),
+            others: None,
+        }
+    }
+}
+
+impl ListShare {
+    /// Returns true while this entry watches the list.
+    #[must_use]
+    pub fn is_watching(&self) -> bool {
+        self.is_watching
+    }
+
+    /// The revision up to which all changes are known here.
+    #[must_use]
+    pub fn mark(&self) -> u64 {
+        self.mark
+    }
+
+    /// Notes a list that was read and is true at `revision`; its targets changed last
+    /// at `changed_at`.
+    pub fn note_list(&mut self, revision: u64, changed_at: u64) {
+        // What others tell of is in the list, unless it is later than that.
+        let told = if self.told <= revision { self.told } else { 0 };
+        self.set_mark(self.mark.max(changed_at).max(told));
+    }
+
+    /// Notes changes that the own watch brought, up to `revision`. Returns the mark
+    /// from which they lead there.
+    pub fn note_watched(&mut self, revision: u64) -> u64 {
+        let since = self.mark;
+        self.set_mark(self.mark.max(revision));
+        since
+    }
+
+    /// Weighs news, and takes their mark where they are the next ones.
+    pub fn take_news(&mut self, news: &ListNews, now: Tick) -> NewsVerdict {
+        if news.mark <= self.mark {
+            return NewsVerdict::Known;
+        }
+        if news.since > self.mark {
+            self.note_told(news.mark, now);
+            return NewsVerdict::Gap;
+        }
+        self.set_mark(news.mark);
+        NewsVerdict::Next
+    }
+
+    /// Notes what an agent tells of the watchers that it knows.
+    pub fn note_agent(&mut self, watchers: u32, mark: Option<u64>, now: Tick) {
+        self.agents += 1;
+        self.watchers += watchers;
+        if let Some(mark) = mark {
+            self.note_told(mark, now);
+        }
+    }
+
+    /// Returns true where changes have been missed, so that the list is to be read.
+    #[must_use]
+    pub fn is_behind(&self, now: Tick) -> bool {
+        let lag = if self.is_watching { SILENT_WATCH } else { NEWS_LAG };
+        self.behind_since.is_some_and(|at| now.since(at) >= lag)
+    }
+
+    /// Returns true where news are to be told, by a throw from 0 to 1: where many watch,
+    /// as after a start of the whole fleet, a few tell. A process that has just started
+    /// does not know how many do.
+    #[must_use]
+    pub fn tells(&self, throw: f64) -> bool {
+        self.others.is_some_and(|others| throw < WATCHERS / (others + 1.0))
+    }
+
+    /// Decides from time to time whether to watch. `part` is the part of the fleet
+    /// that an agent sees, `entries` how many there are, `throw` from 0 to 1.
+    /// Returns true where that changed.
+    pub fn decide(&mut self, part: f64, entries: usize, throw: f64, now: Tick) -> bool {
+        if now.since(self.decided_at) < DECISION_STEP {
+            return false;
+        }
+        self.decided_at = now;
+        let (watchers, agents) = (self.watchers, self.agents);
+        (self.watchers, self.agents) = (0, 0);
+        let was_watching = self.is_watching;
+        // Agents name the other watchers only.
+        let others = f64::from(watchers) / f64::from(agents.max(1)) / part.clamp(0.01, 1.0);
+        self.others = Some(others);
+        self.is_watching = if others <= 0.0 {
+            true
+        } else if was_watching {
+            others + 1.0 <= MOST_WATCHERS || throw >= 1.0 - WATCHERS / (others + 1.0)
+        } else {
+            let rest = (entries as f64 - others).max(1.0);
+            others < FEWEST_WATCHERS && throw < (WATCHERS - others) / rest
+        };
+        self.is_watching != was_watching
+    }
+
+    fn note_told(&mut self, mark: u64, now: Tick) {
+        self.told = self.told.max(mark);
+        if self.told > self.mark {
+            self.behind_since.get_or_insert(now);
+        }
+    }
+
+    fn set_mark(&mut self, mark: u64) {
+        self.mark = mark;
+        if self.told <= self.mark {
+            self.behind_since = None;
+        }
+    }
+}
--- a/src/relay/discovery/mod.rs
+++ b/src/relay/discovery/mod.rs
@@ -4,10 +4,11 @@
 //! - `follow`: when and what for,
 //! - [`rules`]: what a configuration allows, and to whom,
 //! - [`freshness`]: whether that is known to be current,
-//! - [`proof_share`]: how entries learn that from one another.
+//! - [`proof_share`], [`list_share`]: how entries learn from one another.
 
 pub mod feed;
 pub(crate) mod follow;
 pub mod freshness;
+pub mod list_share;
 pub mod proof_share;
 pub mod rules;
--- a/src/relay/peers/load_link.rs
+++ b/src/relay/peers/load_link.rs
@@ -7,14 +7,19 @@
 use rand::seq::IteratorRandom;
 use tokio::net::UdpSocket;
 
-use super::load_note::LoadNote;
+use super::load_note::{LoadNote, MAX_NOTE};
 use crate::Result;
 use crate::relay::core::RelayCore;
+use crate::relay::discovery::list_share::ListNews;
 use crate::time::Tick;
 
 /// Time between two subscriptions; an agent forgets an entry after a few.
 const SUBSCRIBE_STEP: Duration = Duration::from_millis(750);
 
+/// Agents that pass on changes of the list: where each entry uses a third of the
+/// engines, nine in ten hear of it from one watcher, and all from eight.
+const TELLING_AGENTS: usize = 6;
+
 /// Agents that are asked for the newest proof: each knows those of the entries that
 /// use its engine, and an entry that reads the store tells its agents at once.
 const ASKED_AGENTS: usize = 3;
@@ -50,6 +55,14 @@
         self.send_to(SocketAddr::new(target.ip(), self.port), note);
     }
 
+    /// Has a few agents tell the other entries of changes of the list.
+    pub(crate) fn tell_list(&self, core: &RelayCore, news: ListNews) {
+        let note = LoadNote::ListChanged(news);
+        for address in used_engines(core).choose_multiple(&mut rand::rng(), TELLING_AGENTS) {
+            self.send_beside(address, &note);
+        }
+    }
+
     /// Asks the agent beside a target to look whether it is down.
     pub(crate) fn suspect(&self, target: SocketAddr) {
         self.send_beside(target, &LoadNote::Suspect);
@@ -57,8 +70,11 @@
 
     /// Sends a note to another process.
     pub(crate) fn send_to(&self, address: SocketAddr, note: &LoadNote) {
-        // A note that can not be sent now is worth nothing later.
-        if let Ok(bytes) = note.to_bytes() {
+        // A note that can not be sent now is worth nothing later, and one that is too
+        // long is not read: who needs it reads the store.
+        if let Ok(bytes) = note.to_bytes()
+            && bytes.len() <= MAX_NOTE
+        {
             drop(self.socket.try_send_to(&bytes, address));
         }
     }
@@ -92,7 +108,9 @@
 fn to_subscription(core: &RelayCore, now: Tick) -> LoadNote {
     let age = core.lease().age(now);
     let proof_age_ms = age.and_then(|age| u32::try_from(age.as_millis()).ok());
-    LoadNote::Subscribe { entry: core.entry(), proof_age_ms }
+    let share = core.list_share();
+    let list_mark = share.is_watching().then_some(share.mark());
+    LoadNote::Subscribe { entry: core.entry(), proof_age_ms, list_mark }
 }
 
 /// Addresses of the engines that this entry uses.
--- a/src/relay/peers/load_note.rs
+++ b/src/relay/peers/load_note.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::relay::decide::pass_model::{StreamKey, StreamLoad};
+use crate::relay::discovery::list_share::ListNews;
 
 /// Largest datagram that is read, in bytes.
 pub const MAX_NOTE: usize = 1_200;
@@ -24,6 +25,8 @@
         entry: u64,
         /// Age of its proof that its configuration is current, in milliseconds.
         proof_age_ms: Option<u32>,
+        /// Up to where it knows the list of targets, where it watches that.
+        list_mark: Option<u64>,
     },
     /// The agent's answer.
     #[serde(rename = "w")]
@@ -38,7 +41,14 @@
         proof_age_ms: Option<u32>,
         /// Where that entry takes questions.
         proof_from: Option<SocketAddr>,
+        /// Other entries that watch the list of targets.
+        watchers: u32,
+        /// Newest mark of the list that one of these has.
+        list_mark: Option<u64>,
     },
+    /// The list of targets changed. Passed on by the agent to the others.
+    #[serde(rename = "c")]
+    ListChanged(ListNews),
     /// An entry has reason to think that the engine is down. The agent looks.
     #[serde(rename = "s")]
     Suspect,
--- a/src/relay/peers/receive.rs
+++ b/src/relay/peers/receive.rs
@@ -6,8 +6,10 @@
 
 use super::load_note::{LoadNote, MAX_NOTE};
 use crate::relay::core::RelayCore;
+use crate::relay::discovery::list_share::ListNews;
 use crate::relay::discovery::proof_share::{PeerProof, PeerVerdict};
 use crate::relay::shared::RelayShared;
+use crate::time::Tick;
 
 /// Takes what agents send, for as long as the process runs.
 pub(crate) async fn receive(shared: Rc<RelayShared>) {
@@ -28,6 +30,7 @@
                     shared.link.send_to(from, &answer);
                 }
             }
+            LoadNote::ListChanged(news) => take_list_news(&shared, &news, now),
             LoadNote::Down => shared.core.borrow_mut().note_down(from.ip(), now),
             LoadNote::TellProof { nonce, revision, proof_age_ms } => {
                 let age = Duration::from_millis(proof_age_ms.into());
@@ -46,17 +49,21 @@
     }
 }
 
+/// Takes changes of the list that another entry tells.
+fn take_list_news(shared: &RelayShared, news: &ListNews, now: Tick) {
+    let change = shared.core.borrow_mut().take_list_news(news, now);
+    shared.log.targets_changed(&change);
+}
+
 /// An agent that has not heard of its target yet leaves its name open: it is
 /// the one at the agent's own host.
-fn name_target(core: &RelayCore, note: LoadNote, from: SocketAddr) -> LoadNote {
-    match note {
-        LoadNote::Welcome { target, entries, pace_percent, proof_age_ms, proof_from }
-            if target.is_empty() =>
-        {
-            let beside = core.targets.iter().find(|target| target.record.address.ip() == from.ip());
-            let target = beside.map_or(target, |beside| beside.record.incarnation.clone());
-            LoadNote::Welcome { target, entries, pace_percent, proof_age_ms, proof_from }
-        }
-        note => note,
+fn name_target(core: &RelayCore, mut note: LoadNote, from: SocketAddr) -> LoadNote {
+    let LoadNote::Welcome { target, .. } = &mut note else { return note };
+    if target.is_empty()
+        && let Some(beside) =
+            core.targets.iter().find(|target| target.record.address.ip() == from.ip())
+    {
+        *target = beside.record.incarnation.clone();
     }
+    note
 }
--- a/src/relay/peers/subscriber_set.rs
+++ b/src/relay/peers/subscriber_set.rs
@@ -12,6 +12,11 @@
 /// Time without a subscription after which an entry counts as gone.
 const SUBSCRIBER_SPAN: Duration = Duration::from_millis(2_500);
 
+/// Time without a subscription after which an entry no longer counts as one that
+/// watches the list: others have to step in well within the bound for targets that
+/// leave. One subscription may be late.
+const WATCHER_SPAN: Duration = Duration::from_millis(1_200);
+
 /// The entries that an agent knows, and what their streams cost its engine.
 #[derive(Debug, Default)]
 pub struct SubscriberSet {
@@ -25,6 +30,8 @@
     heard_at: Tick,
     /// When it proved its configuration current.
     proven_at: Option<Tick>,
+    /// Up to where it knows the list of targets, where it watches that.
+    list_mark: Option<u64>,
 }
 
 /// A datagram to be sent.
@@ -46,10 +53,11 @@
         now: Tick,
     ) -> Vec<NoteOut> {
         match note {
-            LoadNote::Subscribe { entry, proof_age_ms } => {
+            LoadNote::Subscribe { entry, proof_age_ms, list_mark } => {
                 let proof_age = proof_age_ms.map(|age| Duration::from_millis(age.into()));
                 let proven_at = proof_age.map(|age| now - age);
-                let subscriber = Subscriber { entry: *entry, heard_at: now, proven_at };
+                let (entry, list_mark) = (*entry, *list_mark);
+                let subscriber = Subscriber { entry, heard_at: now, proven_at, list_mark };
                 self.on_subscribe(subscriber, from, pace_percent)
             }
             LoadNote::Placed { key, .. } => {
@@ -60,6 +68,7 @@
                 self.streams.remove(key);
                 self.to_others(from, note)
             }
+            LoadNote::ListChanged(_) => self.to_others(from, note),
             LoadNote::Suspect
             | LoadNote::Down
             | LoadNote::Welcome { .. }
@@ -82,8 +91,16 @@
         let proof_age_ms = proof_age.and_then(|age| u32::try_from(age.as_millis()).ok());
         let proof_from = newest.map(|(address, _)| address);
         let entries = self.subscribers.len() as u32;
-        let target = "".into();
-        let welcome = LoadNote::Welcome { target, entries, pace_percent, proof_age_ms, proof_from };
+        let marks: Vec<u64> = self.watcher_marks(from, now).collect();
+        let welcome = LoadNote::Welcome {
+            target: "".into(),
+            entries,
+            pace_percent,
+            proof_age_ms,
+            proof_from,
+            watchers: marks.len() as u32,
+            list_mark: marks.iter().max().copied(),
+        };
         let mut out = vec![NoteOut { to: from, note: welcome }];
         let is_new = known.as_ref().is_none_or(|known| known.entry != entry);
         if let Some(known) = known.filter(|known| known.entry != entry) {
@@ -102,6 +119,13 @@
         proofs.max_by_key(|(_, at)| *at)
     }
 
+    /// Marks of the entries that watch the list, but for the one at `to`.
+    fn watcher_marks(&self, to: SocketAddr, now: Tick) -> impl Iterator<Item = u64> {
+        let others = self.subscribers.iter().filter(move |(from, _)| **from != to);
+        let heard = others.filter(move |(_, other)| now.since(other.heard_at) <= WATCHER_SPAN);
+        heard.filter_map(|(_, other)| other.list_mark)
+    }
+
     fn to_others(&self, from: SocketAddr, note: &LoadNote) -> Vec<NoteOut> {
         let others = self.subscribers.keys().filter(|to| **to != from);
         others.map(|to| NoteOut { to: *to, note: note.clone() }).collect()
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -274,6 +274,11 @@
             "removed" => change.removed.join(","));
     }
 
+    /// This entry begins or ends to watch the list of targets for others.
+    pub fn watching_changed(&self, is_watching: bool) {
+        info!(self.logger, "list watch"; "is_watching" => is_watching);
+    }
+
     /// A dependency was lost or is back.
     pub fn dependency(&self, name: &str, is_there: bool, why: &str) {
         if is_there {
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -93,6 +93,7 @@
         outages: watch::Sender::new(0),
         config_changed: Notify::new(),
         config_news: RefCell::default(),
+        list_due: Notify::new(),
         proof_told: Notify::new(),
         link,
         orders: HttpClient::new(1),
@@ -260,11 +261,24 @@
         let change = shared.core.borrow_mut().targets.expire(now);
         shared.log.targets_changed(&change);
         shared.core.borrow_mut().choose_engines(now);
+        follow_list_share(&shared, now);
         shared.link.subscribe(&shared.core.borrow(), now);
         was_held = log_proof(&shared, was_held, now);
     }
 }
 
+/// Tells the task that follows the list what it has to do differently.
+fn follow_list_share(shared: &RelayShared, now: Tick) {
+    let mut core = shared.core.borrow_mut();
+    let is_changed = core.decide_watching(now);
+    if is_changed {
+        shared.log.watching_changed(core.list_share().is_watching());
+    }
+    if is_changed || core.list_share().is_behind(now) {
+        shared.list_due.notify_one();
+    }
+}
+
 /// Says where the proof of the configuration lapsed or is back. Returns whether
 /// it is held.
 fn log_proof(shared: &RelayShared, was_held: bool, now: Tick) -> bool {
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -38,6 +38,8 @@
     pub(crate) config_changed: Notify,
     /// The newest change that it told of and that was not taken yet.
     pub(crate) config_news: RefCell<Option<ConfigNews>>,
+    /// Told when the list is to be read, or this entry begins or ends to watch it.
+    pub(crate) list_due: Notify,
     /// Told when another entry has answered for its proof.
     pub(crate) proof_told: Notify,
     pub(crate) link: LoadLink,
--- a/tests/relay/crashes.rs
+++ b/tests/relay/crashes.rs
@@ -173,5 +173,13 @@
 
 fn welcome(target: Arc<str>, entries: u32) -> LoadNote {
     let (proof_age_ms, proof_from) = (None, None);
-    LoadNote::Welcome { target, entries, pace_percent: 100, proof_age_ms, proof_from }
+    LoadNote::Welcome {
+        target,
+        entries,
+        pace_percent: 100,
+        proof_age_ms,
+        proof_from,
+        watchers: 0,
+        list_mark: None,
+    }
 }
--- /dev/null
+++ b/tests/relay/list_news.rs
@@ -0,0 +1,160 @@
+//! How entries pass on changes of the list of targets.
+
+use shalelane::relay::core::RelayCore;
+use shalelane::relay::discovery::feed::TargetChange;
+use shalelane::relay::discovery::freshness::StalePolicy;
+use shalelane::relay::discovery::list_share::{ListNews, ListShare, NewsVerdict};
+use shalelane::relay::peers::load_note::{LoadNote, MAX_NOTE};
+
+use crate::fixture::{at, check, limits, name, record};
+
+fn news(since: u64, mark: u64) -> ListNews {
+    ListNews { since, mark, is_after_outage: false, changes: Vec::new() }
+}
+
+/// A share that knows all up to `mark`.
+fn share(mark: u64) -> ListShare {
+    let mut share = ListShare::default();
+    share.note_list(mark, mark);
+    share
+}
+
+/// A share that listens.
+fn listener(mark: u64) -> ListShare {
+    let mut share = share(mark);
+    share.note_agent(50, None, at(0));
+    assert!(share.decide(1.0, 50, 0.0, at(1_000)));
+    assert!(!share.is_watching());
+    share
+}
+
+#[test]
+fn news_are_taken_in_order_and_once() {
+    let mut share = share(10);
+    assert_eq!(share.take_news(&news(10, 12), at(0)), NewsVerdict::Next);
+    assert_eq!(share.take_news(&news(10, 12), at(0)), NewsVerdict::Known);
+    assert_eq!(share.take_news(&news(11, 14), at(0)), NewsVerdict::Next, "they overlap");
+    assert_eq!(share.take_news(&news(8, 13), at(0)), NewsVerdict::Known, "late ones");
+    assert_eq!(share.mark(), 14);
+}
+
+#[test]
+fn news_that_were_missed_have_the_list_read() {
+    let mut share = listener(10);
+    assert_eq!(share.take_news(&news(12, 14), at(2_000)), NewsVerdict::Gap);
+    assert!(!share.is_behind(at(2_100)), "copies may come another way");
+    assert!(share.is_behind(at(2_200)));
+    share.note_list(15, 9);
+    assert!(!share.is_behind(at(2_300)));
+    assert_eq!(share.mark(), 14, "what was told of is in a list of a later revision");
+}
+
+#[test]
+fn a_mark_that_agents_tell_shows_that_news_were_lost() {
+    let mut share = listener(10);
+    share.note_agent(3, Some(11), at(2_000));
+    assert!(share.is_behind(at(2_200)));
+    assert_eq!(share.take_news(&news(10, 11), at(2_210)), NewsVerdict::Next);
+    assert!(!share.is_behind(at(2_300)));
+}
+
+/// A watch on a connection that went silent for good brings nothing, and looks like
+/// a watch of a list that does not change.
+#[test]
+fn a_watch_that_is_silent_while_others_hear_is_noticed() {
+    let mut share = share(10);
+    share.note_agent(3, Some(11), at(2_000));
+    assert!(share.is_watching());
+    assert!(!share.is_behind(at(4_000)), "it may rest between two answers");
+    assert!(share.is_behind(at(4_600)));
+}
+
+#[test]
+fn who_hears_of_no_watcher_watches() {
+    let mut share = listener(10);
+    assert!(share.decide(1.0, 50, 0.99, at(2_500)), "no agent told of any");
+    assert!(share.is_watching());
+}
+
+/// After a loss of all power every entry watches, and a hundred copies of each change
+/// would be told.
+#[test]
+fn where_many_watch_a_few_tell() {
+    let mut share = share(10);
+    assert!(!share.tells(0.0), "it does not know yet");
+    share.note_agent(99, None, at(0));
+    share.decide(1.0, 100, 0.99, at(1_000));
+    let told = (0..100).filter(|throw| share.tells(f64::from(*throw) / 100.0)).count();
+    assert_eq!(told, 8);
+}
+
+#[test]
+fn a_small_fleet_watches_whole() {
+    for others in 0..12 {
+        let mut share = share(10);
+        share.note_agent(others, None, at(0));
+        assert!(!share.decide(1.0, 13, 0.0, at(1_000)), "{others} others");
+    }
+}
+
+/// Whatever number of watchers a fleet begins with, and whichever of them are killed,
+/// it comes to a few.
+#[test]
+fn a_fleet_comes_to_a_few_watchers() {
+    #[expect(clippy::needless_pass_by_value, reason = "what quickcheck gives")]
+    fn property(throws: Vec<u8>, killed: u8) -> bool {
+        const ENTRIES: usize = 100;
+        let throw = |at: usize| match throws.len() {
+            0 => 0.5,
+            length => (f64::from(throws[at % length]) + (at % 89) as f64 * 2.9) % 256.0 / 256.0,
+        };
+        let mut shares: Vec<_> = (0..ENTRIES).map(|_| share(10)).collect();
+        for second in 1..40 {
+            if second == 20 {
+                // New processes begin by watching.
+                let killed = usize::from(killed) % ENTRIES;
+                shares[..killed].iter_mut().for_each(|share| *share = self::share(10));
+            }
+            let watchers = shares.iter().filter(|share| share.is_watching()).count();
+            for (number, share) in shares.iter_mut().enumerate() {
+                let others = watchers - usize::from(share.is_watching());
+                share.note_agent(others as u32, None, at(second * 1_000));
+                let throw = throw(number * 41 + second as usize);
+                share.decide(1.0, ENTRIES, throw, at(second * 1_000));
+            }
+        }
+        let watchers = shares.iter().filter(|share| share.is_watching()).count();
+        (1..=30).contains(&watchers)
+    }
+    check(property as fn(Vec<u8>, u8) -> bool);
+}
+
+#[test]
+fn what_one_entry_watches_holds_at_another() {
+    let core = || {
+        let mut core = RelayCore::new(limits(StalePolicy::FailClosed), 1);
+        core.take_list(vec![record("a", 1), record("b", 2)], false, at(0));
+        core.note_list(5, 5);
+        core
+    };
+    let (mut watcher, mut other) = (core(), core());
+    let leaving =
+        shalelane::relay::decide::targets::TargetRecord { is_leaving: true, ..record("a", 1) };
+    let changes = vec![TargetChange::Listed(leaving), TargetChange::Removed(name("b"))];
+    let (change, news) = watcher.take_watched(changes, 9, false, at(100));
+    assert_eq!(other.take_list_news(&news.clone().unwrap(), at(102)), change);
+    assert!(!other.targets.get("a").unwrap().is_usable());
+    assert!(other.targets.get("b").is_none());
+    assert_eq!(other.take_list_news(&news.unwrap(), at(103)).removed, [], "a copy");
+}
+
+#[test]
+fn news_of_ten_targets_fit_a_datagram() {
+    let changes = (0..10)
+        .map(|number| TargetChange::Listed(record(&format!("i-0123456789{number}"), number)));
+    let news = ListNews { since: 1, mark: 2, is_after_outage: true, changes: changes.collect() };
+    let note = LoadNote::ListChanged(news);
+    let bytes = note.to_bytes().unwrap();
+    assert!(bytes.len() <= MAX_NOTE, "{} bytes", bytes.len());
+    assert_eq!(LoadNote::from_bytes(&bytes).unwrap(), note);
+}
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod events;
 mod fixture;
+mod list_news;
 mod notes;
 mod passes;
 mod places;
--- a/tests/relay/proofs.rs
+++ b/tests/relay/proofs.rs
@@ -32,6 +32,8 @@
         pace_percent: 100,
         proof_age_ms: Some(age),
         proof_from: Some(peer()),
+        watchers: 0,
+        list_mark: None,
     };
     core.take_note(note, now);
 }
--- a/tests/relay/rules.rs
+++ b/tests/relay/rules.rs
@@ -54,6 +54,8 @@
         pace_percent: 100,
         proof_from: None,
         proof_age_ms,
+        watchers: 0,
+        list_mark: None,
     }
 }
 
