Pass the configuration on to entries that the store turns away; shorter notes

Change: an entry whose own read failed, and which another one told of a proof of a later revision, reads that one's copy and holds the proof with it (peers/config_copy.rs). A copy of an earlier revision than the proof's proves nothing. Names on the wire are one letter. An entry uses 64 engines in place of 48.

--- a/src/relay/core.rs
+++ b/src/relay/core.rs
@@ -19,6 +19,7 @@
 use super::discovery::list_share::{ListNews, ListShare, NewsVerdict};
 use super::discovery::proof_share::{PeerProof, PeerVerdict, ProofShare};
 use super::discovery::rules::{Access, AccessFault, RelayConfig, RouteRule, RuleTable};
+use super::peers::config_copy::ConfigCopy;
 use super::peers::load_note::LoadNote;
 use crate::time::Tick;
 
@@ -73,6 +74,8 @@
     list_share: ListShare,
     /// Revision of the configuration in the store.
     config_revision: u64,
+    /// The configuration in force, to be passed on.
+    config: Option<Rc<RelayConfig>>,
     /// The targets.
     pub targets: TargetSet,
     budgets: HashMap<Arc<str>, RetryBudget>,
@@ -94,6 +97,7 @@
             proof_share: ProofShare::default(),
             list_share: ListShare::default(),
             config_revision: 0,
+            config: None,
             targets: TargetSet::default(),
             budgets: HashMap::new(),
             entries: None,
@@ -157,11 +161,39 @@
         if config.version <= self.rules.version() {
             return false;
         }
-        self.rules = Rc::new(RuleTable::from_config(config));
+        self.rules = Rc::new(RuleTable::from_config(config.clone()));
+        self.config = Some(Rc::new(config));
         self.set_rates();
         true
     }
 
+    /// The configuration in force, for another entry.
+    #[must_use]
+    pub fn config_copy(&self) -> Option<ConfigCopy> {
+        let config = self.config.clone()?;
+        Some(ConfigCopy { revision: self.config_revision, config })
+    }
+
+    /// Takes the configuration of another entry, and the proof for which it was asked.
+    /// Returns true where it came into force.
+    pub fn take_copy(&mut self, copy: &ConfigCopy) -> bool {
+        if copy.revision <= self.config_revision {
+            return false;
+        }
+        let is_new = self.take_news((*copy.config).clone());
+        self.set_config_revision(copy.revision);
+        if let Some(proven_at) = self.proof_share.take_ahead(copy.revision) {
+            self.lease.renew(proven_at);
+        }
+        is_new
+    }
+
+    /// Revision that the configuration in force has in the store, zero for none.
+    #[must_use]
+    pub fn config_revision(&self) -> u64 {
+        self.config_revision
+    }
+
     /// Notes the revision that the configuration in force has in the store.
     pub fn set_config_revision(&mut self, revision: u64) {
         self.config_revision = self.config_revision.max(revision);
--- a/src/relay/decide/engine_rates.rs
+++ b/src/relay/decide/engine_rates.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// Rates of an engine that runs its requests in passes.
 ///
 /// A pass covers all that waits: it reads new prompts, and where some request
 /// is writing, it plays `stride` token steps for all of them.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct EngineRates {
     /// Requests that run at the same time.
     pub capacity: usize,
--- a/src/relay/decide/policy.rs
+++ b/src/relay/decide/policy.rs
@@ -71,7 +71,7 @@
 impl RelayPolicy {
     /// What holds where the settings say nothing else.
     pub const DEFAULT: RelayPolicy = RelayPolicy {
-        most_engines: 48,
+        most_engines: 64,
         most_helpers: 16,
         min_part_ms: 25,
         helper_cost: 0.001,
--- a/src/relay/discovery/follow.rs
+++ b/src/relay/discovery/follow.rs
@@ -1,11 +1,13 @@
 //! Follows the platform's store: when it is read, and what for.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use super::feed::{ConfigWatch, PlatformFeed, TargetWatch};
 use super::list_share::ListNews;
-use super::proof_share::ProofShare;
+use super::proof_share::{PeerVerdict, ProofShare};
+use crate::relay::peers::config_copy::read_copy;
 use crate::relay::shared::RelayShared;
 use crate::time::Tick;
 
@@ -45,18 +47,18 @@
 
 /// Follows the configuration for as long as the process runs.
 pub(crate) async fn follow_config(shared: Rc<RelayShared>, feed: Rc<PlatformFeed>) {
-    let mut known = 0;
     let mut is_there = true;
     let mut watching: Option<AbortOnDrop> = None;
     loop {
         // A watch that has ended begins anew with a read.
         let is_watching = watching.as_ref().is_some_and(|watch| !watch.is_finished());
-        if is_there && is_watching && is_proven_by_peers(&shared).await {
+        if is_there && is_watching && ask_peers(&shared).await == PeerEnd::Proven {
             let due = next_refresh(&shared);
-            take_news_until(&shared, due, &mut known).await;
+            take_news_until(&shared, due).await;
             continue;
         }
         let sent_at = shared.now();
+        let known = shared.core.borrow().config_revision();
         let result = (feed.read_config)(known).await;
         shared.counts.borrow_mut().store_calls += 1;
         let read = match result {
@@ -65,8 +67,8 @@
                 note_lost(&shared, is_there, &error);
                 is_there = false;
                 // Where only this entry is turned away, others prove for it.
-                if is_proven_by_peers(&shared).await {
-                    take_news_until(&shared, next_refresh(&shared), &mut known).await;
+                if is_proven_without_store(&shared).await {
+                    take_news_until(&shared, next_refresh(&shared)).await;
                 } else {
                     tokio::time::sleep(RETRY_STEP).await;
                 }
@@ -84,8 +86,7 @@
         // Without a configuration there is nothing to obey yet: nothing is
         // proven, and nobody is let in.
         if let Some(read) = read {
-            known = read.revision;
-            shared.core.borrow_mut().set_config_revision(known);
+            shared.core.borrow_mut().set_config_revision(read.revision);
             // A watch that did not tell of a change may be deaf.
             if read.config.is_some() {
                 watching = None;
@@ -102,7 +103,7 @@
         }
         // Others need not read what has just been read here.
         shared.link.announce(&shared.core.borrow(), shared.now());
-        take_news_until(&shared, next_refresh(&shared), &mut known).await;
+        take_news_until(&shared, next_refresh(&shared)).await;
     }
 }
 
@@ -113,27 +114,62 @@
     lease.proven_at().unwrap_or(shared.now()) + ProofShare::refresh_age(lease.span())
 }
 
-/// Asks the entry that is said to have the newest proof. Returns true where that
-/// renewed the own one.
-async fn is_proven_by_peers(shared: &RelayShared) -> bool {
-    let before = shared.core.borrow().lease().proven_at();
+/// How it ended to ask another entry for its proof.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PeerEnd {
+    /// It renewed the own one.
+    Proven,
+    /// The entry there has a later configuration.
+    Behind(SocketAddr),
+    /// Nobody is known who has a newer one, or there was no answer.
+    Nobody,
+}
+
+/// Asks the entry that is said to have the newest proof.
+async fn ask_peers(shared: &RelayShared) -> PeerEnd {
     shared.link.ask_around(&shared.core.borrow(), shared.now());
     tokio::time::sleep(PEER_WAIT).await;
     let question = shared.core.borrow_mut().ask_proof(shared.now());
-    let Some((address, question)) = question else { return false };
+    let Some((address, question)) = question else { return PeerEnd::Nobody };
+    shared.peer_verdict.set(PeerVerdict::Useless);
     shared.link.send_to(address, &question);
     // Where nobody answers, the store is read.
     drop(tokio::time::timeout(PEER_WAIT, shared.proof_told.notified()).await);
-    let is_renewed = shared.core.borrow().lease().proven_at() > before;
-    if is_renewed {
-        shared.counts.borrow_mut().shared_proofs += 1;
+    match shared.peer_verdict.get() {
+        PeerVerdict::ProvenAt(_) => {
+            shared.counts.borrow_mut().shared_proofs += 1;
+            PeerEnd::Proven
+        }
+        PeerVerdict::Behind => PeerEnd::Behind(address),
+        PeerVerdict::Useless => PeerEnd::Nobody,
+    }
+}
+
+/// Renews the proof through other entries while the store turns this one away.
+async fn is_proven_without_store(shared: &RelayShared) -> bool {
+    let entry = match ask_peers(shared).await {
+        PeerEnd::Proven => return true,
+        PeerEnd::Behind(entry) => entry,
+        PeerEnd::Nobody => return false,
+    };
+    match read_copy(shared, entry).await {
+        Ok(copy) => {
+            let mut core = shared.core.borrow_mut();
+            if core.take_copy(&copy) {
+                shared.log.config_changed(core.rules().version());
+            }
+            core.lease().is_held(shared.now())
+        }
+        Err(error) => {
+            shared.log.dependency("copy of the configuration", false, &error.to_string());
+            false
+        }
     }
-    is_renewed
 }
 
 /// Takes what the watch tells until the next read is due, or the watch has
 /// nothing more to tell.
-async fn take_news_until(shared: &RelayShared, due: Tick, known: &mut u64) {
+async fn take_news_until(shared: &RelayShared, due: Tick) {
     loop {
         let rest = due.since(shared.now());
         if tokio::time::timeout(rest, shared.config_changed.notified()).await.is_err() {
@@ -145,7 +181,6 @@
             // store asked in a loop.
             return tokio::time::sleep(NEWS_STEP).await;
         };
-        *known = news.revision;
         let mut core = shared.core.borrow_mut();
         core.set_config_revision(news.revision);
         if core.take_news(news.config) {
--- a/src/relay/discovery/list_share.rs
+++ b/src/relay/discovery/list_share.rs
@@ -186,7 +186,9 @@
         self.is_watching = if others <= 0.0 {
             true
         } else if was_watching {
-            others + 1.0 <= MOST_WATCHERS || throw >= 1.0 - WATCHERS / (others + 1.0)
+            // One who knows that there is news hears it out.
+            let is_many = others + 1.0 > MOST_WATCHERS && self.behind_since.is_none();
+            !is_many || throw >= 1.0 - WATCHERS / (others + 1.0)
         } else {
             let rest = (entries as f64 - others).max(1.0);
             others < FEWEST_WATCHERS && throw < (WATCHERS - others) / rest
--- a/src/relay/discovery/proof_share.rs
+++ b/src/relay/discovery/proof_share.rs
@@ -46,7 +46,8 @@
 pub enum PeerVerdict {
     /// The own configuration was current at that moment.
     ProvenAt(Tick),
-    /// The other one knows a later configuration: the store is to be read.
+    /// The other one knows a later configuration: the store is to be read, or the
+    /// other's copy of it.
     Behind,
     /// It answers no question of this entry, or is older than this process.
     Useless,
@@ -70,6 +71,14 @@
 pub struct ProofShare {
     best: Option<ProofSource>,
     question: Option<OpenQuestion>,
+    /// A proof of a later configuration than the own one.
+    ahead: Option<AheadProof>,
+}
+
+#[derive(Debug)]
+struct AheadProof {
+    revision: u64,
+    proven_at: Tick,
 }
 
 impl ProofShare {
@@ -99,13 +108,22 @@
     pub fn take_answer(&mut self, proof: PeerProof, revision: u64) -> PeerVerdict {
         let question = self.question.take_if(|question| question.nonce == proof.nonce);
         let Some(question) = question else { return PeerVerdict::Useless };
-        if proof.revision > revision {
-            return PeerVerdict::Behind;
-        }
         // Ticks count from the start of the process.
         if Tick::default() + proof.age > question.sent_at {
             return PeerVerdict::Useless;
         }
-        PeerVerdict::ProvenAt(question.sent_at - proof.age)
+        let proven_at = question.sent_at - proof.age;
+        if proof.revision > revision {
+            self.ahead = Some(AheadProof { revision: proof.revision, proven_at });
+            return PeerVerdict::Behind;
+        }
+        PeerVerdict::ProvenAt(proven_at)
+    }
+
+    /// The moment at which a configuration of `revision`, which has come since, is
+    /// proven by an answer to an earlier question.
+    pub fn take_ahead(&mut self, revision: u64) -> Option<Tick> {
+        let ahead = self.ahead.take_if(|ahead| ahead.revision <= revision)?;
+        Some(ahead.proven_at)
     }
 }
--- a/src/relay/discovery/rules.rs
+++ b/src/relay/discovery/rules.rs
@@ -6,10 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::relay::decide::engine_rates::EngineRates;
 
 /// Whether and how a request of a route may be sent again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RepeatRule {
     /// Any number of targets may run it.
     Repeatable,
@@ -28,7 +30,7 @@
 }
 
 /// A service and its share of a route's requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct WeightedService {
     /// Name of the service.
     pub service: Arc<str>,
@@ -37,7 +39,7 @@
 }
 
 /// A route: which requests it takes and what they may do.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct RouteRule {
     /// Host name of the request.
     pub host: Arc<str>,
@@ -62,7 +64,7 @@
 }
 
 /// A service: targets that can stand in for one another.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ServiceRule {
     /// Name of the service.
     pub name: Arc<str>,
@@ -71,7 +73,7 @@
 }
 
 /// A client account and the keys it may use.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct AccountRule {
     /// Name of the account.
     pub name: Arc<str>,
@@ -80,7 +82,7 @@
 }
 
 /// Bounds on what a caller may send.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Largest head of a request, in bytes.
     pub max_head: usize,
@@ -105,7 +107,7 @@
 }
 
 /// A whole configuration as the relay reads it.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct RelayConfig {
     /// Version, which only grows.
     pub version: u64,
--- /dev/null
+++ b/src/relay/peers/config_copy.rs
@@ -0,0 +1,93 @@
+//! Copies of the configuration from entry to entry, for one that the store turns away.
+//!
+//! The load that it answers: a store that serves a part of the fleet only, while the
+//! configuration changes. The entries that it turned away knew nothing of the change,
+//! refused whoever needs a key, and their callers came late to other entries.
+//!
+//! A copy proves nothing by itself. It is asked for when another entry has proven a
+//! later revision, and holds together with that proof.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use crate::client::full;
+use crate::error::{Error, Result};
+use crate::relay::discovery::rules::RelayConfig;
+use crate::relay::shared::RelayShared;
+
+/// Path of the copy at another entry.
+const COPY_PATH: &str = "/configuration";
+
+/// Longest time for a copy: some round trips, and time to encode a few hundred
+/// kilobytes on a small host.
+const COPY_LIMIT: Duration = Duration::from_millis(500);
+
+/// A configuration and its revision in the store.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ConfigCopy {
+    /// Revision of the object.
+    pub revision: u64,
+    /// The configuration.
+    pub config: Rc<RelayConfig>,
+}
+
+impl ConfigCopy {
+    /// The body of an answer.
+    ///
+    /// # Errors
+    ///
+    /// It can not be encoded, which does not happen with what an adapter decodes.
+    pub fn to_bytes(&self) -> Result<Vec<u8>> {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(self, &mut bytes)
+            .map_err(|_| Error::frame("configuration can not be encoded"))?;
+        Ok(bytes)
+    }
+
+    /// Reads the body of an answer.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are no copy.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self> {
+        ciborium::from_reader(bytes).map_err(|_| Error::frame("answer is no configuration"))
+    }
+}
+
+/// Answers another entry.
+pub(crate) fn answer_copy(shared: &RelayShared, path: &str) -> Response<Full<Bytes>> {
+    let copy = shared.core.borrow().config_copy().filter(|_| path == COPY_PATH);
+    let (status, body) = match copy.map(|copy| copy.to_bytes()) {
+        Some(Ok(body)) => (StatusCode::OK, body),
+        Some(Err(error)) => {
+            slog::warn!(shared.log.logger(), "copy not made"; "error" => %error);
+            (StatusCode::INTERNAL_SERVER_ERROR, Vec::new())
+        }
+        None => (StatusCode::NOT_FOUND, Vec::new()),
+    };
+    let mut response = Response::new(Full::new(body.into()));
+    *response.status_mut() = status;
+    response
+}
+
+/// Reads the copy of another entry.
+///
+/// # Errors
+///
+/// It has none, or does not answer in time.
+pub(crate) async fn read_copy(shared: &RelayShared, entry: SocketAddr) -> Result<ConfigCopy> {
+    let mut request = Request::new(full(""));
+    let uri = format!("http://{entry}{COPY_PATH}");
+    *request.uri_mut() = uri.parse().unwrap_or_default();
+    let response = shared.orders.call(request, COPY_LIMIT).await?;
+    if response.status() != StatusCode::OK {
+        return Err(Error::from_answer(response.status().as_u16(), uri));
+    }
+    ConfigCopy::from_bytes(response.body())
+}
--- a/src/relay/peers/load_link.rs
+++ b/src/relay/peers/load_link.rs
@@ -28,7 +28,7 @@
 #[derive(Debug)]
 pub(crate) struct LoadLink {
     pub(crate) socket: UdpSocket,
-    port: u16,
+    address: SocketAddr,
     subscribed_at: Cell<Option<Tick>>,
 }
 
@@ -36,8 +36,13 @@
     /// Listens; agents listen on the same port of their hosts.
     pub(crate) async fn bind(address: SocketAddr) -> Result<Self> {
         let socket = UdpSocket::bind(address).await?;
-        let port = socket.local_addr()?.port();
-        Ok(LoadLink { socket, port, subscribed_at: Cell::new(None) })
+        let address = socket.local_addr()?;
+        Ok(LoadLink { socket, address, subscribed_at: Cell::new(None) })
+    }
+
+    /// Where it listens.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
     }
 
     /// Sends a note to the agent beside its engine.
@@ -52,7 +57,7 @@
 
     /// Sends a note to the agent beside a target.
     fn send_beside(&self, target: SocketAddr, note: &LoadNote) {
-        self.send_to(SocketAddr::new(target.ip(), self.port), note);
+        self.send_to(SocketAddr::new(target.ip(), self.address.port()), note);
     }
 
     /// Has a few agents tell the other entries of changes of the list.
--- a/src/relay/peers/load_note.rs
+++ b/src/relay/peers/load_note.rs
@@ -75,24 +75,30 @@
     #[serde(rename = "p")]
     Placed {
         /// The engine.
+        #[serde(rename = "t")]
         target: Arc<str>,
         /// The stream.
+        #[serde(rename = "k")]
         key: StreamKey,
         /// What it costs there.
+        #[serde(rename = "l")]
         load: StreamLoad,
     },
     /// A stream is no longer at the engine.
     #[serde(rename = "e")]
     Ended {
         /// The engine.
+        #[serde(rename = "t")]
         target: Arc<str>,
         /// The stream.
+        #[serde(rename = "k")]
         key: StreamKey,
     },
     /// An entry is gone, and its streams with it.
     #[serde(rename = "g")]
     EntryGone {
         /// The engine.
+        #[serde(rename = "t")]
         target: Arc<str>,
         /// Incarnation of the entry.
         entry: u64,
--- a/src/relay/peers/receive.rs
+++ b/src/relay/peers/receive.rs
@@ -37,6 +37,7 @@
                 let verdict =
                     shared.core.borrow_mut().take_proof(PeerProof { nonce, revision, age });
                 if verdict != PeerVerdict::Useless {
+                    shared.peer_verdict.set(verdict);
                     shared.proof_told.notify_one();
                 }
             }
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -18,6 +18,8 @@
 use super::core::RelayCore;
 use super::discovery::feed::PlatformFeed;
 use super::discovery::follow::{follow_config, follow_targets};
+use super::discovery::proof_share::PeerVerdict;
+use super::peers::config_copy::answer_copy;
 use super::peers::load_link::LoadLink;
 use super::proxy::dialect::{CallerDialect, TargetDialect};
 use super::proxy::exchange::serve;
@@ -78,6 +80,7 @@
     let readiness = TcpListener::bind(settings.readiness_listen).await?;
     let metrics = TcpListener::bind(settings.metrics_listen).await?;
     let link = LoadLink::bind(settings.load_listen).await?;
+    let copies = TcpListener::bind(link.address()).await?;
     let limits = settings.to_limits();
     slog::info!(log.logger, "start"; "listen" => %settings.listen, "version" => env!("CARGO_PKG_VERSION"));
     let shared = Rc::new(RelayShared {
@@ -94,6 +97,7 @@
         config_changed: Notify::new(),
         config_news: RefCell::default(),
         list_due: Notify::new(),
+        peer_verdict: Cell::new(PeerVerdict::Useless),
         proof_told: Notify::new(),
         link,
         orders: HttpClient::new(1),
@@ -106,8 +110,9 @@
     tokio::task::spawn_local(follow_config(shared.clone(), feed.clone()));
     tokio::task::spawn_local(follow_targets(shared.clone(), feed));
     tokio::task::spawn_local(accept_callers(shared.clone(), callers, closing));
-    tokio::task::spawn_local(accept_status(shared.clone(), readiness));
-    tokio::task::spawn_local(accept_status(shared.clone(), metrics));
+    tokio::task::spawn_local(accept_paths(shared.clone(), readiness, answer_status));
+    tokio::task::spawn_local(accept_paths(shared.clone(), metrics, answer_status));
+    tokio::task::spawn_local(accept_paths(shared.clone(), copies, answer_copy));
     tokio::task::spawn_local(sweep(shared.clone()));
     tokio::task::spawn_local(super::peers::receive::receive(shared.clone()));
     let stop_limit = settings.stop_limit();
@@ -212,14 +217,17 @@
 /// Smallest buffer of a connection.
 const MIN_BUFFER: usize = 8 * 1024;
 
-/// Answers the balancer and whoever reads metrics.
-async fn accept_status(shared: Rc<RelayShared>, listener: TcpListener) {
+/// What is answered to a request for a path.
+type PathAnswer = fn(&RelayShared, &str) -> Response<Full<Bytes>>;
+
+/// Answers the balancer, whoever reads metrics, and other entries.
+async fn accept_paths(shared: Rc<RelayShared>, listener: TcpListener, answer: PathAnswer) {
     loop {
         let stream = accept_next(&listener).await;
         let shared = shared.clone();
         tokio::task::spawn_local(async move {
             let service = service_fn(move |request: hyper::Request<hyper::body::Incoming>| {
-                let answer = answer_status(&shared, request.uri().path());
+                let answer = answer(&shared, request.uri().path());
                 async move { Ok::<_, Infallible>(answer) }
             });
             // The one who asked sees how it ended.
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -10,6 +10,7 @@
 use super::core::RelayCore;
 use super::counts::RelayCounts;
 use super::discovery::feed::ConfigNews;
+use super::discovery::proof_share::PeerVerdict;
 use super::peers::load_link::LoadLink;
 use super::proxy::connections::ConnectionPool;
 use super::proxy::dialect::{CallerDialect, TargetDialect};
@@ -40,6 +41,8 @@
     pub(crate) config_news: RefCell<Option<ConfigNews>>,
     /// Told when the list is to be read, or this entry begins or ends to watch it.
     pub(crate) list_due: Notify,
+    /// What its last answer was worth.
+    pub(crate) peer_verdict: Cell<PeerVerdict>,
     /// Told when another entry has answered for its proof.
     pub(crate) proof_told: Notify,
     pub(crate) link: LoadLink,
--- a/tests/relay/proofs.rs
+++ b/tests/relay/proofs.rs
@@ -7,6 +7,7 @@
 use shalelane::relay::discovery::freshness::StalePolicy;
 use shalelane::relay::discovery::proof_share::{PeerProof, PeerVerdict, ProofShare};
 use shalelane::relay::discovery::rules::RelayConfig;
+use shalelane::relay::peers::config_copy::ConfigCopy;
 use shalelane::relay::peers::load_note::LoadNote;
 use shalelane::time::Tick;
 
@@ -124,6 +125,46 @@
     assert_eq!(share.take_answer(proof, 5), PeerVerdict::Useless);
 }
 
+/// Past failure: entries that the store turned away while keys were taken away refused
+/// whoever needs a key for nine seconds, and the callers came late to others.
+#[test]
+fn an_entry_that_the_store_turns_away_serves_on_by_the_copy_of_another() {
+    let other = entry(2, 6, at(9_000));
+    let mut core = entry(1, 5, at(5_000));
+    hear_of_peer(&mut core, 1_000, at(9_700));
+    let nonce = question(&mut core, at(9_700));
+    let proof = answer(&other, nonce, at(9_702)).unwrap();
+    assert_eq!(core.take_proof(proof), PeerVerdict::Behind);
+    let bytes = other.config_copy().unwrap().to_bytes().unwrap();
+    assert!(core.take_copy(&ConfigCopy::from_bytes(&bytes).unwrap()));
+    assert_eq!((core.rules().version(), core.config_revision()), (6, 6));
+    assert_eq!(core.lease().proven_at(), Some(at(9_700) - proof.age));
+}
+
+/// What a copy holds may be older than what was proven, where the entry that was asked
+/// has restarted meanwhile.
+#[test]
+fn a_copy_of_an_earlier_configuration_proves_nothing() {
+    let (other, late) = (entry(2, 8, at(9_000)), entry(2, 7, at(9_000)));
+    let mut core = entry(1, 5, at(5_000));
+    hear_of_peer(&mut core, 1_000, at(9_700));
+    let nonce = question(&mut core, at(9_700));
+    core.take_proof(answer(&other, nonce, at(9_702)).unwrap());
+    assert!(core.take_copy(&late.config_copy().unwrap()), "it is a step forward");
+    assert_eq!(core.lease().proven_at(), Some(at(5_000)));
+    assert!(!core.take_copy(&entry(3, 6, at(9_000)).config_copy().unwrap()), "a step back");
+    assert_eq!(core.rules().version(), 7);
+}
+
+#[test]
+fn bytes_that_are_no_copy_are_refused() {
+    #[expect(clippy::needless_pass_by_value, reason = "what quickcheck gives")]
+    fn property(bytes: Vec<u8>) -> bool {
+        ConfigCopy::from_bytes(&bytes).is_err()
+    }
+    check(property as fn(Vec<u8>) -> bool);
+}
+
 /// Whatever pauses and networks do between the question and its answer, the proof
 /// that is taken over is never newer than the one that was given.
 #[test]
