End calls whose connection to the store went silent

Cause: a watch waits for up to 25 s. On a connection that goes silent for good, without a reset, it looked like a watch of a list that does not change: nothing ended it before that.

Change: connections of the HTTP client ask the other side after a second without anything, and are gone three seconds later at most (src/silence.rs). Connections to targets keep their limit on unacknowledged bytes only: an answer that a cut holds up may still come. A first form with questions each half second was refused by the system; the new test found that.

A silent path itself is not played by the test, which reads the options back: our proxies answer the kernel's questions.

--- a/src/client.rs
+++ b/src/client.rs
@@ -12,6 +12,7 @@
 use hyper_util::rt::TokioExecutor;
 
 use crate::error::{Error, Result};
+use crate::silence::end_when_silent;
 
 /// Body of a call.
 pub type CallBody = BoxBody<Bytes, std::convert::Infallible>;
@@ -41,6 +42,7 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_LIMIT));
+        end_when_silent(&mut connector);
         let inner = Client::builder(TokioExecutor::new())
             .pool_max_idle_per_host(idle)
             .retry_canceled_requests(false)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -85,6 +85,7 @@
 pub mod program;
 pub mod relay;
 pub mod settings;
+pub mod silence;
 pub mod store;
 pub mod time;
 pub mod timeline;
--- a/src/relay/proxy/connections.rs
+++ b/src/relay/proxy/connections.rs
@@ -9,20 +9,16 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::silence::limit_unacked;
 use crate::time::Tick;
 
 /// Longest time for a connection to come up: a few round trips between
 /// failure domains, and less than a lost first packet costs.
 const CONNECT_LIMIT: Duration = Duration::from_millis(600);
 
-/// Longest time that sent bytes may stay unacknowledged before the connection
-/// counts as broken.
-const UNACKED_LIMIT: Duration = Duration::from_secs(2);
-
 /// Longest rest of a kept connection where the target states none.
 const DEFAULT_REST: Duration = Duration::from_secs(4);
 
@@ -109,7 +105,7 @@
     let work = async {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKED_LIMIT))?;
+        limit_unacked(&stream)?;
         Ok::<_, std::io::Error>(stream)
     };
     let stream = tokio::time::timeout(CONNECT_LIMIT, work).await;
