Judge a removal that others tell by the own view of the store

The store had turned two of five entries away; one of these told the others of the removal as of one after an outage, and they kept the target for 1.6 s more.

Change: news say nothing of outages. Each entry goes by whether its own calls failed.

Test: who_never_lost_the_store_takes_a_removal_at_once (the field that carried the fault is gone, so it can not be compiled on the code before).

--- a/src/relay/core.rs
+++ b/src/relay/core.rs
@@ -294,14 +294,20 @@
         }
         let change = self.take_changes(&changes, is_after_outage, now);
         let since = self.list_share.note_watched(revision);
-        let news = ListNews { since, mark: self.list_share.mark(), is_after_outage, changes };
+        let news = ListNews { since, mark: self.list_share.mark(), changes };
         (change, Some(news))
     }
 
-    /// Takes changes that another entry tells.
-    pub fn take_list_news(&mut self, news: &ListNews, now: Tick) -> ListChange {
+    /// Takes changes that another entry tells. Whether the store was away is for each
+    /// to say for itself: it may have turned away the other one only.
+    pub fn take_list_news(
+        &mut self,
+        news: &ListNews,
+        is_after_outage: bool,
+        now: Tick,
+    ) -> ListChange {
         match self.list_share.take_news(news, now) {
-            NewsVerdict::Next => self.take_changes(&news.changes, news.is_after_outage, now),
+            NewsVerdict::Next => self.take_changes(&news.changes, is_after_outage, now),
             NewsVerdict::Known | NewsVerdict::Gap => ListChange::default(),
         }
     }
--- a/src/relay/discovery/list_share.rs
+++ b/src/relay/discovery/list_share.rs
@@ -52,9 +52,6 @@
     /// They end at this mark.
     #[serde(rename = "m")]
     pub mark: u64,
-    /// Whether what is gone may come back, since the store was away.
-    #[serde(rename = "o")]
-    pub is_after_outage: bool,
     /// The changes.
     #[serde(rename = "c")]
     pub changes: Vec<TargetChange>,
--- a/src/relay/peers/receive.rs
+++ b/src/relay/peers/receive.rs
@@ -52,7 +52,8 @@
 
 /// Takes changes of the list that another entry tells.
 fn take_list_news(shared: &RelayShared, news: &ListNews, now: Tick) {
-    let change = shared.core.borrow_mut().take_list_news(news, now);
+    let is_after_outage = shared.was_away(now);
+    let change = shared.core.borrow_mut().take_list_news(news, is_after_outage, now);
     shared.log.targets_changed(&change);
 }
 
--- a/tests/relay/list_news.rs
+++ b/tests/relay/list_news.rs
@@ -9,7 +9,7 @@
 use crate::fixture::{at, check, limits, name, record};
 
 fn news(since: u64, mark: u64) -> ListNews {
-    ListNews { since, mark, is_after_outage: false, changes: Vec::new() }
+    ListNews { since, mark, changes: Vec::new() }
 }
 
 /// A share that knows all up to `mark`.
@@ -142,17 +142,36 @@
         shalelane::relay::decide::targets::TargetRecord { is_leaving: true, ..record("a", 1) };
     let changes = vec![TargetChange::Listed(leaving), TargetChange::Removed(name("b"))];
     let (change, news) = watcher.take_watched(changes, 9, false, at(100));
-    assert_eq!(other.take_list_news(&news.clone().unwrap(), at(102)), change);
+    assert_eq!(other.take_list_news(&news.clone().unwrap(), false, at(102)), change);
     assert!(!other.targets.get("a").unwrap().is_usable());
     assert!(other.targets.get("b").is_none());
-    assert_eq!(other.take_list_news(&news.unwrap(), at(103)).removed, [], "a copy");
+    assert_eq!(other.take_list_news(&news.unwrap(), false, at(103)).removed, [], "a copy");
+}
+
+/// Past failure (ghcg hunt-cfe9-39): the store had turned away two of five entries. One
+/// of them told of a target that was gone as of one that may come back, and an entry that
+/// had never lost the store sent it a request 2,025 ms later.
+#[test]
+fn who_never_lost_the_store_takes_a_removal_at_once() {
+    let core = || {
+        let mut core = RelayCore::new(limits(StalePolicy::FailClosed), 1);
+        core.take_list(vec![record("a", 1), record("b", 2)], false, at(0));
+        core.note_list(5, 5);
+        core
+    };
+    let (mut turned_away, mut other) = (core(), core());
+    let changes = vec![TargetChange::Removed(name("b"))];
+    let (change, news) = turned_away.take_watched(changes, 9, true, at(13_070));
+    assert_eq!(change.removed, [], "it may come back");
+    let change = other.take_list_news(&news.unwrap(), false, at(13_072));
+    assert_eq!(change.removed, [name("b")]);
 }
 
 #[test]
 fn news_of_ten_targets_fit_a_datagram() {
     let changes = (0..10)
         .map(|number| TargetChange::Listed(record(&format!("i-0123456789{number}"), number)));
-    let news = ListNews { since: 1, mark: 2, is_after_outage: true, changes: changes.collect() };
+    let news = ListNews { since: 1, mark: 2, changes: changes.collect() };
     let note = LoadNote::ListChanged(news);
     let bytes = note.to_bytes().unwrap();
     assert!(bytes.len() <= MAX_NOTE, "{} bytes", bytes.len());
