--- a/src/relay/core.rs
+++ b/src/relay/core.rs
@@ -199,6 +199,12 @@
         self.config_revision = self.config_revision.max(revision);
     }
 
+    /// Returns true where this entry asks a store again that did not answer.
+    #[must_use]
+    pub fn probes_store(&self) -> bool {
+        ProofShare::probes(self.fleet_entries().unwrap_or(1), rand::random())
+    }
+
     /// The entry that is to be asked for its proof, and the question: none where
     /// none is known whose proof is enough newer.
     pub fn ask_proof(&mut self, now: Tick) -> Option<(SocketAddr, LoadNote)> {
--- a/src/relay/discovery/follow.rs
+++ b/src/relay/discovery/follow.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::sync::watch;
+
 use super::feed::{ConfigWatch, PlatformFeed, TargetWatch};
 use super::list_share::ListNews;
 use super::proof_share::{PeerVerdict, ProofShare};
@@ -70,7 +72,7 @@
                 if is_proven_without_store(&shared).await {
                     take_news_until(&shared, next_refresh(&shared)).await;
                 } else {
-                    tokio::time::sleep(RETRY_STEP).await;
+                    wait_for_store(&shared).await;
                 }
                 continue;
             }
@@ -107,6 +109,18 @@
     }
 }
 
+/// Waits until the store is to be asked again: by this entry for others, or since
+/// another one has reached it.
+async fn wait_for_store(shared: &RelayShared) {
+    loop {
+        tokio::time::sleep(RETRY_STEP).await;
+        shared.away_at.set(Some(shared.now()));
+        if shared.core.borrow().probes_store() || is_proven_without_store(shared).await {
+            return;
+        }
+    }
+}
+
 /// When the proof is to be renewed.
 fn next_refresh(shared: &RelayShared) -> Tick {
     let core = shared.core.borrow();
@@ -245,8 +259,7 @@
     loop {
         outages.mark_unchanged();
         let Some(mut revision) = read_list(&shared, &feed, heard_at).await else {
-            // Whether told of the store's return or not, the list is read.
-            drop(tokio::time::timeout(LIST_RETRY, outages.changed()).await);
+            wait_for_list(&shared, &mut outages).await;
             continue;
         };
         loop {
@@ -262,6 +275,16 @@
     }
 }
 
+/// Waits until the list is to be read again after a failure.
+async fn wait_for_list(shared: &RelayShared, outages: &mut watch::Receiver<u64>) {
+    loop {
+        let told = tokio::time::timeout(LIST_RETRY, outages.changed()).await;
+        if told.is_ok() || shared.core.borrow().probes_store() {
+            return;
+        }
+    }
+}
+
 /// Hears of changes for a while, by an own watch or by the news of others. Returns
 /// the next revision to watch from, none where the list has to be read anew.
 async fn hear_once(shared: &RelayShared, feed: &PlatformFeed, revision: u64) -> Option<u64> {
--- a/src/relay/discovery/proof_share.rs
+++ b/src/relay/discovery/proof_share.rs
@@ -30,6 +30,10 @@
 /// How much newer a proof has to be, so that it lasts for a while.
 const LEAST_GAIN: Duration = Duration::from_millis(700);
 
+/// Entries of a fleet that ask a store which does not answer, each time that an entry
+/// alone would ask it. The others hear of its return from these.
+const PROBES: f64 = 16.0;
+
 /// What another entry says of its proof.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PeerProof {
@@ -88,6 +92,14 @@
         span.mul_f64(rand::random_range(REFRESH_PART))
     }
 
+    /// Returns true where a store that did not answer is to be asked again now, by a
+    /// throw from 0 to 1: hundreds of entries that all ask are a load of their own, and
+    /// hear of its return from one another.
+    #[must_use]
+    pub fn probes(entries: usize, throw: f64) -> bool {
+        throw * entries as f64 <= PROBES
+    }
+
     /// Notes that the entry at `address` is said to have proven its configuration
     /// at about `proven_at`.
     pub fn note_source(&mut self, address: SocketAddr, proven_at: Tick) {
--- a/tests/relay/proofs.rs
+++ b/tests/relay/proofs.rs
@@ -156,6 +156,19 @@
     assert_eq!(core.rules().version(), 7);
 }
 
+/// In an outage a hundred entries asked the store 250 times a second for nothing.
+#[test]
+fn a_store_that_does_not_answer_is_asked_by_a_few() {
+    let probes = |entries: usize| {
+        let throws = (0..1_000).map(|throw| f64::from(throw) / 1_000.0);
+        throws.filter(|throw| ProofShare::probes(entries, *throw)).count()
+    };
+    assert_eq!(probes(1), 1_000, "one alone always asks");
+    assert_eq!(probes(16), 1_000);
+    assert_eq!(probes(100), 161);
+    assert!(probes(400) >= 40, "somebody does");
+}
+
 #[test]
 fn bytes_that_are_no_copy_are_refused() {
     #[expect(clippy::needless_pass_by_value, reason = "what quickcheck gives")]
