Split the relay's core by what it decides of

Change: moves only: configuration, target list and attempts have a file each; the state, its limits, admission and notes stay in core/mod.rs. Before and after: the same 99 tests pass.

--- /dev/null
+++ b/src/relay/core/mod.rs
@@ -0,0 +1,273 @@
+//! What the relay of one entry knows and decides, without input or output.
+
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::relay::decide::pass_model::StreamKey;
+use crate::relay::decide::policy::RelayPolicy;
+use crate::relay::decide::retry_budget::{RetryBound, RetryBudget};
+use crate::relay::decide::targets::TargetSet;
+use crate::relay::discovery::freshness::{FreshnessLease, StalePolicy};
+use crate::relay::discovery::list_share::ListShare;
+use crate::relay::discovery::proof_share::ProofShare;
+use crate::relay::discovery::rules::{Access, AccessFault, RelayConfig, RouteRule, RuleTable};
+use crate::relay::peers::load_note::LoadNote;
+use crate::time::Tick;
+
+mod attempts;
+mod configuration;
+mod target_list;
+
+/// What does not change while the process runs.
+#[derive(Clone, Debug)]
+pub struct RelayLimits {
+    /// Failure domain of this process.
+    pub failure_domain: Arc<str>,
+    /// Longest time between the removal of a key and its last use.
+    pub revoke_bound: Duration,
+    /// What is done while the configuration can not be proven current.
+    pub stale_policy: StalePolicy,
+    /// Longest time in which a target that is leaving may still get requests.
+    pub drain_bound: Duration,
+    /// Bound on second attempts over all entries.
+    pub retry_bound: RetryBound,
+    /// What is weighed when a request is placed.
+    pub policy: RelayPolicy,
+}
+
+/// Why a request is refused before anything is done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// No configuration is known, or it can not be proven current.
+    NotFresh,
+    /// No route takes it.
+    NoRoute,
+    /// Its key is not known.
+    BadKey,
+}
+
+/// What an attempt holds at targets, to be given back.
+#[derive(Clone, Debug)]
+pub struct AttemptShare {
+    /// The target that answers.
+    pub target: Arc<str>,
+    /// The targets that help.
+    pub helpers: Vec<Arc<str>>,
+    /// The name of its stream.
+    pub key: StreamKey,
+}
+
+/// State and decisions of the relay.
+#[derive(Debug)]
+pub struct RelayCore {
+    limits: RelayLimits,
+    entry: u64,
+    next_number: u64,
+    rules: Rc<RuleTable>,
+    lease: FreshnessLease,
+    proof_share: ProofShare,
+    list_share: ListShare,
+    /// Revision of the configuration in the store.
+    config_revision: u64,
+    /// The configuration in force, to be passed on.
+    config: Option<Rc<RelayConfig>>,
+    /// The targets.
+    pub targets: TargetSet,
+    budgets: HashMap<Arc<str>, RetryBudget>,
+    /// Most entries that an agent was seen to tell.
+    entries: Option<usize>,
+    notes: Vec<LoadNote>,
+}
+
+impl RelayCore {
+    /// A relay that knows nothing yet. `entry` is its incarnation.
+    #[must_use]
+    pub fn new(limits: RelayLimits, entry: u64) -> Self {
+        RelayCore {
+            lease: FreshnessLease::new(limits.revoke_bound, limits.stale_policy),
+            limits,
+            entry,
+            next_number: 0,
+            rules: Rc::default(),
+            proof_share: ProofShare::default(),
+            list_share: ListShare::default(),
+            config_revision: 0,
+            config: None,
+            targets: TargetSet::default(),
+            budgets: HashMap::new(),
+            entries: None,
+            notes: Vec::new(),
+        }
+    }
+
+    /// Takes changed limits. What was proven and spent before stays so.
+    pub fn set_limits(&mut self, limits: RelayLimits) {
+        self.lease.set_bound(limits.revoke_bound, limits.stale_policy);
+        for budget in self.budgets.values_mut() {
+            budget.set_bound(limits.retry_bound);
+        }
+        self.limits = limits;
+    }
+
+    /// What does not change with configuration and targets.
+    #[must_use]
+    pub fn limits(&self) -> &RelayLimits {
+        &self.limits
+    }
+
+    /// The rules in force here.
+    #[must_use]
+    pub fn rules(&self) -> Rc<RuleTable> {
+        self.rules.clone()
+    }
+
+    /// The lease on the configuration.
+    #[must_use]
+    pub fn lease(&self) -> &FreshnessLease {
+        &self.lease
+    }
+
+    /// Incarnation of this entry.
+    #[must_use]
+    pub fn entry(&self) -> u64 {
+        self.entry
+    }
+
+    /// Returns true where requests can be served, and others would not serve them
+    /// better.
+    #[must_use]
+    pub fn is_ready(&self, now: Tick) -> bool {
+        let is_let_in = self.lease.permits_keys(now) && !self.lease.is_behind(now);
+        is_let_in && self.targets.has_list()
+    }
+
+    /// Finds the route and account of a request that was read at `now`.
+    ///
+    /// # Errors
+    ///
+    /// The configuration does not allow it, or is not known to be current where
+    /// it has to be.
+    pub fn admit(
+        &mut self,
+        host: &str,
+        path: &str,
+        key: Option<&str>,
+        now: Tick,
+    ) -> Result<Access, Refusal> {
+        if !self.lease.permits_public() {
+            return Err(Refusal::NotFresh);
+        }
+        match self.rules.admit(host, path, key) {
+            Ok(access) if self.may_serve(&access.route, now) => Ok(access),
+            Ok(_) => Err(Refusal::NotFresh),
+            // A newer configuration may know the route or the key.
+            Err(_) if !self.lease.is_held(now) => Err(Refusal::NotFresh),
+            Err(AccessFault::NoRoute) => Err(Refusal::NoRoute),
+            Err(AccessFault::BadKey) => Err(Refusal::BadKey),
+        }
+    }
+
+    /// Returns true where a request of a route that was admitted may be served.
+    #[must_use]
+    pub fn may_serve(&self, route: &RouteRule, now: Tick) -> bool {
+        self.lease.permits_keys(now) || (route.is_public && self.lease.permits_public())
+    }
+
+    /// The service that a request of a route goes to, by a number that stays
+    /// the same for the request.
+    #[must_use]
+    pub fn pick_service(route: &RouteRule, number: u64) -> Option<Arc<str>> {
+        let total: u64 = route.services.iter().map(|share| u64::from(share.weight)).sum();
+        let mut rest = number.checked_rem(total)?;
+        for share in &route.services {
+            let weight = u64::from(share.weight);
+            if rest < weight {
+                return Some(share.service.clone());
+            }
+            rest -= weight;
+        }
+        None
+    }
+
+    /// Entries of the whole fleet. An agent counts those that use its engine, which
+    /// are a part of all where each uses a part of the engines.
+    fn fleet_entries(&self) -> Option<usize> {
+        let engines = || self.targets.iter().filter(|target| target.model.is_some());
+        let used: Vec<_> = engines().filter(|target| target.is_used).collect();
+        if used.len() == engines().count() {
+            return self.entries;
+        }
+        let told: Vec<_> =
+            used.iter().map(|target| target.subscribers).filter(|n| *n > 0).collect();
+        let all = told.iter().sum::<usize>() * engines().count();
+        (!told.is_empty()).then(|| all.div_ceil(told.len() * used.len()))
+    }
+
+    /// Takes a note from an agent.
+    pub fn take_note(&mut self, note: LoadNote, now: Tick) {
+        match note {
+            LoadNote::Welcome {
+                target,
+                entries,
+                pace_percent,
+                proof_age_ms,
+                proof_from,
+                watchers,
+                list_mark,
+            } => {
+                self.list_share.note_agent(watchers, list_mark, now);
+                self.entries = Some(self.entries.unwrap_or(0).max(entries as usize));
+                if let Some(target) = self.targets.get_mut(&target) {
+                    target.subscribers = entries as usize;
+                }
+                if let Some(age) = proof_age_ms {
+                    let proven_at = now - Duration::from_millis(age.into());
+                    self.lease.note_other(proven_at);
+                    if let Some(address) = proof_from {
+                        self.proof_share.note_source(address, proven_at);
+                    }
+                }
+                if self.limits.policy.follows_pace
+                    && let Some(model) = self.model(&target)
+                {
+                    model.set_pace(f64::from(pace_percent) / 100.0);
+                }
+            }
+            LoadNote::Placed { target, key, load } if key.entry != self.entry => {
+                if let Some(model) = self.model(&target) {
+                    model.add(key, load, now);
+                }
+            }
+            LoadNote::Ended { target, key } if key.entry != self.entry => {
+                if let Some(model) = self.model(&target) {
+                    model.remove(key);
+                }
+            }
+            LoadNote::EntryGone { target, entry } if entry != self.entry => {
+                if let Some(model) = self.model(&target) {
+                    model.remove_entry(entry);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn model(&mut self, target: &str) -> Option<&mut super::decide::pass_model::PassModel> {
+        self.targets.get_mut(target)?.model.as_mut()
+    }
+
+    /// Takes the notes that are to be sent to agents.
+    pub fn take_notes(&mut self) -> Vec<LoadNote> {
+        let notes = std::mem::take(&mut self.notes);
+        if self.limits.policy.sends_notes { notes } else { Vec::new() }
+    }
+
+    /// Names of the services that have engines.
+    #[must_use]
+    pub fn engine_services(&self) -> HashSet<Arc<str>> {
+        let services = self.rules.services().filter(|service| service.engine.is_some());
+        services.map(|service| service.name.clone()).collect()
+    }
+}
--- /dev/null
+++ b/src/relay/core/target_list.rs
@@ -0,0 +1,127 @@
+//! What the core knows of the list of targets, and which of them it uses.
+
+use std::time::Duration;
+
+use super::{RelayCore, RelayLimits};
+use crate::relay::decide::engine_subset::{SubsetQuery, mark_used};
+use crate::relay::decide::targets::{ListChange, TargetRecord};
+use crate::relay::discovery::feed::TargetChange;
+use crate::relay::discovery::list_share::{ListNews, ListShare, NewsVerdict};
+use crate::time::Tick;
+
+impl RelayCore {
+    /// Takes a whole list of targets.
+    pub fn take_list(
+        &mut self,
+        records: Vec<TargetRecord>,
+        is_after_outage: bool,
+        now: Tick,
+    ) -> ListChange {
+        let change = self.targets.take_list(records, is_after_outage, now);
+        self.set_rates();
+        self.choose_engines(now);
+        change
+    }
+
+    /// Chooses anew which engines this entry uses.
+    pub fn choose_engines(&mut self, now: Tick) {
+        let RelayLimits { failure_domain, policy, .. } = &self.limits;
+        let query = SubsetQuery { entry: self.entry, failure_domain, most: policy.most_engines };
+        let services: Vec<_> = self.engine_services().into_iter().collect();
+        mark_used(&mut self.targets, &services, query, now);
+    }
+
+    /// Gives each target the rates of its service. Configuration and list are
+    /// read separately, and either may come first.
+    pub(super) fn set_rates(&mut self) {
+        for target in self.targets.iter_mut() {
+            let service = self.rules.service(&target.record.service);
+            if let Some(rates) = service.and_then(|service| service.engine.as_ref()) {
+                target.set_rates(rates, self.entry);
+                if let Some(model) = &mut target.model {
+                    model.set_grace(Duration::from_millis(self.limits.policy.pass_grace_ms));
+                }
+            }
+        }
+    }
+
+    /// Takes a change of one target.
+    pub fn take_change(&mut self, record: TargetRecord, now: Tick) -> ListChange {
+        let change = self.targets.take_change(record, now);
+        self.set_rates();
+        self.choose_engines(now);
+        change
+    }
+
+    /// What is known of the list of targets, and who watches it.
+    #[must_use]
+    pub fn list_share(&self) -> &ListShare {
+        &self.list_share
+    }
+
+    /// Notes a list that was read and is true at `revision`; its targets changed last
+    /// at `changed_at`.
+    pub fn note_list(&mut self, revision: u64, changed_at: u64) {
+        self.list_share.note_list(revision, changed_at);
+    }
+
+    /// Takes changes that the own watch brought, up to `revision`. Returns what others
+    /// are to be told, none where they changed nothing.
+    pub fn take_watched(
+        &mut self,
+        changes: Vec<TargetChange>,
+        revision: u64,
+        is_after_outage: bool,
+        now: Tick,
+    ) -> (ListChange, Option<ListNews>) {
+        if changes.is_empty() {
+            return (ListChange::default(), None);
+        }
+        let change = self.take_changes(&changes, is_after_outage, now);
+        let since = self.list_share.note_watched(revision);
+        let news = ListNews { since, mark: self.list_share.mark(), changes };
+        (change, Some(news))
+    }
+
+    /// Takes changes that another entry tells. Whether the store was away is for each
+    /// to say for itself: it may have turned away the other one only.
+    pub fn take_list_news(
+        &mut self,
+        news: &ListNews,
+        is_after_outage: bool,
+        now: Tick,
+    ) -> ListChange {
+        match self.list_share.take_news(news, now) {
+            NewsVerdict::Next => self.take_changes(&news.changes, is_after_outage, now),
+            NewsVerdict::Known | NewsVerdict::Gap => ListChange::default(),
+        }
+    }
+
+    fn take_changes(
+        &mut self,
+        changes: &[TargetChange],
+        is_after_outage: bool,
+        now: Tick,
+    ) -> ListChange {
+        let mut all = ListChange::default();
+        for change in changes {
+            all.join(match change {
+                TargetChange::Listed(record) => self.take_change(record.clone(), now),
+                TargetChange::Removed(name) => {
+                    self.targets.take_removal(name, is_after_outage, now)
+                }
+            });
+        }
+        all
+    }
+
+    /// Decides from time to time whether this entry watches the list. Returns true
+    /// where that changed.
+    pub fn decide_watching(&mut self, now: Tick) -> bool {
+        let engines = || self.targets.iter().filter(|target| target.model.is_some());
+        let used = engines().filter(|target| target.is_used).count();
+        let part = used as f64 / engines().count().max(1) as f64;
+        let entries = self.fleet_entries().unwrap_or(1);
+        self.list_share.decide(part, entries, rand::random(), now)
+    }
+}
