Ask the store again soon while others prove for an entry

After an outage an entry had its proof and a copy of version 20 from another entry, and read the store again only when that proof was to be renewed, 2.6 s later. It had no watch meanwhile and missed version 23 for 2.6 s (bound 2 s): 'configuration in force' at 29.636 s, acknowledged 27.021.

Change: while others prove for it, an entry asks the store each second.

--- a/src/relay/discovery/follow.rs
+++ b/src/relay/discovery/follow.rs
@@ -25,6 +25,11 @@
 /// time for which a proof holds, long against the price of each.
 const RETRY_STEP: Duration = Duration::from_millis(400);
 
+/// Time between two reads while others prove the configuration for this entry. It hears
+/// of no change meanwhile, and has to within the bound for changes once the store is
+/// back: reads are well under that, and well over the price of each.
+const TURNED_AWAY_STEP: Duration = Duration::from_secs(1);
+
 /// Longest wait of one watch: each is priced as a call.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
 
@@ -70,7 +75,7 @@
                 is_there = false;
                 // Where only this entry is turned away, others prove for it.
                 if is_proven_without_store(&shared).await {
-                    take_news_until(&shared, next_refresh(&shared)).await;
+                    tokio::time::sleep(TURNED_AWAY_STEP).await;
                 } else {
                     wait_for_store(&shared).await;
                 }
