Count a jointly read prompt as late once; loads replayed in virtual time

Cause: what others lose by a placement was summed over the engines of a group. A prompt that is read jointly has a part at several of them and starts when the last part is read, so making it late was counted once for each engine.

Change: PassForecast tells the loss of joint prompts by their key, and a group counts the largest for each key. Targets and writers are kept in the order of their names, and engines that cost the same are taken in an order of the entry's own, so that the same knowledge decides the same. standins::replay plays loads through these decisions in virtual time, on engines written from what was measured; 'standins replay' compares two policies.

--- a/src/relay/decide/pass_model.rs
+++ b/src/relay/decide/pass_model.rs
@@ -14,7 +14,7 @@
 //! right by the events that arrive. What would become of one more prompt is
 //! worked out in [`super::pass_outlook`].
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -117,7 +117,7 @@
     /// The entry that sees the events of its own streams.
     observer: u64,
     line: Vec<PendingRead>,
-    writers: HashMap<StreamKey, Writer>,
+    writers: BTreeMap<StreamKey, Writer>,
     /// None while nobody writes.
     pass: Option<OpenPass>,
     /// Up to when the line was followed.
@@ -135,7 +135,7 @@
             rates,
             observer,
             line: Vec::new(),
-            writers: HashMap::new(),
+            writers: BTreeMap::new(),
             pass: None,
             played_to: Tick::default(),
             pace: 1.0,
@@ -350,6 +350,7 @@
             active: self.loads().filter(|(_, load)| load.is_writer()).count(),
             memory: self.loads().map(|(_, load)| load.memory).sum(),
             loss: 0.0,
+            joint: Vec::new(),
         };
         outlook.with_loss()
     }
--- a/src/relay/decide/pass_outlook.rs
+++ b/src/relay/decide/pass_outlook.rs
@@ -14,8 +14,17 @@
 /// Names the prompt that is weighed among those in line.
 const WEIGHED: StreamKey = StreamKey { entry: 0, number: 0 };
 
+/// What a jointly read prompt loses by a part of it that is read later.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct JointHarm {
+    /// The prompt. Its parts have the same name at all engines.
+    pub key: StreamKey,
+    /// What it loses, in short requests.
+    pub harm: f32,
+}
+
 /// What would become of a prompt that is sent to an engine now.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct PassForecast {
     /// Time until it is read, and writes: the end of the pass that reads it
     /// where others write.
@@ -24,14 +33,25 @@
     pub pause: Duration,
     /// Length of a pass afterwards, with it among the writers.
     pub steady: Duration,
-    /// What others there lose by it, in short requests.
+    /// What others there lose by it, in short requests, without `joint`.
     pub harm: f32,
+    /// What jointly read prompts lose by it that have a part there. A prompt that
+    /// several of the engines make late is late once.
+    pub joint: Vec<JointHarm>,
     /// Requests there that are not helpers.
     pub active: usize,
     /// Memory that is taken there, in tokens.
     pub memory: u64,
 }
 
+impl PassForecast {
+    /// What all others there lose by it, in short requests.
+    #[must_use]
+    pub fn total_harm(&self) -> f32 {
+        self.harm + self.joint.iter().map(|joint| joint.harm).sum::<f32>()
+    }
+}
+
 /// A stream that writes, as far as passes concern it.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct OutlookWriter {
@@ -73,8 +93,10 @@
     pub(super) active: usize,
     /// Memory that is taken there, in tokens.
     pub(super) memory: u64,
-    /// What those there lose as it is.
+    /// What those there lose as it is, without `joint`.
     pub(super) loss: f32,
+    /// What jointly read prompts lose as it is.
+    pub(super) joint: Vec<JointHarm>,
 }
 
 /// Passes that are played ahead.
@@ -87,13 +109,15 @@
     asked: StreamKey,
     asked_read: Option<Duration>,
     loss: f32,
+    joint: Vec<JointHarm>,
 }
 
 impl PassOutlook<'_> {
     /// Works out what those there lose as it is.
     pub(super) fn with_loss(mut self) -> Self {
-        let loss = self.play(self.line.clone(), WEIGHED).loss;
+        let PassPlay { loss, joint, .. } = self.play(self.line.clone(), WEIGHED);
         self.loss = loss;
+        self.joint = joint;
         self
     }
 
@@ -112,11 +136,22 @@
             pause: weighed.map_or(Duration::ZERO, |writer| writer.longest),
             steady: from_ms(steady),
             harm: played.loss - self.loss,
+            joint: self.joint_harm(&played.joint),
             active: self.active,
             memory: self.memory,
         }
     }
 
+    /// What jointly read prompts lose more than as it is.
+    fn joint_harm(&self, played: &[JointHarm]) -> Vec<JointHarm> {
+        let before = |key| self.joint.iter().find(|joint| joint.key == key);
+        let more = played.iter().map(|after| {
+            let harm = after.harm - before(after.key).map_or(0.0, |before| before.harm);
+            JointHarm { harm, ..*after }
+        });
+        more.filter(|joint| joint.harm > 0.0).collect()
+    }
+
     /// Time to read all that is in line, without what is written meanwhile.
     #[must_use]
     pub fn time_in_line(&self) -> Duration {
@@ -139,6 +174,7 @@
             asked,
             asked_read: None,
             loss: 0.0,
+            joint: Vec::new(),
         };
         for _ in 0..MAX_PASSES {
             if play.line.is_empty() {
@@ -192,8 +228,11 @@
         if read.key == self.asked {
             self.asked_read = Some(self.time);
         }
-        if !is_weighed {
-            self.loss += self.first_loss(read);
+        let harm = if is_weighed { 0.0 } else { self.first_loss(read) };
+        if load.is_part {
+            self.joint.push(JointHarm { key: read.key, harm });
+        } else {
+            self.loss += harm;
         }
         if load.is_writer() {
             let writer = OutlookWriter::from_load(load, Duration::ZERO);
--- a/src/relay/decide/placement.rs
+++ b/src/relay/decide/placement.rs
@@ -5,11 +5,12 @@
 //! writers there lose by the pass that reads it. Long prompts are read jointly
 //! by several engines, so that no pass grows long.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::loss::{FIRST_PART, LATE_LOSS, first_event_loss, pause_loss};
-use super::pass_model::StreamLoad;
+use super::pass_model::{StreamKey, StreamLoad};
 use super::pass_outlook::{PassForecast, PassOutlook};
 use super::policy::RelayPolicy;
 use super::targets::{TargetSet, TargetState};
@@ -147,8 +148,12 @@
     /// the same.
     fn preference(&self, target: &str) -> f32 {
         const STEPS: u64 = 1 << 16;
-        let hash = xxhash_rust::xxh3::xxh3_64_with_seed(target.as_bytes(), self.entry);
-        (hash % STEPS) as f32 / STEPS as f32
+        (self.rank(target) % STEPS) as f32 / STEPS as f32
+    }
+
+    /// A target's place in the order of this entry, at random but always the same.
+    fn rank(&self, target: &str) -> u64 {
+        xxhash_rust::xxh3::xxh3_64_with_seed(target.as_bytes(), self.entry)
     }
 }
 
@@ -251,7 +256,7 @@
     outlook: PassOutlook<'a>,
 }
 
-#[derive(Clone, Copy)]
+#[derive(Clone)]
 struct Candidate<'a> {
     target: &'a TargetState,
     forecast: PassForecast,
@@ -266,7 +271,10 @@
     need: &PromptNeed,
     now: Tick,
 ) -> Option<Placement> {
-    let engines: Vec<_> = candidates(set, query, now)
+    let mut targets = candidates(set, query, now);
+    // Among engines that cost the same, each entry takes others first.
+    targets.sort_by_key(|target| query.rank(&target.record.incarnation));
+    let engines: Vec<_> = targets
         .into_iter()
         .filter_map(|target| {
             let outlook = target.model.as_ref()?.outlook(now);
@@ -313,13 +321,11 @@
     let rates = engines.first()?.outlook.rates;
     let load = need.to_load(read, size, 1, rates.passes(need.answer));
     let writers = weigh(engines, need, &load, query.policy);
-    let first = *writers.iter().min_by(|a, b| {
-        let cost = |member| {
-            let own = writer_cost(member, query, need) + queue_cost(member, query.policy);
-            own + member.cost
-        };
-        cost(*a).total_cmp(&cost(*b))
-    })?;
+    let cost = |member: &Candidate<'_>| {
+        let own = writer_cost(member, query, need) + queue_cost(member, query.policy);
+        own + member.cost
+    };
+    let first = writers.into_iter().min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
     let mut members = Vec::new();
     if size > 1 {
         members = weigh(engines, need, &need.to_helper_load(read, size), query.policy);
@@ -331,10 +337,9 @@
         }
     }
     let seats = plan_memory(need, rates.memory_tokens, &first, &mut members)?;
-    let group = members.iter().chain([&first]);
-    let start = group.clone().map(|member| member.forecast.read).max()?;
-    let harm: f32 = group.map(|member| member.forecast.harm).sum();
-    let harm = harm * query.policy.harm_weight;
+    let group = || members.iter().chain([&first]).map(|member| &member.forecast);
+    let start = group().map(|forecast| forecast.read).max()?;
+    let harm = group_harm(group()) * query.policy.harm_weight;
     let group_cost = need.value() * query.policy.helper_cost * members.len() as f32;
     let own = writer_cost(&first, query, need) + time_cost(need, start);
     let queue = queue_cost(&first, query.policy);
@@ -351,6 +356,22 @@
     })
 }
 
+/// What others lose where a prompt is read jointly. One that is read jointly
+/// itself, and has parts at several of the engines, starts when the last of them
+/// is read: it is late once, by the engine that makes it latest.
+fn group_harm<'a>(group: impl Iterator<Item = &'a PassForecast>) -> f32 {
+    let mut latest: BTreeMap<StreamKey, f32> = BTreeMap::new();
+    let mut harm = 0.0;
+    for forecast in group {
+        harm += forecast.harm;
+        for joint in &forecast.joint {
+            let known = latest.entry(joint.key).or_default();
+            *known = known.max(joint.harm);
+        }
+    }
+    harm + latest.values().sum::<f32>()
+}
+
 /// What a load would come to at each engine.
 fn weigh<'a>(
     engines: &[EngineOutlook<'a>],
@@ -360,7 +381,7 @@
 ) -> Vec<Candidate<'a>> {
     let weighed = engines.iter().map(|engine| {
         let forecast = engine.outlook.forecast(load);
-        let cost = forecast.harm * policy.harm_weight + time_cost(need, forecast.read);
+        let cost = forecast.total_harm() * policy.harm_weight + time_cost(need, forecast.read);
         Candidate { target: engine.target, forecast, cost }
     });
     weighed.collect()
@@ -413,7 +434,7 @@
 fn writer_cost(writer: &Candidate<'_>, query: &PlacementQuery<'_>, need: &PromptNeed) -> f32 {
     let policy = query.policy;
     let record = &writer.target.record;
-    let PassForecast { active, steady, pause, .. } = writer.forecast;
+    let &PassForecast { active, steady, pause, .. } = &writer.forecast;
     let capacity = record.capacity;
     let mut cost = pause_loss(need.value(), pause, need.longest_pause);
     if steady.as_secs_f64() > need.longest_pause.as_secs_f64() * FIRST_PART {
--- a/src/relay/decide/targets.rs
+++ b/src/relay/decide/targets.rs
@@ -1,6 +1,6 @@
 //! The targets that this process knows, and what it believes of each.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -207,7 +207,8 @@
 /// All targets that are known.
 #[derive(Debug, Default)]
 pub struct TargetSet {
-    targets: HashMap<Arc<str>, TargetState>,
+    /// In the order of their names, so that the same knowledge decides the same.
+    targets: BTreeMap<Arc<str>, TargetState>,
     has_list: bool,
 }
 
--- a/src/relay/proxy/stream.rs
+++ b/src/relay/proxy/stream.rs
@@ -121,7 +121,7 @@
             }
             Some((PlacementAction::Refuse, need)) => {
                 let why = "the engines are too busy to be in time";
-                let after = after_overload(&placement, &need);
+                let after = after_overload(&placement, &need, &mut rand::rng());
                 let fault = RelayFault::refused("overloaded", why, after);
                 ledger.end_fault(&fault);
                 return output.begin(StreamStart::Fault(fault));
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod plain_server;
 pub mod prompt;
 pub mod proxy;
+pub mod replay;
 pub mod report;
 pub mod serve;
 pub mod slopes;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -1,14 +1,17 @@
 //! The stand-ins' program: `demo` runs the main job, `up` keeps a fleet.
 
 use std::alloc::System;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
 
 use gumdrop::Options;
 use shalelane::mutant::Mutant;
+use shalelane::relay::decide::policy::RelayPolicy;
 use standins::chaos::{ChaosOutcome, ChaosPlan, SeedsOutcome, run_seeds};
 use standins::demo::{self, DemoSpec, apply_config, demo_fleet, wait_ready};
 use standins::fleet::{ADMIN_KEY, Fleet};
+use standins::replay::experiment;
 use standins::slopes;
 use standins::{compare, lanes, overload};
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
@@ -37,6 +40,20 @@
     Overload(DemoArguments),
     #[options(help = "measure long prompts beside short ones")]
     Lanes(DemoArguments),
+    #[options(help = "play loads in virtual time under two settings of the relay")]
+    Replay(ReplayArguments),
+}
+
+#[derive(Debug, Options)]
+struct ReplayArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "TOML file of a policy to compare with [the default]", meta = "FILE")]
+    base: Option<PathBuf>,
+    #[options(help = "TOML file of a policy that is compared [the default]", meta = "FILE")]
+    other: Option<PathBuf>,
+    #[options(help = "seeds of the loads, from..to [1..6]", no_short, meta = "A..B")]
+    seeds: Option<String>,
 }
 
 #[derive(Debug, Options)]
@@ -117,6 +134,7 @@
             let figures = lanes::compare();
             print_figures(arguments.json, &figures, &lanes::to_table(&figures))
         }
+        Some(Command::Replay(arguments)) => run_replay(&arguments),
         None => {
             println!("{}", Arguments::usage());
             println!("{}", Arguments::command_list().unwrap_or_default());
@@ -161,10 +179,7 @@
 }
 
 fn run_chaos(arguments: &ChaosArguments) -> ExitCode {
-    let seeds = arguments.seeds.as_deref().unwrap_or("0..1000");
-    let parsed = seeds.split_once("..").and_then(|(a, b)| Some((a.parse().ok()?, b.parse().ok()?)));
-    let Some((first, end)) = parsed else {
-        eprintln!("--seeds reads A..B");
+    let Some((first, end)) = parse_seeds(arguments.seeds.as_deref().unwrap_or("0..1000")) else {
         return ExitCode::from(2);
     };
     if arguments.mutants {
@@ -184,6 +199,39 @@
     }
 }
 
+/// Reads `A..B`, or says how it is written.
+fn parse_seeds(seeds: &str) -> Option<(u64, u64)> {
+    let parsed = seeds.split_once("..").and_then(|(a, b)| Some((a.parse().ok()?, b.parse().ok()?)));
+    if parsed.is_none() {
+        eprintln!("--seeds reads A..B");
+    }
+    parsed
+}
+
+fn run_replay(arguments: &ReplayArguments) -> ExitCode {
+    let seeds = parse_seeds(arguments.seeds.as_deref().unwrap_or("1..6"));
+    let policies = [&arguments.base, &arguments.other].map(|file| read_policy(file.as_deref()));
+    let (Some((first, end)), [Some(base), Some(other)]) = (seeds, policies) else {
+        return ExitCode::from(2);
+    };
+    let seeds: Vec<_> = (first..end).collect();
+    println!("seeds {first}..{end}");
+    print!("{}", experiment::to_table(&experiment::compare(base, other, &seeds)));
+    ExitCode::SUCCESS
+}
+
+/// Reads a policy, the default one without a file. Says what is wrong with it.
+fn read_policy(file: Option<&Path>) -> Option<RelayPolicy> {
+    let Some(file) = file else { return Some(RelayPolicy::DEFAULT) };
+    let read = std::fs::read_to_string(file).map_err(|error| error.to_string());
+    let parsed = read.and_then(|text| toml::from_str(&text).map_err(|error| error.to_string()));
+    let checked = parsed.and_then(|policy: RelayPolicy| match policy.check() {
+        Ok(()) => Ok(policy),
+        Err(error) => Err(error.to_string()),
+    });
+    checked.inspect_err(|why| eprintln!("{}: {why}", file.display())).ok()
+}
+
 fn print_failure(seed: u64, outcome: &ChaosOutcome) {
     for line in &outcome.log {
         println!("{line}");
--- a/tests/relay/places.rs
+++ b/tests/relay/places.rs
@@ -217,3 +217,21 @@
     let gain = need(50_040).value() * 0.75;
     assert!(placement.harm > -gain - 0.01, "{placement:?}");
 }
+
+/// Past failure: a prompt that is read jointly was counted as late once for each
+/// engine that made a part of it later, so that long prompts were refused, or read by
+/// a few engines only, while little else was lost.
+#[test]
+fn a_joint_prompt_that_several_engines_make_late_is_late_once() {
+    let mut set = engines(8);
+    for target in set.iter_mut() {
+        let model = target.model.as_mut().unwrap();
+        // Read in time where nothing goes before it, and late otherwise.
+        let part = StreamLoad { limit_us: 1_100_000, ..helper_load(400_000, 8) };
+        model.add(key(1), part, at(990));
+        model.advance(at(1_000));
+    }
+    let placement = place(&set, &need(300_000)).unwrap();
+    assert!(placement.helpers.len() >= 5, "{placement:?}");
+    assert!(placement.harm < need(400_000).value(), "{placement:?}");
+}
