Write answers together while engines have much to read; split the search for engines

Cause: an engine writes for one answer in the time that it writes for twelve (50 ms a pass against 56), but only short prompts were drawn together, by a fixed gain that does not depend on how much waits.

Change: an engine's time has one price, which grows with what is in line; a writer that would be alone at its engine answers for a share of that engine's writing time (writer_share 2 of 12 places: those who come later share it).

--- a/src/relay/core/attempts.rs
+++ b/src/relay/core/attempts.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use super::{AttemptShare, RelayCore, RelayLimits};
+use crate::relay::decide::group_search::place_prompt;
 use crate::relay::decide::pass_model::{StreamKey, StreamLoad};
 use crate::relay::decide::placement::{
-    Placement, PlacementQuery, PromptNeed, TargetScope, place_call, place_prompt,
+    Placement, PlacementQuery, PromptNeed, TargetScope, place_call,
 };
 use crate::relay::decide::retry_budget::RetryBudget;
 use crate::relay::decide::targets::TargetFault;
--- a/src/relay/decide/mod.rs
+++ b/src/relay/decide/mod.rs
@@ -6,12 +6,14 @@
 //!   engine and those who wait there,
 //! - [`loss`]: what requests lose by coming late,
 //! - [`policy`]: what is weighed, and how much,
-//! - [`placement`]: where a request goes, and who helps to read its prompt,
+//! - [`group_search`]: which engines read a prompt, and which of them writes,
+//! - [`placement`]: where a request goes, and whether it waits or is refused,
 //! - [`return_time`]: when callers that are refused are told to come back,
 //! - [`send_count`], [`retry_budget`]: how often it may be tried again.
 
 pub mod engine_rates;
 pub mod engine_subset;
+pub mod group_search;
 pub mod loss;
 pub mod pass_model;
 pub mod pass_outlook;
--- a/src/relay/decide/pass_outlook.rs
+++ b/src/relay/decide/pass_outlook.rs
@@ -14,13 +14,28 @@
 /// Names the prompt that is weighed among those in line.
 const WEIGHED: StreamKey = StreamKey { entry: 0, number: 0 };
 
-/// What a jointly read prompt loses by a part of it that is read later.
+/// A part of a jointly read prompt that is in line, and when its prompt could start.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct JointHarm {
+pub struct JointRead {
     /// The prompt. Its parts have the same name at all engines.
     pub key: StreamKey,
-    /// What it loses, in short requests.
-    pub harm: f32,
+    /// Time from the arrival of the prompt until this part is read, or until its
+    /// first event was foretold, whichever is later.
+    pub first: Duration,
+    /// Time from its arrival for a first event in time.
+    pub limit: Duration,
+    /// What the prompt is worth, in short requests.
+    pub value: f32,
+}
+
+impl JointRead {
+    /// What the prompt loses where this part is read so, and its other parts let
+    /// it start after `start`.
+    #[must_use]
+    pub fn harm(&self, start: Duration) -> f32 {
+        let loss = |first| first_event_loss(self.value, first, self.limit);
+        loss(self.first.max(start)) - loss(start)
+    }
 }
 
 /// What would become of a prompt that is sent to an engine now.
@@ -35,23 +50,15 @@
     pub steady: Duration,
     /// What others there lose by it, in short requests, without `joint`.
     pub harm: f32,
-    /// What jointly read prompts lose by it that have a part there. A prompt that
-    /// several of the engines make late is late once.
-    pub joint: Vec<JointHarm>,
+    /// Parts of jointly read prompts that are read later by it. A prompt that several
+    /// engines make late is late once.
+    pub joint: Vec<JointRead>,
     /// Requests there that are not helpers.
     pub active: usize,
     /// Memory that is taken there, in tokens.
     pub memory: u64,
 }
 
-impl PassForecast {
-    /// What all others there lose by it, in short requests.
-    #[must_use]
-    pub fn total_harm(&self) -> f32 {
-        self.harm + self.joint.iter().map(|joint| joint.harm).sum::<f32>()
-    }
-}
-
 /// A stream that writes, as far as passes concern it.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct OutlookWriter {
@@ -95,8 +102,8 @@
     pub(super) memory: u64,
     /// What those there lose as it is, without `joint`.
     pub(super) loss: f32,
-    /// What jointly read prompts lose as it is.
-    pub(super) joint: Vec<JointHarm>,
+    /// Parts of jointly read prompts as it is.
+    pub(super) joint: Vec<JointRead>,
 }
 
 /// Passes that are played ahead.
@@ -109,7 +116,7 @@
     asked: StreamKey,
     asked_read: Option<Duration>,
     loss: f32,
-    joint: Vec<JointHarm>,
+    joint: Vec<JointRead>,
 }
 
 impl PassOutlook<'_> {
@@ -136,20 +143,24 @@
             pause: weighed.map_or(Duration::ZERO, |writer| writer.longest),
             steady: from_ms(steady),
             harm: played.loss - self.loss,
-            joint: self.joint_harm(&played.joint),
+            joint: self.delayed(&played.joint),
             active: self.active,
             memory: self.memory,
         }
     }
 
-    /// What jointly read prompts lose more than as it is.
-    fn joint_harm(&self, played: &[JointHarm]) -> Vec<JointHarm> {
+    /// Parts of jointly read prompts that are in line.
+    #[must_use]
+    pub fn joint_reads(&self) -> &[JointRead] {
+        &self.joint
+    }
+
+    /// Those parts that are read later than as it is.
+    fn delayed(&self, played: &[JointRead]) -> Vec<JointRead> {
         let before = |key| self.joint.iter().find(|joint| joint.key == key);
-        let more = played.iter().map(|after| {
-            let harm = after.harm - before(after.key).map_or(0.0, |before| before.harm);
-            JointHarm { harm, ..*after }
-        });
-        more.filter(|joint| joint.harm > 0.0).collect()
+        let is_later =
+            |after: &&JointRead| before(after.key).is_some_and(|before| after.first > before.first);
+        played.iter().filter(is_later).copied().collect()
     }
 
     /// Time to read all that is in line, without what is written meanwhile.
@@ -228,11 +239,11 @@
         if read.key == self.asked {
             self.asked_read = Some(self.time);
         }
-        let harm = if is_weighed { 0.0 } else { self.first_loss(read) };
+        let joint = self.to_joint(read);
         if load.is_part {
-            self.joint.push(JointHarm { key: read.key, harm });
-        } else {
-            self.loss += harm;
+            self.joint.push(joint);
+        } else if !is_weighed {
+            self.loss += first_event_loss(joint.value, joint.first, joint.limit);
         }
         if load.is_writer() {
             let writer = OutlookWriter::from_load(load, Duration::ZERO);
@@ -240,14 +251,18 @@
         }
     }
 
-    /// What a prompt that is read now loses by coming late.
-    fn first_loss(&self, read: &PendingRead) -> f32 {
+    /// When a prompt that is read now could start.
+    fn to_joint(&self, read: &PendingRead) -> JointRead {
         let load = &read.load;
         let since = self.outlook.now.since(read.placed_at);
         // A part that is read before the others has time left.
         let start = Duration::from_micros(load.start_us).max(since + self.time);
-        let first = Duration::from_micros(load.waited_us) + start;
-        first_event_loss(load.value, first, Duration::from_micros(load.limit_us))
+        JointRead {
+            key: read.key,
+            first: Duration::from_micros(load.waited_us) + start,
+            limit: Duration::from_micros(load.limit_us),
+            value: load.value,
+        }
     }
 
     /// Adds what writers lose by the longest pass that they wait for.
--- a/src/relay/decide/placement.rs
+++ b/src/relay/decide/placement.rs
@@ -1,29 +1,23 @@
 //! Which targets get a request.
 //!
-//! A plain call goes to the least busy target, nearby ones first. A prompt goes
-//! where it costs least: what its own answer loses by coming late, and what the
-//! writers there lose by the pass that reads it. Long prompts are read jointly
-//! by several engines, so that no pass grows long.
+//! A plain call goes to the least busy target, nearby ones first. For a prompt,
+//! [`super::group_search`] looks for the engines where it costs least. Whether it
+//! is sent there, placed anew a little later, or refused is decided here.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::loss::{FIRST_PART, LATE_LOSS, first_event_loss, pause_loss};
-use super::pass_model::{StreamKey, StreamLoad};
-use super::pass_outlook::{PassForecast, PassOutlook};
+use super::loss::first_event_loss;
+use super::pass_model::StreamLoad;
 use super::policy::RelayPolicy;
 use super::targets::{TargetSet, TargetState};
 use crate::time::Tick;
 
-/// Numbers of engines that are tried for a prompt.
-const GROUP_SIZES: [usize; 11] = [1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17];
-
 /// Tokens that make a request count for as much as one more short one.
 const TOKENS_PER_VALUE: f32 = 10_000.0;
 
 /// Prompts up to this length count as short ones.
-const SHORT_TOKENS: u64 = 24_000;
+pub(super) const SHORT_TOKENS: u64 = 24_000;
 
 /// What a prompt asks for.
 #[derive(Clone, Copy, Debug)]
@@ -49,6 +43,12 @@
         1.0 + self.prompt as f32 / TOKENS_PER_VALUE
     }
 
+    /// What the request itself loses where its first event comes after `first`.
+    #[must_use]
+    pub fn time_cost(&self, first: Duration) -> f32 {
+        first_event_loss(self.value(), self.waited + first, self.first_limit)
+    }
+
     /// What it costs an engine that holds its memory, where `parts` engines
     /// read the prompt and `holders` hold it.
     #[must_use]
@@ -146,13 +146,13 @@
 impl PlacementQuery<'_> {
     /// How little this entry likes a target, from 0 to 1, at random but always
     /// the same.
-    fn preference(&self, target: &str) -> f32 {
+    pub(super) fn preference(&self, target: &str) -> f32 {
         const STEPS: u64 = 1 << 16;
         (self.rank(target) % STEPS) as f32 / STEPS as f32
     }
 
     /// A target's place in the order of this entry, at random but always the same.
-    fn rank(&self, target: &str) -> u64 {
+    pub(super) fn rank(&self, target: &str) -> u64 {
         xxhash_rust::xxh3::xxh3_64_with_seed(target.as_bytes(), self.entry)
     }
 }
@@ -192,7 +192,7 @@
         if need.prompt <= SHORT_TOKENS || self.first + step >= need.time_left {
             return false;
         }
-        let later = time_cost(need, self.first + step) - time_cost(need, self.first);
+        let later = need.time_cost(self.first + step) - need.time_cost(self.first);
         let fade = Duration::from_millis(policy.harm_fade_ms).as_secs_f32();
         self.harm * step.as_secs_f32() > later * fade
     }
@@ -238,7 +238,7 @@
 
 /// The usable targets in a request's scope; those that are left alone only where
 /// there are no others.
-fn candidates<'a>(
+pub(super) fn candidates<'a>(
     set: &'a TargetSet,
     query: &PlacementQuery<'a>,
     now: Tick,
@@ -249,212 +249,3 @@
     let well: Vec<_> = fresh.iter().copied().filter(is_well).collect();
     if well.is_empty() { fresh } else { well }
 }
-
-/// A target, and what is known of its passes.
-struct EngineOutlook<'a> {
-    target: &'a TargetState,
-    outlook: PassOutlook<'a>,
-}
-
-#[derive(Clone)]
-struct Candidate<'a> {
-    target: &'a TargetState,
-    forecast: PassForecast,
-    cost: f32,
-}
-
-/// Chooses engines for a prompt, none where no engine can take it.
-#[must_use]
-pub fn place_prompt(
-    set: &TargetSet,
-    query: &PlacementQuery<'_>,
-    need: &PromptNeed,
-    now: Tick,
-) -> Option<Placement> {
-    let mut targets = candidates(set, query, now);
-    // Among engines that cost the same, each entry takes others first.
-    targets.sort_by_key(|target| query.rank(&target.record.incarnation));
-    let engines: Vec<_> = targets
-        .into_iter()
-        .filter_map(|target| {
-            let outlook = target.model.as_ref()?.outlook(now);
-            Some(EngineOutlook { target, outlook })
-        })
-        .collect();
-    let read = engines.first()?.outlook.rates.read_time(need.prompt);
-    let mut best: Option<Placement> = None;
-    for size in GROUP_SIZES {
-        if size > engines.len() || size > query.policy.most_helpers + 1 {
-            break;
-        }
-        if size > 1 && read / (size as u32) < Duration::from_millis(query.policy.min_part_ms) {
-            break;
-        }
-        let Some(placement) = place_group(&engines, query, need, read, size) else {
-            continue;
-        };
-        if best.as_ref().is_none_or(|best| placement.cost < best.cost) {
-            best = Some(placement);
-        }
-    }
-    let engine_cost = engine_cost(&engines, read, query.policy);
-    best.map(|best| Placement { claim: best.claim + engine_cost, ..best })
-}
-
-/// What requests to come lose by the time that engines read a prompt: nothing
-/// while engines have nothing to read, and more the longer their lines are.
-fn engine_cost(engines: &[EngineOutlook<'_>], read: Duration, policy: &RelayPolicy) -> f32 {
-    let lines = engines.iter().map(|engine| engine.outlook.time_in_line().as_secs_f32());
-    let backlog = lines.sum::<f32>() / engines.len() as f32;
-    let half = Duration::from_millis(policy.half_price_backlog_ms).as_secs_f32();
-    policy.engine_price * read.as_secs_f32() * backlog / (backlog + half)
-}
-
-/// The best group of `size` engines: the one that writes, and helpers.
-fn place_group(
-    engines: &[EngineOutlook<'_>],
-    query: &PlacementQuery<'_>,
-    need: &PromptNeed,
-    read: Duration,
-    size: usize,
-) -> Option<Placement> {
-    let rates = engines.first()?.outlook.rates;
-    let load = need.to_load(read, size, 1, rates.passes(need.answer));
-    let writers = weigh(engines, need, &load, query.policy);
-    let cost = |member: &Candidate<'_>| {
-        let own = writer_cost(member, query, need) + queue_cost(member, query.policy);
-        own + member.cost
-    };
-    let first = writers.into_iter().min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
-    let mut members = Vec::new();
-    if size > 1 {
-        members = weigh(engines, need, &need.to_helper_load(read, size), query.policy);
-        members.retain(|member| !std::ptr::eq(member.target, first.target));
-        members.sort_by(|a, b| a.cost.total_cmp(&b.cost));
-        members.truncate(size - 1);
-        if members.len() < size - 1 {
-            return None;
-        }
-    }
-    let seats = plan_memory(need, rates.memory_tokens, &first, &mut members)?;
-    let group = || members.iter().chain([&first]).map(|member| &member.forecast);
-    let start = group().map(|forecast| forecast.read).max()?;
-    let harm = group_harm(group()) * query.policy.harm_weight;
-    let group_cost = need.value() * query.policy.helper_cost * members.len() as f32;
-    let own = writer_cost(&first, query, need) + time_cost(need, start);
-    let queue = queue_cost(&first, query.policy);
-    Some(Placement {
-        target: first.target.record.incarnation.clone(),
-        helpers: members.iter().map(|helper| helper.target.record.incarnation.clone()).collect(),
-        seats,
-        first: start,
-        cost: own + queue + harm + group_cost,
-        harm,
-        own: own.min(need.value() * LATE_LOSS),
-        claim: queue,
-        candidates: engines.len(),
-    })
-}
-
-/// What others lose where a prompt is read jointly. One that is read jointly
-/// itself, and has parts at several of the engines, starts when the last of them
-/// is read: it is late once, by the engine that makes it latest.
-fn group_harm<'a>(group: impl Iterator<Item = &'a PassForecast>) -> f32 {
-    let mut latest: BTreeMap<StreamKey, f32> = BTreeMap::new();
-    let mut harm = 0.0;
-    for forecast in group {
-        harm += forecast.harm;
-        for joint in &forecast.joint {
-            let known = latest.entry(joint.key).or_default();
-            *known = known.max(joint.harm);
-        }
-    }
-    harm + latest.values().sum::<f32>()
-}
-
-/// What a load would come to at each engine.
-fn weigh<'a>(
-    engines: &[EngineOutlook<'a>],
-    need: &PromptNeed,
-    load: &StreamLoad,
-    policy: &RelayPolicy,
-) -> Vec<Candidate<'a>> {
-    let weighed = engines.iter().map(|engine| {
-        let forecast = engine.outlook.forecast(load);
-        let cost = forecast.total_harm() * policy.harm_weight + time_cost(need, forecast.read);
-        Candidate { target: engine.target, forecast, cost }
-    });
-    weighed.collect()
-}
-
-/// Part of an engine's free memory that a prompt may be given: what others
-/// take at the same moment is not known yet.
-const MEMORY_PART: f64 = 0.9;
-
-fn free_memory(all: u64, candidate: &Candidate<'_>) -> u64 {
-    (all.saturating_sub(candidate.forecast.memory) as f64 * MEMORY_PART) as u64
-}
-
-/// Spreads the memory of a prompt that is larger than the writer's over as few
-/// helpers as can hold it, and puts these first. None where they can not.
-fn plan_memory(
-    need: &PromptNeed,
-    all: u64,
-    writer: &Candidate<'_>,
-    helpers: &mut [Candidate<'_>],
-) -> Option<Vec<MemorySeat>> {
-    let memory = need.prompt + need.answer;
-    let own = free_memory(all, writer);
-    if memory <= own {
-        return Some(Vec::new());
-    }
-    helpers.sort_by_key(|helper| std::cmp::Reverse(free_memory(all, helper)));
-    for count in 1..=helpers.len() {
-        let share = memory.div_ceil(count as u64 + 1);
-        if share <= own && share <= free_memory(all, &helpers[count - 1]) {
-            let holders = helpers[..count].iter();
-            let seats = holders.map(|helper| MemorySeat {
-                target: helper.target.record.incarnation.clone(),
-                tokens: share,
-            });
-            return Some(seats.collect());
-        }
-    }
-    None
-}
-
-/// What it costs that a member has no place free: the request waits there for an
-/// end, and so do those that come after it.
-fn queue_cost(writer: &Candidate<'_>, policy: &RelayPolicy) -> f32 {
-    let capacity = writer.target.record.capacity;
-    policy.queue_cost * (writer.forecast.active + 1).saturating_sub(capacity) as f32
-}
-
-/// What it costs that a member writes, beside the reading.
-fn writer_cost(writer: &Candidate<'_>, query: &PlacementQuery<'_>, need: &PromptNeed) -> f32 {
-    let policy = query.policy;
-    let record = &writer.target.record;
-    let &PassForecast { active, steady, pause, .. } = &writer.forecast;
-    let capacity = record.capacity;
-    let mut cost = pause_loss(need.value(), pause, need.longest_pause);
-    if steady.as_secs_f64() > need.longest_pause.as_secs_f64() * FIRST_PART {
-        cost += need.value() * LATE_LOSS;
-    }
-    if *record.failure_domain != *query.failure_domain {
-        cost += policy.distance_cost;
-    }
-    if active < capacity {
-        cost += policy.near_full_cost * policy.near_full_decay.powi((capacity - active) as i32 - 1);
-    }
-    if active < capacity && need.prompt <= SHORT_TOKENS {
-        let packed = active.min(capacity - capacity / policy.kept_free_divisor);
-        cost -= policy.packing_gain * packed as f32;
-        cost += policy.spread * query.preference(&record.incarnation);
-    }
-    cost
-}
-
-/// What the request itself loses where its first event comes after `first`.
-fn time_cost(need: &PromptNeed, first: Duration) -> f32 {
-    first_event_loss(need.value(), need.waited + first, need.first_limit)
-}
--- a/src/relay/decide/policy.rs
+++ b/src/relay/decide/policy.rs
@@ -52,6 +52,9 @@
     /// Time in which what others lose by a long prompt is likely to have gone, so
     /// that it may be worth to wait a little, in ms.
     pub harm_fade_ms: u64,
+    /// Part of its engine's time that a writer is to answer for where it writes there
+    /// alone, times the places of the engine: those who come later share it.
+    pub writer_share: f32,
     /// Whether a request is taken elsewhere where its target is silent.
     pub hedges: bool,
     /// Whether targets are left alone after failures.
@@ -87,6 +90,7 @@
         engine_price: 4.0,
         half_price_backlog_ms: 500,
         harm_fade_ms: 300,
+        writer_share: 2.0,
         hedges: true,
         ejects: true,
         repeated_runs: 1,
--- a/src/relay/decide/return_time.rs
+++ b/src/relay/decide/return_time.rs
@@ -22,11 +22,7 @@
 /// Time to come back for a prompt that engines are too busy for: not before they
 /// should have read what is in line now.
 #[must_use]
-pub fn after_overload(
-    placement: &Placement,
-    need: &PromptNeed,
-    random: &mut impl Rng,
-) -> Duration {
+pub fn after_overload(placement: &Placement, need: &PromptNeed, random: &mut impl Rng) -> Duration {
     let wanted = need.first_limit.mul_f64(random.random_range(BUSY_OBJECTIVES));
     let most = need.time_left.mul_f64(LEFT_PART * random.random_range(SPREAD));
     wanted.max(placement.first).min(most)
--- a/standins/src/replay/experiment.rs
+++ b/standins/src/replay/experiment.rs
@@ -42,10 +42,8 @@
     load: &ReplayLoad,
     seeds: &[u64],
 ) -> Vec<ExperimentRow> {
-    let runs: Vec<_> = seeds
-        .iter()
-        .map(|seed| (play(base, load, *seed), play(other, load, *seed)))
-        .collect();
+    let runs: Vec<_> =
+        seeds.iter().map(|seed| (play(base, load, *seed), play(other, load, *seed))).collect();
     let to_row = |kind: usize| {
         let bases: Vec<_> = runs.iter().map(|(base, _)| base[kind].worth).collect();
         let differences: Vec<_> =
@@ -72,7 +70,8 @@
     for row in rows {
         let ExperimentRow { load, kind, base, difference, error } = row;
         // Writing to a text does not fail.
-        let _ = writeln!(text, "{load:<12} {kind:<8} {base:>6.3} {difference:>+15.4} {error:>16.4}");
+        let _ =
+            writeln!(text, "{load:<12} {kind:<8} {base:>6.3} {difference:>+15.4} {error:>16.4}");
     }
     text
 }
--- a/standins/src/replay/world.rs
+++ b/standins/src/replay/world.rs
@@ -9,9 +9,7 @@
 use rand::rngs::StdRng;
 use shalelane::relay::core::{AttemptShare, RelayCore, RelayLimits};
 use shalelane::relay::decide::engine_rates::EngineRates;
-use shalelane::relay::decide::placement::{
-    Placement, PlacementAction, PromptNeed, TargetScope,
-};
+use shalelane::relay::decide::placement::{Placement, PlacementAction, PromptNeed, TargetScope};
 use shalelane::relay::decide::policy::RelayPolicy;
 use shalelane::relay::decide::retry_budget::RetryBound;
 use shalelane::relay::decide::return_time::after_overload;
--- a/tests/relay/passes.rs
+++ b/tests/relay/passes.rs
@@ -110,19 +110,28 @@
     assert_near(read_ms(&mut model, &part_load(200_040, 2), 211), 2_489);
 }
 
+/// What jointly read prompts lose by a load that is sent at `now`.
+fn joint_harm(model: &PassModel, load: &StreamLoad, now: u64) -> f32 {
+    let outlook = model.outlook(at(now));
+    let starts = outlook.joint_reads();
+    let start = |key| starts.iter().find(|joint| joint.key == key).unwrap().first;
+    let forecast = outlook.forecast(load);
+    forecast.joint.iter().map(|joint| joint.harm(start(joint.key))).sum()
+}
+
 #[test]
 fn a_prompt_is_harmed_by_a_part_that_goes_before_it() {
     let mut model = PassModel::new(rates(), OBSERVER);
     let first = StreamLoad { limit_us: 1_800_000, ..helper_load(200_040, 2) };
     model.add(key(1), first, at(0));
     model.advance(at(200));
-    let harm = model.forecast(&helper_load(200_040, 2), at(200)).total_harm();
+    let harm = joint_harm(&model, &helper_load(200_040, 2), 200);
     assert!(harm > first.value * 0.7, "it comes late now: {harm}");
     let early = StreamLoad { start_us: 2_700_000, limit_us: 9_000_000, ..first };
     let mut model = PassModel::new(rates(), OBSERVER);
     model.add(key(1), early, at(0));
     model.advance(at(200));
-    let harm = model.forecast(&helper_load(200_040, 2), at(200)).total_harm();
+    let harm = joint_harm(&model, &helper_load(200_040, 2), 200);
     assert!(harm < first.value * 0.01, "other parts of it are read later still: {harm}");
 }
 
@@ -152,12 +161,12 @@
     model.advance(at(300));
     let small = StreamLoad { read_us: 50_000, passes: 0, ..short_load() };
     let large = StreamLoad { read_us: 300_000, passes: 0, ..short_load() };
-    assert!(model.forecast(&small, at(300)).total_harm() <= 0.0);
-    let harm = model.forecast(&large, at(300)).total_harm();
+    assert!(model.forecast(&small, at(300)).harm <= 0.0);
+    let harm = model.forecast(&large, at(300)).harm;
     // The first of them is late already: it waited while the nine were read.
     assert!((harm - 9.0 * 1.5 * 0.75).abs() < 0.01, "nine writers of 1.5 each: {harm}");
     model.add(key(100), StreamLoad { limit_us: 60_000_000, ..large }, at(300));
-    let more = model.forecast(&large, at(301)).total_harm();
+    let more = model.forecast(&large, at(301)).harm;
     assert!(
         more < 0.01,
         "the pass is too long for them as it is: {more} {:?}",
@@ -183,7 +192,7 @@
     model.add(key(100), large, at(301));
     model.note_pass(at(350));
     model.note_pass(at(800));
-    assert!(model.forecast(&large, at(801)).total_harm() <= 0.0);
+    assert!(model.forecast(&large, at(801)).harm <= 0.0);
 }
 
 #[test]
--- a/tests/relay/places.rs
+++ b/tests/relay/places.rs
@@ -2,9 +2,10 @@
 
 use std::collections::HashSet;
 
+use shalelane::relay::decide::group_search::place_prompt;
 use shalelane::relay::decide::pass_model::StreamLoad;
 use shalelane::relay::decide::placement::{
-    Placement, PlacementAction, PlacementQuery, PromptNeed, TargetScope, place_call, place_prompt,
+    Placement, PlacementAction, PlacementQuery, PromptNeed, TargetScope, place_call,
 };
 use shalelane::relay::decide::policy::RelayPolicy;
 use shalelane::relay::decide::targets::{TargetFault, TargetSet};
@@ -235,3 +236,27 @@
     assert!(placement.helpers.len() >= 5, "{placement:?}");
     assert!(placement.harm < need(400_000).value(), "{placement:?}");
 }
+
+/// The load that it answers: answers that are written alone at many engines take half of
+/// the time of those engines, while long prompts wait to be read.
+#[test]
+fn answers_are_written_together_while_engines_have_much_to_read() {
+    let place_middle = |backlog: bool| {
+        let mut set = engines(6);
+        for target in set.iter_mut() {
+            let is_writing = target.record.incarnation == name("e3");
+            let model = target.model.as_mut().unwrap();
+            if is_writing {
+                model.add(key(1), part_load(30_000, 1), at(0));
+            }
+            if backlog {
+                let part = StreamLoad { limit_us: 60_000_000, ..helper_load(900_000, 6) };
+                model.add(key(2), part, at(990));
+            }
+            model.advance(at(1_000));
+        }
+        place(&set, &PromptNeed { first_limit: ms(30_000), ..need(30_000) }).unwrap()
+    };
+    assert_eq!(place_middle(true).target, name("e3"));
+    assert_ne!(place_middle(false).target, name("e3"), "nothing is saved where nothing waits");
+}
--- a/tests/relay/return_time.rs
+++ b/tests/relay/return_time.rs
@@ -1,6 +1,7 @@
 //! When callers that are refused are told to come back.
 
-use shalelane::relay::decide::placement::{Placement, PromptNeed, place_prompt};
+use shalelane::relay::decide::group_search::place_prompt;
+use shalelane::relay::decide::placement::{Placement, PromptNeed};
 use shalelane::relay::decide::return_time::after_overload;
 
 use crate::fixture::{at, check, engines, ms, need};
