Choose a writer that has memory for the prompt; counts of a replay by load

Cause: the engine that is cheapest to write at was chosen before its memory was looked at, and a group without memory there was given up.

Change: writers without memory for the least share of the prompt are passed over. 'standins replay' prints what became of each kind of request in one run.

--- a/src/relay/decide/group_search.rs
+++ b/src/relay/decide/group_search.rs
@@ -167,7 +167,7 @@
         let GroupSearch { need, rates, .. } = self;
         let policy = self.query.policy;
         let load = need.to_load(self.read, size, 1, rates.passes(need.answer));
-        let writer = self.best_writer(&load)?;
+        let writer = self.best_writer(&load, size)?;
         let mut helpers = self.best_helpers(size, &writer)?;
         let seats = plan_memory(need, rates.memory_tokens, &writer, &mut helpers)?;
         let group = || helpers.iter().chain([&writer]).map(|member| &member.forecast);
@@ -190,11 +190,16 @@
         })
     }
 
-    fn best_writer(&self, load: &StreamLoad) -> Option<Candidate<'a>> {
+    /// The engine that writes best, among those that have memory for the least that
+    /// one of `size` engines may hold.
+    fn best_writer(&self, load: &StreamLoad, size: usize) -> Option<Candidate<'a>> {
+        let least = (self.need.prompt + self.need.answer).div_ceil(size as u64);
+        let has_room =
+            |member: &Candidate<'_>| member.free_memory(self.rates.memory_tokens) >= least;
         let cost = |member: &Candidate<'_>| {
             self.writer_cost(member) + self.claim(member, load) + member.cost
         };
-        let writers = self.weigh(load).into_iter();
+        let writers = self.weigh(load).into_iter().filter(has_room);
         writers.min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -216,6 +216,7 @@
     };
     let seeds: Vec<_> = (first..end).collect();
     println!("seeds {first}..{end}");
+    print!("{}", experiment::to_details(other, first));
     print!("{}", experiment::to_table(&experiment::compare(base, other, &seeds)));
     ExitCode::SUCCESS
 }
--- a/standins/src/replay/experiment.rs
+++ b/standins/src/replay/experiment.rs
@@ -63,6 +63,29 @@
     (mean, (square / (count - 1.0).max(1.0) / count).sqrt())
 }
 
+/// What became of the requests of each kind in one run of each load.
+#[must_use]
+pub fn to_details(policy: RelayPolicy, seed: u64) -> String {
+    let mut text = String::from(
+        "load         kind     asked in time  first  pause refused cut off refusals  wait, ms\n",
+    );
+    for load in all_loads() {
+        for report in play(policy, &load, seed) {
+            let KindReport { name, asked, in_time, late_first, late_pause, .. } = report;
+            let KindReport { refused, timed_out, refusals, .. } = report;
+            let wait = report.longest_refusal_wait.as_millis();
+            // Writing to a text does not fail.
+            let _ = writeln!(
+                text,
+                "{:<12} {name:<8} {asked:>5} {in_time:>7} {late_first:>6} {late_pause:>6} \
+                 {refused:>7} {timed_out:>7} {refusals:>8} {wait:>9}",
+                load.name
+            );
+        }
+    }
+    text
+}
+
 /// Writes rows for a reader.
 #[must_use]
 pub fn to_table(rows: &[ExperimentRow]) -> String {
--- a/tests/relay/places.rs
+++ b/tests/relay/places.rs
@@ -260,3 +260,18 @@
     assert_eq!(place_middle(true).target, name("e3"));
     assert_ne!(place_middle(false).target, name("e3"), "nothing is saved where nothing waits");
 }
+
+/// Past failure: the engine that was cheapest to write at was taken whether it had memory
+/// or not. Where long prompts had filled its memory, short ones were refused at once as
+/// though no engine could take them, with sixty engines at hand.
+#[test]
+fn a_prompt_goes_past_an_engine_whose_memory_is_full() {
+    let mut set = engines(6);
+    busy(&mut set, 1, 6);
+    let model = set.get_mut("e0").unwrap().model.as_mut().unwrap();
+    let full = StreamLoad { memory: 440_000, context: 0, pause_us: 60_000_000, ..short_load() };
+    model.add(key(7), full, at(900));
+    model.advance(at(1_000));
+    let placement = place(&set, &need(5_000)).expect("five engines have memory");
+    assert_ne!(placement.target, name("e0"));
+}
