Tell all entries of an engine that two of them suspect

Cause: engines that go up and down break off what they are sent and report all the same, so that the agent beside them does not call them down.

Change: an agent tells all entries that its engine is down where two entries suspect it within a second.

--- a/src/relay/peers/adviser.rs
+++ b/src/relay/peers/adviser.rs
@@ -73,7 +73,11 @@
                 // A failed read is the echo of a datagram that nobody took.
                 let Ok((length, from)) = received else { continue };
                 match LoadNote::from_bytes(&buffer[..length]) {
-                    Ok(LoadNote::Suspect) => watch.note_suspicion(),
+                    Ok(LoadNote::Suspect) => {
+                        if watch.note_suspicion(from, clock.now()) {
+                            send_all(&socket, set.to_down());
+                        }
+                    }
                     Ok(note) => {
                         let pace = watch.pace_percent();
                         send_all(&socket, set.on_note(&note, from, pace, clock.now()));
--- a/src/relay/peers/engine_watch.rs
+++ b/src/relay/peers/engine_watch.rs
@@ -3,8 +3,11 @@
 //! The load that it answers: engines that crash while prompts are read jointly. Each
 //! entry found each dead engine by requests of its own, several in a row, and used up
 //! the second attempts that a crash leaves it. The agent beside the engine knows
-//! within a report, and tells all.
+//! within a report, and tells all. Where an engine reports and yet breaks off what it
+//! is sent, two entries that say so are enough: 30 entries had met five such engines
+//! 533 times in seven seconds, and had no second attempts left for 85 requests.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::time::Tick;
@@ -20,6 +23,14 @@
 /// host that is slow for a moment may miss one.
 const LATE_REPORTS: u32 = 2;
 
+/// Entries that have to suspect an engine before all are told: one may have a broken
+/// link of its own.
+const SUSPECTING_ENTRIES: usize = 2;
+
+/// Time within which these suspicions have to come, which is also how long entries
+/// leave an engine alone when they are told.
+const SUSPICION_SPAN: Duration = Duration::from_secs(1);
+
 /// Pace of an engine that works as declared, in hundredths.
 const DECLARED_PACE: u32 = 100;
 
@@ -42,6 +53,10 @@
     is_down: bool,
     looked_at: Option<Tick>,
     is_suspected: bool,
+    /// Who suspected the engine lately, and when last.
+    suspicions: Vec<(SocketAddr, Tick)>,
+    /// When all were told of suspicions.
+    told_at: Option<Tick>,
 }
 
 impl Default for EngineWatch {
@@ -52,6 +67,8 @@
             is_down: false,
             looked_at: None,
             is_suspected: false,
+            suspicions: Vec::new(),
+            told_at: None,
         }
     }
 }
@@ -69,9 +86,18 @@
         self.is_down
     }
 
-    /// Notes that an entry suspects the engine.
-    pub fn note_suspicion(&mut self) {
+    /// Notes that the entry at `from` suspects the engine. Returns true where all
+    /// entries are to be told that it is down, since others suspect it as well.
+    pub fn note_suspicion(&mut self, from: SocketAddr, now: Tick) -> bool {
         self.is_suspected = true;
+        self.suspicions.retain(|(other, at)| *other != from && now.since(*at) <= SUSPICION_SPAN);
+        self.suspicions.push((from, now));
+        let was_told = self.told_at.is_some_and(|at| now.since(at) < SUSPECT_STEP);
+        let is_shared = self.suspicions.len() >= SUSPECTING_ENTRIES && !was_told;
+        if is_shared {
+            self.told_at = Some(now);
+        }
+        is_shared
     }
 
     /// Returns true where the report is to be read now; `is_busy` says that entries
--- a/tests/relay/crashes.rs
+++ b/tests/relay/crashes.rs
@@ -135,17 +135,36 @@
 fn an_agent_looks_at_once_where_its_engine_is_suspected() {
     let mut watch = EngineWatch::default();
     assert!(!watch.is_due(false, at(0)), "nothing to do");
-    watch.note_suspicion();
+    watch.note_suspicion(entry_address(1), at(5));
     assert!(watch.is_due(false, at(10)));
     assert!(watch.note_report(ReportEnd::Refused));
     assert!(!watch.is_due(false, at(20)));
-    watch.note_suspicion();
+    watch.note_suspicion(entry_address(1), at(45));
     assert!(!watch.is_due(false, at(50)), "some entries suspect it at the same moment");
     assert!(watch.is_due(false, at(410)), "looked at again while it is down");
     assert!(!watch.note_report(ReportEnd::Pace(150)));
     assert_eq!(watch.pace_percent(), 150);
 }
 
+fn entry_address(number: u8) -> SocketAddr {
+    ([10, 1, 0, number], 7_000).into()
+}
+
+/// Past failure: engines that went up and down broke off what they were sent and
+/// reported all the same. Each of thirty entries met each of them several times and had
+/// no second attempt left then; 85 of 4,221 short requests of a day failed.
+#[test]
+fn all_are_told_of_an_engine_that_two_entries_suspect() {
+    let mut watch = EngineWatch::default();
+    assert!(!watch.note_suspicion(entry_address(1), at(0)));
+    assert!(!watch.note_suspicion(entry_address(1), at(200)), "one entry may be cut off");
+    assert!(watch.note_suspicion(entry_address(2), at(300)));
+    assert!(!watch.note_suspicion(entry_address(3), at(310)), "told a moment ago");
+    assert!(watch.note_suspicion(entry_address(3), at(450)), "and still so");
+    assert!(!watch.note_report(ReportEnd::Pace(100)), "its report says nothing of it");
+    assert!(!watch.note_suspicion(entry_address(4), at(2_000)), "the others are long past");
+}
+
 #[test]
 fn one_late_report_does_not_make_an_engine_down() {
     let mut watch = EngineWatch::default();
