--- a/standins/src/replay/engine.rs
+++ b/standins/src/replay/engine.rs
@@ -171,7 +171,7 @@
             let unit = Unit::Piece { request: first.read.request };
             (unit, seconds + self.rates.step_ms / 1e3)
         } else {
-            self.to_pass()
+            self.start_pass()
         };
         self.unit = Some(unit);
         let span = Duration::from_secs_f64(seconds);
@@ -179,7 +179,7 @@
         Some(span)
     }
 
-    fn to_pass(&mut self) -> (Unit, f64) {
+    fn start_pass(&mut self) -> (Unit, f64) {
         let mut budget = self.rates.pass_tokens();
         let mut seconds = 0.0;
         for line in &mut self.line {
