Hold a stand-in's port without a gap

Cause: a test ended with 'Address already in use' beside other work: between the end of a server and the moment at which its port was held, another program could get it.

Change: servers and holders bind with a shared port, the holder before the server ends, so that nobody else can have it at any moment.

--- a/standins/src/plain_server.rs
+++ b/standins/src/plain_server.rs
@@ -61,16 +61,15 @@
     /// Stops the service; its port refuses connections.
     #[must_use]
     pub fn refuse(&mut self) -> HeldPort {
+        let held = HeldPort::new(self.server.address);
         self.server.stop();
-        HeldPort::new(self.server.address)
+        held
     }
 
     /// Starts the service again, on the port that it had.
     pub fn restart(&mut self, held: HeldPort) {
-        let address = held.address;
-        drop(held);
         let (counts, fault) = (self.counts.clone(), self.fault.clone());
-        self.server = spawn(counts, fault, self.arrived.clone(), Some(address));
+        self.server = spawn(counts, fault, self.arrived.clone(), Some(held.address));
     }
 
     /// How often an order was run.
--- a/standins/src/serve.rs
+++ b/standins/src/serve.rs
@@ -109,17 +109,15 @@
 }
 
 impl HeldPort {
-    /// Holds the port that a server has just given up.
+    /// Holds the port of a server that still listens there, so that there is no moment
+    /// at which somebody else could get it.
     ///
     /// # Panics
     ///
-    /// If somebody else has it.
+    /// If it is not a port of a server of this process.
     #[must_use]
     pub fn new(address: SocketAddr) -> Self {
-        let socket = TcpSocket::new_v4().expect("a socket");
-        socket.set_reuseaddr(true).expect("an option");
-        socket.bind(address).expect("the port");
-        HeldPort { address, _socket: socket }
+        HeldPort { address, _socket: bind_shared(address).expect("the port") }
     }
 }
 
@@ -129,11 +127,23 @@
     }
 }
 
+/// Binds a port that the server and its holder may have at the same time, and nobody
+/// else.
+fn bind_shared(address: SocketAddr) -> std::io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseport(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
 /// Listens on an address, which may be one that was just given up.
 async fn listen(address: SocketAddr) -> TcpListener {
     const TRIES: u32 = 50;
     for _ in 0..TRIES {
-        if let Ok(listener) = TcpListener::bind(address).await {
+        if let Ok(listener) = bind_shared(address).and_then(|socket| socket.listen(BACKLOG)) {
             return listener;
         }
         tokio::time::sleep(std::time::Duration::from_millis(20)).await;
