Log what a placement costs by its parts

A refused prompt's line had the cost and the harm, and not what the prompt itself loses nor the price of the engines' time, which decided most refusals on the shifted deployment.

--- a/src/relay/proxy/series.rs
+++ b/src/relay/proxy/series.rs
@@ -85,6 +85,8 @@
             first: placement.first,
             cost: placement.cost,
             harm: placement.harm,
+            own: placement.own,
+            claim: placement.claim,
             candidates: placement.candidates,
         };
         shared.log.placed(&line, now);
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -149,6 +149,10 @@
     pub cost: f32,
     /// What others lose by it.
     pub harm: f32,
+    /// What the request itself loses by coming late.
+    pub own: f32,
+    /// What requests to come lose by the places and the time of engines that it takes.
+    pub claim: f32,
     /// Targets that were weighed.
     pub candidates: usize,
 }
@@ -230,7 +234,8 @@
         info!(self.logger, "placed";
             "id" => line.id, "target" => line.target, "helpers" => line.helpers.len(), "helped_by" => line.helpers.join(","),
             "prompt_tokens" => line.prompt, "first_ms" => line.first.as_millis() as u64,
-            "cost" => line.cost, "harm" => line.harm, "candidates" => line.candidates,
+            "cost" => line.cost, "harm" => line.harm, "own" => line.own, "claim" => line.claim,
+            "candidates" => line.candidates,
             "left_out" => left_out);
     }
 
