--- a/standins/src/plain_server.rs
+++ b/standins/src/plain_server.rs
@@ -70,6 +70,8 @@
     pub fn restart(&mut self, held: HeldPort) {
         let (counts, fault) = (self.counts.clone(), self.fault.clone());
         self.server = spawn(counts, fault, self.arrived.clone(), Some(held.address));
+        // Held until the server listens again.
+        drop(held);
     }
 
     /// How often an order was run.
