Tell others of a target that is gone where a list that was read anew shows it

Cause: while the store forgets its history, a target that leaves is seen by those who watch only: their watch ends with "forgotten" and they read the list anew. A removal leaves no revision in the list, so their mark stayed as it was, nobody was told, and agents told others nothing newer.

Change: a difference that a list shows moves the mark to the revision of that list, and those who watch tell it as news; a removal that becomes final after an outage moves the mark as well. Expiry within a placement no longer loses its line in the log.

Ruled out: that the target lived (its own connections time out), that news were lost (no note was sent).

--- a/src/relay/core/attempts.rs
+++ b/src/relay/core/attempts.rs
@@ -52,7 +52,7 @@
         scope: TargetScope<'_>,
         now: Tick,
     ) -> Option<Placement> {
-        drop(self.targets.expire(now));
+        self.remove_missing(now);
         for target in self.targets.iter_mut().filter(|target| target.is_used) {
             if let Some(model) = &mut target.model {
                 model.advance(now);
--- a/src/relay/core/mod.rs
+++ b/src/relay/core/mod.rs
@@ -8,7 +8,7 @@
 use crate::relay::decide::pass_model::StreamKey;
 use crate::relay::decide::policy::RelayPolicy;
 use crate::relay::decide::retry_budget::{RetryBound, RetryBudget};
-use crate::relay::decide::targets::TargetSet;
+use crate::relay::decide::targets::{ListChange, TargetSet};
 use crate::relay::discovery::freshness::{FreshnessLease, StalePolicy};
 use crate::relay::discovery::list_share::ListShare;
 use crate::relay::discovery::proof_share::ProofShare;
@@ -75,6 +75,8 @@
     config: Option<Rc<RelayConfig>>,
     /// The targets.
     pub targets: TargetSet,
+    /// Targets that were removed and not told of yet.
+    expired: ListChange,
     budgets: HashMap<Arc<str>, RetryBudget>,
     /// Most entries that an agent was seen to tell.
     entries: Option<usize>,
@@ -96,6 +98,7 @@
             config_revision: 0,
             config: None,
             targets: TargetSet::default(),
+            expired: ListChange::default(),
             budgets: HashMap::new(),
             entries: None,
             notes: Vec::new(),
--- a/src/relay/core/target_list.rs
+++ b/src/relay/core/target_list.rs
@@ -5,24 +5,73 @@
 use super::{RelayCore, RelayLimits};
 use crate::relay::decide::engine_subset::{SubsetQuery, mark_used};
 use crate::relay::decide::targets::{ListChange, TargetRecord};
-use crate::relay::discovery::feed::TargetChange;
+use crate::relay::discovery::feed::{TargetChange, TargetList};
 use crate::relay::discovery::list_share::{ListNews, ListShare, NewsVerdict};
 use crate::time::Tick;
 
 impl RelayCore {
-    /// Takes a whole list of targets.
+    /// Takes a whole list of targets, after [`RelayCore::note_list`].
     pub fn take_list(
         &mut self,
         records: Vec<TargetRecord>,
         is_after_outage: bool,
         now: Tick,
     ) -> ListChange {
+        let had_list = self.targets.has_list();
         let change = self.targets.take_list(records, is_after_outage, now);
+        if had_list && !change.is_empty() {
+            self.list_share.note_difference();
+        }
         self.set_rates();
         self.choose_engines(now);
         change
     }
 
+    /// Takes a list that was read. Returns what it changed, and what others are to be
+    /// told: none for the first list of a process, and none after an outage, when each
+    /// entry says for itself what may still come back.
+    pub fn take_reread(
+        &mut self,
+        list: TargetList,
+        is_after_outage: bool,
+        now: Tick,
+    ) -> (ListChange, Option<ListNews>) {
+        let is_told = self.targets.has_list() && !is_after_outage;
+        let since = self.list_share.mark();
+        self.note_list(list.revision, list.changed_at);
+        let change = self.take_list(list.records, is_after_outage, now);
+        let is_told = is_told && !change.is_empty();
+        let news = is_told.then(|| ListNews {
+            since,
+            mark: self.list_share.mark(),
+            changes: self.to_changes(&change),
+        });
+        (change, news)
+    }
+
+    fn to_changes(&self, change: &ListChange) -> Vec<TargetChange> {
+        let listed = change.added.iter().chain(&change.leaving);
+        let listed = listed.filter_map(|name| self.targets.get(name));
+        let listed = listed.map(|target| TargetChange::Listed(target.record.clone()));
+        let removed = change.removed.iter().cloned().map(TargetChange::Removed);
+        listed.chain(removed).collect()
+    }
+
+    /// Removes targets that have been missing for too long. Returns those that were
+    /// removed since the last call.
+    pub fn expire_targets(&mut self, now: Tick) -> ListChange {
+        self.remove_missing(now);
+        std::mem::take(&mut self.expired)
+    }
+
+    pub(super) fn remove_missing(&mut self, now: Tick) {
+        let change = self.targets.expire(now);
+        if !change.is_empty() {
+            self.list_share.note_difference();
+        }
+        self.expired.join(change);
+    }
+
     /// Chooses anew which engines this entry uses.
     pub fn choose_engines(&mut self, now: Tick) {
         let RelayLimits { failure_domain, policy, .. } = &self.limits;
--- a/src/relay/decide/targets.rs
+++ b/src/relay/decide/targets.rs
@@ -224,6 +224,12 @@
 }
 
 impl ListChange {
+    /// Returns true where nothing changed.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.added.is_empty() && self.leaving.is_empty() && self.removed.is_empty()
+    }
+
     /// Adds what a later change did.
     pub fn join(&mut self, later: ListChange) {
         self.added.extend(later.added);
--- a/src/relay/discovery/follow.rs
+++ b/src/relay/discovery/follow.rs
@@ -319,13 +319,14 @@
     match result {
         Ok(list) => {
             let is_after_outage = now.since(heard_at) > WATCH_WAIT + OUTAGE;
-            let change = {
-                let mut core = shared.core.borrow_mut();
-                core.note_list(list.revision, list.changed_at);
-                core.take_list(list.records, is_after_outage || shared.was_away(now), now)
-            };
+            let is_after_outage = is_after_outage || shared.was_away(now);
+            let revision = list.revision;
+            let (change, news) = shared.core.borrow_mut().take_reread(list, is_after_outage, now);
             shared.log.targets_changed(&change);
-            Some(list.revision)
+            if let Some(news) = news {
+                tell_others(shared, news);
+            }
+            Some(revision)
         }
         Err(error) => {
             shared.away_at.set(Some(now));
@@ -361,9 +362,11 @@
     }
 }
 
+/// Tells others of changes, where this entry is one of those who watch for them.
 fn tell_others(shared: &RelayShared, news: ListNews) {
     let core = shared.core.borrow();
-    if core.list_share().tells(rand::random()) {
+    let share = core.list_share();
+    if share.is_watching() && share.tells(rand::random()) {
         shared.link.tell_list(&core, news);
     }
 }
--- a/src/relay/discovery/list_share.rs
+++ b/src/relay/discovery/list_share.rs
@@ -73,6 +73,8 @@
 pub struct ListShare {
     is_watching: bool,
     mark: u64,
+    /// Revision of the last list that was read.
+    read_at: u64,
     /// Newest mark that is known to exist.
     told: u64,
     /// Since when it is known to be newer.
@@ -90,6 +92,7 @@
         ListShare {
             is_watching: true,
             mark: 0,
+            read_at: 0,
             told: 0,
             behind_since: None,
             watchers: 0,
@@ -118,9 +121,16 @@
     pub fn note_list(&mut self, revision: u64, changed_at: u64) {
         // What others tell of is in the list, unless it is later than that.
         let told = if self.told <= revision { self.told } else { 0 };
+        self.read_at = revision;
         self.set_mark(self.mark.max(changed_at).max(told));
     }
 
+    /// Notes that the last list that was read showed a change. A target that is gone
+    /// leaves no revision in the list, so the mark has to say so to others.
+    pub fn note_difference(&mut self) {
+        self.set_mark(self.mark.max(self.read_at));
+    }
+
     /// Notes changes that the own watch brought, up to `revision`. Returns the mark
     /// from which they lead there.
     pub fn note_watched(&mut self, revision: u64) -> u64 {
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -266,7 +266,7 @@
         tokio::time::sleep(SWEEP_STEP).await;
         let now = shared.now();
         shared.pool.borrow_mut().expire(now);
-        let change = shared.core.borrow_mut().targets.expire(now);
+        let change = shared.core.borrow_mut().expire_targets(now);
         shared.log.targets_changed(&change);
         shared.core.borrow_mut().choose_engines(now);
         follow_list_share(&shared, now);
--- a/tests/relay/list_news.rs
+++ b/tests/relay/list_news.rs
@@ -1,7 +1,7 @@
 //! How entries pass on changes of the list of targets.
 
 use shalelane::relay::core::RelayCore;
-use shalelane::relay::discovery::feed::TargetChange;
+use shalelane::relay::discovery::feed::{TargetChange, TargetList};
 use shalelane::relay::discovery::freshness::StalePolicy;
 use shalelane::relay::discovery::list_share::{ListNews, ListShare, NewsVerdict};
 use shalelane::relay::peers::load_note::{LoadNote, MAX_NOTE};
@@ -167,6 +167,56 @@
     assert_eq!(change.removed, [name("b")]);
 }
 
+/// Past failure: the store had forgotten its history when a target left. Who watched the
+/// list read it anew and saw that; the other 23 of 30 entries heard nothing, and sent
+/// requests to the address of that target for the rest of the day.
+#[test]
+fn a_removal_that_is_seen_by_reading_again_shows_in_the_mark() {
+    let mut watcher = RelayCore::new(limits(StalePolicy::FailClosed), 1);
+    watcher.note_list(5, 5);
+    watcher.take_list(vec![record("a", 1), record("b", 2)], false, at(0));
+    watcher.note_list(9, 5);
+    let change = watcher.take_list(vec![record("a", 1)], false, at(3_000));
+    assert_eq!(change.removed, [name("b")]);
+    let mut other = listener(5);
+    other.note_agent(7, Some(watcher.list_share().mark()), at(3_100));
+    assert!(other.is_behind(at(3_300)), "it has to read the list as well");
+}
+
+/// The same where the target could still have come back, after an outage.
+#[test]
+fn a_removal_that_becomes_final_later_shows_in_the_mark() {
+    let mut watcher = RelayCore::new(limits(StalePolicy::FailClosed), 1);
+    watcher.note_list(5, 5);
+    watcher.take_list(vec![record("a", 1), record("b", 2)], false, at(0));
+    watcher.note_list(9, 5);
+    let change = watcher.take_list(vec![record("a", 1)], true, at(3_000));
+    assert_eq!(change.removed, [], "it may come back");
+    assert_eq!(watcher.list_share().mark(), 5);
+    assert_eq!(watcher.expire_targets(at(5_000)).removed, [name("b")]);
+    assert_eq!(watcher.list_share().mark(), 9);
+}
+
+/// Others need not read the list, too, where one entry can tell them what changed.
+#[test]
+fn what_one_entry_sees_by_reading_again_holds_at_another() {
+    let list = |revision, records| TargetList { records, revision, changed_at: 5 };
+    let core = || {
+        let mut core = RelayCore::new(limits(StalePolicy::FailClosed), 1);
+        let both = list(5, vec![record("a", 1), record("b", 2)]);
+        let (_, news) = core.take_reread(both, false, at(0));
+        assert_eq!(news, None, "the first list of a process is no change");
+        core
+    };
+    let (mut watcher, mut other) = (core(), core());
+    let (_, news) = watcher.take_reread(list(9, vec![record("a", 1)]), false, at(3_000));
+    let news = news.expect("a target is gone");
+    assert_eq!((news.since, news.mark), (5, 9));
+    assert_eq!(other.take_list_news(&news, false, at(3_001)).removed, [name("b")]);
+    let (_, news) = watcher.take_reread(list(12, vec![record("a", 1)]), false, at(4_000));
+    assert_eq!(news, None, "nothing changed");
+}
+
 #[test]
 fn news_of_ten_targets_fit_a_datagram() {
     let changes = (0..10)
