Keep a read in line that its engine's pass was too short for

Cause: a part of a joint prompt that came just after its engine had begun a pass was thought to be in that pass. The events of the pass, 50 ms later, let the part count as read, and the entry sent short prompts to an engine that read on.

Ruled out: notes that were lost or entries that an agent did not know (all were told 1 ms after the placement, or when they subscribed).

Change: a pass that ended sooner than a read takes, at the fastest pace, puts the read back where it stood.

--- a/src/relay/decide/pass_model.rs
+++ b/src/relay/decide/pass_model.rs
@@ -22,7 +22,7 @@
 
 use super::engine_rates::{EngineRates, from_ms};
 use super::pass_outlook::{OutlookWriter, PassForecast, PassOutlook};
-use super::pending_read::{PendingRead, put_in_line};
+use super::pending_read::{PendingRead, put_back, put_in_line};
 use super::policy::RelayPolicy;
 use crate::time::Tick;
 
@@ -36,6 +36,10 @@
 /// Bounds of a reported pace, one being the declared rates.
 const PACE_BOUNDS: (f64, f64) = (0.7, 12.0);
 
+/// Part of its foretold time in which a read is over at the soonest: the same bound as
+/// that of a reported pace, which is some hundred milliseconds old.
+const FASTEST_READ: f64 = PACE_BOUNDS.0;
+
 /// Names a stream among those of all entries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct StreamKey {
@@ -108,6 +112,8 @@
     end: Tick,
     /// What will have been read at its end.
     reads: Vec<PendingRead>,
+    /// What was in line at its start.
+    line: Vec<PendingRead>,
 }
 
 /// Model of one engine.
@@ -262,6 +268,7 @@
     }
 
     fn start_pass(&mut self, at: Tick) {
+        let before = self.line.clone();
         let mut budget = self.rates.pass_tokens();
         let mut reading = 0.0;
         for read in &mut self.line {
@@ -273,7 +280,7 @@
         self.line = line;
         let length = reading + self.rates.write_ms(self.writers.len(), self.context());
         let end = at + from_ms(length * self.pace);
-        self.pass = Some(OpenPass { start: at, end, reads: read });
+        self.pass = Some(OpenPass { start: at, end, reads: read, line: before });
     }
 
     fn end_pass(&mut self, at: Tick) {
@@ -323,12 +330,38 @@
         if at.since(pass.start) < SAME_PASS {
             return;
         }
+        self.put_back_unread(at);
         self.end_pass(at);
         if !self.writers.is_empty() {
             self.start_pass(at);
         }
     }
 
+    /// Puts back what can not have been read in the pass that ends at `at`: it came
+    /// after the engine had begun that pass. Without this the part of a prompt of 850,000
+    /// tokens counted as read after 50 ms (logged), and short prompts were sent to an engine
+    /// that read for another 1.5 s and more.
+    fn put_back_unread(&mut self, at: Tick) {
+        let Some(pass) = &mut self.pass else { return };
+        let spent_ms = at.since(pass.start).as_secs_f64() * 1e3;
+        let least = self.pace * FASTEST_READ;
+        for before in std::mem::take(&mut pass.line) {
+            let left = |reads: &[PendingRead]| {
+                let found = reads.iter().find(|read| read.key == before.key);
+                found.map(|read| read.read_ms(&self.rates))
+            };
+            let in_pass = left(&pass.reads);
+            let Some(after_ms) = in_pass.or_else(|| left(&self.line)) else { continue };
+            let reading_ms = before.read_ms(&self.rates) - after_ms;
+            if reading_ms * least <= spent_ms {
+                continue;
+            }
+            pass.reads.retain(|read| read.key != before.key);
+            self.line.retain(|read| read.key != before.key);
+            put_back(&mut self.line, before);
+        }
+    }
+
     /// What is known of the engine's next passes, for forecasts. Only true
     /// where the passes have been played up to `now`.
     #[must_use]
--- a/src/relay/decide/pending_read.rs
+++ b/src/relay/decide/pending_read.rs
@@ -85,3 +85,14 @@
         line.push(read);
     }
 }
+
+/// Puts a read back where it stood in line.
+pub(super) fn put_back(line: &mut Vec<PendingRead>, read: PendingRead) {
+    let is_before = |other: &PendingRead| match (other.load.is_part, read.load.is_part) {
+        (true, true) => other.placed_at > read.placed_at,
+        (false, false) => other.placed_at < read.placed_at,
+        (is_part, _) => is_part,
+    };
+    let place = line.iter().position(|other| !is_before(other)).unwrap_or(line.len());
+    line.insert(place, read);
+}
--- a/tests/relay/passes.rs
+++ b/tests/relay/passes.rs
@@ -155,6 +155,37 @@
     assert!(after.read < length * 2 + ms(170), "the first part is being read now");
 }
 
+/// Past failure: a part came just after its engine had begun a pass, and was thought to be
+/// in it. The events of that pass came 45 ms later and let the part count as read, so short
+/// prompts were sent to an engine that read for 3.8 s.
+#[test]
+fn a_read_is_not_over_with_a_pass_that_was_too_short_for_it() {
+    let mut model = model_with(1);
+    model.note_pass(at(205));
+    model.add(key(100), helper_load(600_000, 10), at(230));
+    model.note_pass(at(235));
+    model.note_pass(at(280));
+    let left = read_ms(&mut model, &short_load(), 281);
+    assert!(left > 1_000, "{left} ms, and the engine reads the part");
+    let line = model.len();
+    model.note_pass(at(280 + left));
+    assert_eq!(model.len(), line - 1, "now it is read");
+}
+
+/// The line keeps its order where reads are put back into it.
+#[test]
+fn a_read_that_is_put_back_stays_behind_newer_parts() {
+    let mut model = model_with(1);
+    model.note_pass(at(205));
+    model.add(key(100), helper_load(600_000, 10), at(230));
+    model.note_pass(at(235));
+    model.add(key(101), helper_load(600_000, 10), at(240));
+    model.note_pass(at(280));
+    model.note_pass(at(2_000));
+    let first = model.time_to_read(key(101), at(2_001));
+    assert!(first.is_zero(), "the newest goes first: {first:?}");
+}
+
 #[test]
 fn a_pass_over_the_pause_of_its_writers_harms_them() {
     let mut model = model_with(10);
