End watches before the store forgets their beginning

Cause: watches waited for 25 s, from the revision of the last change, at a store that remembers 20 s. Watches of the list ended the same way, each with a read of the whole list.

Change: a watch waits for three quarters of the store's history, which is a setting now (`store_history_s`), goes on from the revision of its last answer, and where it was forgotten after a wait the read follows at once. How long watches wait and rest stands in `discovery/watch_pace.rs`.

--- a/src/relay/core/mod.rs
+++ b/src/relay/core/mod.rs
@@ -31,6 +31,8 @@
     pub stale_policy: StalePolicy,
     /// Longest time in which a target that is leaving may still get requests.
     pub drain_bound: Duration,
+    /// How long the store remembers what changed.
+    pub store_history: Duration,
     /// Bound on second attempts over all entries.
     pub retry_bound: RetryBound,
     /// What is weighed when a request is placed.
--- a/src/relay/discovery/follow.rs
+++ b/src/relay/discovery/follow.rs
@@ -9,6 +9,7 @@
 use super::feed::{ConfigWatch, PlatformFeed, TargetWatch};
 use super::list_share::ListNews;
 use super::proof_share::{PeerVerdict, ProofShare};
+use super::watch_pace::{LONGEST_WAIT, NEWS_STEP, WatchEnd, rest_after, watch_wait};
 use crate::relay::peers::config_copy::read_copy;
 use crate::relay::shared::RelayShared;
 use crate::time::Tick;
@@ -17,10 +18,6 @@
 /// entry that has it: some round trips between failure domains.
 const PEER_WAIT: Duration = Duration::from_millis(40);
 
-/// Time between two answers of its watch, when it changes often: each is priced,
-/// and the last one brings the others with it.
-const NEWS_STEP: Duration = Duration::from_millis(300);
-
 /// Time between two reads while the store does not answer: short against the
 /// time for which a proof holds, long against the price of each.
 const RETRY_STEP: Duration = Duration::from_millis(400);
@@ -30,9 +27,6 @@
 /// back: reads are well under that, and well over the price of each.
 const TURNED_AWAY_STEP: Duration = Duration::from_secs(1);
 
-/// Longest wait of one watch: each is priced as a call.
-const WATCH_WAIT: Duration = Duration::from_secs(25);
-
 /// Part of the bound for leaving targets that passes between two answers of a
 /// watch: changes come in groups, and each answer is priced. What is left of
 /// the bound is for a slow store and for requests on their way.
@@ -195,11 +189,7 @@
             return;
         }
         let news = shared.config_news.borrow_mut().take();
-        let Some(news) = news else {
-            // Not at once: a watch that fails again and again would have the
-            // store asked in a loop.
-            return tokio::time::sleep(NEWS_STEP).await;
-        };
+        let Some(news) = news else { return };
         let mut core = shared.core.borrow_mut();
         core.set_config_revision(news.revision);
         if core.take_news(news.config) {
@@ -231,11 +221,17 @@
     }
 }
 
+/// Longest wait of a watch.
+fn wait_of(shared: &RelayShared) -> Duration {
+    watch_wait(shared.core.borrow().limits().store_history)
+}
+
 /// Tells of changes of the configuration until the store does not answer or
 /// has forgotten what happened. A watch that brings nothing proves nothing.
 async fn watch_config(shared: Rc<RelayShared>, feed: Rc<PlatformFeed>, mut revision: u64) {
-    loop {
-        let result = (feed.watch_config)(revision, WATCH_WAIT).await;
+    let (end, lasted) = loop {
+        let begun = shared.now();
+        let result = (feed.watch_config)(revision, wait_of(&shared)).await;
         shared.counts.borrow_mut().store_calls += 1;
         match result {
             Ok(ConfigWatch::Changes(news, next)) => {
@@ -246,13 +242,16 @@
                     tokio::time::sleep(NEWS_STEP).await;
                 }
             }
-            Ok(ConfigWatch::Forgotten) => break,
+            Ok(ConfigWatch::Forgotten) => {
+                break (WatchEnd::Forgotten, shared.now().since(begun));
+            }
             Err(error) => {
                 shared.log.dependency("configuration watch", false, &error.to_string());
-                break;
+                break (WatchEnd::Failed, shared.now().since(begun));
             }
         }
-    }
+    };
+    tokio::time::sleep(rest_after(end, lasted)).await;
     // Whatever the reason, only a read tells what holds now.
     shared.config_changed.notify_one();
 }
@@ -318,7 +317,7 @@
     let now = shared.now();
     match result {
         Ok(list) => {
-            let is_after_outage = now.since(heard_at) > WATCH_WAIT + OUTAGE;
+            let is_after_outage = now.since(heard_at) > LONGEST_WAIT + OUTAGE;
             let is_after_outage = is_after_outage || shared.was_away(now);
             let revision = list.revision;
             let (change, news) = shared.core.borrow_mut().take_reread(list, is_after_outage, now);
@@ -340,7 +339,7 @@
 /// Waits for one answer of a watch. Returns the next revision, none where the
 /// list has to be read anew.
 async fn watch_once(shared: &RelayShared, feed: &PlatformFeed, revision: u64) -> Option<u64> {
-    let result = (feed.watch_targets)(revision, WATCH_WAIT).await;
+    let result = (feed.watch_targets)(revision, wait_of(shared)).await;
     shared.counts.borrow_mut().store_calls += 1;
     match result {
         Ok(TargetWatch::Changes(changes, next)) => {
--- a/src/relay/discovery/mod.rs
+++ b/src/relay/discovery/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`feed`]: how the platform's store is read,
 //! - `follow`: when and what for,
+//! - [`watch_pace`]: how long its watches wait,
 //! - [`rules`]: what a configuration allows, and to whom,
 //! - [`freshness`]: whether that is known to be current,
 //! - [`proof_share`], [`list_share`]: how entries learn from one another.
@@ -12,3 +13,4 @@
 pub mod list_share;
 pub mod proof_share;
 pub mod rules;
+pub mod watch_pace;
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -40,6 +40,8 @@
     /// Longest time in which a target that is leaving may still get requests,
     /// from when the platform's store says so, in ms.
     pub drain_ms: u64,
+    /// How long the platform's store remembers what changed, in seconds.
+    pub store_history_s: f64,
     /// Second attempts for each request, over all entries.
     pub retry_ratio: f64,
     /// Second attempts in each window beside that, over all entries.
@@ -78,14 +80,15 @@
             && settings.retry_window_s > 0
             && settings.stop_s > 0.0
             && settings.revoke_ms > 0
-            && settings.drain_ms > 0;
+            && settings.drain_ms > 0
+            && settings.store_history_s > 0.0;
         if has_order {
             settings.policy.check()?;
             return Ok(settings);
         }
         Err(Error::settings(
-            "retry_window_s, stop_s, revoke_ms and drain_ms must be above zero, retry_ratio \
-             and retry_slack not below",
+            "retry_window_s, stop_s, revoke_ms, drain_ms and store_history_s must be above \
+             zero, retry_ratio and retry_slack not below",
         ))
     }
 
@@ -98,6 +101,7 @@
             stale_policy: self.stale_policy(),
             policy: self.policy,
             drain_bound: Duration::from_millis(self.drain_ms),
+            store_history: Duration::from_secs_f64(self.store_history_s),
             retry_bound: RetryBound {
                 ratio: self.retry_ratio,
                 slack: self.retry_slack,
--- a/standins/src/replay/world.rs
+++ b/standins/src/replay/world.rs
@@ -146,6 +146,7 @@
         revoke_bound: Duration::from_secs(5),
         stale_policy: StalePolicy::FailOpen,
         drain_bound: Duration::from_secs(3),
+        store_history: Duration::from_secs(20),
         retry_bound: RetryBound { ratio: 0.2, slack: 100.0, window: Duration::from_secs(10) },
         policy: fleet.policy,
     };
--- a/tests/relay/fixture.rs
+++ b/tests/relay/fixture.rs
@@ -32,6 +32,7 @@
         revoke_bound: ms(5_000),
         stale_policy,
         drain_bound: ms(2_000),
+        store_history: ms(20_000),
         retry_bound: RetryBound { ratio: 0.2, slack: 100.0, window: ms(10_000) },
         policy: RelayPolicy::DEFAULT,
     }
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -15,3 +15,4 @@
 mod stop;
 mod subset;
 mod targets;
+mod watch_pace;
