Rest between answers of the list by the age of the process; wait for a start

Change: the rest is 0.4 of the process's age, from 200 ms to 0.4 of the bound for leaving targets.

Cause of the second: a process listens some ten to a hundred milliseconds before it has a configuration and targets. Change: such a request waits until the process has started, at most until the process is 500 ms old; one that is cut off for longer refuses at once, as before.

--- a/src/relay/core/mod.rs
+++ b/src/relay/core/mod.rs
@@ -148,6 +148,12 @@
         is_let_in && self.targets.has_list()
     }
 
+    /// Returns true once a configuration was in force and a list of targets was read.
+    #[must_use]
+    pub fn has_started(&self) -> bool {
+        self.lease.permits_public() && self.targets.has_list()
+    }
+
     /// Finds the route and account of a request that was read at `now`.
     ///
     /// # Errors
--- a/src/relay/decide/mod.rs
+++ b/src/relay/decide/mod.rs
@@ -10,6 +10,7 @@
 //! - [`placement`]: where a request goes, and whether it waits or is refused,
 //! - [`connect_limit`]: how long a target may take to accept a connection,
 //! - [`return_time`]: when callers that are refused are told to come back,
+//! - [`start_wait`]: whether callers wait for a process that has just started,
 //! - [`send_count`], [`retry_budget`]: how often it may be tried again.
 
 pub mod connect_limit;
@@ -25,4 +26,5 @@
 pub mod retry_budget;
 pub mod return_time;
 pub mod send_count;
+pub mod start_wait;
 pub mod targets;
--- a/src/relay/discovery/follow.rs
+++ b/src/relay/discovery/follow.rs
@@ -9,7 +9,7 @@
 use super::feed::{ConfigWatch, PlatformFeed, TargetWatch};
 use super::list_share::ListNews;
 use super::proof_share::{PeerVerdict, ProofShare};
-use super::watch_pace::{LONGEST_WAIT, NEWS_STEP, WatchEnd, rest_after, watch_wait};
+use super::watch_pace::{LONGEST_WAIT, NEWS_STEP, WatchEnd, list_rest, rest_after, watch_wait};
 use crate::relay::peers::config_copy::read_copy;
 use crate::relay::shared::RelayShared;
 use crate::time::Tick;
@@ -27,18 +27,6 @@
 /// back: reads are well under that, and well over the price of each.
 const TURNED_AWAY_STEP: Duration = Duration::from_secs(1);
 
-/// Part of the bound for leaving targets that passes between two answers of a
-/// watch: changes come in groups, and each answer is priced. What is left of
-/// the bound is for a slow store and for requests on their way.
-const WATCH_PART: f64 = 0.4;
-
-/// Time between two answers of a watch in the first seconds of a process, when
-/// targets may be starting as well and each that is missed is missed dearly.
-const FIRST_WATCH_STEP: Duration = Duration::from_millis(200);
-
-/// How long a process counts as starting.
-const START_SPAN: Duration = Duration::from_secs(5);
-
 /// Longest time after which the list is read again while the store is away;
 /// the read of the configuration, which is tried more often, ends the wait.
 const LIST_RETRY: Duration = Duration::from_secs(1);
@@ -97,6 +85,7 @@
                 shared.log.config_changed(core.rules().version());
             }
             drop(core);
+            shared.note_started();
             if watching.as_ref().is_none_or(AbortOnDrop::is_finished) {
                 let task = watch_config(shared.clone(), feed.clone(), read.store_revision);
                 watching = Some(AbortOnDrop(tokio::task::spawn_local(task)));
@@ -171,7 +160,10 @@
             if core.take_copy(&copy) {
                 shared.log.config_changed(core.rules().version());
             }
-            core.lease().is_held(shared.now())
+            let is_held = core.lease().is_held(shared.now());
+            drop(core);
+            shared.note_started();
+            is_held
         }
         Err(error) => {
             shared.log.dependency("copy of the configuration", false, &error.to_string());
@@ -322,6 +314,7 @@
             let revision = list.revision;
             let (change, news) = shared.core.borrow_mut().take_reread(list, is_after_outage, now);
             shared.log.targets_changed(&change);
+            shared.note_started();
             if let Some(news) = news {
                 tell_others(shared, news);
             }
@@ -373,8 +366,5 @@
 /// Time until the next answer of the watch is asked for.
 fn watch_step(shared: &RelayShared, now: Tick) -> Duration {
     // Ticks count from the start of the process.
-    if now < Tick::default() + START_SPAN {
-        return FIRST_WATCH_STEP;
-    }
-    shared.core.borrow().limits().drain_bound.mul_f64(WATCH_PART)
+    list_rest(now.since(Tick::default()), shared.core.borrow().limits().drain_bound)
 }
--- a/src/relay/discovery/watch_pace.rs
+++ b/src/relay/discovery/watch_pace.rs
@@ -18,6 +18,20 @@
 /// last one brings the others with it.
 pub const NEWS_STEP: Duration = Duration::from_millis(300);
 
+/// Part of the bound for leaving targets that passes between two answers of a watch of
+/// their list: changes come in groups, and each answer is priced. What is left of the
+/// bound is for a slow store and for requests on their way.
+const BOUND_PART: f64 = 0.4;
+
+/// Shortest time between two of these answers: targets that start together with a process
+/// are listed some hundred milliseconds apart, and each that is missed is missed dearly.
+const FIRST_LIST_STEP: Duration = Duration::from_millis(200);
+
+/// Part of a process's age that passes between two of these answers in its first seconds.
+/// With 200 ms for five seconds, 30 entries that started together asked for 310 answers in
+/// four seconds; with this part it is about half of that.
+const AGE_PART: f64 = 0.4;
+
 /// Why a watch ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WatchEnd {
@@ -42,3 +56,10 @@
         WatchEnd::Forgotten | WatchEnd::Failed => NEWS_STEP,
     }
 }
+
+/// Time to rest between two answers of a watch of the list, in a process of such an age.
+#[must_use]
+pub fn list_rest(age: Duration, drain_bound: Duration) -> Duration {
+    let longest = drain_bound.mul_f64(BOUND_PART);
+    age.mul_f64(AGE_PART).max(FIRST_LIST_STEP).min(longest)
+}
--- a/src/relay/proxy/exchange.rs
+++ b/src/relay/proxy/exchange.rs
@@ -85,6 +85,7 @@
     if shared.is_closed_to_new.get() {
         return Err(RelayFault::refused("stopping", "this entry is stopping", OTHER_ENTRY_RETRY));
     }
+    shared.wait_for_start().await;
     let (parts, body) = request.into_parts();
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
     let host = host.split(':').next().unwrap_or_default();
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -93,6 +93,7 @@
         is_stopping: Cell::new(false),
         is_closed_to_new: Cell::new(false),
         away_at: Cell::new(None),
+        started: watch::Sender::new(false),
         outages: watch::Sender::new(0),
         config_changed: Notify::new(),
         config_news: RefCell::default(),
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -9,6 +9,7 @@
 
 use super::core::RelayCore;
 use super::counts::RelayCounts;
+use super::decide::start_wait::start_wait;
 use super::discovery::feed::ConfigNews;
 use super::discovery::proof_share::PeerVerdict;
 use super::peers::load_link::LoadLink;
@@ -33,6 +34,8 @@
     pub(crate) is_stopping: Cell<bool>,
     pub(crate) is_closed_to_new: Cell<bool>,
     pub(crate) away_at: Cell<Option<Tick>>,
+    /// True once this process has a configuration and a list of targets.
+    pub(crate) started: watch::Sender<bool>,
     /// Counts the times that the store came back.
     pub(crate) outages: watch::Sender<u64>,
     /// Told by the watch of the configuration, with news or at its end.
@@ -81,6 +84,24 @@
         }
     }
 
+    /// Tells requests that wait for it that this process has started, where it has.
+    pub(crate) fn note_started(&self) {
+        let has_started = self.core.borrow().has_started();
+        self.started.send_if_modified(|known| std::mem::replace(known, has_started) != has_started);
+    }
+
+    /// Waits where this process has just started and knows no configuration or target.
+    pub(crate) async fn wait_for_start(&self) {
+        let has_started = *self.started.borrow();
+        let wait = start_wait(has_started, self.now().since(Tick::default()));
+        if wait.is_zero() {
+            return;
+        }
+        let mut started = self.started.subscribe();
+        // What became of it is seen by the request.
+        drop(tokio::time::timeout(wait, started.wait_for(|started| *started)).await);
+    }
+
     /// Returns true where entries of the target list may have lapsed because
     /// the store was away.
     pub(crate) fn was_away(&self, now: Tick) -> bool {
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -12,6 +12,7 @@
 mod proofs;
 mod return_time;
 mod rules;
+mod start_wait;
 mod stop;
 mod subset;
 mod targets;
