--- a/src/relay/decide/mod.rs
+++ b/src/relay/decide/mod.rs
@@ -8,12 +8,10 @@
 //! - [`policy`]: what is weighed, and how much,
 //! - [`group_search`]: which engines read a prompt, and which of them writes,
 //! - [`placement`]: where a request goes, and whether it waits or is refused,
-//! - [`connect_limit`]: how long a target may take to accept a connection,
 //! - [`return_time`]: when callers that are refused are told to come back,
 //! - [`start_wait`]: whether callers wait for a process that has just started,
 //! - [`send_count`], [`retry_budget`]: how often it may be tried again.
 
-pub mod connect_limit;
 pub mod engine_rates;
 pub mod engine_subset;
 pub mod group_search;
--- a/src/relay/proxy/connections.rs
+++ b/src/relay/proxy/connections.rs
@@ -15,6 +15,10 @@
 use crate::silence::limit_unacked;
 use crate::time::Tick;
 
+/// Longest time for a connection to come up: a few round trips between
+/// failure domains, and less than a lost first packet costs.
+const CONNECT_LIMIT: Duration = Duration::from_millis(600);
+
 /// Longest rest of a kept connection where the target states none.
 const DEFAULT_REST: Duration = Duration::from_secs(4);
 
@@ -96,18 +100,15 @@
     Refused(String),
 }
 
-/// Connects to a target, within `limit`.
-pub(crate) async fn connect(
-    address: SocketAddr,
-    limit: Duration,
-) -> Result<TargetConnection, ConnectFault> {
+/// Connects to a target.
+pub(crate) async fn connect(address: SocketAddr) -> Result<TargetConnection, ConnectFault> {
     let work = async {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         limit_unacked(&stream)?;
         Ok::<_, std::io::Error>(stream)
     };
-    let stream = tokio::time::timeout(limit, work).await;
+    let stream = tokio::time::timeout(CONNECT_LIMIT, work).await;
     let stream = stream.map_err(|_| ConnectFault::Slow)?;
     let stream = stream.map_err(|error| ConnectFault::Refused(error.to_string()))?;
     let handshake = Builder::new().handshake(TokioIo::new(stream)).await;
--- a/src/relay/proxy/forward.rs
+++ b/src/relay/proxy/forward.rs
@@ -16,7 +16,6 @@
 use super::dialect::{AnswerHead, CallerHead, HelperSeat, TargetHead};
 use super::memory_hold::MemoryHold;
 use crate::relay::core::AttemptShare;
-use crate::relay::decide::connect_limit::connect_limit;
 use crate::relay::decide::placement::{Placement, PromptNeed};
 use crate::relay::decide::send_count::SendEnd;
 use crate::relay::decide::targets::TargetFault;
@@ -212,7 +211,7 @@
         let hold = MemoryHold::reserve(shared, placement, &mut helpers).await;
         guard.memory = Some(hold.map_err(AttemptFault::not_sent)?);
     }
-    let connection = obtain(shared, job, placement, address).await?;
+    let connection = obtain(shared, job, &placement.target, address).await?;
     let is_reused = connection.is_reused;
     let share = &guard.share;
     let connection = guard.connection.insert(connection);
@@ -247,16 +246,15 @@
 async fn obtain(
     shared: &Rc<RelayShared>,
     job: &RelayJob,
-    placement: &Placement,
+    target: &Arc<str>,
     address: SocketAddr,
 ) -> Result<TargetConnection, AttemptFault> {
     if job.route.repeat.is_repeatable()
-        && let Some(connection) = shared.pool.borrow_mut().take(&placement.target, shared.now())
+        && let Some(connection) = shared.pool.borrow_mut().take(target, shared.now())
     {
         return Ok(connection);
     }
-    let limit = connect_limit(job.route.objective, placement.candidates > 1);
-    connect(address, limit).await.map_err(|fault| AttemptFault::not_sent(fault.to_string()))
+    connect(address).await.map_err(|fault| AttemptFault::not_sent(fault.to_string()))
 }
 
 /// The helpers with their addresses, all of which have to be known.
