Allow for a pass of writing where reads are put back

Cause: when a pass began that this entry did not see is known to about a pass of writing.

Change: a read is put back where it takes longer than its pass and one of writing.

--- a/src/relay/decide/pass_model.rs
+++ b/src/relay/decide/pass_model.rs
@@ -342,8 +342,10 @@
     /// tokens counted as read after 50 ms (logged), and short prompts were sent to an engine
     /// that read for another 1.5 s and more.
     fn put_back_unread(&mut self, at: Tick) {
+        // When a pass began that nobody here saw is known to a pass of writing.
+        let doubt_ms = self.rates.write_ms(self.writers.len(), self.context()) * self.pace;
         let Some(pass) = &mut self.pass else { return };
-        let spent_ms = at.since(pass.start).as_secs_f64() * 1e3;
+        let most_ms = at.since(pass.start).as_secs_f64() * 1e3 + doubt_ms;
         let least = self.pace * FASTEST_READ;
         for before in std::mem::take(&mut pass.line) {
             let left = |reads: &[PendingRead]| {
@@ -353,7 +355,7 @@
             let in_pass = left(&pass.reads);
             let Some(after_ms) = in_pass.or_else(|| left(&self.line)) else { continue };
             let reading_ms = before.read_ms(&self.rates) - after_ms;
-            if reading_ms * least <= spent_ms {
+            if reading_ms * least <= most_ms {
                 continue;
             }
             pass.reads.retain(|read| read.key != before.key);
