Give what a stream costs an engine a module of its own

`pass_model` needed `pass_outlook` and `pending_read`, and both needed the names of streams that stood in `pass_model`: a circle of three files. `stream_load` holds them now and needs none of these.

--- a/src/relay/core/attempts.rs
+++ b/src/relay/core/attempts.rs
@@ -6,11 +6,11 @@
 
 use super::{AttemptShare, RelayCore, RelayLimits};
 use crate::relay::decide::group_search::place_prompt;
-use crate::relay::decide::pass_model::{StreamKey, StreamLoad};
 use crate::relay::decide::placement::{
     Placement, PlacementQuery, PromptNeed, TargetScope, place_call,
 };
 use crate::relay::decide::retry_budget::RetryBudget;
+use crate::relay::decide::stream_load::{StreamKey, StreamLoad};
 use crate::relay::decide::targets::TargetFault;
 use crate::relay::peers::load_note::LoadNote;
 use crate::time::Tick;
--- a/src/relay/core/mod.rs
+++ b/src/relay/core/mod.rs
@@ -5,9 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::relay::decide::pass_model::StreamKey;
 use crate::relay::decide::policy::RelayPolicy;
 use crate::relay::decide::retry_budget::{RetryBound, RetryBudget};
+use crate::relay::decide::stream_load::StreamKey;
 use crate::relay::decide::targets::{ListChange, TargetSet};
 use crate::relay::discovery::freshness::{FreshnessLease, StalePolicy};
 use crate::relay::discovery::list_share::ListShare;
--- a/src/relay/decide/group_search.rs
+++ b/src/relay/decide/group_search.rs
@@ -11,12 +11,12 @@
 
 use super::engine_rates::EngineRates;
 use super::loss::{FIRST_PART, LATE_LOSS, pause_loss};
-use super::pass_model::{StreamKey, StreamLoad};
 use super::pass_outlook::{JointRead, PassForecast, PassOutlook};
 use super::placement::{
     MemorySeat, Placement, PlacementQuery, PromptNeed, SHORT_TOKENS, candidates,
 };
 use super::policy::RelayPolicy;
+use super::stream_load::{StreamKey, StreamLoad};
 use super::targets::{TargetSet, TargetState};
 use crate::time::Tick;
 
--- a/src/relay/decide/mod.rs
+++ b/src/relay/decide/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! - [`targets`]: which targets there are, and which of them work,
 //! - [`engine_subset`]: which engines of a large fleet are used,
-//! - [`engine_rates`], [`pass_model`], [`pass_outlook`]: what a prompt costs an
-//!   engine and those who wait there,
+//! - [`engine_rates`], [`stream_load`], [`pass_model`], [`pass_outlook`]: what a prompt
+//!   costs an engine and those who wait there,
 //! - [`loss`]: what requests lose by coming late,
 //! - [`policy`]: what is weighed, and how much,
 //! - [`group_search`]: which engines read a prompt, and which of them writes,
@@ -25,4 +25,5 @@
 pub mod return_time;
 pub mod send_count;
 pub mod start_wait;
+pub mod stream_load;
 pub mod targets;
--- a/src/relay/decide/pass_outlook.rs
+++ b/src/relay/decide/pass_outlook.rs
@@ -4,8 +4,8 @@
 
 use super::engine_rates::{EngineRates, from_ms};
 use super::loss::{first_event_loss, pause_loss};
-use super::pass_model::{StreamKey, StreamLoad};
 use super::pending_read::{PendingRead, put_in_line};
+use super::stream_load::{StreamKey, StreamLoad};
 use crate::time::Tick;
 
 /// Most passes that are played ahead. What is read later is lost anyway.
--- a/src/relay/decide/pending_read.rs
+++ b/src/relay/decide/pending_read.rs
@@ -1,7 +1,7 @@
 //! Prompts and parts that wait to be read by an engine, and how far they are.
 
 use super::engine_rates::EngineRates;
-use super::pass_model::{StreamKey, StreamLoad};
+use super::stream_load::{StreamKey, StreamLoad};
 use crate::time::Tick;
 
 /// A prompt, or a part of one, that is not read yet.
--- a/src/relay/decide/placement.rs
+++ b/src/relay/decide/placement.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use super::loss::first_event_loss;
-use super::pass_model::StreamLoad;
 use super::policy::RelayPolicy;
+use super::stream_load::StreamLoad;
 use super::targets::{TargetSet, TargetState};
 use crate::time::Tick;
 
--- a/src/relay/peers/load_note.rs
+++ b/src/relay/peers/load_note.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::relay::decide::pass_model::{StreamKey, StreamLoad};
+use crate::relay::decide::stream_load::{StreamKey, StreamLoad};
 use crate::relay::discovery::list_share::ListNews;
 
 /// Largest datagram that is read, in bytes.
--- a/src/relay/peers/subscriber_set.rs
+++ b/src/relay/peers/subscriber_set.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use super::load_note::LoadNote;
-use crate::relay::decide::pass_model::StreamKey;
+use crate::relay::decide::stream_load::StreamKey;
 use crate::time::Tick;
 
 /// Time without a subscription after which an entry counts as gone.
--- a/tests/relay/notes.rs
+++ b/tests/relay/notes.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use shalelane::relay::decide::pass_model::StreamKey;
+use shalelane::relay::decide::stream_load::StreamKey;
 use shalelane::relay::peers::load_note::{LoadNote, MAX_NOTE};
 use shalelane::relay::peers::subscriber_set::{NoteOut, SubscriberSet};
 
--- a/tests/relay/passes.rs
+++ b/tests/relay/passes.rs
@@ -1,7 +1,8 @@
 //! The model of an engine's passes, against times that were measured at engines
 //! with one scripted prompt after the other.
 
-use shalelane::relay::decide::pass_model::{PassModel, StreamLoad};
+use shalelane::relay::decide::pass_model::PassModel;
+use shalelane::relay::decide::stream_load::StreamLoad;
 
 use crate::fixture::{OBSERVER, at, helper_load, key, ms, part_load, rates, short_load};
 
--- a/tests/relay/places.rs
+++ b/tests/relay/places.rs
@@ -3,11 +3,11 @@
 use std::collections::HashSet;
 
 use shalelane::relay::decide::group_search::place_prompt;
-use shalelane::relay::decide::pass_model::StreamLoad;
 use shalelane::relay::decide::placement::{
     Placement, PlacementAction, PlacementQuery, PromptNeed, TargetScope, place_call,
 };
 use shalelane::relay::decide::policy::RelayPolicy;
+use shalelane::relay::decide::stream_load::StreamLoad;
 use shalelane::relay::decide::targets::{TargetFault, TargetSet};
 
 use crate::fixture::{at, check, engines, helper_load, key, ms, name, need, part_load, short_load};
