Count calls to the store by what they are for

The counter `shalelane_relay_store_calls_total` has the label `kind` now: reads and watches, of the configuration and of the list.

--- a/src/relay/counts.rs
+++ b/src/relay/counts.rs
@@ -9,6 +9,26 @@
 use crate::metrics::{CountMirror, MetricsPage, length_class};
 use crate::time::Tick;
 
+/// What the store is called for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum StoreCall {
+    ConfigRead,
+    ConfigWatch,
+    ListRead,
+    ListWatch,
+}
+
+impl StoreCall {
+    fn as_str(self) -> &'static str {
+        match self {
+            StoreCall::ConfigRead => "config_read",
+            StoreCall::ConfigWatch => "config_watch",
+            StoreCall::ListRead => "list_read",
+            StoreCall::ListWatch => "list_watch",
+        }
+    }
+}
+
 /// What is counted while requests are served, and the page that shows it.
 #[derive(Debug)]
 pub(crate) struct RelayCounts {
@@ -16,7 +36,6 @@
     pub(crate) attempts: u64,
     pub(crate) failed_attempts: u64,
     pub(crate) ejections: u64,
-    pub(crate) store_calls: u64,
     pub(crate) store_failures: u64,
     pub(crate) shared_proofs: u64,
     answered: u64,
@@ -25,7 +44,8 @@
     broken: u64,
     caller_left: u64,
     page: MetricsPage,
-    mirrors: [CountMirror; 13],
+    mirrors: [CountMirror; 12],
+    store_calls: IntCounterVec,
     first_event: HistogramVec,
     faults: IntCounterVec,
     config_version: IntGauge,
@@ -42,7 +62,6 @@
             page.add_count("shalelane_relay_attempts_total", "sends to targets"),
             page.add_count("shalelane_relay_failed_attempts_total", "sends without an answer"),
             page.add_count("shalelane_relay_ejections_total", "times a target was left alone"),
-            page.add_count("shalelane_relay_store_calls_total", "calls to the store"),
             page.add_count("shalelane_relay_store_failures_total", "failed calls to the store"),
             page.add_count("shalelane_relay_shared_proofs_total", "proofs of other entries"),
             page.add_count("shalelane_relay_answered_total", "requests answered whole"),
@@ -61,7 +80,11 @@
             attempts: 0,
             failed_attempts: 0,
             ejections: 0,
-            store_calls: 0,
+            store_calls: page.add_counts(
+                "shalelane_relay_store_calls_total",
+                "calls to the store, by what for",
+                "kind",
+            ),
             store_failures: 0,
             shared_proofs: 0,
             answered: 0,
@@ -102,6 +125,11 @@
         *count += 1;
     }
 
+    /// Notes a call to the store that has ended.
+    pub(crate) fn note_store_call(&self, call: StoreCall) {
+        self.store_calls.with_label_values(&[call.as_str()]).inc();
+    }
+
     /// Notes a failure that the relay answers itself. Codes are few and fixed.
     pub(crate) fn note_fault(&self, code: &'static str) {
         self.faults.with_label_values(&[code]).inc();
@@ -120,7 +148,6 @@
             self.attempts,
             self.failed_attempts,
             self.ejections,
-            self.store_calls,
             self.store_failures,
             self.shared_proofs,
             self.answered,
--- a/src/relay/discovery/follow.rs
+++ b/src/relay/discovery/follow.rs
@@ -10,6 +10,7 @@
 use super::list_share::ListNews;
 use super::proof_share::{PeerVerdict, ProofShare};
 use super::watch_pace::{LONGEST_WAIT, NEWS_STEP, WatchEnd, list_rest, rest_after, watch_wait};
+use crate::relay::counts::StoreCall;
 use crate::relay::peers::config_copy::read_copy;
 use crate::relay::shared::RelayShared;
 use crate::time::Tick;
@@ -49,7 +50,7 @@
         let sent_at = shared.now();
         let known = shared.core.borrow().config_revision();
         let result = (feed.read_config)(known).await;
-        shared.counts.borrow_mut().store_calls += 1;
+        shared.counts.borrow().note_store_call(StoreCall::ConfigRead);
         let read = match result {
             Ok(read) => read,
             Err(error) => {
@@ -224,7 +225,7 @@
     let (end, lasted) = loop {
         let begun = shared.now();
         let result = (feed.watch_config)(revision, wait_of(&shared)).await;
-        shared.counts.borrow_mut().store_calls += 1;
+        shared.counts.borrow().note_store_call(StoreCall::ConfigWatch);
         match result {
             Ok(ConfigWatch::Changes(news, next)) => {
                 revision = next;
@@ -305,7 +306,7 @@
 /// Reads the whole list. Returns its revision, none where that failed.
 async fn read_list(shared: &RelayShared, feed: &PlatformFeed, heard_at: Tick) -> Option<u64> {
     let result = (feed.list_targets)().await;
-    shared.counts.borrow_mut().store_calls += 1;
+    shared.counts.borrow().note_store_call(StoreCall::ListRead);
     let now = shared.now();
     match result {
         Ok(list) => {
@@ -333,7 +334,7 @@
 /// list has to be read anew.
 async fn watch_once(shared: &RelayShared, feed: &PlatformFeed, revision: u64) -> Option<u64> {
     let result = (feed.watch_targets)(revision, wait_of(shared)).await;
-    shared.counts.borrow_mut().store_calls += 1;
+    shared.counts.borrow().note_store_call(StoreCall::ListWatch);
     match result {
         Ok(TargetWatch::Changes(changes, next)) => {
             let now = shared.now();
