--- a/tests/relay/list_news.rs
+++ b/tests/relay/list_news.rs
@@ -1,6 +1,7 @@
 //! How entries pass on changes of the list of targets.
 
 use shalelane::relay::core::RelayCore;
+use shalelane::relay::decide::targets::TargetRecord;
 use shalelane::relay::discovery::feed::{TargetChange, TargetList};
 use shalelane::relay::discovery::freshness::StalePolicy;
 use shalelane::relay::discovery::list_share::{ListNews, ListShare, NewsVerdict};
@@ -28,6 +29,19 @@
     share
 }
 
+fn list(revision: u64, records: Vec<TargetRecord>) -> TargetList {
+    TargetList { records, revision, changed_at: 5 }
+}
+
+/// An entry that knows two targets by a list that was read at revision 5.
+fn core_of_two() -> RelayCore {
+    let mut core = RelayCore::new(limits(StalePolicy::FailClosed), 1);
+    let both = list(5, vec![record("a", 1), record("b", 2)]);
+    let (_, news) = core.take_reread(both, false, at(0));
+    assert_eq!(news, None, "the first list of a process is no change");
+    core
+}
+
 #[test]
 fn news_are_taken_in_order_and_once() {
     let mut share = share(10);
@@ -131,15 +145,8 @@
 
 #[test]
 fn what_one_entry_watches_holds_at_another() {
-    let core = || {
-        let mut core = RelayCore::new(limits(StalePolicy::FailClosed), 1);
-        core.take_list(vec![record("a", 1), record("b", 2)], false, at(0));
-        core.note_list(5, 5);
-        core
-    };
-    let (mut watcher, mut other) = (core(), core());
-    let leaving =
-        shalelane::relay::decide::targets::TargetRecord { is_leaving: true, ..record("a", 1) };
+    let (mut watcher, mut other) = (core_of_two(), core_of_two());
+    let leaving = TargetRecord { is_leaving: true, ..record("a", 1) };
     let changes = vec![TargetChange::Listed(leaving), TargetChange::Removed(name("b"))];
     let (change, news) = watcher.take_watched(changes, 9, false, at(100));
     assert_eq!(other.take_list_news(&news.clone().unwrap(), false, at(102)), change);
@@ -153,13 +160,7 @@
 /// had never lost the store sent it a request 2,025 ms later.
 #[test]
 fn who_never_lost_the_store_takes_a_removal_at_once() {
-    let core = || {
-        let mut core = RelayCore::new(limits(StalePolicy::FailClosed), 1);
-        core.take_list(vec![record("a", 1), record("b", 2)], false, at(0));
-        core.note_list(5, 5);
-        core
-    };
-    let (mut turned_away, mut other) = (core(), core());
+    let (mut turned_away, mut other) = (core_of_two(), core_of_two());
     let changes = vec![TargetChange::Removed(name("b"))];
     let (change, news) = turned_away.take_watched(changes, 9, true, at(13_070));
     assert_eq!(change.removed, [], "it may come back");
@@ -172,9 +173,7 @@
 /// requests to the address of that target for the rest of the day.
 #[test]
 fn a_removal_that_is_seen_by_reading_again_shows_in_the_mark() {
-    let mut watcher = RelayCore::new(limits(StalePolicy::FailClosed), 1);
-    watcher.note_list(5, 5);
-    watcher.take_list(vec![record("a", 1), record("b", 2)], false, at(0));
+    let mut watcher = core_of_two();
     watcher.note_list(9, 5);
     let change = watcher.take_list(vec![record("a", 1)], false, at(3_000));
     assert_eq!(change.removed, [name("b")]);
@@ -186,9 +185,7 @@
 /// The same where the target could still have come back, after an outage.
 #[test]
 fn a_removal_that_becomes_final_later_shows_in_the_mark() {
-    let mut watcher = RelayCore::new(limits(StalePolicy::FailClosed), 1);
-    watcher.note_list(5, 5);
-    watcher.take_list(vec![record("a", 1), record("b", 2)], false, at(0));
+    let mut watcher = core_of_two();
     watcher.note_list(9, 5);
     let change = watcher.take_list(vec![record("a", 1)], true, at(3_000));
     assert_eq!(change.removed, [], "it may come back");
@@ -200,15 +197,7 @@
 /// Others need not read the list, too, where one entry can tell them what changed.
 #[test]
 fn what_one_entry_sees_by_reading_again_holds_at_another() {
-    let list = |revision, records| TargetList { records, revision, changed_at: 5 };
-    let core = || {
-        let mut core = RelayCore::new(limits(StalePolicy::FailClosed), 1);
-        let both = list(5, vec![record("a", 1), record("b", 2)]);
-        let (_, news) = core.take_reread(both, false, at(0));
-        assert_eq!(news, None, "the first list of a process is no change");
-        core
-    };
-    let (mut watcher, mut other) = (core(), core());
+    let (mut watcher, mut other) = (core_of_two(), core_of_two());
     let (_, news) = watcher.take_reread(list(9, vec![record("a", 1)]), false, at(3_000));
     let news = news.expect("a target is gone");
     assert_eq!((news.since, news.mark), (5, 9));
