--- a/src/relay/discovery/watch_pace.rs
+++ b/src/relay/discovery/watch_pace.rs
@@ -28,8 +28,8 @@
 const FIRST_LIST_STEP: Duration = Duration::from_millis(200);
 
 /// Part of a process's age that passes between two of these answers in its first seconds.
-/// With 200 ms for five seconds, 30 entries that started together asked for 310 answers in
-/// four seconds; with this part it is about half of that.
+/// With 200 ms for five seconds, 30 entries that started together made 726 calls to the
+/// store in a quiet day of 48 s, and 497 with this part (one run each).
 const AGE_PART: f64 = 0.4;
 
 /// Why a watch ended.
