End the wait for a start where the store turns the process away

Change: the first call that the store does not serve ends the wait, and callers are sent to other entries at once, as they were before there was a wait.

--- a/src/relay/decide/start_wait.rs
+++ b/src/relay/decide/start_wait.rs
@@ -12,9 +12,30 @@
 /// what a start takes. One that is still without it is cut off, and refuses at once.
 const START_SPAN: Duration = Duration::from_millis(500);
 
+/// How far the start of a process is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartPhase {
+    /// The store was asked, and has not answered yet.
+    Reading,
+    /// Configuration and targets are there, or the store turned the process away: then
+    /// others serve its callers sooner.
+    Over,
+}
+
+impl StartPhase {
+    /// Returns true where nobody waits for the start any more.
+    #[must_use]
+    pub fn is_over(self) -> bool {
+        self == StartPhase::Over
+    }
+}
+
 /// Longest wait of a request that comes to a process of such an age, zero where it is
-/// decided on at once. `has_started` is true once it has a configuration and targets.
+/// decided on at once.
 #[must_use]
-pub fn start_wait(has_started: bool, age: Duration) -> Duration {
-    if has_started { Duration::ZERO } else { START_SPAN.saturating_sub(age) }
+pub fn start_wait(phase: StartPhase, age: Duration) -> Duration {
+    match phase {
+        StartPhase::Reading => START_SPAN.saturating_sub(age),
+        StartPhase::Over => Duration::ZERO,
+    }
 }
--- a/src/relay/discovery/follow.rs
+++ b/src/relay/discovery/follow.rs
@@ -209,6 +209,7 @@
 fn note_lost(shared: &RelayShared, was_there: bool, error: &crate::Error) {
     shared.counts.borrow_mut().store_failures += 1;
     shared.away_at.set(Some(shared.now()));
+    shared.note_turned_away();
     if was_there {
         shared.log.dependency("store", false, &error.to_string());
     }
@@ -324,6 +325,7 @@
         Err(error) => {
             shared.away_at.set(Some(now));
             shared.counts.borrow_mut().store_failures += 1;
+            shared.note_turned_away();
             shared.log.dependency("target list", false, &error.to_string());
             None
         }
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -16,6 +16,7 @@
 use tokio::task::LocalSet;
 
 use super::core::RelayCore;
+use super::decide::start_wait::StartPhase;
 use super::discovery::feed::PlatformFeed;
 use super::discovery::follow::{follow_config, follow_targets};
 use super::discovery::proof_share::PeerVerdict;
@@ -93,7 +94,7 @@
         is_stopping: Cell::new(false),
         is_closed_to_new: Cell::new(false),
         away_at: Cell::new(None),
-        started: watch::Sender::new(false),
+        start: watch::Sender::new(StartPhase::Reading),
         outages: watch::Sender::new(0),
         config_changed: Notify::new(),
         config_news: RefCell::default(),
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -9,7 +9,7 @@
 
 use super::core::RelayCore;
 use super::counts::RelayCounts;
-use super::decide::start_wait::start_wait;
+use super::decide::start_wait::{StartPhase, start_wait};
 use super::discovery::feed::ConfigNews;
 use super::discovery::proof_share::PeerVerdict;
 use super::peers::load_link::LoadLink;
@@ -34,8 +34,8 @@
     pub(crate) is_stopping: Cell<bool>,
     pub(crate) is_closed_to_new: Cell<bool>,
     pub(crate) away_at: Cell<Option<Tick>>,
-    /// True once this process has a configuration and a list of targets.
-    pub(crate) started: watch::Sender<bool>,
+    /// How far the start of this process is.
+    pub(crate) start: watch::Sender<StartPhase>,
     /// Counts the times that the store came back.
     pub(crate) outages: watch::Sender<u64>,
     /// Told by the watch of the configuration, with news or at its end.
@@ -86,20 +86,26 @@
 
     /// Tells requests that wait for it that this process has started, where it has.
     pub(crate) fn note_started(&self) {
-        let has_started = self.core.borrow().has_started();
-        self.started.send_if_modified(|known| std::mem::replace(known, has_started) != has_started);
+        if self.core.borrow().has_started() {
+            self.start.send_replace(StartPhase::Over);
+        }
+    }
+
+    /// Tells requests that wait for a start that the store does not answer.
+    pub(crate) fn note_turned_away(&self) {
+        self.start.send_replace(StartPhase::Over);
     }
 
     /// Waits where this process has just started and knows no configuration or target.
     pub(crate) async fn wait_for_start(&self) {
-        let has_started = *self.started.borrow();
-        let wait = start_wait(has_started, self.now().since(Tick::default()));
+        let phase = *self.start.borrow();
+        let wait = start_wait(phase, self.now().since(Tick::default()));
         if wait.is_zero() {
             return;
         }
-        let mut started = self.started.subscribe();
+        let mut start = self.start.subscribe();
         // What became of it is seen by the request.
-        drop(tokio::time::timeout(wait, started.wait_for(|started| *started)).await);
+        drop(tokio::time::timeout(wait, start.wait_for(|phase| phase.is_over())).await);
     }
 
     /// Returns true where entries of the target list may have lapsed because
--- a/tests/relay/start_wait.rs
+++ b/tests/relay/start_wait.rs
@@ -1,7 +1,7 @@
 //! Callers of a process that has just started.
 
 use shalelane::relay::core::RelayCore;
-use shalelane::relay::decide::start_wait::start_wait;
+use shalelane::relay::decide::start_wait::{StartPhase, start_wait};
 use shalelane::relay::discovery::freshness::StalePolicy;
 use shalelane::relay::discovery::rules::RelayConfig;
 
@@ -10,14 +10,14 @@
 /// Past failure: 124 requests were refused in the 0.2 s after 30 processes had started.
 #[test]
 fn a_caller_waits_while_a_process_starts() {
-    assert!(start_wait(false, ms(30)) > ms(200));
+    assert!(start_wait(StartPhase::Reading, ms(30)) > ms(200));
 }
 
 #[test]
 fn nobody_waits_for_a_process_that_has_started_or_does_not_come_to_it() {
-    assert!(start_wait(true, ms(0)).is_zero());
-    assert!(start_wait(false, ms(500)).is_zero());
-    assert!(start_wait(false, ms(50_000)).is_zero());
+    assert!(start_wait(StartPhase::Over, ms(0)).is_zero());
+    assert!(start_wait(StartPhase::Reading, ms(500)).is_zero());
+    assert!(start_wait(StartPhase::Reading, ms(50_000)).is_zero());
 }
 
 #[test]
