Log which request a failed sending was of, and why it was not sent again

Now 'attempt failed' and 'request' have the digest of account, host, path and body (taken only where a send failed), 'request' says 'not_sent_again' and counts its sends instead of naming a target hundreds of times.

--- a/src/relay/decide/mod.rs
+++ b/src/relay/decide/mod.rs
@@ -10,7 +10,8 @@
 //! - [`placement`]: where a request goes, and whether it waits or is refused,
 //! - [`return_time`]: when callers that are refused are told to come back,
 //! - [`start_wait`]: whether callers wait for a process that has just started,
-//! - [`send_count`], [`retry_budget`]: how often it may be tried again.
+//! - [`send_count`], [`retry_budget`]: how often it may be tried again,
+//! - [`request_digest`]: which sendings are the same request.
 
 pub mod engine_rates;
 pub mod engine_subset;
@@ -21,6 +22,7 @@
 mod pending_read;
 pub mod placement;
 pub mod policy;
+pub mod request_digest;
 pub mod retry_budget;
 pub mod return_time;
 pub mod send_count;
--- a/src/relay/proxy/call.rs
+++ b/src/relay/proxy/call.rs
@@ -13,6 +13,7 @@
 use super::series::AttemptSeries;
 use crate::relay::decide::placement::Placement;
 use crate::relay::decide::targets::TargetFault;
+use crate::relay::record::SeriesEnd;
 use crate::relay::shared::RelayShared;
 use crate::verdict::Verdict;
 use crate::web::{BodyFault, read_body};
@@ -29,16 +30,19 @@
     let mut series = AttemptSeries::new();
     loop {
         let Some(placement) = series.place(shared, job) else {
+            ledger.series_end = Some(SeriesEnd::NoTarget);
             return Err(series.to_fault(false));
         };
-        ledger.targets.push(placement.target.clone());
+        ledger.note_send(&placement.target);
         let may_hedge = series.may_hedge(shared, job, &placement.target);
         let result = call_once(shared, job, &placement, may_hedge).await;
         match result {
             Ok(answer) => return Ok(answer.map(|body| RelayBody::Whole(Full::new(body)))),
             Err(fault) => {
                 let is_timeout = fault.is_timeout;
-                if !series.note_fault(shared, job, &placement.target, fault) {
+                ledger.digest = Some(job.digest());
+                if let Err(end) = series.note_fault(shared, job, &placement.target, fault) {
+                    ledger.series_end = Some(end);
                     if let Some(answer) = series.answer.take() {
                         return Ok(answer.map(|body| RelayBody::Whole(Full::new(body))));
                     }
--- a/src/relay/proxy/exchange.rs
+++ b/src/relay/proxy/exchange.rs
@@ -1,5 +1,6 @@
 //! A caller's request at its arrival: who may send it, and what it asks for.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -128,6 +129,7 @@
         arrived,
         deadline,
         need,
+        known_digest: OnceCell::new(),
     })
 }
 
--- a/src/relay/proxy/forward.rs
+++ b/src/relay/proxy/forward.rs
@@ -1,5 +1,6 @@
 //! One attempt: a request on its way to a target, and the head of its answer.
 
+use std::cell::OnceCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -17,6 +18,7 @@
 use super::memory_hold::MemoryHold;
 use crate::relay::core::AttemptShare;
 use crate::relay::decide::placement::{Placement, PromptNeed};
+use crate::relay::decide::request_digest::RequestDigest;
 use crate::relay::decide::send_count::SendEnd;
 use crate::relay::decide::targets::TargetFault;
 use crate::relay::discovery::rules::RouteRule;
@@ -59,9 +61,19 @@
     pub(crate) deadline: Tick,
     /// What its prompt asks of an engine, none for a plain call.
     pub(crate) need: Option<PromptNeed>,
+    /// Which request it is, once that was asked for.
+    pub(crate) known_digest: OnceCell<RequestDigest>,
 }
 
 impl RelayJob {
+    /// Which request it is, whatever its caller names this sending.
+    pub(crate) fn digest(&self) -> RequestDigest {
+        *self.known_digest.get_or_init(|| {
+            let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
+            RequestDigest::of(self.account.as_deref(), &self.route.host, path, &self.body)
+        })
+    }
+
     /// Time after which its prompt is placed anew, where it waits.
     pub(crate) fn place_step(&self) -> Duration {
         self.route.objective / PLACE_WAITS
--- a/src/relay/proxy/ledger.rs
+++ b/src/relay/proxy/ledger.rs
@@ -6,7 +6,8 @@
 use hyper::StatusCode;
 
 use super::answer::RelayFault;
-use crate::relay::record::{RequestEnd, RequestLine, StreamPace};
+use crate::relay::decide::request_digest::RequestDigest;
+use crate::relay::record::{RequestEnd, RequestLine, SeriesEnd, StreamPace};
 use crate::relay::shared::{OpenRequest, RelayShared};
 use crate::time::Tick;
 use crate::verdict::Verdict;
@@ -16,7 +17,12 @@
     shared: Rc<RelayShared>,
     id: Arc<str>,
     arrived: Tick,
-    pub(crate) targets: Vec<Arc<str>>,
+    targets: Vec<Arc<str>>,
+    sends: usize,
+    /// Which request it is, where a send of it failed.
+    pub(crate) digest: Option<RequestDigest>,
+    /// Why it was not sent again after a failure.
+    pub(crate) series_end: Option<SeriesEnd>,
     pub(crate) pace: StreamPace,
     is_ended: bool,
     /// A planned stop waits for the end of the answer, not of its head.
@@ -30,12 +36,23 @@
             id,
             arrived,
             targets: Vec::new(),
+            sends: 0,
+            digest: None,
+            series_end: None,
             pace: StreamPace::default(),
             is_ended: false,
             _open: OpenRequest::new(shared),
         }
     }
 
+    /// Notes a send to a target.
+    pub(crate) fn note_send(&mut self, target: &Arc<str>) {
+        self.sends += 1;
+        if !self.targets.contains(target) {
+            self.targets.push(target.clone());
+        }
+    }
+
     pub(crate) fn end(&mut self, end: RequestEnd, status: StatusCode, why: &str) {
         self.is_ended = true;
         let shared = &self.shared;
@@ -48,6 +65,9 @@
             status: status.as_u16(),
             why,
             targets: &self.targets.join(","),
+            sends: self.sends,
+            digest: self.digest,
+            series_end: self.series_end,
             took: now.since(self.arrived),
             pace: self.pace,
             version: core.rules().version(),
--- a/src/relay/proxy/series.rs
+++ b/src/relay/proxy/series.rs
@@ -10,7 +10,7 @@
 use super::forward::{AttemptFault, RelayJob};
 use crate::relay::decide::placement::{Placement, TargetScope};
 use crate::relay::decide::send_count::{SendCount, SendEnd};
-use crate::relay::record::PlacedLine;
+use crate::relay::record::{FailedLine, PlacedLine, SeriesEnd};
 use crate::relay::shared::RelayShared;
 use crate::verdict::Verdict;
 
@@ -93,17 +93,27 @@
         Some(placement)
     }
 
-    /// Notes a failed attempt. Returns true where another one may be made.
+    /// Notes a failed attempt.
+    ///
+    /// # Errors
+    ///
+    /// No other attempt may be made, for the reason that is returned.
     pub(crate) fn note_fault(
         &mut self,
         shared: &RelayShared,
         job: &RelayJob,
         target: &Arc<str>,
         fault: AttemptFault,
-    ) -> bool {
+    ) -> Result<(), SeriesEnd> {
         let now = shared.now();
-        let verdict = fault.verdict.to_string();
-        shared.log.attempt_failed(&job.id, target, &fault.why, &verdict, now);
+        let line = FailedLine {
+            id: &job.id,
+            digest: job.digest(),
+            target,
+            why: &fault.why,
+            verdict: fault.verdict,
+        };
+        shared.log.attempt_failed(&line, now);
         shared.counts.borrow_mut().failed_attempts += 1;
         let is_of_helper = fault.blamed.is_some_and(|address| {
             shared.core.borrow_mut().note_helper_failure(target, address, now)
@@ -131,16 +141,22 @@
             self.ran_at.push(target.clone());
         }
         if fault.is_timeout || now >= job.deadline {
-            return false;
+            return Err(SeriesEnd::TimeUp);
+        }
+        if !fault.verdict.may_retry(job.route.repeat.is_repeatable()) {
+            return Err(SeriesEnd::RunsOnce);
         }
-        let may_repeat = fault.verdict.may_retry(job.route.repeat.is_repeatable());
         let policy = shared.core.borrow().limits().policy;
         // A failure of the target's own is an answer that the caller can have.
         let repeated = if self.answer.is_none() { policy.repeated_runs } else { 0 };
         let most_runs = job.route.max_targets + repeated;
-        may_repeat
-            && self.sends.permits(most_runs)
-            && (!fault.is_sent || shared.core.borrow_mut().take_retry(&job.service, now))
+        if !self.sends.permits(most_runs) {
+            return Err(SeriesEnd::MostSends);
+        }
+        if fault.is_sent && !shared.core.borrow_mut().take_retry(&job.service, now) {
+            return Err(SeriesEnd::NoBudget);
+        }
+        Ok(())
     }
 
     /// The final failure of a request.
--- a/src/relay/proxy/stream.rs
+++ b/src/relay/proxy/stream.rs
@@ -21,7 +21,7 @@
 use crate::relay::decide::placement::{Placement, PlacementAction, PromptNeed};
 use crate::relay::decide::return_time::after_overload;
 use crate::relay::decide::targets::TargetFault;
-use crate::relay::record::{RequestEnd, StreamPace};
+use crate::relay::record::{RequestEnd, SeriesEnd, StreamPace};
 use crate::relay::shared::RelayShared;
 use crate::time::Tick;
 use crate::verdict::Verdict;
@@ -111,6 +111,7 @@
     let mut is_admitted = false;
     loop {
         let Some(placement) = series.place(shared, job) else {
+            ledger.series_end = Some(SeriesEnd::NoTarget);
             return fail_stream(job, output, &series, false, ledger).await;
         };
         let decision = decide(shared, job, &placement, is_admitted).filter(|_| series.is_fresh());
@@ -129,7 +130,7 @@
                 return output.begin(StreamStart::Fault(fault));
             }
         }
-        ledger.targets.push(placement.target.clone());
+        ledger.note_send(&placement.target);
         splitter.clear_rest();
         let may_hedge = series.may_hedge(shared, job, &placement.target);
         let result = stream_once(
@@ -146,7 +147,9 @@
             Ok(status) => return ledger.end(RequestEnd::Answered, status, ""),
             Err(fault) => {
                 let is_timeout = fault.is_timeout;
-                if !series.note_fault(shared, job, &placement.target, fault) {
+                ledger.digest = Some(job.digest());
+                if let Err(end) = series.note_fault(shared, job, &placement.target, fault) {
+                    ledger.series_end = Some(end);
                     return fail_stream(job, output, &series, is_timeout, ledger).await;
                 }
                 series.pause().await;
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -13,9 +13,11 @@
 
 use slog::{Drain, Logger, Never, OwnedKVList, Record, info, o, warn};
 
+use super::decide::request_digest::RequestDigest;
 use super::decide::targets::ListChange;
 use super::discovery::freshness::StalePolicy;
 use crate::time::Tick;
+use crate::verdict::Verdict;
 
 /// Lines that wait for the writer.
 const QUEUE_LINES: usize = 1_024;
@@ -88,6 +90,26 @@
     CallerLeft,
 }
 
+/// Why a request was not sent again after a failure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum SeriesEnd {
+    /// It may have run, and may run once only.
+    #[display("may run once only")]
+    RunsOnce,
+    /// Its time was up.
+    #[display("time is up")]
+    TimeUp,
+    /// It had been sent as often as its route allows.
+    #[display("sent as often as allowed")]
+    MostSends,
+    /// No second attempt was left in the budget.
+    #[display("retry budget spent")]
+    NoBudget,
+    /// No target could take it.
+    #[display("no target")]
+    NoTarget,
+}
+
 /// How fast the events of a stream came.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StreamPace {
@@ -120,8 +142,14 @@
     pub status: u16,
     /// Why, in a few words.
     pub why: &'a str,
-    /// Targets it was sent to.
+    /// Targets it was sent to, each once.
     pub targets: &'a str,
+    /// How often it was sent, or tried to be.
+    pub sends: usize,
+    /// Which request it is, where a send of it failed.
+    pub digest: Option<RequestDigest>,
+    /// Why it was not sent again after a failure.
+    pub series_end: Option<SeriesEnd>,
     /// Time from its arrival.
     pub took: Duration,
     /// Time to the first event of a stream, and its longest pause.
@@ -132,6 +160,21 @@
     pub proof_age: Option<Duration>,
 }
 
+/// One line of an attempt that failed.
+#[derive(Debug)]
+pub struct FailedLine<'a> {
+    /// The caller's name of this sending.
+    pub id: &'a str,
+    /// Which request it is.
+    pub digest: RequestDigest,
+    /// The target.
+    pub target: &'a str,
+    /// Why, in a few words.
+    pub why: &'a str,
+    /// Whether it may have run.
+    pub verdict: Verdict,
+}
+
 /// One line of an attempt.
 #[derive(Debug)]
 pub struct PlacedLine<'a> {
@@ -220,7 +263,9 @@
         let Some(left_out) = self.take_line(kind, now) else { return };
         info!(self.logger, "request";
             "id" => line.id, "end" => %line.end, "status" => line.status, "why" => line.why,
-            "targets" => line.targets, "took_ms" => line.took.as_millis() as u64,
+            "targets" => line.targets, "sends" => line.sends,
+            "digest" => line.digest.map(|digest| digest.to_string()),
+            "not_sent_again" => line.series_end.map(|end| end.to_string()), "took_ms" => line.took.as_millis() as u64,
             "first_ms" => line.pace.first.map(|span| span.as_millis() as u64),
             "longest_pause_ms" => line.pace.longest_pause.as_millis() as u64,
             "config_version" => line.version,
@@ -240,11 +285,11 @@
     }
 
     /// An attempt failed.
-    pub fn attempt_failed(&self, id: &str, target: &str, why: &str, verdict: &str, now: Tick) {
+    pub fn attempt_failed(&self, line: &FailedLine<'_>, now: Tick) {
         let Some(left_out) = self.take_line("attempt_failed", now) else { return };
         warn!(self.logger, "attempt failed";
-            "id" => id, "target" => target, "why" => why, "verdict" => verdict,
-            "left_out" => left_out);
+            "id" => line.id, "digest" => %line.digest, "target" => line.target,
+            "why" => line.why, "verdict" => %line.verdict, "left_out" => left_out);
     }
 
     /// A target is left alone for a while.
