--- a/src/relay/core/attempts.rs
+++ b/src/relay/core/attempts.rs
@@ -81,7 +81,13 @@
         if let Some(need) = need {
             self.begin_stream(placement, need, key, now);
         }
-        AttemptShare { target: placement.target.clone(), helpers: placement.helpers.clone(), key }
+        AttemptShare {
+            target: placement.target.clone(),
+            life: self.life_of(&placement.target),
+            is_suspect: false,
+            helpers: placement.helpers.clone(),
+            key,
+        }
     }
 
     fn begin_stream(
@@ -118,9 +124,13 @@
 
     /// Notes that an attempt has ended, however it did.
     pub fn end(&mut self, share: &AttemptShare) {
-        if let Some(target) = self.targets.get_mut(&share.target) {
+        let is_same = self.life_of(&share.target) == share.life;
+        if let Some(target) = self.targets.get_mut(&share.target).filter(|_| is_same) {
             target.note_ended();
         }
+        if let Some(life) = share.life.as_ref().filter(|_| share.is_suspect) {
+            self.quarantine.note_over(life);
+        }
         for name in std::iter::once(&share.target).chain(&share.helpers) {
             let target = self.targets.get_mut(name);
             if let Some(model) = target.and_then(|target| target.model.as_mut()) {
--- a/src/relay/core/configuration.rs
+++ b/src/relay/core/configuration.rs
@@ -16,19 +16,24 @@
     /// another version came into force.
     pub fn take_config(&mut self, config: Option<RelayConfig>, sent_at: Tick) -> bool {
         self.lease.renew(sent_at);
-        config.is_some_and(|config| self.take_news(config))
+        config.is_some_and(|config| self.take_news(config, sent_at))
     }
 
     /// Takes a configuration that a watch told of, which proves nothing about
     /// later ones. Returns true where it came into force.
-    pub fn take_news(&mut self, config: RelayConfig) -> bool {
+    pub fn take_news(&mut self, config: RelayConfig, now: Tick) -> bool {
+        self.quarantine.take_records(&config.quarantine, self.unix_ms(now), now);
+        if config.version == self.rules.version() {
+            self.config = Some(Rc::new(config));
+            return false;
+        }
         // A lower version than the one in force would be a step back.
         if config.version <= self.rules.version() {
             return false;
         }
         self.rules = Rc::new(RuleTable::from_config(config.clone()));
         self.config = Some(Rc::new(config));
-        self.set_rates();
+        self.set_rates(now);
         true
     }
 
@@ -41,11 +46,11 @@
 
     /// Takes the configuration of another entry, and the proof for which it was asked.
     /// Returns true where it came into force.
-    pub fn take_copy(&mut self, copy: &ConfigCopy) -> bool {
+    pub fn take_copy(&mut self, copy: &ConfigCopy, now: Tick) -> bool {
         if copy.revision <= self.config_revision {
             return false;
         }
-        let is_new = self.take_news((*copy.config).clone());
+        let is_new = self.take_news((*copy.config).clone(), now);
         self.set_config_revision(copy.revision);
         if let Some(proven_at) = self.proof_share.take_ahead(copy.revision) {
             self.lease.renew(proven_at);
--- a/src/relay/core/mod.rs
+++ b/src/relay/core/mod.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use crate::relay::decide::policy::RelayPolicy;
+use crate::relay::decide::quarantine::QuarantineLedger;
 use crate::relay::decide::retry_budget::{RetryBound, RetryBudget};
 use crate::relay::decide::stream_load::StreamKey;
-use crate::relay::decide::targets::{ListChange, TargetSet};
+use crate::relay::decide::targets::{ListChange, TargetLife, TargetSet};
 use crate::relay::discovery::freshness::{FreshnessLease, StalePolicy};
 use crate::relay::discovery::list_share::ListShare;
 use crate::relay::discovery::proof_share::ProofShare;
@@ -18,6 +19,7 @@
 
 mod attempts;
 mod configuration;
+mod quarantine;
 mod target_list;
 
 /// What does not change while the process runs.
@@ -55,6 +57,10 @@
 pub struct AttemptShare {
     /// The target that answers.
     pub target: Arc<str>,
+    /// Its life, none where it is gone.
+    pub life: Option<TargetLife>,
+    /// Whether targets ended under the request before.
+    pub is_suspect: bool,
     /// The targets that help.
     pub helpers: Vec<Arc<str>>,
     /// The name of its stream.
@@ -83,6 +89,9 @@
     /// Most entries that an agent was seen to tell.
     entries: Option<usize>,
     notes: Vec<LoadNote>,
+    quarantine: QuarantineLedger,
+    /// Unix time of tick zero, in milliseconds.
+    epoch_ms: u64,
 }
 
 impl RelayCore {
@@ -104,6 +113,8 @@
             budgets: HashMap::new(),
             entries: None,
             notes: Vec::new(),
+            quarantine: QuarantineLedger::default(),
+            epoch_ms: 0,
         }
     }
 
--- a/src/relay/core/target_list.rs
+++ b/src/relay/core/target_list.rs
@@ -19,10 +19,11 @@
     ) -> ListChange {
         let had_list = self.targets.has_list();
         let change = self.targets.take_list(records, is_after_outage, now);
+        self.note_ends(&change, now);
         if had_list && !change.is_empty() {
             self.list_share.note_difference();
         }
-        self.set_rates();
+        self.set_rates(now);
         self.choose_engines(now);
         change
     }
@@ -50,7 +51,7 @@
     }
 
     fn to_changes(&self, change: &ListChange) -> Vec<TargetChange> {
-        let listed = change.added.iter().chain(&change.leaving);
+        let listed = change.added.iter().chain(&change.leaving).chain(&change.restarted);
         let listed = listed.filter_map(|name| self.targets.get(name));
         let listed = listed.map(|target| TargetChange::Listed(target.record.clone()));
         let removed = change.removed.iter().cloned().map(TargetChange::Removed);
@@ -66,6 +67,7 @@
 
     pub(super) fn remove_missing(&mut self, now: Tick) {
         let change = self.targets.expire(now);
+        self.note_ends(&change, now);
         if !change.is_empty() {
             self.list_share.note_difference();
         }
@@ -82,7 +84,12 @@
 
     /// Gives each target the rates of its service. Configuration and list are
     /// read separately, and either may come first.
-    pub(super) fn set_rates(&mut self) {
+    pub(super) fn set_rates(&mut self, now: Tick) {
+        if self.config.is_some() {
+            let rules = self.rules.clone();
+            let change = self.targets.note_services(|name| rules.service(name).is_some());
+            self.note_ends(&change, now);
+        }
         for target in self.targets.iter_mut() {
             let service = self.rules.service(&target.record.service);
             if let Some(rates) = service.and_then(|service| service.engine.as_ref()) {
@@ -97,11 +104,18 @@
     /// Takes a change of one target.
     pub fn take_change(&mut self, record: TargetRecord, now: Tick) -> ListChange {
         let change = self.targets.take_change(record, now);
-        self.set_rates();
+        self.note_ends(&change, now);
+        self.set_rates(now);
         self.choose_engines(now);
         change
     }
 
+    fn take_removal(&mut self, name: &str, is_after_outage: bool, now: Tick) -> ListChange {
+        let change = self.targets.take_removal(name, is_after_outage, now);
+        self.note_ends(&change, now);
+        change
+    }
+
     /// What is known of the list of targets, and who watches it.
     #[must_use]
     pub fn list_share(&self) -> &ListShare {
@@ -156,9 +170,7 @@
         for change in changes {
             all.join(match change {
                 TargetChange::Listed(record) => self.take_change(record.clone(), now),
-                TargetChange::Removed(name) => {
-                    self.targets.take_removal(name, is_after_outage, now)
-                }
+                TargetChange::Removed(name) => self.take_removal(name, is_after_outage, now),
             });
         }
         all
--- a/src/relay/counts.rs
+++ b/src/relay/counts.rs
@@ -16,6 +16,7 @@
     ConfigWatch,
     ListRead,
     ListWatch,
+    QuarantineWrite,
 }
 
 impl StoreCall {
@@ -25,6 +26,7 @@
             StoreCall::ConfigWatch => "config_watch",
             StoreCall::ListRead => "list_read",
             StoreCall::ListWatch => "list_watch",
+            StoreCall::QuarantineWrite => "quarantine_write",
         }
     }
 }
@@ -52,6 +54,7 @@
     proof_age: IntGauge,
     serves_unproven: IntGauge,
     targets: IntGauge,
+    held_back: IntGauge,
 }
 
 impl Default for RelayCounts {
@@ -101,6 +104,10 @@
                 "1 while callers are served by a configuration that can not be proven current",
             ),
             targets: page.add_gauge("shalelane_relay_targets", "known targets"),
+            held_back: page.add_gauge(
+                "shalelane_relay_held_back",
+                "requests that are held back since targets ended under them",
+            ),
             first_event,
             faults: page.add_counts(
                 "shalelane_relay_faults_total",
@@ -166,6 +173,7 @@
         let is_unproven = core.lease().permits_keys(now) && !core.lease().is_held(now);
         self.serves_unproven.set(i64::from(is_unproven));
         self.targets.set(core.targets.iter().count() as i64);
+        self.held_back.set(core.quarantine().held_count(now) as i64);
         self.page.to_text()
     }
 }
--- a/src/relay/decide/mod.rs
+++ b/src/relay/decide/mod.rs
@@ -11,7 +11,8 @@
 //! - [`return_time`]: when callers that are refused are told to come back,
 //! - [`start_wait`]: whether callers wait for a process that has just started,
 //! - [`send_count`], [`retry_budget`]: how often it may be tried again,
-//! - [`request_digest`]: which sendings are the same request.
+//! - [`request_digest`]: which sendings are the same request,
+//! - [`quarantine`]: which requests end the targets that run them.
 
 pub mod engine_rates;
 pub mod engine_subset;
@@ -22,6 +23,7 @@
 mod pending_read;
 pub mod placement;
 pub mod policy;
+pub mod quarantine;
 pub mod request_digest;
 pub mod retry_budget;
 pub mod return_time;
--- a/src/relay/decide/request_digest.rs
+++ b/src/relay/decide/request_digest.rs
@@ -38,6 +38,12 @@
         RequestDigest(high.fold(0, |number, byte| number << 8 | u128::from(*byte)))
     }
 
+    /// Place of a name in an order of this request's own, the same in all processes.
+    #[must_use]
+    pub fn rank_of(&self, name: &str) -> u64 {
+        xxhash_rust::xxh3::xxh3_64_with_seed(name.as_bytes(), self.0 as u64)
+    }
+
     /// Reads the form that [`fmt::Display`] writes, none where it is not one.
     #[must_use]
     pub fn from_hex(text: &str) -> Option<Self> {
--- a/src/relay/decide/targets.rs
+++ b/src/relay/decide/targets.rs
@@ -32,15 +32,32 @@
 /// agent on a slow host may miss reports.
 const ALIVE_SPAN: Duration = Duration::from_millis(400);
 
+/// Time for which nobody listens at a target until it has ended.
+const UNREACHABLE_SPAN: Duration = Duration::from_millis(50);
+
 /// Failures in a row after which a target is left alone.
 const TOLERATED_FAILURES: u32 = 2;
 
+/// One life of a target, from its start to its end.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct TargetLife {
+    /// The name by which it is listed, which a target may keep when it starts again.
+    #[serde(rename = "i")]
+    pub incarnation: Arc<str>,
+    /// When it started, in Unix milliseconds; zero where the platform does not say.
+    #[serde(rename = "b")]
+    pub born_ms: u64,
+}
+
 /// A target as the platform lists it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TargetRecord {
-    /// Names this life of the target; another life has another one.
+    /// Names the target. Another life has another name, or a later start.
     #[serde(rename = "i")]
     pub incarnation: Arc<str>,
+    /// When this life started, in Unix milliseconds; zero where the platform does not say.
+    #[serde(rename = "b", default)]
+    pub born_ms: u64,
     /// The service it belongs to.
     #[serde(rename = "s")]
     pub service: Arc<str>,
@@ -61,10 +78,20 @@
     pub listed_at: u64,
 }
 
+impl TargetRecord {
+    /// The life that it lists.
+    #[must_use]
+    pub fn to_life(&self) -> TargetLife {
+        TargetLife { incarnation: self.incarnation.clone(), born_ms: self.born_ms }
+    }
+}
+
 /// Why a target failed a request, as far as its health is concerned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TargetFault {
-    /// Nobody listens there, or the connection broke.
+    /// Nobody listens there.
+    Unreachable,
+    /// The connection broke.
     Broken,
     /// It did not answer in time.
     Silent,
@@ -95,12 +122,16 @@
     pub heard_at: Tick,
     /// When the oldest request since then was sent.
     pub waiting_since: Option<Tick>,
+    /// Since when nobody has listened there.
+    unreachable_since: Option<Tick>,
     failures: u32,
     ejections: u32,
     ejected_until: Tick,
     /// When it is removed, where it is missing in the list.
     gone_at: Option<Tick>,
     is_superseded: bool,
+    /// Whether the configuration names its service.
+    is_named: bool,
 }
 
 impl TargetState {
@@ -113,11 +144,13 @@
             in_flight: 0,
             heard_at: now,
             waiting_since: None,
+            unreachable_since: None,
             failures: 0,
             ejections: 0,
             ejected_until: Tick::default(),
             gone_at: None,
             is_superseded: false,
+            is_named: true,
         }
     }
 
@@ -132,7 +165,12 @@
     /// Returns true where requests may be sent there.
     #[must_use]
     pub fn is_usable(&self) -> bool {
-        !self.record.is_leaving && !self.is_superseded
+        !self.record.is_leaving && !self.is_superseded && self.is_named
+    }
+
+    /// The life that has ended with it, none where it had said that it would leave.
+    fn to_ended(&self) -> Option<TargetLife> {
+        (!self.record.is_leaving).then(|| self.record.to_life())
     }
 
     /// Returns true while it is left alone after failures.
@@ -158,6 +196,7 @@
     /// Notes bytes of an answer.
     pub fn note_heard(&mut self, now: Tick) {
         self.heard_at = now;
+        self.unreachable_since = None;
         self.waiting_since = (self.in_flight > 0).then_some(now);
     }
 
@@ -174,6 +213,13 @@
         self.ejected_until = Tick::default();
     }
 
+    /// Notes that nobody listens there. Returns true where that has lasted: one that has
+    /// too many connections turns some away as well.
+    pub fn note_unreachable(&mut self, now: Tick) -> bool {
+        let since = *self.unreachable_since.get_or_insert(now);
+        now.since(since) >= UNREACHABLE_SPAN
+    }
+
     /// Notes that the agent beside it says it is down.
     pub fn note_down(&mut self, now: Tick) {
         let was_heard = self.in_flight > 0 && now.since(self.heard_at) < ALIVE_SPAN;
@@ -190,7 +236,9 @@
                 self.record.is_leaving = true;
                 return None;
             }
-            TargetFault::Broken | TargetFault::Silent => self.failures += TOLERATED_FAILURES,
+            TargetFault::Unreachable | TargetFault::Broken | TargetFault::Silent => {
+                self.failures += TOLERATED_FAILURES;
+            }
             TargetFault::Garbled | TargetFault::Error => self.failures += 1,
         }
         if self.failures < TOLERATED_FAILURES || self.is_ejected(now) {
@@ -221,13 +269,18 @@
     pub leaving: Vec<Arc<str>>,
     /// Targets that are gone.
     pub removed: Vec<Arc<str>>,
+    /// Targets that started again under the same name.
+    pub restarted: Vec<Arc<str>>,
+    /// Lives that ended without having said that they would.
+    pub ended: Vec<TargetLife>,
 }
 
 impl ListChange {
     /// Returns true where nothing changed.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.added.is_empty() && self.leaving.is_empty() && self.removed.is_empty()
+        let lists = [&self.added, &self.leaving, &self.removed, &self.restarted];
+        lists.iter().all(|names| names.is_empty())
     }
 
     /// Adds what a later change did.
@@ -235,6 +288,8 @@
         self.added.extend(later.added);
         self.leaving.extend(later.leaving);
         self.removed.extend(later.removed);
+        self.restarted.extend(later.restarted);
+        self.ended.extend(later.ended);
     }
 }
 
@@ -296,7 +351,18 @@
         }
         self.has_list = true;
         self.remove_missing(now, &mut change);
-        self.mark_superseded();
+        self.mark_superseded(&mut change);
+        change
+    }
+
+    /// Notes which services the configuration names. What is listed for another one is
+    /// nobody's target, and no later life of one.
+    pub fn note_services(&mut self, is_service: impl Fn(&str) -> bool) -> ListChange {
+        for target in self.targets.values_mut() {
+            target.is_named = is_service(&target.record.service);
+        }
+        let mut change = ListChange::default();
+        self.mark_superseded(&mut change);
         change
     }
 
@@ -304,7 +370,7 @@
     pub fn take_change(&mut self, record: TargetRecord, now: Tick) -> ListChange {
         let mut change = ListChange::default();
         self.take_record(record, now, &mut change);
-        self.mark_superseded();
+        self.mark_superseded(&mut change);
         change
     }
 
@@ -333,7 +399,12 @@
 
     fn take_record(&mut self, record: TargetRecord, now: Tick, change: &mut ListChange) {
         let name = record.incarnation.clone();
-        if let Some(target) = self.targets.get_mut(&name) {
+        let known = self.targets.get_mut(&name);
+        // Word of an earlier life may come late.
+        if known.as_ref().is_some_and(|target| record.born_ms < target.record.born_ms) {
+            return;
+        }
+        if let Some(target) = known.filter(|target| record.born_ms == target.record.born_ms) {
             if record.is_leaving && !target.record.is_leaving {
                 change.leaving.push(name);
             }
@@ -343,21 +414,31 @@
             target.record = TargetRecord { is_leaving, ..record };
             return;
         }
-        self.targets.insert(name.clone(), TargetState::new(record, now));
-        change.added.push(name);
+        // It knows nothing of what it was sent before, and is not leaving any more.
+        match self.targets.insert(name.clone(), TargetState::new(record, now)) {
+            Some(former) => {
+                change.ended.extend(former.to_ended());
+                change.restarted.push(name);
+            }
+            None => change.added.push(name),
+        }
     }
 
     /// Marks targets whose address a later one has: their entries outlive them
     /// for a while, and the address would be asked twice.
-    fn mark_superseded(&mut self) {
+    fn mark_superseded(&mut self, change: &mut ListChange) {
         let mut newest: HashMap<SocketAddr, u64> = HashMap::new();
-        for target in self.targets.values() {
+        for target in self.targets.values().filter(|target| target.is_named) {
             let listed_at = newest.entry(target.record.address).or_default();
             *listed_at = target.record.listed_at.max(*listed_at);
         }
         for target in self.targets.values_mut() {
             let newest = newest.get(&target.record.address);
+            let was_superseded = target.is_superseded;
             target.is_superseded = newest.is_some_and(|at| *at > target.record.listed_at);
+            if target.is_superseded && !was_superseded {
+                change.ended.extend(target.to_ended());
+            }
         }
     }
 
@@ -366,11 +447,12 @@
             let is_gone = target.gone_at.is_some_and(|at| now >= at);
             if is_gone {
                 change.removed.push(name.clone());
+                change.ended.extend(target.to_ended());
             }
             !is_gone
         });
         if !change.removed.is_empty() {
-            self.mark_superseded();
+            self.mark_superseded(change);
         }
     }
 }
--- a/src/relay/discovery/feed.rs
+++ b/src/relay/discovery/feed.rs
@@ -8,6 +8,7 @@
 
 use super::rules::RelayConfig;
 use crate::Result;
+use crate::relay::decide::quarantine::QuarantineRecord;
 use crate::relay::decide::targets::TargetRecord;
 
 /// A read of the configuration.
@@ -48,6 +49,37 @@
     pub revision: u64,
     /// Revision of the last change of one of them.
     pub changed_at: u64,
+    /// Entries that list no target: others than targets may write there.
+    pub unreadable: Vec<UnreadableEntry>,
+}
+
+/// An entry of the list that can not be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnreadableEntry {
+    /// Its name, where that can be read.
+    pub name: Option<std::sync::Arc<str>>,
+    /// Why, in a few words.
+    pub why: String,
+}
+
+/// What a watch of the list told.
+#[derive(Debug)]
+pub struct TargetNews {
+    /// The changes, in order.
+    pub changes: Vec<TargetChange>,
+    /// Revision to go on from.
+    pub revision: u64,
+    /// Entries that list no target any more, which `changes` holds as removed.
+    pub unreadable: Vec<UnreadableEntry>,
+}
+
+/// How a write ended that holds only at the revision that was known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteEnd {
+    /// It is done, and the object has this revision.
+    Done(u64),
+    /// The object has another revision: it is to be read anew.
+    Conflict,
 }
 
 /// One change of the list.
@@ -64,8 +96,8 @@
 /// What a watch brought.
 #[derive(Debug)]
 pub enum TargetWatch {
-    /// Changes, up to a revision.
-    Changes(Vec<TargetChange>, u64),
+    /// What changed.
+    Changes(TargetNews),
     /// The store has forgotten changes since then: the list is to be read anew.
     Forgotten,
 }
@@ -84,4 +116,6 @@
     pub watch_config: Box<dyn Fn(u64, Duration) -> Call<ConfigWatch>>,
     /// Waits for changes of the list after a revision.
     pub watch_targets: Box<dyn Fn(u64, Duration) -> Call<TargetWatch>>,
+    /// Writes which requests are held back, beside the configuration of a revision.
+    pub write_quarantine: Box<dyn Fn(u64, Vec<QuarantineRecord>) -> Call<WriteEnd>>,
 }
--- a/src/relay/discovery/follow.rs
+++ b/src/relay/discovery/follow.rs
@@ -6,7 +6,7 @@
 
 use tokio::sync::watch;
 
-use super::feed::{ConfigWatch, PlatformFeed, TargetWatch};
+use super::feed::{ConfigWatch, PlatformFeed, TargetNews, TargetWatch};
 use super::list_share::ListNews;
 use super::proof_share::{PeerVerdict, ProofShare};
 use super::watch_pace::{LONGEST_WAIT, NEWS_STEP, WatchEnd, list_rest, rest_after, watch_wait};
@@ -86,6 +86,7 @@
                 shared.log.config_changed(core.rules().version());
             }
             drop(core);
+            shared.tell_suspects();
             shared.note_started();
             if watching.as_ref().is_none_or(AbortOnDrop::is_finished) {
                 let task = watch_config(shared.clone(), feed.clone(), read.store_revision);
@@ -158,7 +159,7 @@
     match read_copy(shared, entry).await {
         Ok(copy) => {
             let mut core = shared.core.borrow_mut();
-            if core.take_copy(&copy) {
+            if core.take_copy(&copy, shared.now()) {
                 shared.log.config_changed(core.rules().version());
             }
             let is_held = core.lease().is_held(shared.now());
@@ -185,9 +186,11 @@
         let Some(news) = news else { return };
         let mut core = shared.core.borrow_mut();
         core.set_config_revision(news.revision);
-        if core.take_news(news.config) {
+        if core.take_news(news.config, shared.now()) {
             shared.log.config_changed(core.rules().version());
         }
+        drop(core);
+        shared.tell_suspects();
     }
 }
 
@@ -314,6 +317,7 @@
             let is_after_outage = now.since(heard_at) > LONGEST_WAIT + OUTAGE;
             let is_after_outage = is_after_outage || shared.was_away(now);
             let revision = list.revision;
+            shared.log.entries_unreadable(&list.unreadable, now);
             let (change, news) = shared.core.borrow_mut().take_reread(list, is_after_outage, now);
             shared.log.targets_changed(&change);
             shared.note_started();
@@ -338,8 +342,9 @@
     let result = (feed.watch_targets)(revision, wait_of(shared)).await;
     shared.counts.borrow().note_store_call(StoreCall::ListWatch);
     match result {
-        Ok(TargetWatch::Changes(changes, next)) => {
+        Ok(TargetWatch::Changes(TargetNews { changes, revision: next, unreadable })) => {
             let now = shared.now();
+            shared.log.entries_unreadable(&unreadable, now);
             let away = shared.was_away(now);
             let (change, news) = shared.core.borrow_mut().take_watched(changes, next, away, now);
             shared.log.targets_changed(&change);
--- a/src/relay/discovery/mod.rs
+++ b/src/relay/discovery/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`feed`]: how the platform's store is read,
 //! - `follow`: when and what for,
+//! - `follow_quarantine`: what entries put there,
 //! - [`watch_pace`]: how long its watches wait,
 //! - [`rules`]: what a configuration allows, and to whom,
 //! - [`freshness`]: whether that is known to be current,
@@ -9,6 +10,7 @@
 
 pub mod feed;
 pub(crate) mod follow;
+pub(crate) mod follow_quarantine;
 pub mod freshness;
 pub mod list_share;
 pub mod proof_share;
--- a/src/relay/discovery/rules.rs
+++ b/src/relay/discovery/rules.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::relay::decide::engine_rates::EngineRates;
+use crate::relay::decide::quarantine::QuarantineRecord;
 
 /// Whether and how a request of a route may be sent again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -119,6 +120,9 @@
     pub accounts: Vec<AccountRule>,
     /// Bounds on what callers send.
     pub limits: CallerLimits,
+    /// Requests that are held back, which the entries note beside the configuration.
+    #[serde(default)]
+    pub quarantine: Vec<QuarantineRecord>,
 }
 
 /// Why a request is not let in.
--- a/src/relay/peers/adviser.rs
+++ b/src/relay/peers/adviser.rs
@@ -62,9 +62,16 @@
             }
             end = &mut looking, if !looking.is_terminated() => {
                 let was_down = watch.is_down();
+                let (end, born_ms) = end;
+                if let Some(born_ms) = born_ms {
+                    watch.note_born(born_ms);
+                }
                 if watch.note_report(end) {
                     send_all(&socket, set.to_down());
                 }
+                if let Some(next_ms) = watch.take_exit() {
+                    send_all(&socket, set.to_exited(next_ms));
+                }
                 if watch.is_down() != was_down {
                     slog::warn!(logger, "target"; "is_down" => watch.is_down());
                 }
@@ -104,13 +111,14 @@
     }
 }
 
-/// Looks at the engine's report.
+/// Looks at the engine's report. Returns how that ended, and the start of the engine's
+/// life where it says that.
 async fn read_report(
     client: &HttpClient,
     dialect: &TargetDialect,
     target: SocketAddr,
     logger: &slog::Logger,
-) -> ReportEnd {
+) -> (ReportEnd, Option<u64>) {
     let mut request = Request::new(full(""));
     let uri = format!("http://{target}{}", dialect.report_path);
     *request.uri_mut() = uri.parse().unwrap_or_default();
@@ -123,22 +131,22 @@
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(CallFault::NotSent(error))) => {
             slog::debug!(logger, "no report of the target"; "error" => error);
-            return ReportEnd::Refused;
+            return (ReportEnd::Refused, None);
         }
         Ok(Err(CallFault::Unknown(error))) => {
             slog::warn!(logger, "no report of the target"; "error" => error);
-            return ReportEnd::Missed;
+            return (ReportEnd::Missed, None);
         }
         Err(elapsed) => {
             slog::warn!(logger, "no report of the target"; "error" => %elapsed);
-            return ReportEnd::Missed;
+            return (ReportEnd::Missed, None);
         }
     };
     match (dialect.parse_report)(&body) {
-        Ok(report) => ReportEnd::Pace((report.pace * 100.0) as u32),
+        Ok(report) => (ReportEnd::Pace((report.pace * 100.0) as u32), report.born_ms),
         Err(error) => {
             slog::warn!(logger, "report of the target not read"; "error" => %error);
-            ReportEnd::Missed
+            (ReportEnd::Missed, None)
         }
     }
 }
--- a/src/relay/peers/engine_watch.rs
+++ b/src/relay/peers/engine_watch.rs
@@ -31,6 +31,13 @@
 /// leave an engine alone when they are told.
 const SUSPICION_SPAN: Duration = Duration::from_secs(1);
 
+/// Looks in a row at which nobody listens and after which the engine has ended: one that
+/// has too many connections turns some away as well.
+const ENDED_LOOKS: u32 = 2;
+
+/// Times that entries are told of a new life of the engine: a datagram may be lost.
+const LIFE_NOTES: u32 = 3;
+
 /// Pace of an engine that works as declared, in hundredths.
 const DECLARED_PACE: u32 = 100;
 
@@ -50,6 +57,10 @@
 pub struct EngineWatch {
     pace_percent: u32,
     missed: u32,
+    refused: u32,
+    /// Start of the engine's life, in Unix milliseconds.
+    born_ms: Option<u64>,
+    life_notes_left: u32,
     is_down: bool,
     looked_at: Option<Tick>,
     is_suspected: bool,
@@ -64,6 +75,9 @@
         EngineWatch {
             pace_percent: DECLARED_PACE,
             missed: 0,
+            refused: 0,
+            born_ms: None,
+            life_notes_left: 0,
             is_down: false,
             looked_at: None,
             is_suspected: false,
@@ -117,6 +131,23 @@
         true
     }
 
+    /// Takes the start of the engine's life that a report told.
+    pub fn note_born(&mut self, born_ms: u64) {
+        if self.born_ms.replace(born_ms).is_some_and(|known| known != born_ms) {
+            self.life_notes_left = LIFE_NOTES;
+        }
+    }
+
+    /// Whether entries are to be told that the engine has ended, after each look: with the
+    /// start of the life that follows, where it is back.
+    pub fn take_exit(&mut self) -> Option<Option<u64>> {
+        if self.refused >= ENDED_LOOKS {
+            return Some(None);
+        }
+        self.life_notes_left = self.life_notes_left.checked_sub(1)?;
+        Some(self.born_ms)
+    }
+
     /// Takes the end of a look. Returns true where entries are to be told that the
     /// engine is down.
     pub fn note_report(&mut self, end: ReportEnd) -> bool {
@@ -124,9 +155,13 @@
             ReportEnd::Pace(pace) => {
                 self.pace_percent = pace;
                 self.missed = 0;
+                self.refused = 0;
                 self.is_down = false;
             }
-            ReportEnd::Refused => self.is_down = true,
+            ReportEnd::Refused => {
+                self.refused += 1;
+                self.is_down = true;
+            }
             ReportEnd::Missed => {
                 self.missed += 1;
                 self.is_down |= self.missed >= LATE_REPORTS;
--- a/src/relay/peers/load_link.rs
+++ b/src/relay/peers/load_link.rs
@@ -10,6 +10,7 @@
 use super::load_note::{LoadNote, MAX_NOTE};
 use crate::Result;
 use crate::relay::core::RelayCore;
+use crate::relay::decide::request_digest::RequestDigest;
 use crate::relay::discovery::list_share::ListNews;
 use crate::time::Tick;
 
@@ -24,6 +25,9 @@
 /// use its engine, and an entry that reads the store tells its agents at once.
 const ASKED_AGENTS: usize = 3;
 
+/// Agents that keep what is known of a request: one of them may be gone or not be heard.
+const SUSPECT_KEEPERS: usize = 3;
+
 /// The entry's socket for notes.
 #[derive(Debug)]
 pub(crate) struct LoadLink {
@@ -45,13 +49,24 @@
         self.address
     }
 
-    /// Sends a note to the agent beside its engine.
+    /// Sends a note to the agent beside its engine, or to those that keep what is known
+    /// of its request.
     pub(crate) fn send(&self, core: &RelayCore, note: &LoadNote) {
-        let (LoadNote::Placed { target, .. } | LoadNote::Ended { target, .. }) = note else {
-            return;
-        };
-        if let Some(target) = core.targets.get(target) {
-            self.send_beside(target.record.address, note);
+        match note {
+            LoadNote::Placed { target, .. } | LoadNote::Ended { target, .. } => {
+                if let Some(target) = core.targets.get(target) {
+                    self.send_beside(target.record.address, note);
+                }
+            }
+            LoadNote::Suspected(news) => self.send_to_keepers(core, news.digest, note),
+            LoadNote::Cleared(digest) => self.send_to_keepers(core, *digest, note),
+            _ => {}
+        }
+    }
+
+    fn send_to_keepers(&self, core: &RelayCore, digest: RequestDigest, note: &LoadNote) {
+        for keeper in suspect_keepers(core, digest) {
+            self.send_beside(keeper, note);
         }
     }
 
@@ -123,3 +138,15 @@
     let engines = core.targets.iter().filter(|target| target.is_used && target.model.is_some());
     engines.map(|target| target.record.address)
 }
+
+/// Engines beside which agents keep what is known of a request: the same ones for all
+/// entries, whichever engines these use.
+fn suspect_keepers(core: &RelayCore, digest: RequestDigest) -> Vec<SocketAddr> {
+    let engines = core.targets.iter().filter(|target| target.model.is_some());
+    let mut hosts: Vec<_> = engines.map(|target| target.record.address).collect();
+    hosts.sort_by_key(|address| (address.ip(), address.port()));
+    hosts.dedup_by_key(|address| address.ip());
+    hosts.sort_by_cached_key(|address| digest.rank_of(&address.ip().to_string()));
+    hosts.truncate(SUSPECT_KEEPERS);
+    hosts
+}
--- a/src/relay/peers/load_note.rs
+++ b/src/relay/peers/load_note.rs
@@ -9,6 +9,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::relay::decide::quarantine::SuspectNews;
+use crate::relay::decide::request_digest::RequestDigest;
 use crate::relay::decide::stream_load::{StreamKey, StreamLoad};
 use crate::relay::discovery::list_share::ListNews;
 
@@ -55,6 +57,19 @@
     /// The engine beside the agent is down. Sent again while it is.
     #[serde(rename = "d")]
     Down,
+    /// The engine beside the agent has ended. Sent a few times.
+    #[serde(rename = "x")]
+    Exited {
+        /// Start of the life that follows, in Unix milliseconds, where there is one.
+        #[serde(rename = "b")]
+        next_ms: Option<u64>,
+    },
+    /// Targets ended under a request. Agents join what they are told and pass it on.
+    #[serde(rename = "u")]
+    Suspected(SuspectNews),
+    /// A target answered a request that was suspected.
+    #[serde(rename = "k")]
+    Cleared(RequestDigest),
     /// An entry asks another one how current its configuration is.
     #[serde(rename = "q")]
     AskProof {
--- a/src/relay/peers/receive.rs
+++ b/src/relay/peers/receive.rs
@@ -32,6 +32,15 @@
             }
             LoadNote::ListChanged(news) => take_list_news(&shared, &news, now),
             LoadNote::Down => shared.core.borrow_mut().note_down(from.ip(), now),
+            LoadNote::Exited { next_ms } => {
+                shared.core.borrow_mut().note_exited(from.ip(), next_ms, now);
+                shared.tell_suspects();
+            }
+            LoadNote::Suspected(news) => {
+                shared.core.borrow_mut().take_suspect(&news, now);
+                shared.tell_suspects();
+            }
+            LoadNote::Cleared(digest) => shared.core.borrow_mut().take_cleared(&digest),
             LoadNote::TellProof { nonce, revision, proof_age_ms } => {
                 let age = Duration::from_millis(proof_age_ms.into());
                 let verdict =
--- a/src/relay/peers/subscriber_set.rs
+++ b/src/relay/peers/subscriber_set.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use super::load_note::LoadNote;
+use crate::relay::decide::quarantine::{QuarantineLedger, SuspectNews};
 use crate::relay::decide::stream_load::StreamKey;
 use crate::time::Tick;
 
@@ -22,6 +23,8 @@
 pub struct SubscriberSet {
     subscribers: HashMap<SocketAddr, Subscriber>,
     streams: HashMap<StreamKey, LoadNote>,
+    /// What entries told of requests that end targets.
+    suspects: QuarantineLedger,
 }
 
 #[derive(Debug)]
@@ -69,7 +72,13 @@
                 self.to_others(from, note)
             }
             LoadNote::ListChanged(_) => self.to_others(from, note),
-            LoadNote::Suspect
+            LoadNote::Suspected(news) => self.join_suspect(news, now),
+            LoadNote::Cleared(digest) => {
+                self.suspects.note_served(digest);
+                self.to_others(from, note)
+            }
+            LoadNote::Exited { .. }
+            | LoadNote::Suspect
             | LoadNote::Down
             | LoadNote::Welcome { .. }
             | LoadNote::EntryGone { .. }
@@ -108,6 +117,8 @@
         }
         if is_new {
             out.extend(self.streams.values().map(|note| NoteOut { to: from, note: note.clone() }));
+            let suspects = self.suspects.to_news().into_iter().map(LoadNote::Suspected);
+            out.extend(suspects.map(|note| NoteOut { to: from, note }));
         }
         out
     }
@@ -152,16 +163,33 @@
         });
         self.streams.retain(|key, _| key.entry != entry);
         let Some(target) = target else { return Vec::new() };
-        let note = LoadNote::EntryGone { target, entry };
-        let others = self.subscribers.keys();
-        others.map(|to| NoteOut { to: *to, note: note.clone() }).collect()
+        self.to_all(&LoadNote::EntryGone { target, entry })
+    }
+
+    /// Joins what an entry tells of a request with what others told, for all of them.
+    fn join_suspect(&mut self, news: &SuspectNews, now: Tick) -> Vec<NoteOut> {
+        self.suspects.take_news(news, now, 0.0);
+        let joined = self.suspects.news_of(news.digest);
+        let note = LoadNote::Suspected(joined.unwrap_or_else(|| news.clone()));
+        self.to_all(&note)
+    }
+
+    /// What is sent when the engine has ended.
+    #[must_use]
+    pub fn to_exited(&self, next_ms: Option<u64>) -> Vec<NoteOut> {
+        self.to_all(&LoadNote::Exited { next_ms })
+    }
+
+    fn to_all(&self, note: &LoadNote) -> Vec<NoteOut> {
+        let all = self.subscribers.keys();
+        all.map(|to| NoteOut { to: *to, note: note.clone() }).collect()
     }
 
     /// What is sent while the engine is down: every entry that uses it is told,
     /// so that not each of them has to find out by a request.
     #[must_use]
     pub fn to_down(&self) -> Vec<NoteOut> {
-        self.subscribers.keys().map(|to| NoteOut { to: *to, note: LoadNote::Down }).collect()
+        self.to_all(&LoadNote::Down)
     }
 
     /// Returns true where some stream is known.
--- a/src/relay/proxy/call.rs
+++ b/src/relay/proxy/call.rs
@@ -29,6 +29,10 @@
 ) -> Result<RelayAnswer, RelayFault> {
     let mut series = AttemptSeries::new();
     loop {
+        if let Some(fault) = series.hold_fault(shared, job) {
+            ledger.series_end = Some(SeriesEnd::HeldBack);
+            return Err(fault);
+        }
         let Some(placement) = series.place(shared, job) else {
             ledger.series_end = Some(SeriesEnd::NoTarget);
             return Err(series.to_fault(false));
@@ -70,6 +74,7 @@
         BodyFault::Broken => AttemptFault::broken("the answer broke off"),
     })?;
     guard.keep(&head);
+    job.note_answered(shared);
     (shared.targets.clear_answer)(&mut parts.headers);
     parts.headers.remove(CONTENT_LENGTH);
     let is_failure = parts.status.is_server_error();
--- a/src/relay/proxy/connections.rs
+++ b/src/relay/proxy/connections.rs
@@ -1,6 +1,7 @@
 //! Connections to targets, kept for a while after use.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -97,7 +98,16 @@
     #[display("no connection within the limit")]
     Slow,
     #[display("{_0}")]
-    Refused(String),
+    Refused(std::io::Error),
+    #[display("{_0}")]
+    Handshake(hyper::Error),
+}
+
+impl ConnectFault {
+    /// Returns true where nobody listens there.
+    pub(crate) fn is_refused(&self) -> bool {
+        matches!(self, ConnectFault::Refused(error) if error.kind() == ErrorKind::ConnectionRefused)
+    }
 }
 
 /// Connects to a target.
@@ -110,10 +120,9 @@
     };
     let stream = tokio::time::timeout(CONNECT_LIMIT, work).await;
     let stream = stream.map_err(|_| ConnectFault::Slow)?;
-    let stream = stream.map_err(|error| ConnectFault::Refused(error.to_string()))?;
+    let stream = stream.map_err(ConnectFault::Refused)?;
     let handshake = Builder::new().handshake(TokioIo::new(stream)).await;
-    let (sender, connection) =
-        handshake.map_err(|error| ConnectFault::Refused(error.to_string()))?;
+    let (sender, connection) = handshake.map_err(ConnectFault::Handshake)?;
     // How it ends is seen by the request that is on it.
     let task = tokio::task::spawn_local(async move { drop(connection.await) });
     Ok(TargetConnection { sender, is_reused: false, task: task.abort_handle() })
--- a/src/relay/proxy/dialect.rs
+++ b/src/relay/proxy/dialect.rs
@@ -113,6 +113,8 @@
 pub struct TargetReport {
     /// How much slower than declared it works.
     pub pace: f64,
+    /// When it started, in Unix milliseconds, where it says so.
+    pub born_ms: Option<u64>,
 }
 
 /// How callers are spoken to.
--- a/src/relay/proxy/exchange.rs
+++ b/src/relay/proxy/exchange.rs
@@ -14,7 +14,7 @@
 use super::dialect::CallerHead;
 use super::forward::RelayJob;
 use super::ledger::RequestLedger;
-use super::series::NO_ROOM_RETRY;
+use super::series::{NO_ROOM_RETRY, to_hold};
 use super::stream::serve_stream;
 use crate::relay::core::{Refusal, RelayCore};
 use crate::relay::decide::placement::PromptNeed;
@@ -115,8 +115,7 @@
     };
     let need = to_need(shared, &route, &service, &head);
     let need = need.map(|need| PromptNeed { time_left: time_limit, ..need });
-    shared.core.borrow_mut().note_request(&service, shared.now());
-    Ok(RelayJob {
+    let job = RelayJob {
         route,
         service,
         account,
@@ -130,7 +129,12 @@
         deadline,
         need,
         known_digest: OnceCell::new(),
-    })
+    };
+    if let Some(span) = job.held_for(shared) {
+        return Err(to_hold(span));
+    }
+    shared.core.borrow_mut().note_request(&job.service, shared.now());
+    Ok(job)
 }
 
 fn to_need(
--- a/src/relay/proxy/forward.rs
+++ b/src/relay/proxy/forward.rs
@@ -16,7 +16,7 @@
 use super::connections::{TargetConnection, connect};
 use super::dialect::{AnswerHead, CallerHead, HelperSeat, TargetHead};
 use super::memory_hold::MemoryHold;
-use crate::relay::core::AttemptShare;
+use crate::relay::core::{AttemptShare, RelayCore};
 use crate::relay::decide::placement::{Placement, PromptNeed};
 use crate::relay::decide::request_digest::RequestDigest;
 use crate::relay::decide::send_count::SendEnd;
@@ -74,6 +74,27 @@
         })
     }
 
+    /// Returns true where targets ended under it before.
+    pub(crate) fn is_suspect(&self, core: &RelayCore) -> bool {
+        !core.quarantine().is_empty() && core.quarantine().is_suspect(&self.digest())
+    }
+
+    /// Time for which it is held back, none where it may be sent.
+    pub(crate) fn held_for(&self, shared: &RelayShared) -> Option<Duration> {
+        let core = shared.core.borrow();
+        if core.quarantine().is_empty() {
+            return None;
+        }
+        core.quarantine().held_for(&self.digest(), shared.now())
+    }
+
+    /// Notes that a target answered it.
+    pub(crate) fn note_answered(&self, shared: &RelayShared) {
+        if !shared.core.borrow().quarantine().is_empty() {
+            shared.core.borrow_mut().note_answered(self.digest());
+        }
+    }
+
     /// Time after which its prompt is placed anew, where it waits.
     pub(crate) fn place_step(&self) -> Duration {
         self.route.objective / PLACE_WAITS
@@ -106,6 +127,8 @@
     /// It was on a kept connection, which its target may have forgotten: it
     /// says nothing of the target itself.
     pub(crate) is_stale: bool,
+    /// Time for which its events had come.
+    pub(crate) settled: Duration,
 }
 
 impl AttemptFault {
@@ -119,6 +142,7 @@
             is_timeout: false,
             blamed: None,
             is_stale: false,
+            settled: Duration::ZERO,
         }
     }
 
@@ -127,6 +151,12 @@
         AttemptFault { is_sent: false, ..fault }
     }
 
+    /// Returns true where its connection broke after it was sent, as it does when the
+    /// target ends.
+    pub(crate) fn is_break(&self) -> bool {
+        self.fault == TargetFault::Broken && self.is_sent && !self.is_timeout
+    }
+
     /// What it was for the count of sends.
     pub(crate) fn to_end(&self) -> SendEnd {
         match self.verdict {
@@ -139,7 +169,10 @@
 
     /// Address of the target, where this attempt says that nobody works there.
     pub(crate) fn suspect(&self, shared: &RelayShared, target: &str) -> Option<SocketAddr> {
-        let is_of_host = matches!(self.fault, TargetFault::Broken | TargetFault::Silent);
+        let is_of_host = matches!(
+            self.fault,
+            TargetFault::Unreachable | TargetFault::Broken | TargetFault::Silent
+        );
         let is_suspect = is_of_host && !self.is_stale && !self.is_timeout;
         is_suspect.then(|| shared.address_of(target)).flatten()
     }
@@ -213,7 +246,11 @@
     let share = {
         let mut core = shared.core.borrow_mut();
         let now = shared.now();
-        core.begin(placement, job.need_at(now).as_ref(), now)
+        let mut share = core.begin(placement, job.need_at(now).as_ref(), now);
+        if job.is_suspect(&core) {
+            core.mark_suspect(&mut share);
+        }
+        share
     };
     shared.send_notes();
     shared.counts.borrow_mut().attempts += 1;
@@ -266,7 +303,11 @@
     {
         return Ok(connection);
     }
-    connect(address).await.map_err(|fault| AttemptFault::not_sent(fault.to_string()))
+    connect(address).await.map_err(|fault| {
+        let is_refused = fault.is_refused();
+        let kind = if is_refused { TargetFault::Unreachable } else { TargetFault::Broken };
+        AttemptFault { fault: kind, ..AttemptFault::not_sent(fault.to_string()) }
+    })
 }
 
 /// The helpers with their addresses, all of which have to be known.
--- a/src/relay/proxy/series.rs
+++ b/src/relay/proxy/series.rs
@@ -8,10 +8,13 @@
 
 use super::answer::RelayFault;
 use super::forward::{AttemptFault, RelayJob};
+use crate::relay::core::RelayCore;
 use crate::relay::decide::placement::{Placement, TargetScope};
 use crate::relay::decide::send_count::{SendCount, SendEnd};
+use crate::relay::decide::targets::{TargetFault, TargetLife};
 use crate::relay::record::{FailedLine, PlacedLine, SeriesEnd};
 use crate::relay::shared::RelayShared;
+use crate::time::Tick;
 use crate::verdict::Verdict;
 
 /// Time to come back after a refusal for want of room.
@@ -20,11 +23,21 @@
 /// Wait before another target is tried after refusals.
 const REFUSED_WAIT: Duration = Duration::from_millis(30);
 
+/// The answer to a request that is held back: it may come again when the hold lapses.
+#[cold]
+pub(crate) fn to_hold(span: Duration) -> RelayFault {
+    RelayFault::refused("held_back", "targets ended under this request", span)
+}
+
 /// The attempts of one request.
 pub(crate) struct AttemptSeries {
     tried: Vec<Arc<str>>,
-    /// Targets that may have run it.
-    ran_at: Vec<Arc<str>>,
+    /// Lives of targets that may have run it.
+    ran_at: Vec<TargetLife>,
+    /// The life that it was placed at last.
+    placed_at: Option<TargetLife>,
+    /// Whether the last attempt was refused, or could not be sent.
+    was_refused: bool,
     sends: SendCount,
     worst: Verdict,
     pub(crate) answer: Option<Box<Response<Bytes>>>,
@@ -36,6 +49,8 @@
         AttemptSeries {
             tried: Vec::new(),
             ran_at: Vec::new(),
+            placed_at: None,
+            was_refused: false,
             sends: SendCount::default(),
             worst: Verdict::NotRun,
             answer: None,
@@ -67,16 +82,14 @@
     }
 
     /// Chooses the next target.
-    pub(crate) fn place(&self, shared: &RelayShared, job: &RelayJob) -> Option<Placement> {
-        let mut core = shared.core.borrow_mut();
+    pub(crate) fn place(&mut self, shared: &RelayShared, job: &RelayJob) -> Option<Placement> {
         let now = shared.now();
-        let scope = if self.ran_at.len() < job.route.max_targets {
-            TargetScope::Untried(&self.tried)
-        } else {
-            TargetScope::Only(&self.ran_at)
+        let placement = {
+            let mut core = shared.core.borrow_mut();
+            let placement = self.place_in(&mut core, job, now)?;
+            self.placed_at = core.life_of(&placement.target);
+            placement
         };
-        let placement = core.place(&job.service, job.need_at(now).as_ref(), scope, now)?;
-        drop(core);
         let line = PlacedLine {
             id: &job.id,
             target: &placement.target,
@@ -93,6 +106,32 @@
         Some(placement)
     }
 
+    fn place_in(&self, core: &mut RelayCore, job: &RelayJob, now: Tick) -> Option<Placement> {
+        let need = job.need_at(now);
+        if self.ran_at.len() >= job.route.max_targets {
+            // One that has ended since knows nothing of it, whoever is there now.
+            let alive = self.ran_at.iter().filter(|life| core.may_live(life));
+            let alive: Vec<_> = alive.map(|life| life.incarnation.clone()).collect();
+            return core.place(&job.service, need.as_ref(), TargetScope::Only(&alive), now);
+        }
+        if job.is_suspect(core) {
+            // Two suspects at one target could not be told apart where it ends.
+            let apart: Vec<_> = self.tried.iter().cloned().chain(core.suspect_targets()).collect();
+            let scope = TargetScope::Untried(&apart);
+            if let Some(placement) = core.place(&job.service, need.as_ref(), scope, now) {
+                return Some(placement);
+            }
+        }
+        core.place(&job.service, need.as_ref(), TargetScope::Untried(&self.tried), now)
+    }
+
+    /// The answer where the request is held back, none where it may be sent.
+    pub(crate) fn hold_fault(&self, shared: &RelayShared, job: &RelayJob) -> Option<RelayFault> {
+        let span = job.held_for(shared)?;
+        let is_unsent = self.worst == Verdict::NotRun;
+        Some(if is_unsent { to_hold(span) } else { self.to_fault(false) })
+    }
+
     /// Notes a failed attempt.
     ///
     /// # Errors
@@ -115,6 +154,7 @@
         };
         shared.log.attempt_failed(&line, now);
         shared.counts.borrow_mut().failed_attempts += 1;
+        self.note_target_end(shared, job, &fault, now);
         let is_of_helper = fault.blamed.is_some_and(|address| {
             shared.core.borrow_mut().note_helper_failure(target, address, now)
         });
@@ -137,8 +177,12 @@
         self.why = fault.why;
         self.answer = fault.answer.or(self.answer.take());
         self.sends.note(end);
-        if end == SendEnd::MayHaveRun && !self.ran_at.contains(target) {
-            self.ran_at.push(target.clone());
+        self.was_refused = matches!(end, SendEnd::NotSent | SendEnd::Refused);
+        if let Some(life) = self.placed_at.take()
+            && end == SendEnd::MayHaveRun
+            && !self.ran_at.contains(&life)
+        {
+            self.ran_at.push(life);
         }
         if fault.is_timeout || now >= job.deadline {
             return Err(SeriesEnd::TimeUp);
@@ -159,6 +203,24 @@
         Ok(())
     }
 
+    /// Notes what a failed attempt says of its target's life, and of the request.
+    fn note_target_end(
+        &self,
+        shared: &RelayShared,
+        job: &RelayJob,
+        fault: &AttemptFault,
+        now: Tick,
+    ) {
+        let Some(life) = &self.placed_at else { return };
+        if fault.is_break() {
+            shared.core.borrow_mut().note_broken(job.digest(), life, fault.settled, now);
+        }
+        if fault.fault == TargetFault::Unreachable {
+            shared.core.borrow_mut().note_unreachable(life, now);
+        }
+        shared.tell_suspects();
+    }
+
     /// The final failure of a request.
     pub(crate) fn to_fault(&self, is_timeout: bool) -> RelayFault {
         if self.worst == Verdict::NotRun {
@@ -171,7 +233,7 @@
 
     /// Waits a little after refusals: what is full now may have room soon.
     pub(crate) async fn pause(&self) {
-        if self.worst == Verdict::NotRun {
+        if self.was_refused {
             tokio::time::sleep(REFUSED_WAIT).await;
         }
     }
--- a/src/relay/proxy/stream.rs
+++ b/src/relay/proxy/stream.rs
@@ -71,6 +71,14 @@
     }
 }
 
+/// What has been given to the caller of a stream, over all attempts.
+struct StreamFeed<'a> {
+    output: &'a mut StreamOutput,
+    splitter: EventSplitter,
+    /// When the first event of the attempt under way came.
+    begun_at: Option<Tick>,
+}
+
 /// Serves a stream of events.
 pub(crate) async fn serve_stream(
     shared: &Rc<RelayShared>,
@@ -107,12 +115,16 @@
     ledger: &mut RequestLedger,
 ) {
     let mut series = AttemptSeries::new();
-    let mut splitter = EventSplitter::default();
+    let mut feed = StreamFeed { output, splitter: EventSplitter::default(), begun_at: None };
     let mut is_admitted = false;
     loop {
+        if let Some(fault) = series.hold_fault(shared, job) {
+            ledger.series_end = Some(SeriesEnd::HeldBack);
+            return fail_stream(feed.output, &series, fault, ledger).await;
+        }
         let Some(placement) = series.place(shared, job) else {
             ledger.series_end = Some(SeriesEnd::NoTarget);
-            return fail_stream(job, output, &series, false, ledger).await;
+            return fail_stream(feed.output, &series, series.to_fault(false), ledger).await;
         };
         let decision = decide(shared, job, &placement, is_admitted).filter(|_| series.is_fresh());
         match decision {
@@ -127,22 +139,15 @@
                 let after = after_overload(&placement, &need, &mut rand::rng());
                 let fault = RelayFault::refused("overloaded", why, after);
                 ledger.end_fault(&fault);
-                return output.begin(StreamStart::Fault(fault));
+                return feed.output.begin(StreamStart::Fault(fault));
             }
         }
         ledger.note_send(&placement.target);
-        splitter.clear_rest();
+        feed.splitter.clear_rest();
+        feed.begun_at = None;
         let may_hedge = series.may_hedge(shared, job, &placement.target);
-        let result = stream_once(
-            shared,
-            job,
-            &placement,
-            &mut splitter,
-            output,
-            &mut ledger.pace,
-            may_hedge,
-        )
-        .await;
+        let pace = &mut ledger.pace;
+        let result = stream_once(shared, job, &placement, &mut feed, pace, may_hedge).await;
         match result {
             Ok(status) => return ledger.end(RequestEnd::Answered, status, ""),
             Err(fault) => {
@@ -150,7 +155,8 @@
                 ledger.digest = Some(job.digest());
                 if let Err(end) = series.note_fault(shared, job, &placement.target, fault) {
                     ledger.series_end = Some(end);
-                    return fail_stream(job, output, &series, is_timeout, ledger).await;
+                    let fault = series.to_fault(is_timeout);
+                    return fail_stream(feed.output, &series, fault, ledger).await;
                 }
                 series.pause().await;
             }
@@ -171,10 +177,9 @@
 }
 
 async fn fail_stream(
-    job: &RelayJob,
     output: &mut StreamOutput,
     series: &AttemptSeries,
-    is_timeout: bool,
+    fault: RelayFault,
     ledger: &mut RequestLedger,
 ) {
     if output.is_begun() {
@@ -183,9 +188,7 @@
         drop(output.parts.send(Err(BrokenAnswer)).await);
         return;
     }
-    let fault = series.to_fault(is_timeout);
     ledger.end_fault(&fault);
-    debug_assert!(fault.verdict != Verdict::NotRun || job.arrived <= job.deadline);
     output.begin(StreamStart::Fault(fault));
 }
 
@@ -194,53 +197,68 @@
     shared: &Rc<RelayShared>,
     job: &RelayJob,
     placement: &Placement,
-    splitter: &mut EventSplitter,
-    output: &mut StreamOutput,
+    feed: &mut StreamFeed<'_>,
     pace: &mut StreamPace,
     may_hedge: bool,
 ) -> Result<StatusCode, AttemptFault> {
-    let resume_after = splitter.last_id().or(job.head.resume_after);
-    let OpenAnswer { mut guard, mut parts, mut body, head } =
-        open(shared, job, placement, resume_after, may_hedge).await?;
-    let status = parts.status;
-    if !status.is_success() {
-        return take_failure(shared, job, parts, body, output).await;
+    let resume_after = feed.splitter.last_id().or(job.head.resume_after);
+    let answer = open(shared, job, placement, resume_after, may_hedge).await?;
+    if !answer.parts.status.is_success() {
+        return take_failure(shared, job, answer.parts, answer.body, feed.output).await;
     }
+    let result = pass_events(shared, job, answer, feed, pace, may_hedge).await;
+    result.map_err(|fault| {
+        let settled = feed.begun_at.map_or(Duration::ZERO, |at| shared.now().since(at));
+        AttemptFault { settled, ..fault }
+    })
+}
+
+/// Gives the caller the events of an answer.
+async fn pass_events(
+    shared: &Rc<RelayShared>,
+    job: &RelayJob,
+    answer: OpenAnswer,
+    feed: &mut StreamFeed<'_>,
+    pace: &mut StreamPace,
+    may_hedge: bool,
+) -> Result<StatusCode, AttemptFault> {
+    let OpenAnswer { mut guard, mut parts, mut body, head } = answer;
+    let (status, target) = (parts.status, guard.share.target.clone());
     (shared.targets.clear_answer)(&mut parts.headers);
     parts.headers.remove(CONTENT_LENGTH);
     let mut start = Some(Response::from_parts(parts, ()));
     // The first event comes as soon as the prompt is read, the others at the
     // end of a pass.
-    let mut is_begun = false;
     while let Some(frame) = next_frame(shared, job, &guard.share, &mut body, may_hedge).await? {
-        if is_begun {
-            shared.core.borrow_mut().note_pass(&placement.target, shared.now());
+        if feed.begun_at.is_some() {
+            shared.core.borrow_mut().note_pass(&target, shared.now());
         } else {
             shared.core.borrow_mut().note_first(&guard.share, shared.now());
         }
-        is_begun = true;
-        let events = splitter.push(&frame);
+        feed.begun_at.get_or_insert(shared.now());
+        let events = feed.splitter.push(&frame);
         let events = events.map_err(|_| AttemptFault::garbled("no stream of events"))?;
         let Some(events) = events else { continue };
         if let Some(start) = start.take()
-            && !output.is_begun()
+            && !feed.output.is_begun()
         {
-            output.begin(StreamStart::Head(start));
+            feed.output.begin(StreamStart::Head(start));
         }
         if pace.first.is_none() {
             let prompt = job.need.map_or(0, |need| need.prompt);
             shared.counts.borrow().note_first(prompt, shared.now().since(job.arrived));
         }
         pace.note(job.arrived, shared.now());
-        if output.parts.send(Ok(events)).await.is_err() {
+        if feed.output.parts.send(Ok(events)).await.is_err() {
             return Err(AttemptFault::broken("the caller left"));
         }
     }
-    if splitter.has_rest() || (start.is_some() && !output.is_begun()) {
+    if feed.splitter.has_rest() || (start.is_some() && !feed.output.is_begun()) {
         return Err(AttemptFault::broken("the stream ended within an event"));
     }
     guard.keep(&head);
-    shared.core.borrow_mut().note_success(&placement.target);
+    job.note_answered(shared);
+    shared.core.borrow_mut().note_success(&target);
     Ok(status)
 }
 
@@ -255,6 +273,7 @@
     let left = job.deadline.since(shared.now());
     let whole = read_body(body, MAX_ANSWER, left).await;
     let whole = whole.map_err(|_| AttemptFault::broken("the failure broke off"))?;
+    job.note_answered(shared);
     (shared.targets.clear_answer)(&mut parts.headers);
     parts.headers.remove(CONTENT_LENGTH);
     let status = parts.status;
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -15,6 +15,7 @@
 
 use super::decide::request_digest::RequestDigest;
 use super::decide::targets::ListChange;
+use super::discovery::feed::UnreadableEntry;
 use super::discovery::freshness::StalePolicy;
 use crate::time::Tick;
 use crate::verdict::Verdict;
@@ -108,6 +109,9 @@
     /// No target could take it.
     #[display("no target")]
     NoTarget,
+    /// It is held back.
+    #[display("held back")]
+    HeldBack,
 }
 
 /// How fast the events of a stream came.
@@ -316,12 +320,33 @@
 
     /// The list of targets changed.
     pub fn targets_changed(&self, change: &ListChange) {
-        if *change == ListChange::default() {
+        if change.is_empty() {
             return;
         }
         info!(self.logger, "targets changed";
             "added" => change.added.join(","), "leaving" => change.leaving.join(","),
-            "removed" => change.removed.join(","));
+            "restarted" => change.restarted.join(","), "removed" => change.removed.join(","));
+    }
+
+    /// Entries of the list of targets can not be read.
+    pub fn entries_unreadable(&self, entries: &[UnreadableEntry], now: Tick) {
+        for entry in entries {
+            let Some(left_out) = self.take_line("unreadable", now) else { continue };
+            warn!(self.logger, "entry lists no target";
+                "name" => entry.name.as_deref(), "why" => &entry.why, "left_out" => left_out);
+        }
+    }
+
+    /// Targets ended under a request.
+    pub fn suspected(&self, digest: RequestDigest, ends: usize) {
+        warn!(self.logger, "targets ended under a request";
+            "digest" => %digest, "ends" => ends);
+    }
+
+    /// A request is held back from now on.
+    pub fn held_back(&self, digest: RequestDigest, span: Duration) {
+        warn!(self.logger, "request held back";
+            "digest" => %digest, "for_s" => span.as_secs());
     }
 
     /// This entry begins or ends to watch the list of targets for others.
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -19,6 +19,7 @@
 use super::decide::start_wait::StartPhase;
 use super::discovery::feed::PlatformFeed;
 use super::discovery::follow::{follow_config, follow_targets};
+use super::discovery::follow_quarantine::follow_quarantine;
 use super::discovery::proof_share::PeerVerdict;
 use super::peers::config_copy::answer_copy;
 use super::peers::load_link::LoadLink;
@@ -30,11 +31,13 @@
 use super::stop::{StopPhase, StopPlan};
 use crate::Result;
 use crate::client::HttpClient;
-use crate::clock::{ProcessClock, new_incarnation};
+use crate::clock::{ProcessClock, new_incarnation, wall_micros};
 use crate::program::on_reload_signal;
 use crate::time::Tick;
 use crate::web::accept_next;
 
+const MICROS_PER_MS: u64 = 1_000;
+
 /// How often kept connections and missing targets are looked through.
 const SWEEP_STEP: Duration = Duration::from_millis(250);
 
@@ -101,15 +104,18 @@
         list_due: Notify::new(),
         peer_verdict: Cell::new(PeerVerdict::Useless),
         proof_told: Notify::new(),
+        quarantine_due: Notify::new(),
         link,
         orders: HttpClient::new(1),
         order_number: Cell::new(0),
         clock: ProcessClock::new(),
         open: Cell::new(0),
     });
+    shared.core.borrow_mut().set_epoch(wall_micros() / MICROS_PER_MS);
     let feed = Rc::new(adapter.feed);
     let (close, closing) = watch::channel(false);
     tokio::task::spawn_local(follow_config(shared.clone(), feed.clone()));
+    tokio::task::spawn_local(follow_quarantine(shared.clone(), feed.clone()));
     tokio::task::spawn_local(follow_targets(shared.clone(), feed));
     tokio::task::spawn_local(accept_callers(shared.clone(), callers, closing));
     tokio::task::spawn_local(accept_paths(shared.clone(), readiness, answer_status));
@@ -270,6 +276,7 @@
         shared.pool.borrow_mut().expire(now);
         let change = shared.core.borrow_mut().expire_targets(now);
         shared.log.targets_changed(&change);
+        shared.tell_suspects();
         shared.core.borrow_mut().choose_engines(now);
         follow_list_share(&shared, now);
         shared.link.subscribe(&shared.core.borrow(), now);
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -13,6 +13,7 @@
 use super::discovery::feed::ConfigNews;
 use super::discovery::proof_share::PeerVerdict;
 use super::peers::load_link::LoadLink;
+use super::peers::load_note::LoadNote;
 use super::proxy::connections::ConnectionPool;
 use super::proxy::dialect::{CallerDialect, TargetDialect};
 use super::record::DecisionLog;
@@ -48,6 +49,8 @@
     pub(crate) peer_verdict: Cell<PeerVerdict>,
     /// Told when another entry has answered for its proof.
     pub(crate) proof_told: Notify,
+    /// Told when the store is to keep that a request is held back.
+    pub(crate) quarantine_due: Notify,
     pub(crate) link: LoadLink,
     pub(crate) orders: HttpClient,
     pub(crate) order_number: Cell<u32>,
@@ -80,10 +83,29 @@
     pub(crate) fn send_notes(&self) {
         let mut core = self.core.borrow_mut();
         for note in core.take_notes() {
+            if let LoadNote::Suspected(news) = &note {
+                self.log.suspected(news.digest, news.lives.len());
+            }
             self.link.send(&core, &note);
         }
     }
 
+    /// Sends what the core has to tell of requests that end targets, and says what it
+    /// found.
+    pub(crate) fn tell_suspects(&self) {
+        self.send_notes();
+        let now = self.now();
+        let mut core = self.core.borrow_mut();
+        for digest in core.take_found() {
+            if let Some(span) = core.quarantine().held_for(&digest, now) {
+                self.log.held_back(digest, span);
+            }
+        }
+        if core.quarantine().write_due().is_some() {
+            self.quarantine_due.notify_one();
+        }
+    }
+
     /// Tells requests that wait for it that this process has started, where it has.
     pub(crate) fn note_started(&self) {
         if self.core.borrow().has_started() {
--- a/standins/src/replay/world.rs
+++ b/standins/src/replay/world.rs
@@ -156,6 +156,7 @@
     core.take_config(Some(config), Tick::default());
     let records = (0..fleet.engines).map(|number| TargetRecord {
         incarnation: engine_name(number.into()),
+        born_ms: 0,
         service: SERVICE.into(),
         address: ([10, 0, (number >> 8) as u8, number as u8], 80).into(),
         failure_domain: "here".into(),
--- a/tests/relay/fixture.rs
+++ b/tests/relay/fixture.rs
@@ -55,6 +55,7 @@
 pub fn record(name: &str, number: u8) -> TargetRecord {
     TargetRecord {
         incarnation: name.into(),
+        born_ms: 0,
         service: "engines".into(),
         address: ([10, 0, 0, number], 80).into(),
         failure_domain: "here".into(),
--- a/tests/relay/list_news.rs
+++ b/tests/relay/list_news.rs
@@ -30,7 +30,7 @@
 }
 
 fn list(revision: u64, records: Vec<TargetRecord>) -> TargetList {
-    TargetList { records, revision, changed_at: 5 }
+    TargetList { records, revision, changed_at: 5, unreadable: Vec::new() }
 }
 
 /// An entry that knows two targets by a list that was read at revision 5.
--- a/tests/relay/proofs.rs
+++ b/tests/relay/proofs.rs
@@ -136,7 +136,7 @@
     let proof = answer(&other, nonce, at(9_702)).unwrap();
     assert_eq!(core.take_proof(proof), PeerVerdict::Behind);
     let bytes = other.config_copy().unwrap().to_bytes().unwrap();
-    assert!(core.take_copy(&ConfigCopy::from_bytes(&bytes).unwrap()));
+    assert!(core.take_copy(&ConfigCopy::from_bytes(&bytes).unwrap(), at(0)));
     assert_eq!((core.rules().version(), core.config_revision()), (6, 6));
     assert_eq!(core.lease().proven_at(), Some(at(9_700) - proof.age));
 }
@@ -150,9 +150,9 @@
     hear_of_peer(&mut core, 1_000, at(9_700));
     let nonce = question(&mut core, at(9_700));
     core.take_proof(answer(&other, nonce, at(9_702)).unwrap());
-    assert!(core.take_copy(&late.config_copy().unwrap()), "it is a step forward");
+    assert!(core.take_copy(&late.config_copy().unwrap(), at(0)), "it is a step forward");
     assert_eq!(core.lease().proven_at(), Some(at(5_000)));
-    assert!(!core.take_copy(&entry(3, 6, at(9_000)).config_copy().unwrap()), "a step back");
+    assert!(!core.take_copy(&entry(3, 6, at(9_000)).config_copy().unwrap(), at(0)), "a step back");
     assert_eq!(core.rules().version(), 7);
 }
 
--- a/tests/relay/rules.rs
+++ b/tests/relay/rules.rs
@@ -120,7 +120,7 @@
     let mut core = open_core();
     assert_eq!(core.admit("h", "/a/x", Some("k"), at(1)).unwrap_err(), Refusal::NotFresh);
     // A watch tells of it, and proves nothing.
-    core.take_news(config(1, &["k"]));
+    core.take_news(config(1, &["k"]), at(0));
     assert_eq!(core.admit("h", "/a/x", Some("k"), at(2)).unwrap_err(), Refusal::NotFresh);
 }
 
