Decide what ends mean once all have told of the requests that were there

Cause: of several requests in a target that ended, the one that was looked at first was held back; the others' ends then counted as explained. Found by the new test of a bystander at the same three ends, which failed on the code before.

--- a/src/relay/core/quarantine.rs
+++ b/src/relay/core/quarantine.rs
@@ -108,7 +108,7 @@
 
     /// Takes what an agent tells of a suspect.
     pub fn take_suspect(&mut self, news: &SuspectNews, now: Tick) {
-        self.quarantine.take_news(news, now, rand::random());
+        self.quarantine.take_news(news, now);
     }
 
     /// Takes an agent's word that a target answered a request.
@@ -116,8 +116,9 @@
         self.quarantine.note_served(digest);
     }
 
-    /// Requests that are held back since the last call.
-    pub fn take_found(&mut self) -> Vec<RequestDigest> {
+    /// Decides which requests are held back. Returns those that are since the last call.
+    pub fn decide_holds(&mut self, now: Tick) -> Vec<RequestDigest> {
+        self.quarantine.decide(now, rand::random());
         self.quarantine.take_found()
     }
 
--- a/src/relay/decide/quarantine.rs
+++ b/src/relay/decide/quarantine.rs
@@ -58,6 +58,10 @@
 /// Lives that ended lately: a few times as many as a failure domain has targets.
 const MOST_ENDED: usize = 512;
 
+/// Time after an end in which all tell of the requests that were there: a report of an
+/// agent's, and some round trips.
+const JOIN_SPAN: Duration = Duration::from_millis(100);
+
 /// Requests that a process is told of when it starts: some kilobytes.
 const MOST_NEWS: usize = 32;
 
@@ -121,6 +125,8 @@
 struct SuspectState {
     lives: Vec<TargetLife>,
     noted_at: Tick,
+    /// Who saw the last end.
+    source: EndSource,
 }
 
 /// A request that is held back, or was until a while ago.
@@ -132,10 +138,28 @@
     lapses_at: Tick,
     /// The lives that it explains.
     lives: Vec<TargetLife>,
+    /// Who saw the last end.
+    source: EndSource,
+    /// Whether a target ended under it after its hold.
+    is_renewed: bool,
     /// When it is to be put into the store, none once it is there.
     write_at: Option<Tick>,
 }
 
+impl HeldState {
+    fn new(record: QuarantineRecord, lives: Vec<TargetLife>, now: Tick) -> Self {
+        HeldState {
+            record,
+            since: now,
+            lapses_at: now + record.hold_span(),
+            lives,
+            source: EndSource::Heard,
+            is_renewed: false,
+            write_at: None,
+        }
+    }
+}
+
 /// What this process knows of requests that end targets.
 #[derive(Debug, Default)]
 pub struct QuarantineLedger {
@@ -145,6 +169,8 @@
     held: BTreeMap<RequestDigest, HeldState>,
     /// Where attempts of suspects are, by their target.
     open: HashMap<TargetLife, usize>,
+    /// When it is decided what the ends under suspects mean.
+    decide_at: Option<Tick>,
     /// Requests that are held back and were not told of here.
     found: Vec<RequestDigest>,
     /// Writes in a row that did not show in the store.
@@ -199,17 +225,39 @@
         self.ended.iter().any(|(ended, _)| ended == life)
     }
 
-    /// Takes what another process tells. Returns true where a request is held back by it
-    /// from now on.
-    pub fn take_news(&mut self, news: &SuspectNews, now: Tick, throw: f64) -> bool {
-        let mut is_held = false;
+    /// Takes what another process tells.
+    pub fn take_news(&mut self, news: &SuspectNews, now: Tick) {
+        self.expire(now);
         for life in news.lives.iter().take(MOST_LIVES) {
-            is_held |= self.add_life(news.digest, life, now) == Some(LifeEnd::Held);
+            self.add_life(news.digest, life, EndSource::Heard, now);
+        }
+    }
+
+    /// Holds requests back that are found to be the cause of ends. Looked at a moment
+    /// after an end, when all have told of the requests that were there. `throw`, from 0
+    /// to 1, spreads the writes of those who heard of it.
+    pub fn decide(&mut self, now: Tick, throw: f64) {
+        if self.decide_at.is_none_or(|at| at > now) {
+            return;
+        }
+        let is_joined = |state: &SuspectState| now.since(state.noted_at) >= JOIN_SPAN;
+        let open = self.suspects.values().filter(|state| !is_joined(state));
+        self.decide_at = open.map(|state| state.noted_at + JOIN_SPAN).min();
+        // The one with the most ends explains them to others.
+        let mut suspects: Vec<_> =
+            self.suspects.iter().filter(|(_, state)| is_joined(state)).collect();
+        suspects.sort_by_key(|(digest, state)| (Reverse(state.lives.len()), **digest));
+        let digests: Vec<_> = suspects.into_iter().map(|(digest, _)| *digest).collect();
+        for digest in digests {
+            if self.is_cause(&digest) {
+                self.hold(digest, 0, now, throw);
+            }
         }
-        if is_held && let Some(held) = self.held.get_mut(&news.digest) {
-            held.write_at = Some(now + HEARD_WRITE_WAIT + THROWN_WRITE_WAIT.mul_f64(throw));
+        let lapsed = self.held.values().filter(|held| held.is_renewed);
+        let lapsed: Vec<_> = lapsed.map(|held| held.record).collect();
+        for record in lapsed {
+            self.hold(record.digest, record.renewals + 1, now, throw);
         }
-        is_held
     }
 
     /// Notes that a target answered a request, so that it does not end those that run it.
@@ -295,7 +343,7 @@
         }
         let lives = self.take_lives(&record.digest);
         let lapses_at = now + record.left_at(unix_ms);
-        let held = HeldState { record, since: now, lapses_at, lives, write_at: None };
+        let held = HeldState { lapses_at, ..HeldState::new(record, lives, now) };
         self.held.insert(record.digest, held);
     }
 
@@ -359,51 +407,39 @@
         life: &TargetLife,
         now: Tick,
     ) -> Option<SuspectNews> {
-        self.add_life(digest, life, now)?;
-        self.news_of(digest)
+        let is_new = self.add_life(digest, life, EndSource::Own, now);
+        is_new.then(|| self.news_of(digest)).flatten()
     }
 
-    /// Adds a life that ended under a request, none where that is known.
-    fn add_life(&mut self, digest: RequestDigest, life: &TargetLife, now: Tick) -> Option<LifeEnd> {
-        if self.held.contains_key(&digest) {
-            return self.add_held_life(digest, life, now);
-        }
-        let state = self
-            .suspects
-            .entry(digest)
-            .or_insert_with(|| SuspectState { lives: Vec::new(), noted_at: now });
-        if state.lives.contains(life) || state.lives.len() >= MOST_LIVES {
-            return None;
-        }
-        state.lives.push(life.clone());
-        state.noted_at = now;
-        self.bound_suspects();
-        let is_held = self.is_cause(&digest);
-        if is_held {
-            self.hold(digest, 0, now);
-        }
-        Some(if is_held { LifeEnd::Held } else { LifeEnd::Noted })
-    }
-
-    /// Adds a life that ended under a request that is held back, or was: its hold is
-    /// renewed where it had lapsed.
-    fn add_held_life(
+    /// Adds a life that ended under a request. Returns false where that is known.
+    fn add_life(
         &mut self,
         digest: RequestDigest,
         life: &TargetLife,
+        source: EndSource,
         now: Tick,
-    ) -> Option<LifeEnd> {
-        let held = self.held.get_mut(&digest)?;
-        if held.lives.contains(life) || held.lives.len() >= MOST_LIVES {
-            return None;
+    ) -> bool {
+        let new_suspect = || SuspectState { lives: Vec::new(), noted_at: now, source };
+        let held = self.held.get_mut(&digest);
+        let is_lapsed = held.as_ref().is_some_and(|held| held.lapses_at <= now);
+        let lives = match held {
+            Some(held) => {
+                held.is_renewed |= is_lapsed && !held.lives.contains(life);
+                held.source = source;
+                &mut held.lives
+            }
+            None => &mut self.suspects.entry(digest).or_insert_with(new_suspect).lives,
+        };
+        if lives.contains(life) || lives.len() >= MOST_LIVES {
+            return false;
         }
-        held.lives.push(life.clone());
-        let is_held = held.lapses_at <= now;
-        let renewals = held.record.renewals + 1;
-        if is_held {
-            self.hold(digest, renewals, now);
+        lives.push(life.clone());
+        if let Some(state) = self.suspects.get_mut(&digest) {
+            (state.noted_at, state.source) = (now, source);
         }
-        Some(if is_held { LifeEnd::Held } else { LifeEnd::Noted })
+        self.decide_at.get_or_insert(now + JOIN_SPAN);
+        self.bound_suspects();
+        true
     }
 
     /// Returns true where a suspect is the best explanation of the ends under it.
@@ -419,12 +455,17 @@
         own.len() >= SHARED_ENDS || (own.len() >= HELD_ENDS && !is_shared())
     }
 
-    fn hold(&mut self, digest: RequestDigest, renewals: u32, now: Tick) {
+    fn hold(&mut self, digest: RequestDigest, renewals: u32, now: Tick, throw: f64) {
+        let source = self.suspects.get(&digest).map(|state| state.source);
+        let source = source.or_else(|| self.held.get(&digest).map(|held| held.source));
+        let wait = match source {
+            Some(EndSource::Heard) => HEARD_WRITE_WAIT + THROWN_WRITE_WAIT.mul_f64(throw),
+            Some(EndSource::Own) | None => Duration::ZERO,
+        };
         let lives = self.take_lives(&digest);
         // The Unix time is set where it is written.
         let record = QuarantineRecord { digest, since_ms: 0, renewals };
-        let lapses_at = now + record.hold_span();
-        let held = HeldState { record, since: now, lapses_at, lives, write_at: Some(now) };
+        let held = HeldState { write_at: Some(now + wait), ..HeldState::new(record, lives, now) };
         self.held.insert(digest, held);
         self.found.push(digest);
         self.bound_held();
@@ -457,11 +498,11 @@
     }
 }
 
-/// What became of a request when a target ended under it.
+/// Who saw that a target ended under a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum LifeEnd {
-    /// It is suspected, or was held back before.
-    Noted,
-    /// It is held back from now on.
-    Held,
+enum EndSource {
+    /// This process: the request was its own.
+    Own,
+    /// Another one.
+    Heard,
 }
--- a/src/relay/peers/subscriber_set.rs
+++ b/src/relay/peers/subscriber_set.rs
@@ -168,7 +168,7 @@
 
     /// Joins what an entry tells of a request with what others told, for all of them.
     fn join_suspect(&mut self, news: &SuspectNews, now: Tick) -> Vec<NoteOut> {
-        self.suspects.take_news(news, now, 0.0);
+        self.suspects.take_news(news, now);
         let joined = self.suspects.news_of(news.digest);
         let note = LoadNote::Suspected(joined.unwrap_or_else(|| news.clone()));
         self.to_all(&note)
--- a/src/relay/proxy/forward.rs
+++ b/src/relay/proxy/forward.rs
@@ -81,10 +81,11 @@
 
     /// Time for which it is held back, none where it may be sent.
     pub(crate) fn held_for(&self, shared: &RelayShared) -> Option<Duration> {
-        let core = shared.core.borrow();
-        if core.quarantine().is_empty() {
+        if shared.core.borrow().quarantine().is_empty() {
             return None;
         }
+        shared.tell_suspects();
+        let core = shared.core.borrow();
         core.quarantine().held_for(&self.digest(), shared.now())
     }
 
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -96,7 +96,7 @@
         self.send_notes();
         let now = self.now();
         let mut core = self.core.borrow_mut();
-        for digest in core.take_found() {
+        for digest in core.decide_holds(now) {
             if let Some(span) = core.quarantine().held_for(&digest, now) {
                 self.log.held_back(digest, span);
             }
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -9,6 +9,7 @@
 mod passes;
 mod places;
 mod proofs;
+mod quarantine;
 mod return_time;
 mod rules;
 mod start_wait;
