Count the time for which a host was suspended

Cause: ProcessClock read the steady clock, which stands still while a host is suspended: a proof, a hold or a lease was taken to be younger than it is, so a removed key could open something after its bound.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -1,33 +1,55 @@
 //! The real clocks behind the cores' time.
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use nix::time::{ClockId, clock_gettime};
 
 use crate::id::Incarnation;
 use crate::time::Tick;
 
-/// Monotonic time of a process, and the wall time for its time line.
+/// Longest sleep without a look at the clock: timers stand still while the host is
+/// suspended, and what is due then is due when it goes on.
+const LONGEST_SLEEP: Duration = Duration::from_millis(500);
+
+/// Least time between two looks that counts as a suspension.
+const LEAST_SUSPENSION: Duration = Duration::from_millis(100);
+
+/// Reads a clock: the time since a moment that stays the same while the host runs.
+pub type ClockReader = fn() -> Duration;
+
+/// Monotonic time of a process, which counts the time for which its host was suspended.
+///
+/// # Example
+///
+/// ```
+/// use shalelane::clock::ProcessClock;
+///
+/// let clock = ProcessClock::new();
+/// assert!(clock.now() <= clock.now());
+/// ```
 #[derive(Clone, Copy, Debug)]
 pub struct ProcessClock {
-    start: Instant,
+    reader: ClockReader,
+    start: Duration,
 }
 
 impl ProcessClock {
     /// Starts the clock.
     #[must_use]
     pub fn new() -> Self {
-        ProcessClock { start: Instant::now() }
+        ProcessClock::from_reader(boot_time)
     }
 
-    /// Time since the start.
+    /// Starts a clock that goes by another one.
     #[must_use]
-    pub fn now(&self) -> Tick {
-        Tick(self.start.elapsed().as_micros() as u64)
+    pub fn from_reader(reader: ClockReader) -> Self {
+        ProcessClock { reader, start: reader() }
     }
 
-    /// The instant of a tick, for a timer.
+    /// Time since the start.
     #[must_use]
-    pub fn to_instant(&self, tick: Tick) -> Instant {
-        self.start + Duration::from_micros(tick.0)
+    pub fn now(&self) -> Tick {
+        Tick((self.reader)().saturating_sub(self.start).as_micros() as u64)
     }
 }
 
@@ -37,6 +59,65 @@
     }
 }
 
+/// Finds out that the host was suspended, by two clocks of which one stood still.
+#[derive(Debug)]
+pub struct SuspensionWatch {
+    all: ClockReader,
+    awake: ClockReader,
+    lead: Duration,
+}
+
+impl SuspensionWatch {
+    /// A watch from now on.
+    #[must_use]
+    pub fn new() -> Self {
+        SuspensionWatch::from_readers(boot_time, awake_time)
+    }
+
+    /// A watch of other clocks: one that counts all time, and one that stands still.
+    #[must_use]
+    pub fn from_readers(all: ClockReader, awake: ClockReader) -> Self {
+        let mut watch = SuspensionWatch { all, awake, lead: Duration::ZERO };
+        watch.lead = watch.read();
+        watch
+    }
+
+    /// How long the host was suspended since the last look, none where it was not.
+    pub fn look(&mut self) -> Option<Duration> {
+        let lead = self.read();
+        let span = lead.saturating_sub(self.lead);
+        self.lead = lead;
+        (span >= LEAST_SUSPENSION).then_some(span)
+    }
+
+    fn read(&self) -> Duration {
+        // A pause between the two readings makes the lead smaller, and is no suspension.
+        let all = (self.all)();
+        all.saturating_sub((self.awake)())
+    }
+}
+
+impl Default for SuspensionWatch {
+    fn default() -> Self {
+        SuspensionWatch::new()
+    }
+}
+
+/// Time since the host started, suspensions included.
+fn boot_time() -> Duration {
+    read_clock(ClockId::CLOCK_BOOTTIME)
+}
+
+/// Time since the host started, without suspensions.
+fn awake_time() -> Duration {
+    read_clock(ClockId::CLOCK_MONOTONIC)
+}
+
+fn read_clock(clock: ClockId) -> Duration {
+    // Both clocks are there on every host that the programs run on.
+    clock_gettime(clock).map_or(Duration::ZERO, Duration::from)
+}
+
 /// Wall time in microseconds since 1970.
 #[must_use]
 pub fn wall_micros() -> u64 {
@@ -59,5 +140,11 @@
     if wake == Tick::NEVER {
         std::future::pending::<()>().await;
     }
-    tokio::time::sleep_until(clock.to_instant(wake).into()).await;
+    loop {
+        let left = wake.since(clock.now());
+        if left.is_zero() {
+            return;
+        }
+        tokio::time::sleep(left.min(LONGEST_SLEEP)).await;
+    }
 }
--- a/src/relay/proxy/stream.rs
+++ b/src/relay/proxy/stream.rs
@@ -302,8 +302,7 @@
     let silence = (job.route.longest_pause * SILENT_PAUSES).max(MIN_SILENCE);
     let mut silent_at = if may_hedge { shared.now() + silence } else { Tick::NEVER };
     loop {
-        let limit = silent_at.min(job.deadline).since(shared.now());
-        let Ok(frame) = tokio::time::timeout(limit, body.frame()).await else {
+        let Some(frame) = shared.until(silent_at.min(job.deadline), body.frame()).await else {
             let now = shared.now();
             if now >= job.deadline {
                 return Err(AttemptFault::timeout(Verdict::MayHaveRun));
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -349,6 +349,11 @@
             "digest" => %digest, "for_s" => span.as_secs());
     }
 
+    /// The host was suspended, and goes on.
+    pub fn resumed(&self, span: Duration) {
+        warn!(self.logger, "host was suspended"; "for_ms" => span.as_millis() as u64);
+    }
+
     /// This entry begins or ends to watch the list of targets for others.
     pub fn watching_changed(&self, is_watching: bool) {
         info!(self.logger, "list watch"; "is_watching" => is_watching);
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -31,7 +31,7 @@
 use super::stop::{StopPhase, StopPlan};
 use crate::Result;
 use crate::client::HttpClient;
-use crate::clock::{ProcessClock, new_incarnation, wall_micros};
+use crate::clock::{ProcessClock, SuspensionWatch, new_incarnation, wall_micros};
 use crate::program::on_reload_signal;
 use crate::time::Tick;
 use crate::web::accept_next;
@@ -104,6 +104,7 @@
         list_due: Notify::new(),
         peer_verdict: Cell::new(PeerVerdict::Useless),
         proof_told: Notify::new(),
+        resumes: watch::Sender::new(0),
         quarantine_due: Notify::new(),
         link,
         orders: HttpClient::new(1),
@@ -270,8 +271,12 @@
 /// Closes what rested too long, and forgets what did not come back.
 async fn sweep(shared: Rc<RelayShared>) {
     let mut was_held = false;
+    let mut watch = SuspensionWatch::new();
     loop {
         tokio::time::sleep(SWEEP_STEP).await;
+        if let Some(span) = watch.look() {
+            shared.note_resumed(span);
+        }
         let now = shared.now();
         shared.pool.borrow_mut().expire(now);
         let change = shared.core.borrow_mut().expire_targets(now);
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -49,6 +49,8 @@
     pub(crate) peer_verdict: Cell<PeerVerdict>,
     /// Told when another entry has answered for its proof.
     pub(crate) proof_told: Notify,
+    /// Counts the times that the host went on after it was suspended.
+    pub(crate) resumes: watch::Sender<u64>,
     /// Told when the store is to keep that a request is held back.
     pub(crate) quarantine_due: Notify,
     pub(crate) link: LoadLink,
@@ -72,6 +74,30 @@
         core.targets.get(target).map_or(Duration::ZERO, |target| target.silence(self.now()))
     }
 
+    /// Waits for something until a tick, none where that comes first. Timers stand still
+    /// while the host is suspended, so the clock is looked at again when it goes on.
+    pub(crate) async fn until<T>(&self, tick: Tick, work: impl Future<Output = T>) -> Option<T> {
+        let mut resumes = self.resumes.subscribe();
+        tokio::pin!(work);
+        loop {
+            let left = tick.since(self.now());
+            tokio::select! {
+                done = &mut work => return Some(done),
+                () = tokio::time::sleep(left) => return None,
+                _ = resumes.changed() => {}
+            }
+        }
+    }
+
+    /// Notes that the host was suspended: connections to the store may hang, and what was
+    /// proven may be too old.
+    pub(crate) fn note_resumed(&self, span: Duration) {
+        self.log.resumed(span);
+        self.resumes.send_modify(|count| *count += 1);
+        self.outages.send_modify(|count| *count += 1);
+        self.config_changed.notify_one();
+    }
+
     /// A number that no other order of this process has.
     pub(crate) fn next_order(&self) -> u32 {
         let number = self.order_number.get();
