Tests of foreign entries, and of targets that keep their name

Six tests over the adapter and real entries (entries with fields missing or of another type, unknown states and services, bytes that are no text; a target that starts again under its name), seven of the deciding parts. On the code before the mend the list does not decode at all with one such entry, by its one call of serde; that was read, not run.

--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -5,6 +5,7 @@
 mod events;
 mod fixture;
 mod list_news;
+mod lives;
 mod notes;
 mod passes;
 mod places;
