Tell all of a request only where it was at two ends; spread the writes of those who heard

One end says nothing of each of some 16 requests that were there, and each was told to all by three agents: 48 datagrams to an entry for one end (a sum, not measured). Entries that find a hold missing in the store no longer write it at the same moment. tests/relay/quarantine.rs: 16 tests pass; crash_requests.rs passes three times.

--- a/src/relay/core/mod.rs
+++ b/src/relay/core/mod.rs
@@ -22,6 +22,9 @@
 mod quarantine;
 mod target_list;
 
+/// Places among entries that write the same, by the random part of an incarnation.
+const PLACES: u64 = 1 << 10;
+
 /// What does not change while the process runs.
 #[derive(Clone, Debug)]
 pub struct RelayLimits {
@@ -113,7 +116,7 @@
             budgets: HashMap::new(),
             entries: None,
             notes: Vec::new(),
-            quarantine: QuarantineLedger::default(),
+            quarantine: QuarantineLedger::new((entry % PLACES) as f64 / PLACES as f64),
             epoch_ms: 0,
         }
     }
--- a/src/relay/core/quarantine.rs
+++ b/src/relay/core/quarantine.rs
@@ -118,7 +118,7 @@
 
     /// Decides which requests are held back. Returns those that are since the last call.
     pub fn decide_holds(&mut self, now: Tick) -> Vec<RequestDigest> {
-        self.quarantine.decide(now, rand::random());
+        self.quarantine.decide(now);
         self.quarantine.take_found()
     }
 
--- a/src/relay/decide/quarantine.rs
+++ b/src/relay/decide/quarantine.rs
@@ -62,6 +62,9 @@
 /// agent's, and some round trips.
 const JOIN_SPAN: Duration = Duration::from_millis(100);
 
+/// Ends under a request from which on all are told of it.
+const TOLD_ENDS: usize = 2;
+
 /// Requests that a process is told of when it starts: some kilobytes.
 const MOST_NEWS: usize = 32;
 
@@ -69,8 +72,8 @@
 /// one who found it has not.
 const HEARD_WRITE_WAIT: Duration = Duration::from_secs(1);
 
-/// Longest part of that time that is thrown.
-const THROWN_WRITE_WAIT: Duration = Duration::from_secs(2);
+/// Time over which the writes of those who have heard of it are spread.
+const SPREAD_WRITE_WAIT: Duration = Duration::from_secs(2);
 
 /// Time after which a write that did not show in the store is tried again, doubled each time.
 const WRITE_STEP: Duration = Duration::from_millis(500);
@@ -169,6 +172,8 @@
     held: BTreeMap<RequestDigest, HeldState>,
     /// Where attempts of suspects are, by their target.
     open: HashMap<TargetLife, usize>,
+    /// This process's place, from 0 to 1, among those who write the same.
+    place: f64,
     /// When it is decided what the ends under suspects mean.
     decide_at: Option<Tick>,
     /// Requests that are held back and were not told of here.
@@ -178,6 +183,18 @@
 }
 
 impl QuarantineLedger {
+    /// A ledger of which nothing is known yet. `place`, from 0 to 1, is at random, and
+    /// spreads the writes of processes that have heard of the same.
+    #[must_use]
+    pub fn new(place: f64) -> Self {
+        QuarantineLedger { place, ..QuarantineLedger::default() }
+    }
+
+    /// Time after which this process writes what another one should have written.
+    fn heard_wait(&self) -> Duration {
+        HEARD_WRITE_WAIT + SPREAD_WRITE_WAIT.mul_f64(self.place)
+    }
+
     /// Notes that the connection of an attempt broke. `settled` is the time for which its
     /// events had come. Returns what others are to be told.
     pub fn note_broken(
@@ -234,9 +251,8 @@
     }
 
     /// Holds requests back that are found to be the cause of ends. Looked at a moment
-    /// after an end, when all have told of the requests that were there. `throw`, from 0
-    /// to 1, spreads the writes of those who heard of it.
-    pub fn decide(&mut self, now: Tick, throw: f64) {
+    /// after an end, when all have told of the requests that were there.
+    pub fn decide(&mut self, now: Tick) {
         if self.decide_at.is_none_or(|at| at > now) {
             return;
         }
@@ -250,13 +266,13 @@
         let digests: Vec<_> = suspects.into_iter().map(|(digest, _)| *digest).collect();
         for digest in digests {
             if self.is_cause(&digest) {
-                self.hold(digest, 0, now, throw);
+                self.hold(digest, 0, now);
             }
         }
         let lapsed = self.held.values().filter(|held| held.is_renewed);
         let lapsed: Vec<_> = lapsed.map(|held| held.record).collect();
         for record in lapsed {
-            self.hold(record.digest, record.renewals + 1, now, throw);
+            self.hold(record.digest, record.renewals + 1, now);
         }
     }
 
@@ -318,13 +334,14 @@
         for record in records {
             self.take_record(*record, unix_ms, now);
         }
+        let missing_at = now + self.heard_wait();
         let is_kept = |held: &HeldState| {
             let mut kept = records.iter().filter(|record| record.digest == held.record.digest);
             kept.any(|record| record.renewals >= held.record.renewals)
         };
         for held in self.held.values_mut().filter(|held| held.lapses_at > now) {
             if !is_kept(held) {
-                held.write_at.get_or_insert(now);
+                held.write_at.get_or_insert(missing_at);
             }
         }
         if self.write_due().is_none() {
@@ -389,15 +406,20 @@
         Some(SuspectNews { digest, lives: lives.clone() })
     }
 
-    /// What is known of all requests, for a process that has just started: those first
-    /// that are held back, then the newest suspects.
+    /// What all are to be told of a request, none where too little is known: one end says
+    /// nothing of each of the requests that were there.
+    #[must_use]
+    pub fn told_of(&self, digest: RequestDigest) -> Option<SuspectNews> {
+        self.news_of(digest).filter(|news| news.lives.len() >= TOLD_ENDS)
+    }
+
+    /// What all are to be told, for a process that has just started: the newest suspects.
     #[must_use]
     pub fn to_news(&self) -> Vec<SuspectNews> {
         let mut suspects: Vec<_> = self.suspects.iter().collect();
         suspects.sort_by_key(|(digest, state)| (Reverse(state.noted_at), **digest));
-        let digests = self.held.keys().chain(suspects.into_iter().map(|(digest, _)| digest));
-        let news = digests.take(MOST_NEWS).filter_map(|digest| self.news_of(*digest));
-        news.filter(|news| !news.lives.is_empty()).collect()
+        let news = suspects.into_iter().filter_map(|(digest, _)| self.told_of(*digest));
+        news.take(MOST_NEWS).collect()
     }
 
     /// Notes the end of a target under a request of this process's own.
@@ -455,11 +477,11 @@
         own.len() >= SHARED_ENDS || (own.len() >= HELD_ENDS && !is_shared())
     }
 
-    fn hold(&mut self, digest: RequestDigest, renewals: u32, now: Tick, throw: f64) {
+    fn hold(&mut self, digest: RequestDigest, renewals: u32, now: Tick) {
         let source = self.suspects.get(&digest).map(|state| state.source);
         let source = source.or_else(|| self.held.get(&digest).map(|held| held.source));
         let wait = match source {
-            Some(EndSource::Heard) => HEARD_WRITE_WAIT + THROWN_WRITE_WAIT.mul_f64(throw),
+            Some(EndSource::Heard) => self.heard_wait(),
             Some(EndSource::Own) | None => Duration::ZERO,
         };
         let lives = self.take_lives(&digest);
--- a/src/relay/peers/subscriber_set.rs
+++ b/src/relay/peers/subscriber_set.rs
@@ -74,8 +74,9 @@
             LoadNote::ListChanged(_) => self.to_others(from, note),
             LoadNote::Suspected(news) => self.join_suspect(news, now),
             LoadNote::Cleared(digest) => {
+                let was_told = self.suspects.told_of(*digest).is_some();
                 self.suspects.note_served(digest);
-                self.to_others(from, note)
+                if was_told { self.to_others(from, note) } else { Vec::new() }
             }
             LoadNote::Exited { .. }
             | LoadNote::Suspect
@@ -166,12 +167,12 @@
         self.to_all(&LoadNote::EntryGone { target, entry })
     }
 
-    /// Joins what an entry tells of a request with what others told, for all of them.
+    /// Joins what an entry tells of a request with what others told. All are told of one
+    /// that was at several ends: of 16 requests at an engine that ends, one is the cause.
     fn join_suspect(&mut self, news: &SuspectNews, now: Tick) -> Vec<NoteOut> {
         self.suspects.take_news(news, now);
-        let joined = self.suspects.news_of(news.digest);
-        let note = LoadNote::Suspected(joined.unwrap_or_else(|| news.clone()));
-        self.to_all(&note)
+        let joined = self.suspects.told_of(news.digest);
+        joined.map_or_else(Vec::new, |joined| self.to_all(&LoadNote::Suspected(joined)))
     }
 
     /// What is sent when the engine has ended.
