Find the end of a plain target by looking there; pause as before after refusals

Cause: a plain target has no agent, so its end was known when the list dropped it, 3.6 s and more later, and an engine's at the second look of its agent, 0.5 s. Now an entry looks twice, 60 and 120 ms after a break, and an agent's second look follows after 100 ms.

Two things in it touch other requests, and are narrowed: the pause after a refusal comes again only where nothing ran, or where nothing else is left to try, and suspects are kept apart from the first confirmed end on, no more from a broken connection on. Not measured yet.

--- a/src/relay/decide/quarantine.rs
+++ b/src/relay/decide/quarantine.rs
@@ -283,11 +283,10 @@
         self.suspects.remove(digest).is_some()
     }
 
-    /// Returns true where a target ended under a request, or seems to have.
+    /// Returns true where a target ended under a request.
     #[must_use]
     pub fn is_suspect(&self, digest: &RequestDigest) -> bool {
-        let is_open = || self.broken.iter().any(|attempt| attempt.digest == *digest);
-        self.suspects.contains_key(digest) || is_open()
+        self.suspects.contains_key(digest)
     }
 
     /// Returns true where nothing is suspected or held back.
--- a/src/relay/peers/engine_watch.rs
+++ b/src/relay/peers/engine_watch.rs
@@ -118,7 +118,9 @@
     /// have given work to the engine.
     pub fn is_due(&mut self, is_busy: bool, now: Tick) -> bool {
         let is_asked = is_busy || self.is_down;
-        let step = match (self.is_suspected, is_asked) {
+        // The second look that shows an end is due soon after the first.
+        let is_open = self.is_suspected || (1..ENDED_LOOKS).contains(&self.refused);
+        let step = match (is_open, is_asked) {
             (true, _) => SUSPECT_STEP,
             (false, true) => REPORT_STEP,
             (false, false) => return false,
--- a/src/relay/proxy/call.rs
+++ b/src/relay/proxy/call.rs
@@ -52,7 +52,7 @@
                     }
                     return Err(series.to_fault(is_timeout));
                 }
-                series.pause().await;
+                series.pause(job).await;
             }
         }
     }
--- a/src/relay/proxy/series.rs
+++ b/src/relay/proxy/series.rs
@@ -1,5 +1,6 @@
 //! The attempts of one request: how many there may be, and where they go.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,6 +8,7 @@
 use hyper::{Response, StatusCode};
 
 use super::answer::RelayFault;
+use super::end_check::check_end;
 use super::forward::{AttemptFault, RelayJob};
 use crate::relay::core::RelayCore;
 use crate::relay::decide::placement::{Placement, TargetScope};
@@ -139,7 +141,7 @@
     /// No other attempt may be made, for the reason that is returned.
     pub(crate) fn note_fault(
         &mut self,
-        shared: &RelayShared,
+        shared: &Rc<RelayShared>,
         job: &RelayJob,
         target: &Arc<str>,
         fault: AttemptFault,
@@ -206,7 +208,7 @@
     /// Notes what a failed attempt says of its target's life, and of the request.
     fn note_target_end(
         &self,
-        shared: &RelayShared,
+        shared: &Rc<RelayShared>,
         job: &RelayJob,
         fault: &AttemptFault,
         now: Tick,
@@ -214,6 +216,7 @@
         let Some(life) = &self.placed_at else { return };
         if fault.is_break() {
             shared.core.borrow_mut().note_broken(job.digest(), life, fault.settled, now);
+            check_end(shared, life);
         }
         if fault.fault == TargetFault::Unreachable {
             shared.core.borrow_mut().note_unreachable(life, now);
@@ -232,8 +235,10 @@
     }
 
     /// Waits a little after refusals: what is full now may have room soon.
-    pub(crate) async fn pause(&self) {
-        if self.was_refused {
+    pub(crate) async fn pause(&self, job: &RelayJob) {
+        // One that may go to those that ran it only has nowhere else to go.
+        let is_bound = self.ran_at.len() >= job.route.max_targets;
+        if self.was_refused && (is_bound || self.worst == Verdict::NotRun) {
             tokio::time::sleep(REFUSED_WAIT).await;
         }
     }
--- a/src/relay/proxy/stream.rs
+++ b/src/relay/proxy/stream.rs
@@ -158,7 +158,7 @@
                     let fault = series.to_fault(is_timeout);
                     return fail_stream(feed.output, &series, fault, ledger).await;
                 }
-                series.pause().await;
+                series.pause(job).await;
             }
         }
     }
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -104,6 +104,7 @@
         list_due: Notify::new(),
         peer_verdict: Cell::new(PeerVerdict::Useless),
         proof_told: Notify::new(),
+        end_checks: RefCell::default(),
         resumes: watch::Sender::new(0),
         quarantine_due: Notify::new(),
         link,
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -1,6 +1,7 @@
 //! State that the tasks of one entry share.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use super::core::RelayCore;
 use super::counts::RelayCounts;
 use super::decide::start_wait::{StartPhase, start_wait};
+use super::decide::targets::TargetLife;
 use super::discovery::feed::ConfigNews;
 use super::discovery::proof_share::PeerVerdict;
 use super::peers::load_link::LoadLink;
@@ -49,6 +51,8 @@
     pub(crate) peer_verdict: Cell<PeerVerdict>,
     /// Told when another entry has answered for its proof.
     pub(crate) proof_told: Notify,
+    /// Lives of targets that are looked at for their end.
+    pub(crate) end_checks: RefCell<HashSet<TargetLife>>,
     /// Counts the times that the host went on after it was suspended.
     pub(crate) resumes: watch::Sender<u64>,
     /// Told when the store is to keep that a request is held back.
