Keep a request apart from its second end on only

A crash leaves some 16 suspects, and each was placed away from the others, on worse engines. One end says little, so it places as any other now.

--- a/src/relay/decide/quarantine.rs
+++ b/src/relay/decide/quarantine.rs
@@ -62,7 +62,7 @@
 /// agent's, and some round trips.
 const JOIN_SPAN: Duration = Duration::from_millis(100);
 
-/// Ends under a request from which on all are told of it.
+/// Ends under a request from which on all are told of it, and it is kept apart.
 const TOLD_ENDS: usize = 2;
 
 /// Requests that a process is told of when it starts: some kilobytes.
@@ -283,10 +283,11 @@
         self.suspects.remove(digest).is_some()
     }
 
-    /// Returns true where a target ended under a request.
+    /// Returns true where a request was at two ends or more: one at a single end is most
+    /// likely a bystander, and is placed as any other.
     #[must_use]
     pub fn is_suspect(&self, digest: &RequestDigest) -> bool {
-        self.suspects.contains_key(digest)
+        self.suspects.get(digest).is_some_and(|state| state.lives.len() >= TOLD_ENDS)
     }
 
     /// Returns true where nothing is suspected or held back.
--- a/src/relay/proxy/forward.rs
+++ b/src/relay/proxy/forward.rs
@@ -74,7 +74,7 @@
         })
     }
 
-    /// Returns true where targets ended under it before.
+    /// Returns true where it is to be kept apart, since targets ended under it.
     pub(crate) fn is_suspect(&self, core: &RelayCore) -> bool {
         !core.quarantine().is_empty() && core.quarantine().is_suspect(&self.digest())
     }
