--- a/src/relay/core/quarantine.rs
+++ b/src/relay/core/quarantine.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use super::{AttemptShare, RelayCore};
-use crate::relay::decide::quarantine::{QuarantineLedger, QuarantineRecord, SuspectNews};
+use crate::relay::decide::hold_list::QuarantineRecord;
+use crate::relay::decide::quarantine::{QuarantineLedger, SuspectNews};
 use crate::relay::decide::request_digest::RequestDigest;
 use crate::relay::decide::targets::{ListChange, TargetLife};
 use crate::relay::peers::load_note::LoadNote;
--- a/src/relay/counts.rs
+++ b/src/relay/counts.rs
@@ -173,7 +173,7 @@
         let is_unproven = core.lease().permits_keys(now) && !core.lease().is_held(now);
         self.serves_unproven.set(i64::from(is_unproven));
         self.targets.set(core.targets.iter().count() as i64);
-        self.held_back.set(core.quarantine().held_count(now) as i64);
+        self.held_back.set(core.quarantine().holds().held_count(now) as i64);
         self.page.to_text()
     }
 }
--- a/src/relay/decide/mod.rs
+++ b/src/relay/decide/mod.rs
@@ -12,11 +12,14 @@
 //! - [`start_wait`]: whether callers wait for a process that has just started,
 //! - [`send_count`], [`retry_budget`]: how often it may be tried again,
 //! - [`request_digest`]: which sendings are the same request,
-//! - [`quarantine`]: which requests end the targets that run them.
+//! - [`quarantine`]: which requests end the targets that run them, by [`end_tracker`]:
+//!   which targets have ended, and [`hold_list`]: for how long a request is held back.
 
+pub mod end_tracker;
 pub mod engine_rates;
 pub mod engine_subset;
 pub mod group_search;
+pub mod hold_list;
 pub mod loss;
 pub mod pass_model;
 pub mod pass_outlook;
--- a/src/relay/discovery/feed.rs
+++ b/src/relay/discovery/feed.rs
@@ -8,7 +8,7 @@
 
 use super::rules::RelayConfig;
 use crate::Result;
-use crate::relay::decide::quarantine::QuarantineRecord;
+use crate::relay::decide::hold_list::QuarantineRecord;
 use crate::relay::decide::targets::TargetRecord;
 
 /// A read of the configuration.
--- a/src/relay/discovery/follow_quarantine.rs
+++ b/src/relay/discovery/follow_quarantine.rs
@@ -16,7 +16,7 @@
 /// Writes what is due for as long as the process runs.
 pub(crate) async fn follow_quarantine(shared: Rc<RelayShared>, feed: Rc<PlatformFeed>) {
     loop {
-        let due = shared.core.borrow().quarantine().write_due();
+        let due = shared.core.borrow().quarantine().holds().write_due();
         wait_until(&shared, due).await;
         write_due(&shared, &feed).await;
         tokio::time::sleep(WRITE_REST).await;
--- a/src/relay/discovery/rules.rs
+++ b/src/relay/discovery/rules.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::relay::decide::engine_rates::EngineRates;
-use crate::relay::decide::quarantine::QuarantineRecord;
+use crate::relay::decide::hold_list::QuarantineRecord;
 
 /// Whether and how a request of a route may be sent again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/relay/proxy/forward.rs
+++ b/src/relay/proxy/forward.rs
@@ -86,7 +86,7 @@
         }
         shared.tell_suspects();
         let core = shared.core.borrow();
-        core.quarantine().held_for(&self.digest(), shared.now())
+        core.quarantine().holds().held_for(&self.digest(), shared.now())
     }
 
     /// Notes that a target answered it.
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -127,11 +127,11 @@
         let now = self.now();
         let mut core = self.core.borrow_mut();
         for digest in core.decide_holds(now) {
-            if let Some(span) = core.quarantine().held_for(&digest, now) {
+            if let Some(span) = core.quarantine().holds().held_for(&digest, now) {
                 self.log.held_back(digest, span);
             }
         }
-        if core.quarantine().write_due().is_some() {
+        if core.quarantine().holds().write_due().is_some() {
             self.quarantine_due.notify_one();
         }
     }
--- a/tests/relay/quarantine.rs
+++ b/tests/relay/quarantine.rs
@@ -6,7 +6,8 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use shalelane::relay::core::RelayCore;
-use shalelane::relay::decide::quarantine::{QuarantineLedger, QuarantineRecord, SuspectNews};
+use shalelane::relay::decide::hold_list::QuarantineRecord;
+use shalelane::relay::decide::quarantine::{QuarantineLedger, SuspectNews};
 use shalelane::relay::decide::request_digest::RequestDigest;
 use shalelane::relay::decide::targets::TargetLife;
 use shalelane::relay::discovery::freshness::StalePolicy;
@@ -48,7 +49,7 @@
 }
 
 fn is_held(ledger: &QuarantineLedger, body: &str, now: u64) -> bool {
-    ledger.held_for(&digest(body), at(now)).is_some()
+    ledger.holds().held_for(&digest(body), at(now)).is_some()
 }
 
 #[test]
@@ -148,7 +149,7 @@
     assert!(is_held(&ledger, "a", 300));
     assert_eq!(ledger.take_found(), [digest("a")]);
     assert!(ledger.take_found().is_empty());
-    let due = ledger.write_due().unwrap();
+    let due = ledger.holds().write_due().unwrap();
     assert!(due.since(at(300)) >= ms(1_000), "the one who found it writes it");
 }
 
@@ -211,10 +212,10 @@
     assert!(ledger.to_write(EPOCH_MS, at(410)).is_none(), "not at once again");
     assert!(ledger.to_write(EPOCH_MS, at(1_000)).is_some(), "until it shows");
     ledger.take_records(&records, EPOCH_MS, at(1_100));
-    assert_eq!(ledger.write_due(), None);
+    assert_eq!(ledger.holds().write_due(), None);
     let mut later = QuarantineLedger::default();
     later.take_records(&records, EPOCH_MS + 60_000, at(0));
-    let left = later.held_for(&digest("a"), at(0)).unwrap();
+    let left = later.holds().held_for(&digest("a"), at(0)).unwrap();
     assert!(left > ms(535_000) && left < ms(545_000), "{left:?}");
     // Whoever writes the object without it has it written again.
     later.take_records(&[], EPOCH_MS + 60_000, at(10));
@@ -237,7 +238,7 @@
         })
         .collect();
     ledger.take_records(&records, EPOCH_MS, at(5_000));
-    assert!(ledger.held_count(at(5_000)) <= 64);
+    assert!(ledger.holds().held_count(at(5_000)) <= 64);
 }
 
 /// A configuration of the same version brings what is held back, and an earlier version
@@ -251,7 +252,7 @@
     core.set_epoch(EPOCH_MS);
     assert!(core.take_config(Some(config.clone()), at(0)));
     assert!(!core.take_news(noted.clone(), at(10)), "no other version");
-    assert!(core.quarantine().held_for(&digest("a"), at(20)).is_some());
+    assert!(core.quarantine().holds().held_for(&digest("a"), at(20)).is_some());
     assert_eq!(core.config_copy().unwrap().config.quarantine, [record], "passed on");
     assert!(!core.take_news(RelayConfig { version: 4, ..noted }, at(30)));
     assert_eq!(core.rules().version(), 5);
