Sight: log and count what answers say of their targets

The adapter decodes Server-Leaving, and Retry-After of a refusal, into a TargetNotice; nothing is decided by it yet. Line 'target says', counter shalelane_relay_target_notices_total by kind.

--- a/src/relay/counts.rs
+++ b/src/relay/counts.rs
@@ -5,6 +5,7 @@
 use prometheus::{HistogramVec, IntCounterVec, IntGauge};
 
 use super::core::RelayCore;
+use super::decide::target_notice::TargetNotice;
 use super::record::RequestEnd;
 use crate::metrics::{CountMirror, MetricsPage, length_class};
 use crate::time::Tick;
@@ -48,6 +49,7 @@
     page: MetricsPage,
     mirrors: [CountMirror; 12],
     store_calls: IntCounterVec,
+    notices: IntCounterVec,
     first_event: HistogramVec,
     faults: IntCounterVec,
     config_version: IntGauge,
@@ -88,6 +90,11 @@
                 "calls to the store, by what for",
                 "kind",
             ),
+            notices: page.add_counts(
+                "shalelane_relay_target_notices_total",
+                "answers that said something of their target, by what",
+                "kind",
+            ),
             store_failures: 0,
             shared_proofs: 0,
             answered: 0,
@@ -137,6 +144,14 @@
         self.store_calls.with_label_values(&[call.as_str()]).inc();
     }
 
+    /// Notes what an answer said of its target.
+    pub(crate) fn note_notice(&self, notice: &TargetNotice) {
+        let kinds = [("leaving", notice.is_leaving), ("backoff", notice.backoff.is_some())];
+        for (kind, _) in kinds.into_iter().filter(|(_, is_said)| *is_said) {
+            self.notices.with_label_values(&[kind]).inc();
+        }
+    }
+
     /// Notes a failure that the relay answers itself. Codes are few and fixed.
     pub(crate) fn note_fault(&self, code: &'static str) {
         self.faults.with_label_values(&[code]).inc();
--- a/src/relay/proxy/dialect.rs
+++ b/src/relay/proxy/dialect.rs
@@ -8,6 +8,8 @@
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
 
+use crate::relay::decide::target_notice::TargetNotice;
+
 /// What the head of a caller's request says.
 #[derive(Clone, Debug, Default)]
 pub struct CallerHead {
@@ -72,6 +74,8 @@
     pub is_last: bool,
     /// Address of a target that the answer blames.
     pub blamed: Option<SocketAddr>,
+    /// What the target says of itself.
+    pub notice: TargetNotice,
 }
 
 /// Memory to be reserved at a target.
--- a/src/relay/proxy/forward.rs
+++ b/src/relay/proxy/forward.rs
@@ -283,6 +283,10 @@
     shared.core.borrow_mut().note_heard(&placement.target, shared.now());
     let (parts, body) = response.into_parts();
     let head = (shared.targets.parse_answer)(parts.status, &parts.headers);
+    if !head.notice.is_empty() {
+        shared.log.target_noted(&placement.target, &head.notice, shared.now());
+        shared.counts.borrow().note_notice(&head.notice);
+    }
     check_head(job, &parts, &head).map_err(|fault| {
         let is_stale = is_reused && fault.fault == TargetFault::Garbled;
         AttemptFault { is_stale, ..fault }
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -14,6 +14,7 @@
 use slog::{Drain, Logger, Never, OwnedKVList, Record, info, o, warn};
 
 use super::decide::request_digest::RequestDigest;
+use super::decide::target_notice::TargetNotice;
 use super::decide::targets::ListChange;
 use super::discovery::feed::UnreadableEntry;
 use super::discovery::freshness::StalePolicy;
@@ -296,6 +297,15 @@
             "why" => line.why, "verdict" => %line.verdict, "left_out" => left_out);
     }
 
+    /// An answer said something of its target.
+    pub fn target_noted(&self, target: &str, notice: &TargetNotice, now: Tick) {
+        let Some(left_out) = self.take_line("noted", now) else { return };
+        info!(self.logger, "target says";
+            "target" => target, "is_leaving" => notice.is_leaving,
+            "backoff_ms" => notice.backoff.map(|span| span.as_millis() as u64),
+            "left_out" => left_out);
+    }
+
     /// A target is left alone for a while.
     pub fn ejected(&self, target: &str, span: Duration) {
         warn!(self.logger, "target ejected";
