Go by what targets say of themselves in their answers

Cause: what an answer said of its target (leaving; nothing more for so long) was not part of what an entry knows of the target. It went by the list, which is silent while the store is away, and by its own attempts, where a refusal counts for one request. Change: TargetNotice of each answer, orders included, is kept by the target's life: no request, no part of a joint prompt, no place in the subset, no second attempt there; an attempt that waited for memory or a connection is looked at again before it is sent. Where all targets of a service leave or rest, callers are refused at once (targets_closed) with the time of the first that takes requests.

--- a/src/relay/core/attempts.rs
+++ b/src/relay/core/attempts.rs
@@ -10,8 +10,10 @@
     Placement, PlacementQuery, PromptNeed, TargetScope, place_call,
 };
 use crate::relay::decide::retry_budget::RetryBudget;
+use crate::relay::decide::return_time::until_usable;
 use crate::relay::decide::stream_load::{StreamKey, StreamLoad};
-use crate::relay::decide::targets::TargetFault;
+use crate::relay::decide::target_notice::TargetNotice;
+use crate::relay::decide::targets::{TargetFault, TargetLife};
 use crate::relay::peers::load_note::LoadNote;
 use crate::time::Tick;
 
@@ -33,7 +35,7 @@
         let is_new = |name| !tried.contains(name);
         let has_other = self
             .targets
-            .usable(service)
+            .usable(service, now)
             .any(|target| target.is_used && is_new(&target.record.incarnation));
         let entries = self.fleet_entries();
         has_other && self.budget(service).is_left(now, entries)
@@ -198,6 +200,33 @@
         self.targets.get_mut(target)?.note_failure(fault, now)
     }
 
+    /// Takes what an answer says of the life of a target that gave it.
+    pub fn take_notice(&mut self, life: &TargetLife, notice: &TargetNotice, now: Tick) {
+        let target = self.targets.get_mut(&life.incarnation);
+        let target = target.filter(|target| target.record.to_life() == *life);
+        if target.is_some_and(|target| target.take_notice(notice, now)) {
+            // Of a large fleet, another one takes its place.
+            self.choose_engines(now);
+        }
+    }
+
+    /// Returns true where an attempt may still be sent as it was placed: its targets may have
+    /// asked for nothing more since.
+    #[must_use]
+    pub fn may_send(&self, share: &AttemptShare, now: Tick) -> bool {
+        let is_same = self.life_of(&share.target) == share.life;
+        let mut names = std::iter::once(&share.target).chain(&share.helpers);
+        is_same
+            && names.all(|name| self.targets.get(name).is_some_and(|target| target.is_usable(now)))
+    }
+
+    /// Time until a target of a service may be sent requests again, none where one may be now
+    /// or none is known.
+    #[must_use]
+    pub fn time_to_target(&self, service: &str, now: Tick) -> Option<Duration> {
+        until_usable(&self.targets, service, now)
+    }
+
     /// Notes that a helper was the cause of a refusal of `target`. Returns
     /// true where it was one: it is left alone for a while then.
     pub fn note_helper_failure(&mut self, target: &str, helper: SocketAddr, now: Tick) -> bool {
--- a/src/relay/decide/engine_subset.rs
+++ b/src/relay/decide/engine_subset.rs
@@ -55,7 +55,7 @@
     now: Tick,
 ) -> Option<Vec<Arc<str>>> {
     let mut engines: Vec<_> =
-        set.usable(service).filter(|target| !target.is_ejected(now)).collect();
+        set.usable(service, now).filter(|target| !target.is_ejected(now)).collect();
     if query.most == 0 || engines.len() <= query.most {
         return None;
     }
--- a/src/relay/decide/mod.rs
+++ b/src/relay/decide/mod.rs
@@ -1,7 +1,7 @@
 //! What is decided about a request, without sockets, clocks or tasks.
 //!
-//! - [`targets`]: which targets there are, and which of them work,
-//! - [`target_notice`]: what their answers say of them,
+//! - [`targets`]: which targets there are, [`target_state`]: which of them work, and
+//!   [`target_notice`]: what their answers say of them,
 //! - [`engine_subset`]: which engines of a large fleet are used,
 //! - [`engine_rates`], [`stream_load`], [`pass_model`], [`pass_outlook`]: what a prompt
 //!   costs an engine and those who wait there,
@@ -35,4 +35,5 @@
 pub mod start_wait;
 pub mod stream_load;
 pub mod target_notice;
+pub mod target_state;
 pub mod targets;
--- a/src/relay/decide/placement.rs
+++ b/src/relay/decide/placement.rs
@@ -253,7 +253,7 @@
     now: Tick,
 ) -> Vec<&'a TargetState> {
     let fresh: Vec<_> =
-        set.usable(query.service).filter(|target| query.scope.holds(target)).collect();
+        set.usable(query.service, now).filter(|target| query.scope.holds(target)).collect();
     let is_well = |target: &&TargetState| !(query.policy.ejects && target.is_ejected(now));
     let well: Vec<_> = fresh.iter().copied().filter(is_well).collect();
     if well.is_empty() { fresh } else { well }
--- a/src/relay/decide/return_time.rs
+++ b/src/relay/decide/return_time.rs
@@ -5,6 +5,8 @@
 use rand::Rng;
 
 use super::placement::{Placement, PromptNeed};
+use super::targets::TargetSet;
+use crate::time::Tick;
 
 /// Least time to come back after a refusal for overload, in times to the first
 /// event: short answers take some two seconds, so a good part of the places is
@@ -19,6 +21,35 @@
 /// together do not come back together.
 const SPREAD: std::ops::Range<f64> = 0.6..1.0;
 
+/// Time to come back where all targets of a service are leaving: those that take their place
+/// list themselves within about a second of their start.
+const REPLACED_AFTER: Duration = Duration::from_secs(1);
+
+/// How much later than the moment at which a target takes requests again, at random: callers
+/// that were refused together would fill it at once.
+const REOPENED_SPREAD: std::ops::Range<f64> = 1.0..1.1;
+
+/// Time until a target of a service takes requests again, none where one does now, or where
+/// none is listed.
+#[must_use]
+pub fn until_usable(set: &TargetSet, service: &str, now: Tick) -> Option<Duration> {
+    let mut shortest: Option<Duration> = None;
+    for target in set.of_service(service).filter(|target| target.is_current()) {
+        if target.is_usable(now) {
+            return None;
+        }
+        let wait = if target.is_leaving() { REPLACED_AFTER } else { target.backoff(now) };
+        shortest = Some(shortest.map_or(wait, |shortest| shortest.min(wait)));
+    }
+    shortest
+}
+
+/// Time to come back for a caller that is refused until then.
+#[must_use]
+pub fn after_reopening(wait: Duration, random: &mut impl Rng) -> Duration {
+    wait.mul_f64(random.random_range(REOPENED_SPREAD))
+}
+
 /// Time to come back for a prompt that engines are too busy for: not before they
 /// should have read what is in line now.
 #[must_use]
--- /dev/null
+++ b/src/relay/decide/target_state.rs
@@ -0,0 +1,277 @@
+//! One target: how it is listed, and what is believed of it.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::engine_rates::EngineRates;
+use super::pass_model::PassModel;
+use super::target_notice::{KeptNotice, TargetNotice};
+use crate::time::Tick;
+
+/// Time that a target is left alone after its first failure.
+const FIRST_EJECTION: Duration = Duration::from_millis(400);
+
+/// Longest time that a target is left alone.
+const LONGEST_EJECTION: Duration = Duration::from_secs(4);
+
+/// Time that a target is left alone whose agent says that it is down. It says so
+/// again while that is true, so that two notes in a row may be lost.
+const DOWN_SPAN: Duration = Duration::from_secs(1);
+
+/// Time since bytes of a target for which it works, whatever its agent says: an
+/// agent on a slow host may miss reports.
+const ALIVE_SPAN: Duration = Duration::from_millis(400);
+
+/// Time for which nobody listens at a target until it has ended.
+const UNREACHABLE_SPAN: Duration = Duration::from_millis(50);
+
+/// Failures in a row after which a target is left alone.
+const TOLERATED_FAILURES: u32 = 2;
+
+/// One life of a target, from its start to its end.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct TargetLife {
+    /// The name by which it is listed, which a target may keep when it starts again.
+    #[serde(rename = "i")]
+    pub incarnation: Arc<str>,
+    /// When it started, in Unix milliseconds; zero where the platform does not say.
+    #[serde(rename = "b")]
+    pub born_ms: u64,
+}
+
+/// A target as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TargetRecord {
+    /// Names the target. Another life has another name, or a later start.
+    #[serde(rename = "i")]
+    pub incarnation: Arc<str>,
+    /// When this life started, in Unix milliseconds; zero where the platform does not say.
+    #[serde(rename = "b", default)]
+    pub born_ms: u64,
+    /// The service it belongs to.
+    #[serde(rename = "s")]
+    pub service: Arc<str>,
+    /// Where it listens.
+    #[serde(rename = "a")]
+    pub address: SocketAddr,
+    /// Its failure domain.
+    #[serde(rename = "d")]
+    pub failure_domain: Arc<str>,
+    /// Requests it runs at the same time.
+    #[serde(rename = "c")]
+    pub capacity: usize,
+    /// True where it takes nothing new.
+    #[serde(rename = "l")]
+    pub is_leaving: bool,
+    /// When it was listed first, in a count that only grows.
+    #[serde(rename = "t")]
+    pub listed_at: u64,
+}
+
+impl TargetRecord {
+    /// The life that it lists.
+    #[must_use]
+    pub fn to_life(&self) -> TargetLife {
+        TargetLife { incarnation: self.incarnation.clone(), born_ms: self.born_ms }
+    }
+}
+
+/// Why a target failed a request, as far as its health is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetFault {
+    /// Nobody listens there.
+    Unreachable,
+    /// The connection broke.
+    Broken,
+    /// It did not answer in time.
+    Silent,
+    /// What it sent is not the answer.
+    Garbled,
+    /// It answered with an error of its own.
+    Error,
+    /// It refused for want of room.
+    Full,
+    /// Another life of the target has the address.
+    Replaced,
+}
+
+/// What is known of one target.
+#[derive(Debug)]
+pub struct TargetState {
+    /// Its entry in the list.
+    pub record: TargetRecord,
+    /// Its passes, none for a plain service.
+    pub model: Option<PassModel>,
+    /// Whether this process uses it: of a large fleet it uses a part.
+    pub is_used: bool,
+    /// Entries that its agent told last, zero where it told nothing.
+    pub subscribers: usize,
+    /// Requests of this process that it has.
+    pub in_flight: usize,
+    /// When it last sent anything.
+    pub heard_at: Tick,
+    /// When the oldest request since then was sent.
+    pub waiting_since: Option<Tick>,
+    /// Since when nobody has listened there.
+    unreachable_since: Option<Tick>,
+    failures: u32,
+    ejections: u32,
+    ejected_until: Tick,
+    /// What its answers have said of it.
+    pub(super) said: KeptNotice,
+    /// When it is removed, where it is missing in the list.
+    pub(super) gone_at: Option<Tick>,
+    pub(super) is_superseded: bool,
+    /// Whether the configuration names its service.
+    pub(super) is_named: bool,
+}
+
+impl TargetState {
+    pub(super) fn new(record: TargetRecord, now: Tick) -> Self {
+        TargetState {
+            record,
+            model: None,
+            is_used: true,
+            subscribers: 0,
+            in_flight: 0,
+            heard_at: now,
+            waiting_since: None,
+            unreachable_since: None,
+            failures: 0,
+            ejections: 0,
+            ejected_until: Tick::default(),
+            said: KeptNotice::default(),
+            gone_at: None,
+            is_superseded: false,
+            is_named: true,
+        }
+    }
+
+    /// Takes the rates of its engine. `observer` is this entry's incarnation.
+    pub fn set_rates(&mut self, rates: &Rc<EngineRates>, observer: u64) {
+        match &mut self.model {
+            Some(model) => model.set_rates(rates),
+            None => self.model = Some(PassModel::new(rates.clone(), observer)),
+        }
+    }
+
+    /// Returns true where requests may be sent there.
+    #[must_use]
+    pub fn is_usable(&self, now: Tick) -> bool {
+        self.is_current() && !self.is_leaving() && self.backoff(now).is_zero()
+    }
+
+    /// Returns true where it stands for its address and a service that is known.
+    #[must_use]
+    pub fn is_current(&self) -> bool {
+        !self.is_superseded && self.is_named
+    }
+
+    /// Returns true where it takes nothing new, by the list or by its own word. What it said
+    /// is kept apart from its record: others are told what the list says.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.record.is_leaving || self.said.is_leaving
+    }
+
+    /// Time for which it wants nothing.
+    #[must_use]
+    pub fn backoff(&self, now: Tick) -> Duration {
+        self.said.backoff_until.since(now)
+    }
+
+    /// Takes what an answer of this life says of it. Returns true where it can be sent less
+    /// than before.
+    pub fn take_notice(&mut self, notice: &TargetNotice, now: Tick) -> bool {
+        let was_usable = self.is_usable(now);
+        self.said.take(notice, now);
+        was_usable && !self.is_usable(now)
+    }
+
+    /// The life that has ended with it, none where it had said that it would leave.
+    pub(super) fn to_ended(&self) -> Option<TargetLife> {
+        (!self.is_leaving()).then(|| self.record.to_life())
+    }
+
+    /// Returns true while it is left alone after failures.
+    #[must_use]
+    pub fn is_ejected(&self, now: Tick) -> bool {
+        now < self.ejected_until
+    }
+
+    /// Notes a request sent there.
+    pub fn note_sent(&mut self, now: Tick) {
+        self.in_flight += 1;
+        self.waiting_since.get_or_insert(now);
+    }
+
+    /// Notes that a request is no longer there.
+    pub fn note_ended(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        if self.in_flight == 0 {
+            self.waiting_since = None;
+        }
+    }
+
+    /// Notes bytes of an answer.
+    pub fn note_heard(&mut self, now: Tick) {
+        self.heard_at = now;
+        self.unreachable_since = None;
+        self.waiting_since = (self.in_flight > 0).then_some(now);
+    }
+
+    /// How long it has sent nothing while it should have.
+    #[must_use]
+    pub fn silence(&self, now: Tick) -> Duration {
+        self.waiting_since.map_or(Duration::ZERO, |at| now.since(at))
+    }
+
+    /// Notes a request that it served.
+    pub fn note_success(&mut self) {
+        self.failures = 0;
+        self.ejections = 0;
+        self.ejected_until = Tick::default();
+    }
+
+    /// Notes that nobody listens there. Returns true where that has lasted: one that has
+    /// too many connections turns some away as well.
+    pub fn note_unreachable(&mut self, now: Tick) -> bool {
+        let since = *self.unreachable_since.get_or_insert(now);
+        now.since(since) >= UNREACHABLE_SPAN
+    }
+
+    /// Notes that the agent beside it says it is down.
+    pub fn note_down(&mut self, now: Tick) {
+        let was_heard = self.in_flight > 0 && now.since(self.heard_at) < ALIVE_SPAN;
+        if !was_heard {
+            self.ejected_until = self.ejected_until.max(now + DOWN_SPAN);
+        }
+    }
+
+    /// Notes a failure. Returns the time for which it is left alone, if any.
+    pub fn note_failure(&mut self, fault: TargetFault, now: Tick) -> Option<Duration> {
+        match fault {
+            TargetFault::Full => return None,
+            TargetFault::Replaced => {
+                self.said.is_leaving = true;
+                return None;
+            }
+            TargetFault::Unreachable | TargetFault::Broken | TargetFault::Silent => {
+                self.failures += TOLERATED_FAILURES;
+            }
+            TargetFault::Garbled | TargetFault::Error => self.failures += 1,
+        }
+        if self.failures < TOLERATED_FAILURES || self.is_ejected(now) {
+            return None;
+        }
+        let span = FIRST_EJECTION.saturating_mul(1 << self.ejections.min(8)).min(LONGEST_EJECTION);
+        self.ejections += 1;
+        self.failures = 0;
+        self.ejected_until = now + span;
+        Some(span)
+    }
+}
--- a/src/relay/proxy/call.rs
+++ b/src/relay/proxy/call.rs
@@ -35,7 +35,7 @@
         }
         let Some(placement) = series.place(shared, job) else {
             ledger.series_end = Some(SeriesEnd::NoTarget);
-            return Err(series.to_fault(false));
+            return Err(series.to_fault(shared, job, false));
         };
         ledger.note_send(&placement.target);
         let may_hedge = series.may_hedge(shared, job, &placement.target);
@@ -50,9 +50,9 @@
                     if let Some(answer) = series.answer.take() {
                         return Ok(answer.map(|body| RelayBody::Whole(Full::new(body))));
                     }
-                    return Err(series.to_fault(is_timeout));
+                    return Err(series.to_fault(shared, job, is_timeout));
                 }
-                series.pause(job).await;
+                series.pause(shared, job).await;
             }
         }
     }
--- a/src/relay/proxy/forward.rs
+++ b/src/relay/proxy/forward.rs
@@ -89,6 +89,11 @@
         core.quarantine().holds().held_for(&self.digest(), shared.now())
     }
 
+    /// Time until a target of its service takes requests, none where one does now.
+    pub(crate) fn time_to_target(&self, shared: &RelayShared) -> Option<Duration> {
+        shared.core.borrow().time_to_target(&self.service, shared.now())
+    }
+
     /// Notes that a target answered it.
     pub(crate) fn note_answered(&self, shared: &RelayShared) {
         if !shared.core.borrow().quarantine().is_empty() {
@@ -152,6 +157,13 @@
         AttemptFault { is_sent: false, ..fault }
     }
 
+    /// What its targets said of themselves came before it was sent: that says nothing of how
+    /// they work.
+    fn overtaken() -> Self {
+        let why = "a target leaves or rests since it was placed";
+        AttemptFault { is_stale: true, ..AttemptFault::not_sent(why) }
+    }
+
     /// Returns true where its connection broke after it was sent, as it does when the
     /// target ends.
     pub(crate) fn is_break(&self) -> bool {
@@ -264,6 +276,9 @@
     let connection = obtain(shared, job, &placement.target, address).await?;
     let is_reused = connection.is_reused;
     let share = &guard.share;
+    if !shared.core.borrow().may_send(share, shared.now()) {
+        return Err(AttemptFault::overtaken());
+    }
     let connection = guard.connection.insert(connection);
     let request = to_request(shared, job, placement, &helpers, resume_after);
     let sending = connection.sender.send_request(request);
@@ -283,9 +298,9 @@
     shared.core.borrow_mut().note_heard(&placement.target, shared.now());
     let (parts, body) = response.into_parts();
     let head = (shared.targets.parse_answer)(parts.status, &parts.headers);
-    if !head.notice.is_empty() {
-        shared.log.target_noted(&placement.target, &head.notice, shared.now());
-        shared.counts.borrow().note_notice(&head.notice);
+    // Where another life has the address, that one speaks of itself.
+    if !head.is_replaced {
+        shared.take_notice(guard.share.life.as_ref(), &head.notice);
     }
     check_head(job, &parts, &head).map_err(|fault| {
         let is_stale = is_reused && fault.fault == TargetFault::Garbled;
--- a/src/relay/proxy/memory_hold.rs
+++ b/src/relay/proxy/memory_hold.rs
@@ -18,6 +18,7 @@
 use crate::Result;
 use crate::client::full;
 use crate::relay::decide::placement::Placement;
+use crate::relay::decide::targets::TargetLife;
 use crate::relay::shared::RelayShared;
 
 /// How long a reservation lasts without renewal: less than the two seconds
@@ -36,6 +37,8 @@
 #[derive(Clone)]
 struct HeldSeat {
     address: SocketAddr,
+    /// The life that was asked, none where the target is gone.
+    life: Option<TargetLife>,
     reservation: Reservation,
 }
 
@@ -70,9 +73,10 @@
             helper.reservation = Some(reservation.id.clone());
             // Noted before it is asked for: an order without an answer may
             // have been carried out and has to be given back.
-            hold.seats.push(HeldSeat { address: helper.address, reservation: reservation.clone() });
-            let reply = send_reserve(shared, helper.address, &reservation).await;
-            match reply {
+            let life = shared.core.borrow().life_of(&seat.target);
+            let asked = HeldSeat { address: helper.address, life, reservation };
+            hold.seats.push(asked.clone());
+            match send_reserve(shared, &asked).await {
                 Ok(ReserveReply::Held) => {}
                 Ok(ReserveReply::Waiting | ReserveReply::Refused) => {
                     return Err(format!("no memory at {}", seat.target));
@@ -101,7 +105,7 @@
     loop {
         tokio::time::sleep(RENEW_STEP).await;
         for seat in &seats {
-            let result = send_reserve(&shared, seat.address, &seat.reservation).await;
+            let result = send_reserve(&shared, seat).await;
             if !matches!(result, Ok(ReserveReply::Held)) {
                 slog::warn!(shared.log.logger(), "reservation not renewed";
                     "id" => &*seat.reservation.id, "address" => %seat.address,
@@ -114,7 +118,7 @@
 async fn release(shared: Rc<RelayShared>, seat: HeldSeat) {
     for _ in 0..RELEASE_TRIES {
         let call = (shared.targets.to_release)(&seat.reservation.id);
-        match send_order(&shared, seat.address, call).await {
+        match send_order(&shared, &seat, call).await {
             Ok(_) => return,
             Err(error) => slog::warn!(shared.log.logger(), "reservation not released";
                 "id" => &*seat.reservation.id, "address" => %seat.address, "error" => %error),
@@ -122,24 +126,21 @@
     }
 }
 
-async fn send_reserve(
-    shared: &RelayShared,
-    address: SocketAddr,
-    reservation: &Reservation,
-) -> Result<ReserveReply> {
-    let call = (shared.targets.to_reserve)(reservation);
-    send_order(shared, address, call).await.map(shared.targets.parse_reserve)
+async fn send_reserve(shared: &RelayShared, seat: &HeldSeat) -> Result<ReserveReply> {
+    let call = (shared.targets.to_reserve)(&seat.reservation);
+    send_order(shared, seat, call).await.map(shared.targets.parse_reserve)
 }
 
-async fn send_order(
-    shared: &RelayShared,
-    address: SocketAddr,
-    call: TargetCall,
-) -> Result<StatusCode> {
+async fn send_order(shared: &RelayShared, seat: &HeldSeat, call: TargetCall) -> Result<StatusCode> {
     let mut request = Request::new(full(call.body));
     *request.method_mut() = Method::POST;
-    let uri = format!("http://{address}{}", call.path);
+    let uri = format!("http://{}{}", seat.address, call.path);
     *request.uri_mut() = uri.parse().unwrap_or_default();
     request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    Ok(shared.orders.call(request, ORDER_LIMIT).await?.status())
+    let response = shared.orders.call(request, ORDER_LIMIT).await?;
+    let head = (shared.targets.parse_answer)(response.status(), response.headers());
+    if !head.is_replaced {
+        shared.take_notice(seat.life.as_ref(), &head.notice);
+    }
+    Ok(response.status())
 }
--- a/src/relay/proxy/series.rs
+++ b/src/relay/proxy/series.rs
@@ -12,6 +12,7 @@
 use super::forward::{AttemptFault, RelayJob};
 use crate::relay::core::RelayCore;
 use crate::relay::decide::placement::{Placement, TargetScope};
+use crate::relay::decide::return_time::after_reopening;
 use crate::relay::decide::send_count::{SendCount, SendEnd};
 use crate::relay::decide::targets::{TargetFault, TargetLife};
 use crate::relay::record::{FailedLine, PlacedLine, SeriesEnd};
@@ -31,6 +32,14 @@
     RelayFault::refused("held_back", "targets ended under this request", span)
 }
 
+/// The answer where all targets of the service are leaving, or want no requests for a while:
+/// it may come again when one takes requests.
+#[cold]
+fn to_closed(wait: Duration) -> RelayFault {
+    let why = "all targets of the service are leaving, or asked for a pause";
+    RelayFault::refused("targets_closed", why, after_reopening(wait, &mut rand::rng()))
+}
+
 /// The attempts of one request.
 pub(crate) struct AttemptSeries {
     tried: Vec<Arc<str>>,
@@ -131,7 +140,7 @@
     pub(crate) fn hold_fault(&self, shared: &RelayShared, job: &RelayJob) -> Option<RelayFault> {
         let span = job.held_for(shared)?;
         let is_unsent = self.worst == Verdict::NotRun;
-        Some(if is_unsent { to_hold(span) } else { self.to_fault(false) })
+        Some(if is_unsent { to_hold(span) } else { self.to_fault(shared, job, false) })
     }
 
     /// Notes a failed attempt.
@@ -225,8 +234,16 @@
     }
 
     /// The final failure of a request.
-    pub(crate) fn to_fault(&self, is_timeout: bool) -> RelayFault {
+    pub(crate) fn to_fault(
+        &self,
+        shared: &RelayShared,
+        job: &RelayJob,
+        is_timeout: bool,
+    ) -> RelayFault {
         if self.worst == Verdict::NotRun {
+            if let Some(wait) = job.time_to_target(shared) {
+                return to_closed(wait);
+            }
             let why = if self.why.is_empty() { "no target can take it now" } else { &self.why };
             return RelayFault::refused("no_room", why, NO_ROOM_RETRY);
         }
@@ -235,7 +252,11 @@
     }
 
     /// Waits a little after refusals: what is full now may have room soon.
-    pub(crate) async fn pause(&self, job: &RelayJob) {
+    pub(crate) async fn pause(&self, shared: &RelayShared, job: &RelayJob) {
+        // What can not be served is refused at once.
+        if job.time_to_target(shared).is_some() {
+            return;
+        }
         // One that may go to those that ran it only has nowhere else to go.
         let is_bound = self.ran_at.len() >= job.route.max_targets;
         if self.was_refused && (is_bound || self.worst == Verdict::NotRun) {
--- a/src/relay/proxy/stream.rs
+++ b/src/relay/proxy/stream.rs
@@ -124,7 +124,8 @@
         }
         let Some(placement) = series.place(shared, job) else {
             ledger.series_end = Some(SeriesEnd::NoTarget);
-            return fail_stream(feed.output, &series, series.to_fault(false), ledger).await;
+            let fault = series.to_fault(shared, job, false);
+            return fail_stream(feed.output, &series, fault, ledger).await;
         };
         let decision = decide(shared, job, &placement, is_admitted).filter(|_| series.is_fresh());
         match decision {
@@ -155,10 +156,10 @@
                 ledger.digest = Some(job.digest());
                 if let Err(end) = series.note_fault(shared, job, &placement.target, fault) {
                     ledger.series_end = Some(end);
-                    let fault = series.to_fault(is_timeout);
+                    let fault = series.to_fault(shared, job, is_timeout);
                     return fail_stream(feed.output, &series, fault, ledger).await;
                 }
-                series.pause(job).await;
+                series.pause(shared, job).await;
             }
         }
     }
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -11,6 +11,7 @@
 use super::core::RelayCore;
 use super::counts::RelayCounts;
 use super::decide::start_wait::{StartPhase, start_wait};
+use super::decide::target_notice::TargetNotice;
 use super::decide::targets::TargetLife;
 use super::discovery::feed::ConfigNews;
 use super::discovery::proof_share::PeerVerdict;
@@ -78,6 +79,15 @@
         core.targets.get(target).map_or(Duration::ZERO, |target| target.silence(self.now()))
     }
 
+    /// Takes what an answer says of the target that gave it.
+    pub(crate) fn take_notice(&self, life: Option<&TargetLife>, notice: &TargetNotice) {
+        let Some(life) = life.filter(|_| !notice.is_empty()) else { return };
+        let now = self.now();
+        self.log.target_noted(&life.incarnation, notice, now);
+        self.counts.borrow().note_notice(notice);
+        self.core.borrow_mut().take_notice(life, notice, now);
+    }
+
     /// Waits for something until a tick, none where that comes first. Timers stand still
     /// while the host is suspended, so the clock is looked at again when it goes on.
     pub(crate) async fn until<T>(&self, tick: Tick, work: impl Future<Output = T>) -> Option<T> {
--- a/tests/relay/list_news.rs
+++ b/tests/relay/list_news.rs
@@ -150,7 +150,7 @@
     let changes = vec![TargetChange::Listed(leaving), TargetChange::Removed(name("b"))];
     let (change, news) = watcher.take_watched(changes, 9, false, at(100));
     assert_eq!(other.take_list_news(&news.clone().unwrap(), false, at(102)), change);
-    assert!(!other.targets.get("a").unwrap().is_usable());
+    assert!(!other.targets.get("a").unwrap().is_usable(at(103)));
     assert!(other.targets.get("b").is_none());
     assert_eq!(other.take_list_news(&news.unwrap(), false, at(103)).removed, [], "a copy");
 }
--- a/tests/relay/lives.rs
+++ b/tests/relay/lives.rs
@@ -42,7 +42,7 @@
     set.take_list(vec![born(200)], false, at(0));
     let earlier = TargetRecord { is_leaving: true, ..born(100) };
     assert!(set.take_change(earlier, at(10)).is_empty());
-    assert!(set.get("a").unwrap().is_usable());
+    assert!(set.get("a").unwrap().is_usable(at(10)));
 }
 
 /// What was at the former life and ends now is not counted against the new one.
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -7,6 +7,7 @@
 mod list_news;
 mod lives;
 mod notes;
+mod notices;
 mod passes;
 mod places;
 mod proofs;
--- a/tests/relay/targets.rs
+++ b/tests/relay/targets.rs
@@ -34,7 +34,7 @@
 
 fn usable(set: &TargetSet) -> Vec<String> {
     let mut names: Vec<_> =
-        set.usable("engines").map(|target| target.record.incarnation.to_string()).collect();
+        set.usable("engines", at(0)).map(|target| target.record.incarnation.to_string()).collect();
     names.sort();
     names
 }
