Revisions of the store carry its epoch, compared as before

It is still compared by its number only, as before, so that tests for a store that is back from an old copy can be written against the code as it is.

--- a/src/relay/core/configuration.rs
+++ b/src/relay/core/configuration.rs
@@ -6,6 +6,7 @@
 use super::RelayCore;
 use crate::relay::discovery::proof_share::{PeerProof, PeerVerdict, ProofShare};
 use crate::relay::discovery::rules::{RelayConfig, RuleTable};
+use crate::relay::discovery::store_revision::StoreRevision;
 use crate::relay::peers::config_copy::ConfigCopy;
 use crate::relay::peers::load_note::LoadNote;
 use crate::time::Tick;
@@ -58,14 +59,14 @@
         is_new
     }
 
-    /// Revision that the configuration in force has in the store, zero for none.
+    /// Revision that the configuration in force has in the store, unknown for none.
     #[must_use]
-    pub fn config_revision(&self) -> u64 {
+    pub fn config_revision(&self) -> StoreRevision {
         self.config_revision
     }
 
     /// Notes the revision that the configuration in force has in the store.
-    pub fn set_config_revision(&mut self, revision: u64) {
+    pub fn set_config_revision(&mut self, revision: StoreRevision) {
         self.config_revision = self.config_revision.max(revision);
     }
 
--- a/src/relay/core/mod.rs
+++ b/src/relay/core/mod.rs
@@ -14,6 +14,7 @@
 use crate::relay::discovery::list_share::ListShare;
 use crate::relay::discovery::proof_share::ProofShare;
 use crate::relay::discovery::rules::{Access, AccessFault, RelayConfig, RouteRule, RuleTable};
+use crate::relay::discovery::store_revision::StoreRevision;
 use crate::relay::peers::load_note::LoadNote;
 use crate::time::Tick;
 
@@ -81,7 +82,7 @@
     proof_share: ProofShare,
     list_share: ListShare,
     /// Revision of the configuration in the store.
-    config_revision: u64,
+    config_revision: StoreRevision,
     /// The configuration in force, to be passed on.
     config: Option<Rc<RelayConfig>>,
     /// The targets.
@@ -109,7 +110,7 @@
             rules: Rc::default(),
             proof_share: ProofShare::default(),
             list_share: ListShare::default(),
-            config_revision: 0,
+            config_revision: StoreRevision::default(),
             config: None,
             targets: TargetSet::default(),
             expired: ListChange::default(),
--- a/src/relay/core/quarantine.rs
+++ b/src/relay/core/quarantine.rs
@@ -9,6 +9,7 @@
 use crate::relay::decide::quarantine::{QuarantineLedger, SuspectNews};
 use crate::relay::decide::request_digest::RequestDigest;
 use crate::relay::decide::targets::{ListChange, TargetLife};
+use crate::relay::discovery::store_revision::StoreRevision;
 use crate::relay::peers::load_note::LoadNote;
 use crate::time::Tick;
 
@@ -127,11 +128,18 @@
     pub fn quarantine_to_write(&mut self, now: Tick) -> Option<Vec<QuarantineRecord>> {
         let unix_ms = self.unix_ms(now);
         // Without a configuration there is no object to write it to.
-        (self.config_revision > 0).then(|| self.quarantine.to_write(unix_ms, now)).flatten()
+        (!self.config_revision.is_unknown())
+            .then(|| self.quarantine.to_write(unix_ms, now))
+            .flatten()
     }
 
     /// Notes that the store keeps these records, in an object that has this revision now.
-    pub fn note_written(&mut self, records: &[QuarantineRecord], revision: u64, now: Tick) {
+    pub fn note_written(
+        &mut self,
+        records: &[QuarantineRecord],
+        revision: StoreRevision,
+        now: Tick,
+    ) {
         self.set_config_revision(revision);
         let unix_ms = self.unix_ms(now);
         self.quarantine.take_records(records, unix_ms, now);
--- a/src/relay/core/target_list.rs
+++ b/src/relay/core/target_list.rs
@@ -7,6 +7,7 @@
 use crate::relay::decide::targets::{ListChange, TargetRecord};
 use crate::relay::discovery::feed::{TargetChange, TargetList};
 use crate::relay::discovery::list_share::{ListNews, ListShare, NewsVerdict};
+use crate::relay::discovery::store_revision::StoreRevision;
 use crate::time::Tick;
 
 impl RelayCore {
@@ -124,7 +125,7 @@
 
     /// Notes a list that was read and is true at `revision`; its targets changed last
     /// at `changed_at`.
-    pub fn note_list(&mut self, revision: u64, changed_at: u64) {
+    pub fn note_list(&mut self, revision: StoreRevision, changed_at: StoreRevision) {
         self.list_share.note_list(revision, changed_at);
     }
 
@@ -133,7 +134,7 @@
     pub fn take_watched(
         &mut self,
         changes: Vec<TargetChange>,
-        revision: u64,
+        revision: StoreRevision,
         is_after_outage: bool,
         now: Tick,
     ) -> (ListChange, Option<ListNews>) {
--- a/src/relay/decide/target_state.rs
+++ b/src/relay/decide/target_state.rs
@@ -10,6 +10,7 @@
 use super::engine_rates::EngineRates;
 use super::pass_model::PassModel;
 use super::target_notice::{KeptNotice, TargetNotice};
+use crate::relay::discovery::store_revision::StoreRevision;
 use crate::time::Tick;
 
 /// Time that a target is left alone after its first failure.
@@ -69,7 +70,7 @@
     pub is_leaving: bool,
     /// When it was listed first, in a count that only grows.
     #[serde(rename = "t")]
-    pub listed_at: u64,
+    pub listed_at: StoreRevision,
 }
 
 impl TargetRecord {
--- a/src/relay/decide/targets.rs
+++ b/src/relay/decide/targets.rs
@@ -7,6 +7,7 @@
 
 use super::target_notice::NoticeMemory;
 pub use super::target_state::{TargetFault, TargetLife, TargetRecord, TargetState};
+use crate::relay::discovery::store_revision::StoreRevision;
 use crate::time::Tick;
 
 /// How long a target that is missing after an outage of the list may still
@@ -203,7 +204,7 @@
     /// Marks targets whose address a later one has: their entries outlive them
     /// for a while, and the address would be asked twice.
     fn mark_superseded(&mut self, change: &mut ListChange) {
-        let mut newest: HashMap<SocketAddr, u64> = HashMap::new();
+        let mut newest: HashMap<SocketAddr, StoreRevision> = HashMap::new();
         for target in self.targets.values().filter(|target| target.is_named) {
             let listed_at = newest.entry(target.record.address).or_default();
             *listed_at = target.record.listed_at.max(*listed_at);
--- a/src/relay/discovery/feed.rs
+++ b/src/relay/discovery/feed.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::rules::RelayConfig;
+use super::store_revision::StoreRevision;
 use crate::Result;
 use crate::relay::decide::hold_list::QuarantineRecord;
 use crate::relay::decide::targets::TargetRecord;
@@ -15,9 +16,9 @@
 #[derive(Debug)]
 pub struct ConfigRead {
     /// Revision of the object.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Revision of the whole store up to which this is true.
-    pub store_revision: u64,
+    pub store_revision: StoreRevision,
     /// The configuration, none where the revision is the one that is known.
     pub config: Option<RelayConfig>,
 }
@@ -26,7 +27,7 @@
 #[derive(Debug)]
 pub struct ConfigNews {
     /// Revision of the object.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The configuration.
     pub config: RelayConfig,
 }
@@ -35,24 +36,32 @@
 #[derive(Debug)]
 pub enum ConfigWatch {
     /// The newest change, if any, up to a revision of the store.
-    Changes(Option<ConfigNews>, u64),
+    Changes(Option<ConfigNews>, StoreRevision),
     /// The store has forgotten changes since then: it is to be read anew.
     Forgotten,
 }
 
 /// A read of the whole list of targets.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct TargetList {
     /// All targets.
     pub records: Vec<TargetRecord>,
     /// Revision up to which this is true.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Revision of the last change of one of them.
-    pub changed_at: u64,
+    pub changed_at: StoreRevision,
     /// Entries that list no target: others than targets may write there.
     pub unreadable: Vec<UnreadableEntry>,
 }
 
+impl TargetList {
+    /// A list that is true up to a revision, and empty so far.
+    #[must_use]
+    pub fn new(revision: StoreRevision) -> Self {
+        TargetList { revision, ..TargetList::default() }
+    }
+}
+
 /// An entry of the list that can not be read.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UnreadableEntry {
@@ -68,7 +77,7 @@
     /// The changes, in order.
     pub changes: Vec<TargetChange>,
     /// Revision to go on from.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Entries that list no target any more, which `changes` holds as removed.
     pub unreadable: Vec<UnreadableEntry>,
 }
@@ -77,7 +86,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WriteEnd {
     /// It is done, and the object has this revision.
-    Done(u64),
+    Done(StoreRevision),
     /// The object has another revision: it is to be read anew.
     Conflict,
 }
@@ -108,14 +117,14 @@
 pub struct PlatformFeed {
     /// Reads the configuration linearizably; the argument is the revision that
     /// is known. None where there is no configuration yet.
-    pub read_config: Box<dyn Fn(u64) -> Call<Option<ConfigRead>>>,
+    pub read_config: Box<dyn Fn(StoreRevision) -> Call<Option<ConfigRead>>>,
     /// Reads the whole list of targets linearizably.
     pub list_targets: Box<dyn Fn() -> Call<TargetList>>,
     /// Waits until the configuration has changed after a revision of the store,
     /// or the time is up.
-    pub watch_config: Box<dyn Fn(u64, Duration) -> Call<ConfigWatch>>,
+    pub watch_config: Box<dyn Fn(StoreRevision, Duration) -> Call<ConfigWatch>>,
     /// Waits for changes of the list after a revision.
-    pub watch_targets: Box<dyn Fn(u64, Duration) -> Call<TargetWatch>>,
+    pub watch_targets: Box<dyn Fn(StoreRevision, Duration) -> Call<TargetWatch>>,
     /// Writes which requests are held back, beside the configuration of a revision.
-    pub write_quarantine: Box<dyn Fn(u64, Vec<QuarantineRecord>) -> Call<WriteEnd>>,
+    pub write_quarantine: Box<dyn Fn(StoreRevision, Vec<QuarantineRecord>) -> Call<WriteEnd>>,
 }
--- a/src/relay/discovery/follow.rs
+++ b/src/relay/discovery/follow.rs
@@ -9,6 +9,7 @@
 use super::feed::{ConfigWatch, PlatformFeed, TargetNews, TargetWatch};
 use super::list_share::ListNews;
 use super::proof_share::{PeerVerdict, ProofShare};
+use super::store_revision::StoreRevision;
 use super::watch_pace::{LONGEST_WAIT, NEWS_STEP, WatchEnd, list_rest, rest_after, watch_wait};
 use crate::relay::counts::StoreCall;
 use crate::relay::peers::config_copy::read_copy;
@@ -225,7 +226,11 @@
 
 /// Tells of changes of the configuration until the store does not answer or
 /// has forgotten what happened. A watch that brings nothing proves nothing.
-async fn watch_config(shared: Rc<RelayShared>, feed: Rc<PlatformFeed>, mut revision: u64) {
+async fn watch_config(
+    shared: Rc<RelayShared>,
+    feed: Rc<PlatformFeed>,
+    mut revision: StoreRevision,
+) {
     let (end, lasted) = loop {
         let begun = shared.now();
         let result = (feed.watch_config)(revision, wait_of(&shared)).await;
@@ -288,7 +293,11 @@
 
 /// Hears of changes for a while, by an own watch or by the news of others. Returns
 /// the next revision to watch from, none where the list has to be read anew.
-async fn hear_once(shared: &RelayShared, feed: &PlatformFeed, revision: u64) -> Option<u64> {
+async fn hear_once(
+    shared: &RelayShared,
+    feed: &PlatformFeed,
+    revision: StoreRevision,
+) -> Option<StoreRevision> {
     let is_watching = shared.core.borrow().list_share().is_watching();
     let watching = async {
         if is_watching {
@@ -308,7 +317,11 @@
 }
 
 /// Reads the whole list. Returns its revision, none where that failed.
-async fn read_list(shared: &RelayShared, feed: &PlatformFeed, heard_at: Tick) -> Option<u64> {
+async fn read_list(
+    shared: &RelayShared,
+    feed: &PlatformFeed,
+    heard_at: Tick,
+) -> Option<StoreRevision> {
     let result = (feed.list_targets)().await;
     shared.counts.borrow().note_store_call(StoreCall::ListRead);
     let now = shared.now();
@@ -338,7 +351,11 @@
 
 /// Waits for one answer of a watch. Returns the next revision, none where the
 /// list has to be read anew.
-async fn watch_once(shared: &RelayShared, feed: &PlatformFeed, revision: u64) -> Option<u64> {
+async fn watch_once(
+    shared: &RelayShared,
+    feed: &PlatformFeed,
+    revision: StoreRevision,
+) -> Option<StoreRevision> {
     let result = (feed.watch_targets)(revision, wait_of(shared)).await;
     shared.counts.borrow().note_store_call(StoreCall::ListWatch);
     match result {
--- a/src/relay/discovery/list_share.rs
+++ b/src/relay/discovery/list_share.rs
@@ -19,6 +19,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::feed::TargetChange;
+use super::store_revision::StoreRevision;
 use crate::time::Tick;
 
 /// Entries that watch the list, over the whole fleet: with a third of the fleet cut
@@ -48,10 +49,10 @@
 pub struct ListNews {
     /// They begin at this mark.
     #[serde(rename = "s")]
-    pub since: u64,
+    pub since: StoreRevision,
     /// They end at this mark.
     #[serde(rename = "m")]
-    pub mark: u64,
+    pub mark: StoreRevision,
     /// The changes.
     #[serde(rename = "c")]
     pub changes: Vec<TargetChange>,
@@ -72,11 +73,11 @@
 #[derive(Debug)]
 pub struct ListShare {
     is_watching: bool,
-    mark: u64,
+    mark: StoreRevision,
     /// Revision of the last list that was read.
-    read_at: u64,
+    read_at: StoreRevision,
     /// Newest mark that is known to exist.
-    told: u64,
+    told: StoreRevision,
     /// Since when it is known to be newer.
     behind_since: Option<Tick>,
     /// Watchers that agents told since the last decision, and how many told.
@@ -91,9 +92,9 @@
     fn default() -> Self {
         ListShare {
             is_watching: true,
-            mark: 0,
-            read_at: 0,
-            told: 0,
+            mark: StoreRevision::default(),
+            read_at: StoreRevision::default(),
+            told: StoreRevision::default(),
             behind_since: None,
             watchers: 0,
             agents: 0,
@@ -112,15 +113,15 @@
 
     /// The revision up to which all changes are known here.
     #[must_use]
-    pub fn mark(&self) -> u64 {
+    pub fn mark(&self) -> StoreRevision {
         self.mark
     }
 
     /// Notes a list that was read and is true at `revision`; its targets changed last
     /// at `changed_at`.
-    pub fn note_list(&mut self, revision: u64, changed_at: u64) {
+    pub fn note_list(&mut self, revision: StoreRevision, changed_at: StoreRevision) {
         // What others tell of is in the list, unless it is later than that.
-        let told = if self.told <= revision { self.told } else { 0 };
+        let told = if self.told <= revision { self.told } else { StoreRevision::default() };
         self.read_at = revision;
         self.set_mark(self.mark.max(changed_at).max(told));
     }
@@ -133,7 +134,7 @@
 
     /// Notes changes that the own watch brought, up to `revision`. Returns the mark
     /// from which they lead there.
-    pub fn note_watched(&mut self, revision: u64) -> u64 {
+    pub fn note_watched(&mut self, revision: StoreRevision) -> StoreRevision {
         let since = self.mark;
         self.set_mark(self.mark.max(revision));
         since
@@ -153,7 +154,7 @@
     }
 
     /// Notes what an agent tells of the watchers that it knows.
-    pub fn note_agent(&mut self, watchers: u32, mark: Option<u64>, now: Tick) {
+    pub fn note_agent(&mut self, watchers: u32, mark: Option<StoreRevision>, now: Tick) {
         self.agents += 1;
         self.watchers += watchers;
         if let Some(mark) = mark {
@@ -203,14 +204,14 @@
         self.is_watching != was_watching
     }
 
-    fn note_told(&mut self, mark: u64, now: Tick) {
+    fn note_told(&mut self, mark: StoreRevision, now: Tick) {
         self.told = self.told.max(mark);
         if self.told > self.mark {
             self.behind_since.get_or_insert(now);
         }
     }
 
-    fn set_mark(&mut self, mark: u64) {
+    fn set_mark(&mut self, mark: StoreRevision) {
         self.mark = mark;
         if self.told <= self.mark {
             self.behind_since = None;
--- a/src/relay/discovery/mod.rs
+++ b/src/relay/discovery/mod.rs
@@ -1,6 +1,6 @@
 //! What a process knows of its platform, and how current that is.
 //!
-//! - [`feed`]: how the platform's store is read,
+//! - [`feed`]: how the platform's store is read, and [`store_revision`]: up to where,
 //! - `follow`: when and what for,
 //! - `follow_quarantine`: what entries put there,
 //! - [`watch_pace`]: how long its watches wait,
@@ -15,4 +15,5 @@
 pub mod list_share;
 pub mod proof_share;
 pub mod rules;
+pub mod store_revision;
 pub mod watch_pace;
--- a/src/relay/discovery/proof_share.rs
+++ b/src/relay/discovery/proof_share.rs
@@ -19,6 +19,7 @@
 use std::ops::Range;
 use std::time::Duration;
 
+use super::store_revision::StoreRevision;
 use crate::time::Tick;
 
 /// Part of a lease after which a newer proof is looked for, at random. Entries that
@@ -40,7 +41,7 @@
     /// The question that it answers.
     pub nonce: u64,
     /// Revision of its configuration.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Age of its proof.
     pub age: Duration,
 }
@@ -81,7 +82,7 @@
 
 #[derive(Debug)]
 struct AheadProof {
-    revision: u64,
+    revision: StoreRevision,
     proven_at: Tick,
 }
 
@@ -117,7 +118,7 @@
     }
 
     /// Takes an answer. `revision` is that of the own configuration.
-    pub fn take_answer(&mut self, proof: PeerProof, revision: u64) -> PeerVerdict {
+    pub fn take_answer(&mut self, proof: PeerProof, revision: StoreRevision) -> PeerVerdict {
         let question = self.question.take_if(|question| question.nonce == proof.nonce);
         let Some(question) = question else { return PeerVerdict::Useless };
         // Ticks count from the start of the process.
@@ -134,7 +135,7 @@
 
     /// The moment at which a configuration of `revision`, which has come since, is
     /// proven by an answer to an earlier question.
-    pub fn take_ahead(&mut self, revision: u64) -> Option<Tick> {
+    pub fn take_ahead(&mut self, revision: StoreRevision) -> Option<Tick> {
         let ahead = self.ahead.take_if(|ahead| ahead.revision <= revision)?;
         Some(ahead.proven_at)
     }
--- a/src/relay/peers/config_copy.rs
+++ b/src/relay/peers/config_copy.rs
@@ -19,6 +19,7 @@
 use crate::client::full;
 use crate::error::{Error, Result};
 use crate::relay::discovery::rules::RelayConfig;
+use crate::relay::discovery::store_revision::StoreRevision;
 use crate::relay::shared::RelayShared;
 
 /// Path of the copy at another entry.
@@ -32,7 +33,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ConfigCopy {
     /// Revision of the object.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The configuration.
     pub config: Rc<RelayConfig>,
 }
--- a/src/relay/peers/load_note.rs
+++ b/src/relay/peers/load_note.rs
@@ -13,6 +13,7 @@
 use crate::relay::decide::request_digest::RequestDigest;
 use crate::relay::decide::stream_load::{StreamKey, StreamLoad};
 use crate::relay::discovery::list_share::ListNews;
+use crate::relay::discovery::store_revision::StoreRevision;
 
 /// Largest datagram that is read, in bytes.
 pub const MAX_NOTE: usize = 1_200;
@@ -28,7 +29,7 @@
         /// Age of its proof that its configuration is current, in milliseconds.
         proof_age_ms: Option<u32>,
         /// Up to where it knows the list of targets, where it watches that.
-        list_mark: Option<u64>,
+        list_mark: Option<StoreRevision>,
     },
     /// The agent's answer.
     #[serde(rename = "w")]
@@ -46,7 +47,7 @@
         /// Other entries that watch the list of targets.
         watchers: u32,
         /// Newest mark of the list that one of these has.
-        list_mark: Option<u64>,
+        list_mark: Option<StoreRevision>,
     },
     /// The list of targets changed. Passed on by the agent to the others.
     #[serde(rename = "c")]
@@ -82,7 +83,7 @@
         /// The question.
         nonce: u64,
         /// Revision of the configuration there.
-        revision: u64,
+        revision: StoreRevision,
         /// Age of the proof that it is current, in milliseconds, rounded up.
         proof_age_ms: u32,
     },
--- a/src/relay/peers/subscriber_set.rs
+++ b/src/relay/peers/subscriber_set.rs
@@ -8,6 +8,7 @@
 use super::load_note::LoadNote;
 use crate::relay::decide::quarantine::{QuarantineLedger, SuspectNews};
 use crate::relay::decide::stream_load::StreamKey;
+use crate::relay::discovery::store_revision::StoreRevision;
 use crate::time::Tick;
 
 /// Time without a subscription after which an entry counts as gone.
@@ -34,7 +35,7 @@
     /// When it proved its configuration current.
     proven_at: Option<Tick>,
     /// Up to where it knows the list of targets, where it watches that.
-    list_mark: Option<u64>,
+    list_mark: Option<StoreRevision>,
 }
 
 /// A datagram to be sent.
@@ -101,7 +102,7 @@
         let proof_age_ms = proof_age.and_then(|age| u32::try_from(age.as_millis()).ok());
         let proof_from = newest.map(|(address, _)| address);
         let entries = self.subscribers.len() as u32;
-        let marks: Vec<u64> = self.watcher_marks(from, now).collect();
+        let marks: Vec<StoreRevision> = self.watcher_marks(from, now).collect();
         let welcome = LoadNote::Welcome {
             target: "".into(),
             entries,
@@ -132,7 +133,7 @@
     }
 
     /// Marks of the entries that watch the list, but for the one at `to`.
-    fn watcher_marks(&self, to: SocketAddr, now: Tick) -> impl Iterator<Item = u64> {
+    fn watcher_marks(&self, to: SocketAddr, now: Tick) -> impl Iterator<Item = StoreRevision> {
         let others = self.subscribers.iter().filter(move |(from, _)| **from != to);
         let heard = others.filter(move |(_, other)| now.since(other.heard_at) <= WATCHER_SPAN);
         heard.filter_map(|(_, other)| other.list_mark)
--- a/standins/src/replay/world.rs
+++ b/standins/src/replay/world.rs
@@ -16,6 +16,7 @@
 use shalelane::relay::decide::targets::TargetRecord;
 use shalelane::relay::discovery::freshness::StalePolicy;
 use shalelane::relay::discovery::rules::{RelayConfig, ServiceRule};
+use shalelane::relay::discovery::store_revision::StoreRevision;
 use shalelane::relay::peers::load_note::LoadNote;
 use shalelane::time::{Tick, TimerService};
 
@@ -162,7 +163,7 @@
         failure_domain: "here".into(),
         capacity: rates.capacity,
         is_leaving: false,
-        listed_at: number.into(),
+        listed_at: StoreRevision { epoch: 0, number: number.into() },
     });
     core.take_list(records.collect(), false, Tick::default());
     core
--- a/tests/relay/fixture.rs
+++ b/tests/relay/fixture.rs
@@ -13,6 +13,7 @@
 use shalelane::relay::decide::stream_load::{StreamKey, StreamLoad};
 use shalelane::relay::decide::targets::{TargetRecord, TargetSet};
 use shalelane::relay::discovery::freshness::StalePolicy;
+use shalelane::relay::discovery::store_revision::StoreRevision;
 use shalelane::time::Tick;
 
 /// The entry that looks on.
@@ -52,6 +53,11 @@
     })
 }
 
+/// A revision of a store that never came back from a copy.
+pub fn revision(number: u64) -> StoreRevision {
+    StoreRevision { epoch: 0, number }
+}
+
 pub fn record(name: &str, number: u8) -> TargetRecord {
     TargetRecord {
         incarnation: name.into(),
@@ -61,7 +67,7 @@
         failure_domain: "here".into(),
         capacity: 16,
         is_leaving: false,
-        listed_at: u64::from(number),
+        listed_at: revision(number.into()),
     }
 }
 
--- a/tests/relay/list_news.rs
+++ b/tests/relay/list_news.rs
@@ -7,16 +7,16 @@
 use shalelane::relay::discovery::list_share::{ListNews, ListShare, NewsVerdict};
 use shalelane::relay::peers::load_note::{LoadNote, MAX_NOTE};
 
-use crate::fixture::{at, check, limits, name, record};
+use crate::fixture::{at, check, limits, name, record, revision};
 
 fn news(since: u64, mark: u64) -> ListNews {
-    ListNews { since, mark, changes: Vec::new() }
+    ListNews { since: revision(since), mark: revision(mark), changes: Vec::new() }
 }
 
 /// A share that knows all up to `mark`.
 fn share(mark: u64) -> ListShare {
     let mut share = ListShare::default();
-    share.note_list(mark, mark);
+    share.note_list(revision(mark), revision(mark));
     share
 }
 
@@ -29,8 +29,8 @@
     share
 }
 
-fn list(revision: u64, records: Vec<TargetRecord>) -> TargetList {
-    TargetList { records, revision, changed_at: 5, unreadable: Vec::new() }
+fn list(number: u64, records: Vec<TargetRecord>) -> TargetList {
+    TargetList { records, changed_at: revision(5), ..TargetList::new(revision(number)) }
 }
 
 /// An entry that knows two targets by a list that was read at revision 5.
@@ -49,7 +49,7 @@
     assert_eq!(share.take_news(&news(10, 12), at(0)), NewsVerdict::Known);
     assert_eq!(share.take_news(&news(11, 14), at(0)), NewsVerdict::Next, "they overlap");
     assert_eq!(share.take_news(&news(8, 13), at(0)), NewsVerdict::Known, "late ones");
-    assert_eq!(share.mark(), 14);
+    assert_eq!(share.mark(), revision(14));
 }
 
 #[test]
@@ -58,15 +58,15 @@
     assert_eq!(share.take_news(&news(12, 14), at(2_000)), NewsVerdict::Gap);
     assert!(!share.is_behind(at(2_100)), "copies may come another way");
     assert!(share.is_behind(at(2_200)));
-    share.note_list(15, 9);
+    share.note_list(revision(15), revision(9));
     assert!(!share.is_behind(at(2_300)));
-    assert_eq!(share.mark(), 14, "what was told of is in a list of a later revision");
+    assert_eq!(share.mark(), revision(14), "what was told of is in a list of a later revision");
 }
 
 #[test]
 fn a_mark_that_agents_tell_shows_that_news_were_lost() {
     let mut share = listener(10);
-    share.note_agent(3, Some(11), at(2_000));
+    share.note_agent(3, Some(revision(11)), at(2_000));
     assert!(share.is_behind(at(2_200)));
     assert_eq!(share.take_news(&news(10, 11), at(2_210)), NewsVerdict::Next);
     assert!(!share.is_behind(at(2_300)));
@@ -77,7 +77,7 @@
 #[test]
 fn a_watch_that_is_silent_while_others_hear_is_noticed() {
     let mut share = share(10);
-    share.note_agent(3, Some(11), at(2_000));
+    share.note_agent(3, Some(revision(11)), at(2_000));
     assert!(share.is_watching());
     assert!(!share.is_behind(at(4_000)), "it may rest between two answers");
     assert!(share.is_behind(at(4_600)));
@@ -148,7 +148,7 @@
     let (mut watcher, mut other) = (core_of_two(), core_of_two());
     let leaving = TargetRecord { is_leaving: true, ..record("a", 1) };
     let changes = vec![TargetChange::Listed(leaving), TargetChange::Removed(name("b"))];
-    let (change, news) = watcher.take_watched(changes, 9, false, at(100));
+    let (change, news) = watcher.take_watched(changes, revision(9), false, at(100));
     assert_eq!(other.take_list_news(&news.clone().unwrap(), false, at(102)), change);
     assert!(!other.targets.get("a").unwrap().is_usable(at(103)));
     assert!(other.targets.get("b").is_none());
@@ -162,7 +162,7 @@
 fn who_never_lost_the_store_takes_a_removal_at_once() {
     let (mut turned_away, mut other) = (core_of_two(), core_of_two());
     let changes = vec![TargetChange::Removed(name("b"))];
-    let (change, news) = turned_away.take_watched(changes, 9, true, at(13_070));
+    let (change, news) = turned_away.take_watched(changes, revision(9), true, at(13_070));
     assert_eq!(change.removed, [], "it may come back");
     let change = other.take_list_news(&news.unwrap(), false, at(13_072));
     assert_eq!(change.removed, [name("b")]);
@@ -174,7 +174,7 @@
 #[test]
 fn a_removal_that_is_seen_by_reading_again_shows_in_the_mark() {
     let mut watcher = core_of_two();
-    watcher.note_list(9, 5);
+    watcher.note_list(revision(9), revision(5));
     let change = watcher.take_list(vec![record("a", 1)], false, at(3_000));
     assert_eq!(change.removed, [name("b")]);
     let mut other = listener(5);
@@ -186,12 +186,12 @@
 #[test]
 fn a_removal_that_becomes_final_later_shows_in_the_mark() {
     let mut watcher = core_of_two();
-    watcher.note_list(9, 5);
+    watcher.note_list(revision(9), revision(5));
     let change = watcher.take_list(vec![record("a", 1)], true, at(3_000));
     assert_eq!(change.removed, [], "it may come back");
-    assert_eq!(watcher.list_share().mark(), 5);
+    assert_eq!(watcher.list_share().mark(), revision(5));
     assert_eq!(watcher.expire_targets(at(5_000)).removed, [name("b")]);
-    assert_eq!(watcher.list_share().mark(), 9);
+    assert_eq!(watcher.list_share().mark(), revision(9));
 }
 
 /// Others need not read the list, too, where one entry can tell them what changed.
@@ -200,7 +200,7 @@
     let (mut watcher, mut other) = (core_of_two(), core_of_two());
     let (_, news) = watcher.take_reread(list(9, vec![record("a", 1)]), false, at(3_000));
     let news = news.expect("a target is gone");
-    assert_eq!((news.since, news.mark), (5, 9));
+    assert_eq!((news.since, news.mark), (revision(5), revision(9)));
     assert_eq!(other.take_list_news(&news, false, at(3_001)).removed, [name("b")]);
     let (_, news) = watcher.take_reread(list(12, vec![record("a", 1)]), false, at(4_000));
     assert_eq!(news, None, "nothing changed");
@@ -210,7 +210,7 @@
 fn news_of_ten_targets_fit_a_datagram() {
     let changes = (0..10)
         .map(|number| TargetChange::Listed(record(&format!("i-0123456789{number}"), number)));
-    let news = ListNews { since: 1, mark: 2, changes: changes.collect() };
+    let news = ListNews { since: revision(1), mark: revision(2), changes: changes.collect() };
     let note = LoadNote::ListChanged(news);
     let bytes = note.to_bytes().unwrap();
     assert!(bytes.len() <= MAX_NOTE, "{} bytes", bytes.len());
--- a/tests/relay/lives.rs
+++ b/tests/relay/lives.rs
@@ -9,7 +9,7 @@
 use shalelane::relay::discovery::rules::{RelayConfig, ServiceRule};
 use shalelane::relay::peers::engine_watch::{EngineWatch, ReportEnd};
 
-use crate::fixture::{at, limits, name, need, rates, record};
+use crate::fixture::{at, limits, name, need, rates, record, revision};
 
 fn born(born_ms: u64) -> TargetRecord {
     TargetRecord { born_ms, ..record("a", 1) }
@@ -69,8 +69,8 @@
     let mut core = core_of(vec![born(100)]);
     let list = shalelane::relay::discovery::feed::TargetList {
         records: vec![born(200)],
-        revision: 9,
-        changed_at: 9,
+        revision: revision(9),
+        changed_at: revision(9),
         unreadable: Vec::new(),
     };
     let (_, news) = core.take_reread(list, false, at(10));
--- a/tests/relay/notices.rs
+++ b/tests/relay/notices.rs
@@ -13,7 +13,7 @@
 use shalelane::relay::discovery::rules::{RelayConfig, ServiceRule};
 use shalelane::time::Tick;
 
-use crate::fixture::{at, limits, ms, name, need, rates, record};
+use crate::fixture::{at, limits, ms, name, need, rates, record, revision};
 
 const LEAVING: TargetNotice = TargetNotice { is_leaving: true, backoff: None };
 
@@ -137,7 +137,7 @@
         let mut listed = records(&["a", "b"]);
         listed[0].is_leaving = true;
         let list =
-            TargetList { records: listed, revision: 9, changed_at: 9, unreadable: Vec::new() };
+            TargetList { records: listed, changed_at: revision(9), ..TargetList::new(revision(9)) };
         let (change, news) = core.take_reread(list, false, at(20));
         assert_eq!(change.leaving, [name("a")]);
         assert_eq!(news.unwrap().changes.len(), 1);
--- a/tests/relay/proofs.rs
+++ b/tests/relay/proofs.rs
@@ -11,17 +11,20 @@
 use shalelane::relay::peers::load_note::LoadNote;
 use shalelane::time::Tick;
 
-use crate::fixture::{at, check, limits, ms, name};
+use crate::fixture::{at, check, limits, ms, name, revision};
 
 fn peer() -> SocketAddr {
     ([10, 0, 1, 2], 7000).into()
 }
 
 /// An entry that proved revision `revision` by a read sent at `proven_at`.
-fn entry(number: u64, revision: u64, proven_at: Tick) -> RelayCore {
+fn entry(number: u64, at_revision: u64, proven_at: Tick) -> RelayCore {
     let mut core = RelayCore::new(limits(StalePolicy::FailClosed), number);
-    core.take_config(Some(RelayConfig { version: revision, ..RelayConfig::default() }), proven_at);
-    core.set_config_revision(revision);
+    core.take_config(
+        Some(RelayConfig { version: at_revision, ..RelayConfig::default() }),
+        proven_at,
+    );
+    core.set_config_revision(revision(at_revision));
     core
 }
 
@@ -121,8 +124,8 @@
     share.note_source(peer(), at(900));
     let nonce = 7;
     share.ask(nonce, at(0), at(950)).unwrap();
-    let proof = PeerProof { nonce, revision: 5, age: ms(1_000) };
-    assert_eq!(share.take_answer(proof, 5), PeerVerdict::Useless);
+    let proof = PeerProof { nonce, revision: revision(5), age: ms(1_000) };
+    assert_eq!(share.take_answer(proof, revision(5)), PeerVerdict::Useless);
 }
 
 /// Past failure: entries that the store turned away while keys were taken away refused
@@ -137,7 +140,7 @@
     assert_eq!(core.take_proof(proof), PeerVerdict::Behind);
     let bytes = other.config_copy().unwrap().to_bytes().unwrap();
     assert!(core.take_copy(&ConfigCopy::from_bytes(&bytes).unwrap(), at(0)));
-    assert_eq!((core.rules().version(), core.config_revision()), (6, 6));
+    assert_eq!((core.rules().version(), core.config_revision()), (6, revision(6)));
     assert_eq!(core.lease().proven_at(), Some(at(9_700) - proof.age));
 }
 
--- a/tests/relay/subset.rs
+++ b/tests/relay/subset.rs
@@ -23,7 +23,7 @@
 fn fleet() -> TargetSet {
     let mut set = engines(150);
     for target in set.iter_mut() {
-        let domain = target.record.listed_at % 5;
+        let domain = target.record.listed_at.number % 5;
         target.record.failure_domain = format!("d{domain}").into();
     }
     set
--- a/tests/relay/targets.rs
+++ b/tests/relay/targets.rs
@@ -6,7 +6,7 @@
 use shalelane::relay::discovery::freshness::StalePolicy;
 use shalelane::relay::discovery::rules::{RelayConfig, ServiceRule};
 
-use crate::fixture::{at, limits, name, need, rates, record};
+use crate::fixture::{at, limits, name, need, rates, record, revision};
 
 const ANY: TargetScope<'static> = TargetScope::Untried(&[]);
 
@@ -89,7 +89,7 @@
 /// and a joint read named one address twice.
 #[test]
 fn of_two_lives_at_one_address_only_the_later_is_used() {
-    let later = TargetRecord { listed_at: 9, ..record("b", 1) };
+    let later = TargetRecord { listed_at: revision(9), ..record("b", 1) };
     let mut set = listed(&[record("a", 1), later]);
     assert_eq!(usable(&set), ["b"]);
     set.take_removal("b", false, at(10));
