Compare revisions of the store by its epoch

Cause: revisions were compared by number, and a store that is back from an old copy gives numbers out again: the same number may be another content, and a lower one may be later. Change: StoreRevision orders by epoch first. An epoch that is new in any answer has the configuration and the list read anew and both watches begun anew; answers of the last epoch are not taken. Proofs and copies hold in their epoch only, a proof is told in the epoch in which it was made; news of the list lead from mark to mark of one epoch; of two targets at an address the one listed in the later epoch has it; a write that met another epoch has the object read anew. A store that shows an earlier version than the one in force proves nothing until that is written again. A target that had gone and that the copy shows again under the same count is left alone for 5 s (its test failed before that). Sight: lines 'store back from a copy' and 'store holds an earlier configuration', gauge shalelane_relay_store_epoch.

--- a/src/relay/core/configuration.rs
+++ b/src/relay/core/configuration.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use super::RelayCore;
+use crate::relay::discovery::feed::{ConfigNews, ConfigRead};
 use crate::relay::discovery::proof_share::{PeerProof, PeerVerdict, ProofShare};
 use crate::relay::discovery::rules::{RelayConfig, RuleTable};
 use crate::relay::discovery::store_revision::StoreRevision;
@@ -12,24 +13,49 @@
 use crate::time::Tick;
 
 impl RelayCore {
-    /// Takes the result of a linearizable read that was sent at `sent_at`;
-    /// `config` is none where it is the one that is known. Returns true where
-    /// another version came into force.
+    /// Takes a linearizable read that was sent at `sent_at`. Returns true where another
+    /// version came into force.
+    pub fn take_read(&mut self, read: ConfigRead, sent_at: Tick) -> bool {
+        // An answer that was under way while the store came back from a copy.
+        if read.revision.epoch < self.config_revision.epoch {
+            return false;
+        }
+        // One that was overtaken by a watch holds what has been replaced since.
+        let config = read.config.filter(|_| read.revision >= self.config_revision);
+        self.set_config_revision(read.revision);
+        self.take_config(config, sent_at)
+    }
+
+    /// Takes the configuration of such a read, none where it is the one that is known.
+    /// Returns true where another version came into force.
     pub fn take_config(&mut self, config: Option<RelayConfig>, sent_at: Tick) -> bool {
-        self.lease.renew(sent_at);
-        config.is_some_and(|config| self.take_news(config, sent_at))
+        let is_new = config.is_some_and(|config| self.take_version(config, sent_at));
+        self.prove(sent_at);
+        is_new
     }
 
     /// Takes a configuration that a watch told of, which proves nothing about
     /// later ones. Returns true where it came into force.
-    pub fn take_news(&mut self, config: RelayConfig, now: Tick) -> bool {
+    pub fn take_news(&mut self, news: ConfigNews, now: Tick) -> bool {
+        if news.revision < self.config_revision {
+            return false;
+        }
+        self.set_config_revision(news.revision);
+        self.take_version(news.config, now)
+    }
+
+    fn take_version(&mut self, config: RelayConfig, now: Tick) -> bool {
         self.quarantine.take_records(&config.quarantine, self.unix_ms(now), now);
-        if config.version == self.rules.version() {
-            self.config = Some(Rc::new(config));
+        // A lower version than the one in force would be a step back. A store that has come
+        // back from a copy with one may have lost a later one than is known here, too.
+        let is_lower = config.version < self.rules.version();
+        self.is_store_behind = is_lower && self.rules_epoch != self.config_revision.epoch;
+        if is_lower {
             return false;
         }
-        // A lower version than the one in force would be a step back.
-        if config.version <= self.rules.version() {
+        self.rules_epoch = self.config_revision.epoch;
+        if config.version == self.rules.version() {
+            self.config = Some(Rc::new(config));
             return false;
         }
         self.rules = Rc::new(RuleTable::from_config(config.clone()));
@@ -38,10 +64,38 @@
         true
     }
 
+    /// Renews the lease, where what the store holds is what is in force.
+    fn prove(&mut self, at: Tick) {
+        if !self.is_store_behind {
+            self.lease.renew(at);
+            self.proven_epoch = self.config_revision.epoch;
+        }
+    }
+
+    /// Returns true where the store holds an earlier configuration than the one in force.
+    #[must_use]
+    pub fn is_store_behind(&self) -> bool {
+        self.is_store_behind
+    }
+
+    /// Notes the epoch that an answer of the store names. Returns the one that was known
+    /// before, where the store has come back from a copy since.
+    pub fn note_epoch(&mut self, epoch: u64) -> Option<u64> {
+        let known = self.store_epoch;
+        self.store_epoch = known.max(Some(epoch));
+        known.filter(|known| *known < epoch)
+    }
+
+    /// Newest epoch of the store that is known.
+    #[must_use]
+    pub fn store_epoch(&self) -> u64 {
+        self.store_epoch.unwrap_or(0)
+    }
+
     /// The configuration in force, for another entry.
     #[must_use]
     pub fn config_copy(&self) -> Option<ConfigCopy> {
-        let config = self.config.clone()?;
+        let config = self.config.clone().filter(|_| !self.is_store_behind)?;
         Some(ConfigCopy { revision: self.config_revision, config })
     }
 
@@ -51,10 +105,10 @@
         if copy.revision <= self.config_revision {
             return false;
         }
-        let is_new = self.take_news((*copy.config).clone(), now);
         self.set_config_revision(copy.revision);
+        let is_new = self.take_version((*copy.config).clone(), now);
         if let Some(proven_at) = self.proof_share.take_ahead(copy.revision) {
-            self.lease.renew(proven_at);
+            self.prove(proven_at);
         }
         is_new
     }
@@ -88,6 +142,10 @@
     #[must_use]
     pub fn tell_proof(&self, nonce: u64, now: Tick) -> Option<LoadNote> {
         const ROUNDING: u32 = 1;
+        // A proof of the store's last epoch says nothing of a revision of this one.
+        if self.proven_epoch != self.config_revision.epoch {
+            return None;
+        }
         let age = self.lease.age(now).filter(|_| self.lease.is_held(now))?;
         let proof_age_ms = u32::try_from(age.as_millis()).ok()? + ROUNDING;
         Some(LoadNote::TellProof { nonce, revision: self.config_revision, proof_age_ms })
@@ -97,7 +155,7 @@
     pub fn take_proof(&mut self, proof: PeerProof) -> PeerVerdict {
         let verdict = self.proof_share.take_answer(proof, self.config_revision);
         if let PeerVerdict::ProvenAt(at) = verdict {
-            self.lease.renew(at);
+            self.prove(at);
         }
         verdict
     }
--- a/src/relay/core/mod.rs
+++ b/src/relay/core/mod.rs
@@ -78,11 +78,19 @@
     entry: u64,
     next_number: u64,
     rules: Rc<RuleTable>,
+    /// Epoch of the store that held them last.
+    rules_epoch: u64,
     lease: FreshnessLease,
     proof_share: ProofShare,
     list_share: ListShare,
     /// Revision of the configuration in the store.
     config_revision: StoreRevision,
+    /// Whether what the store holds there is earlier than the configuration in force.
+    is_store_behind: bool,
+    /// Epoch of the store in which the configuration was proven last.
+    proven_epoch: u64,
+    /// Newest epoch of the store that is known, none before its first answer.
+    store_epoch: Option<u64>,
     /// The configuration in force, to be passed on.
     config: Option<Rc<RelayConfig>>,
     /// The targets.
@@ -108,9 +116,13 @@
             entry,
             next_number: 0,
             rules: Rc::default(),
+            rules_epoch: 0,
             proof_share: ProofShare::default(),
             list_share: ListShare::default(),
             config_revision: StoreRevision::default(),
+            is_store_behind: false,
+            proven_epoch: 0,
+            store_epoch: None,
             config: None,
             targets: TargetSet::default(),
             expired: ListChange::default(),
--- a/src/relay/core/quarantine.rs
+++ b/src/relay/core/quarantine.rs
@@ -134,14 +134,20 @@
     }
 
     /// Notes that the store keeps these records, in an object that has this revision now.
+    /// Returns false where the object has to be read anew: a store that has come back from a
+    /// copy may have the revision that was written at once more, with another content.
     pub fn note_written(
         &mut self,
         records: &[QuarantineRecord],
         revision: StoreRevision,
         now: Tick,
-    ) {
+    ) -> bool {
+        if revision.epoch != self.config_revision.epoch {
+            return false;
+        }
         self.set_config_revision(revision);
         let unix_ms = self.unix_ms(now);
         self.quarantine.take_records(records, unix_ms, now);
+        true
     }
 }
--- a/src/relay/core/target_list.rs
+++ b/src/relay/core/target_list.rs
@@ -42,12 +42,9 @@
         let since = self.list_share.mark();
         self.note_list(list.revision, list.changed_at);
         let change = self.take_list(list.records, is_after_outage, now);
-        let is_told = is_told && !change.is_empty();
-        let news = is_told.then(|| ListNews {
-            since,
-            mark: self.list_share.mark(),
-            changes: self.to_changes(&change),
-        });
+        let mark = self.list_share.mark();
+        let is_told = is_told && !change.is_empty() && mark.epoch == since.epoch;
+        let news = is_told.then(|| ListNews { since, mark, changes: self.to_changes(&change) });
         (change, news)
     }
 
--- a/src/relay/counts.rs
+++ b/src/relay/counts.rs
@@ -55,6 +55,7 @@
     config_version: IntGauge,
     proof_age: IntGauge,
     serves_unproven: IntGauge,
+    store_epoch: IntGauge,
     targets: IntGauge,
     held_back: IntGauge,
 }
@@ -110,6 +111,10 @@
                 "shalelane_relay_serves_unproven",
                 "1 while callers are served by a configuration that can not be proven current",
             ),
+            store_epoch: page.add_gauge(
+                "shalelane_relay_store_epoch",
+                "times that the store came back from a copy",
+            ),
             targets: page.add_gauge("shalelane_relay_targets", "known targets"),
             held_back: page.add_gauge(
                 "shalelane_relay_held_back",
@@ -187,6 +192,7 @@
         self.proof_age.set(i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
         let is_unproven = core.lease().permits_keys(now) && !core.lease().is_held(now);
         self.serves_unproven.set(i64::from(is_unproven));
+        self.store_epoch.set(core.store_epoch() as i64);
         self.targets.set(core.targets.iter().count() as i64);
         self.held_back.set(core.quarantine().holds().held_count(now) as i64);
         self.page.to_text()
--- a/src/relay/decide/target_notice.rs
+++ b/src/relay/decide/target_notice.rs
@@ -6,13 +6,19 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::target_state::TargetLife;
+use super::target_state::{TargetLife, TargetRecord};
+use crate::relay::discovery::store_revision::StoreRevision;
 use crate::time::Tick;
 
 /// Time for which it is remembered what a target said that is not listed any more: a target
 /// that leaves may serve on for many seconds, and its entry may come back meanwhile.
 const KEPT_SPAN: Duration = Duration::from_secs(60);
 
+/// Time after its removal for which a target is left alone that a store shows again which is
+/// back from a copy: what targets wrote since is written again, and a target that has ended
+/// is dropped after three heartbeats.
+const REWRITTEN_SPAN: Duration = Duration::from_secs(5);
+
 /// Most targets of which that is remembered.
 const MOST_KEPT: usize = 1_024;
 
@@ -51,53 +57,63 @@
             self.backoff_until = self.backoff_until.max(now + span);
         }
     }
+}
 
-    fn binds(&self, now: Tick) -> bool {
-        self.is_leaving || self.backoff_until > now
-    }
+/// A target that is not listed any more.
+#[derive(Debug)]
+struct FormerTarget {
+    said: KeptNotice,
+    listed_at: StoreRevision,
+    removed_at: Tick,
 }
 
-/// What targets said that are not listed any more, and when each was listed last.
+/// What targets said that are not listed any more.
 #[derive(Debug, Default)]
 pub struct NoticeMemory {
-    kept: HashMap<TargetLife, (KeptNotice, Tick)>,
+    former: HashMap<TargetLife, FormerTarget>,
 }
 
 impl NoticeMemory {
-    /// Keeps what a life has said that is not listed any more.
-    pub fn keep(&mut self, life: TargetLife, notice: KeptNotice, now: Tick) {
-        if !notice.binds(now) {
-            return;
-        }
+    /// Keeps what a target has said that is not listed any more.
+    pub fn keep(&mut self, record: &TargetRecord, said: KeptNotice, now: Tick) {
         self.expire(now);
-        if self.kept.len() >= MOST_KEPT {
-            let oldest = self.kept.iter().min_by_key(|(_, (_, at))| *at);
+        if self.former.len() >= MOST_KEPT {
+            let oldest = self.former.iter().min_by_key(|(_, former)| former.removed_at);
             if let Some(oldest) = oldest.map(|(life, _)| life.clone()) {
-                self.kept.remove(&oldest);
+                self.former.remove(&oldest);
             }
         }
-        self.kept.insert(life, (notice, now));
+        let listed_at = record.listed_at;
+        let former = FormerTarget { said, listed_at, removed_at: now };
+        self.former.insert(record.to_life(), former);
     }
 
-    /// What a life has said before, where it is listed anew.
-    pub fn recall(&mut self, life: &TargetLife, now: Tick) -> KeptNotice {
+    /// What a target has said before that is listed anew.
+    pub fn recall(&mut self, record: &TargetRecord, now: Tick) -> KeptNotice {
         self.expire(now);
-        self.kept.remove(life).map(|(notice, _)| notice).unwrap_or_default()
+        let Some(former) = self.former.remove(&record.to_life()) else {
+            return KeptNotice::default();
+        };
+        let mut said = former.said;
+        if record.listed_at.is_copy_of(former.listed_at) {
+            said.backoff_until = said.backoff_until.max(former.removed_at + REWRITTEN_SPAN);
+        }
+        said
     }
 
     /// How many targets are remembered.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.kept.len()
+        self.former.len()
     }
 
     /// Returns true where none is.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.kept.is_empty()
+        self.former.is_empty()
     }
 
     fn expire(&mut self, now: Tick) {
-        self.kept.retain(|_, (_, at)| now.since(*at) < KEPT_SPAN);
+        self.former.retain(|_, former| now.since(former.removed_at) < KEPT_SPAN);
     }
 }
--- a/src/relay/decide/targets.rs
+++ b/src/relay/decide/targets.rs
@@ -191,7 +191,7 @@
         // A new life knows nothing of what the last one was sent, and owes nothing of what it
         // said. One that was missing for a while does.
         let mut state = TargetState::new(record, now);
-        state.said = self.notices.recall(&state.record.to_life(), now);
+        state.said = self.notices.recall(&state.record, now);
         match self.targets.insert(name.clone(), state) {
             Some(former) => {
                 change.ended.extend(former.to_ended());
@@ -223,7 +223,7 @@
         self.targets.retain(|name, target| {
             let is_gone = target.gone_at.is_some_and(|at| now >= at);
             if is_gone {
-                self.notices.keep(target.record.to_life(), target.said, now);
+                self.notices.keep(&target.record, target.said, now);
                 change.removed.push(name.clone());
                 change.ended.extend(target.to_ended());
             }
--- a/src/relay/discovery/feed.rs
+++ b/src/relay/discovery/feed.rs
@@ -58,7 +58,8 @@
     /// A list that is true up to a revision, and empty so far.
     #[must_use]
     pub fn new(revision: StoreRevision) -> Self {
-        TargetList { revision, ..TargetList::default() }
+        let changed_at = StoreRevision { number: 0, ..revision };
+        TargetList { revision, changed_at, ..TargetList::default() }
     }
 }
 
--- a/src/relay/discovery/follow.rs
+++ b/src/relay/discovery/follow.rs
@@ -39,10 +39,12 @@
 /// Follows the configuration for as long as the process runs.
 pub(crate) async fn follow_config(shared: Rc<RelayShared>, feed: Rc<PlatformFeed>) {
     let mut is_there = true;
-    let mut watching: Option<AbortOnDrop> = None;
+    let mut watching: Option<ConfigWatcher> = None;
     loop {
-        // A watch that has ended begins anew with a read.
-        let is_watching = watching.as_ref().is_some_and(|watch| !watch.is_finished());
+        // A watch that has ended, or is one of the store before it came back from a copy,
+        // begins anew with a read.
+        watching = watching.filter(|watch| watch.is_open(&shared));
+        let is_watching = watching.is_some();
         if is_there && is_watching && ask_peers(&shared).await == PeerEnd::Proven {
             let due = next_refresh(&shared);
             take_news_until(&shared, due).await;
@@ -77,22 +79,15 @@
         // Without a configuration there is nothing to obey yet: nothing is
         // proven, and nobody is let in.
         if let Some(read) = read {
-            shared.core.borrow_mut().set_config_revision(read.revision);
+            let begins_at = read.store_revision;
+            shared.note_epoch(begins_at.epoch);
             // A watch that did not tell of a change may be deaf.
-            if read.config.is_some() {
-                watching = None;
-            }
-            let mut core = shared.core.borrow_mut();
-            if core.take_config(read.config, sent_at) {
-                shared.log.config_changed(core.rules().version());
-            }
-            drop(core);
+            let is_deaf = read.config.is_some();
+            shared.take_read(read, sent_at);
             shared.tell_suspects();
             shared.note_started();
-            if watching.as_ref().is_none_or(AbortOnDrop::is_finished) {
-                let task = watch_config(shared.clone(), feed.clone(), read.store_revision);
-                watching = Some(AbortOnDrop(tokio::task::spawn_local(task)));
-            }
+            watching = watching.filter(|watch| watch.is_open(&shared) && !is_deaf);
+            watching.get_or_insert_with(|| ConfigWatcher::start(&shared, &feed, begins_at));
         }
         // Others need not read what has just been read here.
         shared.link.announce(&shared.core.borrow(), shared.now());
@@ -186,8 +181,7 @@
         let news = shared.config_news.borrow_mut().take();
         let Some(news) = news else { return };
         let mut core = shared.core.borrow_mut();
-        core.set_config_revision(news.revision);
-        if core.take_news(news.config, shared.now()) {
+        if core.take_news(news, shared.now()) {
             shared.log.config_changed(core.rules().version());
         }
         drop(core);
@@ -195,18 +189,27 @@
     }
 }
 
-/// A task that ends with its handle.
-struct AbortOnDrop(tokio::task::JoinHandle<()>);
+/// A watch of the configuration, which ends when this is dropped.
+struct ConfigWatcher {
+    task: tokio::task::JoinHandle<()>,
+    /// Epoch of the store in which it began.
+    epoch: u64,
+}
+
+impl ConfigWatcher {
+    fn start(shared: &Rc<RelayShared>, feed: &Rc<PlatformFeed>, after: StoreRevision) -> Self {
+        let task = tokio::task::spawn_local(watch_config(shared.clone(), feed.clone(), after));
+        ConfigWatcher { task, epoch: after.epoch }
+    }
 
-impl AbortOnDrop {
-    fn is_finished(&self) -> bool {
-        self.0.is_finished()
+    fn is_open(&self, shared: &RelayShared) -> bool {
+        !self.task.is_finished() && self.epoch == shared.core.borrow().store_epoch()
     }
 }
 
-impl Drop for AbortOnDrop {
+impl Drop for ConfigWatcher {
     fn drop(&mut self) {
-        self.0.abort();
+        self.task.abort();
     }
 }
 
@@ -236,6 +239,10 @@
         let result = (feed.watch_config)(revision, wait_of(&shared)).await;
         shared.counts.borrow().note_store_call(StoreCall::ConfigWatch);
         match result {
+            Ok(ConfigWatch::Changes(_, next)) if next.epoch != revision.epoch => {
+                shared.note_epoch(next.epoch);
+                break (WatchEnd::Forgotten, shared.now().since(begun));
+            }
             Ok(ConfigWatch::Changes(news, next)) => {
                 revision = next;
                 if news.is_some() {
@@ -327,9 +334,14 @@
     let now = shared.now();
     match result {
         Ok(list) => {
+            let revision = list.revision;
+            shared.note_epoch(revision.epoch);
+            if revision.epoch < shared.core.borrow().store_epoch() {
+                // It was under way while the store came back from a copy.
+                return None;
+            }
             let is_after_outage = now.since(heard_at) > LONGEST_WAIT + OUTAGE;
             let is_after_outage = is_after_outage || shared.was_away(now);
-            let revision = list.revision;
             shared.log.entries_unreadable(&list.unreadable, now);
             let (change, news) = shared.core.borrow_mut().take_reread(list, is_after_outage, now);
             shared.log.targets_changed(&change);
@@ -359,6 +371,10 @@
     let result = (feed.watch_targets)(revision, wait_of(shared)).await;
     shared.counts.borrow().note_store_call(StoreCall::ListWatch);
     match result {
+        Ok(TargetWatch::Changes(news)) if news.revision.epoch != revision.epoch => {
+            shared.note_epoch(news.revision.epoch);
+            None
+        }
         Ok(TargetWatch::Changes(TargetNews { changes, revision: next, unreadable })) => {
             let now = shared.now();
             shared.log.entries_unreadable(&unreadable, now);
--- a/src/relay/discovery/follow_quarantine.rs
+++ b/src/relay/discovery/follow_quarantine.rs
@@ -40,7 +40,11 @@
     shared.counts.borrow().note_store_call(StoreCall::QuarantineWrite);
     match result {
         Ok(WriteEnd::Done(revision)) => {
-            shared.core.borrow_mut().note_written(&records, revision, shared.now());
+            shared.note_epoch(revision.epoch);
+            let is_known = shared.core.borrow_mut().note_written(&records, revision, shared.now());
+            if !is_known {
+                read_again(shared, feed).await;
+            }
         }
         Ok(WriteEnd::Conflict) => read_again(shared, feed).await,
         Err(error) => {
@@ -58,11 +62,8 @@
     shared.counts.borrow().note_store_call(StoreCall::ConfigRead);
     match result {
         Ok(Some(read)) => {
-            let mut core = shared.core.borrow_mut();
-            core.set_config_revision(read.revision);
-            if core.take_config(read.config, sent_at) {
-                shared.log.config_changed(core.rules().version());
-            }
+            shared.note_epoch(read.revision.epoch);
+            shared.take_read(read, sent_at);
         }
         Ok(None) => {}
         Err(error) => {
--- a/src/relay/discovery/list_share.rs
+++ b/src/relay/discovery/list_share.rs
@@ -145,7 +145,9 @@
         if news.mark <= self.mark {
             return NewsVerdict::Known;
         }
-        if news.since > self.mark {
+        // What is told over the return of the store from a copy leaves out what was lost.
+        let is_of_epoch = [news.since.epoch, news.mark.epoch] == [self.mark.epoch; 2];
+        if news.since > self.mark || !is_of_epoch {
             self.note_told(news.mark, now);
             return NewsVerdict::Gap;
         }
--- a/src/relay/discovery/proof_share.rs
+++ b/src/relay/discovery/proof_share.rs
@@ -126,6 +126,10 @@
             return PeerVerdict::Useless;
         }
         let proven_at = question.sent_at - proof.age;
+        // What was current before the store came back from a copy says nothing of what is now.
+        if proof.revision.epoch < revision.epoch {
+            return PeerVerdict::Useless;
+        }
         if proof.revision > revision {
             self.ahead = Some(AheadProof { revision: proof.revision, proven_at });
             return PeerVerdict::Behind;
--- a/src/relay/discovery/store_revision.rs
+++ b/src/relay/discovery/store_revision.rs
@@ -1,12 +1,32 @@
 //! A revision of the platform's store.
 
-use std::cmp::Ordering;
-
 use serde::{Deserialize, Serialize};
 
 /// A revision, with the epoch of the store that gave it out. A store that is back from an old
 /// copy begins a new epoch and gives out the same numbers again.
-#[derive(Clone, Copy, Debug, Default, derive_more::Display, Serialize, Deserialize)]
+///
+/// # Example
+///
+/// ```
+/// use shalelane::relay::discovery::store_revision::StoreRevision;
+///
+/// let before = StoreRevision { epoch: 1, number: 150 };
+/// assert!(StoreRevision { epoch: 2, number: 60 } > before);
+/// ```
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    derive_more::Display,
+    Serialize,
+    Deserialize,
+)]
 #[display("{epoch}/{number}")]
 pub struct StoreRevision {
     /// Times that the store came back from a copy.
@@ -23,24 +43,11 @@
     pub fn is_unknown(self) -> bool {
         self == StoreRevision::default()
     }
-}
-
-impl PartialEq for StoreRevision {
-    fn eq(&self, other: &Self) -> bool {
-        self.number == other.number
-    }
-}
-
-impl Eq for StoreRevision {}
-
-impl PartialOrd for StoreRevision {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
 
-impl Ord for StoreRevision {
-    fn cmp(&self, other: &Self) -> Ordering {
-        self.number.cmp(&other.number)
+    /// Returns true where a store that came back from a copy shows a revision that was given
+    /// out before.
+    #[must_use]
+    pub fn is_copy_of(self, former: StoreRevision) -> bool {
+        self.epoch > former.epoch && self.number == former.number
     }
 }
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -364,6 +364,17 @@
         warn!(self.logger, "host was suspended"; "for_ms" => span.as_millis() as u64);
     }
 
+    /// The store has come back from a copy.
+    pub fn epoch_changed(&self, known: u64, epoch: u64) {
+        warn!(self.logger, "store back from a copy"; "epoch_before" => known, "epoch" => epoch);
+    }
+
+    /// The store holds an earlier configuration than the one in force, or no longer does.
+    pub fn store_behind(&self, is_behind: bool, version: u64) {
+        warn!(self.logger, "store holds an earlier configuration";
+            "is_behind" => is_behind, "config_version" => version);
+    }
+
     /// This entry begins or ends to watch the list of targets for others.
     pub fn watching_changed(&self, is_watching: bool) {
         info!(self.logger, "list watch"; "is_watching" => is_watching);
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -13,7 +13,7 @@
 use super::decide::start_wait::{StartPhase, start_wait};
 use super::decide::target_notice::TargetNotice;
 use super::decide::targets::TargetLife;
-use super::discovery::feed::ConfigNews;
+use super::discovery::feed::{ConfigNews, ConfigRead};
 use super::discovery::proof_share::PeerVerdict;
 use super::peers::load_link::LoadLink;
 use super::peers::load_note::LoadNote;
@@ -112,6 +112,30 @@
         self.config_changed.notify_one();
     }
 
+    /// Notes the epoch that an answer of the store names. Where the store has come back from
+    /// a copy, all that was read of it is read anew: its revisions are given out again.
+    pub(crate) fn note_epoch(&self, epoch: u64) {
+        let known = self.core.borrow_mut().note_epoch(epoch);
+        let Some(known) = known else { return };
+        self.log.epoch_changed(known, epoch);
+        // What targets wrote since that copy is written again within some time.
+        self.away_at.set(Some(self.now()));
+        self.outages.send_modify(|count| *count += 1);
+        self.config_changed.notify_one();
+    }
+
+    /// Takes a read of the configuration that was sent at `sent_at`.
+    pub(crate) fn take_read(&self, read: ConfigRead, sent_at: Tick) {
+        let mut core = self.core.borrow_mut();
+        let was_behind = core.is_store_behind();
+        if core.take_read(read, sent_at) {
+            self.log.config_changed(core.rules().version());
+        }
+        if core.is_store_behind() != was_behind {
+            self.log.store_behind(core.is_store_behind(), core.rules().version());
+        }
+    }
+
     /// A number that no other order of this process has.
     pub(crate) fn next_order(&self) -> u32 {
         let number = self.order_number.get();
