An agent starts nothing at a target that asks for a pause

RunEvent::BackOff; until its end nothing is started, probes are closed, dispatches are refused as busy with the time that is left, and what could not be done in its time after it is refused at once. A new life of the engine owes nothing. The parser of Retry-After is in the library, one copy for agent and adapter.

--- a/src/agent/attempts.rs
+++ b/src/agent/attempts.rs
@@ -63,6 +63,10 @@
         if let Some(refusal) = self.refuse_new(model) {
             return Some((refusal, Duration::ZERO));
         }
+        let backoff = self.backoff(now);
+        if !backoff.is_zero() {
+            return Some((Refusal::Busy, backoff));
+        }
         let waiting = self.runs.values().filter(|run| !run.is_at_target()).count();
         if waiting >= self.tuning.max_queue {
             return Some((Refusal::QueueFull, MIN_RETRY));
--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -1,6 +1,7 @@
 //! The agent's decisions.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use super::cache::PrefixIndex;
 use super::event::{AgentTuning, ConnId, Effect, EngineFacts, Event};
@@ -41,6 +42,8 @@
     Deadline(AttemptId),
     Orphan(AttemptId),
     Lease(AttemptId),
+    /// The target takes something again.
+    BackOff,
 }
 
 /// The deciding part of an agent.
@@ -50,6 +53,8 @@
     pub(super) tuning: AgentTuning,
     pub(super) facts: Option<EngineFacts>,
     pub(super) no_facts: EngineFacts,
+    /// Until when the target wants nothing more.
+    pub(super) backoff_until: Tick,
     pub(super) peers: BTreeMap<ConnId, ProcessId>,
     pub(super) runs: BTreeMap<AttemptId, Run>,
     pub(super) ledger: OutcomeLedger,
@@ -79,6 +84,7 @@
             tuning,
             facts: None,
             no_facts: EngineFacts::default(),
+            backoff_until: Tick::default(),
             peers: BTreeMap::new(),
             runs: BTreeMap::new(),
             ledger: OutcomeLedger::default(),
@@ -248,9 +254,11 @@
         self.counts.probes += 1;
         let cached = self.cache.cached_tokens(&probe.marks, probe.need.prompt);
         let wait = self.predict_wait(probe.need.total(), probe.urgency, "", now);
+        let backoff = self.backoff(now);
+        let wait = wait.max(backoff);
         let answer = ProbeAnswer {
             number: probe.number,
-            open: self.refuse_new(&probe.model).is_none(),
+            open: self.refuse_new(&probe.model).is_none() && backoff.is_zero(),
             wait_us: wait.as_micros() as u64,
             prefill_us: self.rates.prefill(probe.need.prompt - cached).as_micros() as u64,
             cached_tokens: cached,
@@ -261,6 +269,11 @@
         self.send(Some(conn), ToEntry::ProbeAnswer(answer));
     }
 
+    /// Time for which the target wants nothing more.
+    pub(super) fn backoff(&self, now: Tick) -> Duration {
+        self.backoff_until.since(now)
+    }
+
     /// Why no new work for `model` is taken at all, if so. A plain service
     /// goes by no model.
     pub(super) fn refuse_new(&self, model: &str) -> Option<Refusal> {
@@ -282,6 +295,8 @@
                 Timer::Deadline(id) => self.end_early(&id, "time limit", now),
                 Timer::Orphan(id) => self.on_orphan_due(&id, now),
                 Timer::Lease(id) => self.on_lease_due(&id, now),
+                // What waits is looked at after each event.
+                Timer::BackOff => {}
             }
         }
         self.ledger.expire(now);
--- a/src/agent/engine.rs
+++ b/src/agent/engine.rs
@@ -10,7 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
-use hyper::{Method, Request, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 
 use super::cache::CacheEvent;
@@ -19,6 +19,7 @@
 use crate::config::Urgency;
 use crate::error::{Error, ErrorCode, Result};
 use crate::id::AttemptId;
+use crate::retry_after::parse_retry_after;
 use crate::verdict::Verdict;
 use crate::wire::Call;
 
@@ -221,6 +222,7 @@
         has_arrived.set(true);
         let status = response.status();
         if !status.is_success() {
+            tell_backoff(&response, tell);
             let text = format!("the engine answered {status}");
             return Err(RunEvent::Failed(Verdict::NotRun, text.into()));
         }
@@ -267,6 +269,16 @@
     }
 }
 
+/// Tells for how long a target wants nothing more that turned a call away.
+pub(super) fn tell_backoff<T>(response: &Response<T>, tell: &Rc<dyn Fn(RunEvent)>) {
+    let turns_away = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS];
+    if turns_away.contains(&response.status())
+        && let Some(span) = parse_retry_after(response.headers())
+    {
+        tell(RunEvent::BackOff(span));
+    }
+}
+
 /// Tells of an event, true after the last one.
 fn tell_event(
     event: StreamEvent,
--- a/src/agent/event.rs
+++ b/src/agent/event.rs
@@ -59,6 +59,8 @@
     Paused(u64),
     /// The answer is whole.
     Done(RunUsage),
+    /// The target wants nothing more for so long.
+    BackOff(Duration),
     /// It ended otherwise.
     Failed(Verdict, Arc<str>),
     /// The target holds nothing of it any more.
--- a/src/agent/plain.rs
+++ b/src/agent/plain.rs
@@ -7,6 +7,7 @@
 use hyper::Request;
 use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 
+use super::engine::tell_backoff;
 use super::event::{RunEvent, RunUsage, StartRun};
 use crate::client::{CallBody, CallFault, HttpClient, pieces};
 use crate::verdict::Verdict;
@@ -41,6 +42,7 @@
             CallFault::NotSent(text) => RunEvent::Failed(Verdict::NotRun, text.into()),
             CallFault::Unknown(text) => RunEvent::Failed(Verdict::MayHaveRun, text.into()),
         })?;
+        tell_backoff(&response, tell);
         let content_type = response.headers().get(CONTENT_TYPE);
         let content_type = content_type.and_then(|value| value.to_str().ok());
         let content_type: Arc<str> = content_type.unwrap_or("application/octet-stream").into();
--- a/src/agent/schedule.rs
+++ b/src/agent/schedule.rs
@@ -30,6 +30,9 @@
         }
         self.serve_claims();
         self.drop_hopeless(now);
+        if !self.backoff(now).is_zero() {
+            return;
+        }
         let waiting = self.runs.values().filter(|run| run.is_waiting());
         self.share.settle(waiting.map(|run| &run.dispatch.account));
         while let Some(id) = self.pick(now) {
@@ -42,11 +45,16 @@
     /// Refuses what waits and could not be done in its time any more, so that
     /// the engine works on what can.
     fn drop_hopeless(&mut self, now: Tick) {
+        let start = now.max(self.backoff_until);
         let hopeless = self.runs.iter().filter(|(_, run)| {
-            let queued = run.state == RunState::Queued && !run.is_plain();
-            let work = self.rates.prefill(run.left_to_prefill())
-                + self.rates.answer(run.dispatch.need.answer);
-            queued && now + work > run.deadline
+            // How long a plain call works is not known.
+            let work = if run.is_plain() {
+                Duration::ZERO
+            } else {
+                self.rates.prefill(run.left_to_prefill())
+                    + self.rates.answer(run.dispatch.need.answer)
+            };
+            run.state == RunState::Queued && start + work > run.deadline
         });
         let hopeless: Vec<_> = hopeless.map(|(id, _)| id.clone()).collect();
         for id in hopeless {
--- a/src/agent/target.rs
+++ b/src/agent/target.rs
@@ -1,10 +1,11 @@
 //! What the target does: it comes, it goes, and its runs go on.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use bytes::Bytes;
 
-use super::core::AgentCore;
+use super::core::{AgentCore, Timer};
 use super::event::{Effect, EngineFacts, EngineHolding, RunEvent, RunUsage};
 use super::lease::LeaseBook;
 use super::ledger::Outcome;
@@ -27,6 +28,8 @@
         self.leases = LeaseBook::new((facts.capacity as f64 * LEASED_SHARE) as u64);
         self.cache.clear();
         self.facts = Some(facts);
+        // A new life of the target owes nothing of what the last one wished.
+        self.backoff_until = Tick::default();
     }
 
     pub(super) fn on_target_lost(&mut self, now: Tick) {
@@ -66,6 +69,10 @@
         let Some(run) = self.runs.get_mut(id) else {
             return;
         };
+        if let RunEvent::BackOff(span) = event {
+            self.on_backoff(span, now);
+            return;
+        }
         if run.state == RunState::Cancelling {
             // A run that came to its end by itself holds nothing either.
             if matches!(event, RunEvent::Cancelled | RunEvent::Done(_)) {
@@ -82,6 +89,7 @@
                 let conn = run.conn;
                 self.send(conn, ToEntry::Head { attempt: id.key, status, content_type });
             }
+            RunEvent::BackOff(_) => {}
             RunEvent::Text(text) => self.on_text(id, text, now),
             RunEvent::Paused(tokens) => self.on_paused(id, tokens, now),
             RunEvent::Done(usage) => self.on_done(id, usage, now),
@@ -100,6 +108,12 @@
         }
     }
 
+    /// The target wants nothing more for a while: nothing is started there until then.
+    fn on_backoff(&mut self, span: Duration, now: Tick) {
+        self.backoff_until = self.backoff_until.max(now + span);
+        self.timers.subscribe(self.backoff_until, Timer::BackOff);
+    }
+
     pub(super) fn on_text(&mut self, id: &AttemptId, text: Bytes, now: Tick) {
         let Some(run) = self.runs.get_mut(id) else {
             return;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -84,6 +84,7 @@
 pub mod prefix;
 pub mod program;
 pub mod relay;
+pub mod retry_after;
 pub mod settings;
 pub mod silence;
 pub mod store;
