Tests that fail: claims and configuration after the store came back

The product's own store gets an epoch in the stand-in (x-store-epoch in all answers, not read yet). Three tests by processes fail on the code as it is: a request runs twice for its key, claims are left beyond a gap, and no configuration can be applied any more (412).

--- a/src/store.rs
+++ b/src/store.rs
@@ -11,6 +11,9 @@
 use crate::client::{HttpClient, full};
 use crate::error::{Error, ErrorCode, Result};
 
+/// Header by which the store says how often it has come back from an old copy.
+pub const STORE_EPOCH: &str = "x-store-epoch";
+
 /// Longest time of a call that does not wait.
 const CALL_LIMIT: Duration = Duration::from_secs(2);
 
--- a/standins/src/store_server.rs
+++ b/standins/src/store_server.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use hyper::header::{ETAG, HeaderValue, IF_MATCH, IF_NONE_MATCH};
 use hyper::{Method, Request, StatusCode};
+use shalelane::store::STORE_EPOCH;
 use tokio::sync::Notify;
 
 use crate::serve::{Reply, ServerThread, query_u64, reply, serve_http};
@@ -60,10 +61,18 @@
     }
 }
 
-#[derive(Debug)]
-struct StoreState {
+/// What a store holds; a copy of it is what it may come back from.
+#[derive(Clone, Debug, Default)]
+pub struct StoreCopy {
     objects: BTreeMap<String, (u64, Bytes)>,
     revision: u64,
+}
+
+#[derive(Debug)]
+struct StoreState {
+    /// Times that it came back from a copy.
+    epoch: u64,
+    content: StoreCopy,
     fault: StoreFault,
     counts: StoreCounts,
     reads: RateBucket,
@@ -78,6 +87,9 @@
     pub server: ServerThread,
 }
 
+/// How often a waiting read looks whether the store has come back from a copy.
+const LOOK_STEP: Duration = Duration::from_millis(50);
+
 /// Reads a second.
 const READ_RATE: f64 = 2_000.0;
 
@@ -93,8 +105,8 @@
     #[must_use]
     pub fn start() -> Self {
         let state = Arc::new(Mutex::new(StoreState {
-            objects: BTreeMap::new(),
-            revision: 0,
+            epoch: 0,
+            content: StoreCopy::default(),
             fault: StoreFault::default(),
             counts: StoreCounts::default(),
             reads: RateBucket::new(READ_RATE),
@@ -119,12 +131,25 @@
         lock(&self.state).counts
     }
 
+    /// What it holds now.
+    #[must_use]
+    pub fn to_copy(&self) -> StoreCopy {
+        lock(&self.state).content.clone()
+    }
+
+    /// Comes back from a copy: what was written since is gone, and waiting reads are cut.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut state = lock(&self.state);
+        state.epoch += 1;
+        state.content = copy;
+    }
+
     /// Overwrites an object, as a writer of another version would.
     pub fn overwrite(&self, name: &str, content: &[u8]) {
         let mut state = lock(&self.state);
-        state.revision += 1;
-        let version = state.revision;
-        state.objects.insert(name.to_owned(), (version, Bytes::copy_from_slice(content)));
+        state.content.revision += 1;
+        let version = state.content.revision;
+        state.content.objects.insert(name.to_owned(), (version, Bytes::copy_from_slice(content)));
     }
 }
 
@@ -139,11 +164,15 @@
         return None;
     }
     let name = request.uri().path().trim_start_matches("/objects/").to_owned();
-    match *request.method() {
+    let epoch = lock(&state).epoch;
+    let mut reply = match *request.method() {
         Method::GET => read(&state, &changed, &name, &request).await,
         Method::PUT => write(&state, &changed, &name, request).await,
         _ => Some(reply(StatusCode::METHOD_NOT_ALLOWED, "")),
-    }
+    }?;
+    reply.headers_mut().insert(STORE_EPOCH, HeaderValue::from(epoch));
+    // An answer that was under way while the store came back is cut.
+    (lock(&state).epoch == epoch).then_some(reply)
 }
 
 async fn read(
@@ -160,16 +189,18 @@
     };
     let wait = Duration::from_millis(query_u64(request, "wait_ms").unwrap_or(0));
     let until = tokio::time::Instant::now() + wait;
+    let epoch = lock(state).epoch;
     loop {
         let mut notice = std::pin::pin!(changed.notified());
         notice.as_mut().enable();
-        if lock(state).fault.outage {
+        if lock(state).fault.outage || lock(state).epoch != epoch {
             return None;
         }
-        if lock(state).objects.get(name).is_some_and(|object| object.0 > after) {
+        if lock(state).content.objects.get(name).is_some_and(|object| object.0 > after) {
             return Some(show(state, name));
         }
-        if tokio::time::timeout_at(until, notice).await.is_err() {
+        let step = until.min(tokio::time::Instant::now() + LOOK_STEP);
+        if tokio::time::timeout_at(step, notice).await.is_err() && step == until {
             return Some(reply(StatusCode::NOT_MODIFIED, ""));
         }
     }
@@ -188,7 +219,7 @@
 
 fn show(state: &Mutex<StoreState>, name: &str) -> Reply {
     let state = lock(state);
-    match state.objects.get(name) {
+    match state.content.objects.get(name) {
         Some((version, content)) => with_version(reply(StatusCode::OK, content.clone()), *version),
         None => reply(StatusCode::NOT_FOUND, ""),
     }
@@ -218,13 +249,13 @@
     };
     let content = request.into_body().collect().await.ok()?.to_bytes();
     let mut state = lock(state);
-    let found = state.objects.get(name).map_or(0, |object| object.0);
+    let found = state.content.objects.get(name).map_or(0, |object| object.0);
     if expected != Some(found) {
         return Some(with_version(reply(StatusCode::PRECONDITION_FAILED, ""), found));
     }
-    state.revision += 1;
-    let version = state.revision;
-    state.objects.insert(name.to_owned(), (version, content));
+    state.content.revision += 1;
+    let version = state.content.revision;
+    state.content.objects.insert(name.to_owned(), (version, content));
     changed.notify_waiters();
     if state.fault.lost_answers > 0 {
         state.fault.lost_answers -= 1;
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -11,7 +11,7 @@
 use standins::prompt::{make_prompt, prompt_hash, whole_answer};
 use standins::proxy::ProxyFault;
 use standins::store_server::StoreFault;
-use support::{Site, VALDIVIA, wait_until};
+use support::{Site, VALDIVIA, keyed_order, wait_until};
 
 /// An engine that takes its time over an answer, so that a fault finds it in
 /// the middle of one.
@@ -257,12 +257,6 @@
     assert_eq!((unknown.status, unknown.code().as_str()), (404, "no_record"));
 }
 
-fn keyed_order(name: &str, key: &str) -> hyper::Request<http_body_util::Full<bytes::Bytes>> {
-    let mut request = order(name);
-    request.headers_mut().insert("idempotency-key", key.parse().expect("a header"));
-    request
-}
-
 #[tokio::test]
 async fn a_key_runs_once_however_often_and_wherever_it_is_sent() {
     let site = Site::start(2, 1, EngineSpec::default()).await;
--- /dev/null
+++ b/tests/restored_store.rs
@@ -0,0 +1,93 @@
+//! The platform's store comes back from a copy some seconds old. An entry that had read the log
+//! of claims before went on where it had been and left a gap; one that read it anew found a key
+//! free under which a request had run. A configuration that was accepted before the return was
+//! kept and could not be replaced: each change met a version that nobody had based it on.
+
+mod support;
+
+use standins::caller::call;
+use standins::engine_model::EngineSpec;
+use support::{Site, VALDIVIA, keyed_order, wait_until};
+
+async fn version(site: &Site, entry: usize) -> u64 {
+    let status = site.ask_admin(entry, "/admin/v1/status").await.json();
+    status["config_version"].as_u64().expect("a version")
+}
+
+#[tokio::test]
+async fn a_key_runs_once_though_its_claim_was_lost() {
+    let site = Site::start(2, 1, EngineSpec::default()).await;
+    let copy = site.store.to_copy();
+    let first = call(site.callers(0), keyed_order("boat-1", "key")).await.expect("answer");
+    assert_eq!(first.status, 200);
+    site.store.restore(copy);
+    let mut codes = Vec::new();
+    wait_until("the key is known to be taken", async || {
+        let answer = call(site.callers(1), keyed_order("boat-1", "key")).await.expect("answer");
+        codes.push(answer.code());
+        answer.status == 409
+    })
+    .await;
+    assert!(codes.iter().all(|code| ["claims_away", "key_taken"].contains(&code.as_str())));
+    assert_eq!(site.plain.times_run("boat-1"), 1);
+}
+
+/// The first entry has read more of the log than there is now, and writes on.
+#[tokio::test]
+async fn claims_go_on_without_a_gap() {
+    let site = Site::start(2, 1, EngineSpec::default()).await;
+    for number in 0..40 {
+        let (boat, key) = (format!("early-{number}"), format!("early-{number}"));
+        let answer = call(site.callers(0), keyed_order(&boat, &key)).await.expect("answer");
+        assert_eq!(answer.status, 200);
+    }
+    let copy = site.store.to_copy();
+    for number in 0..40 {
+        let (boat, key) = (format!("lost-{number}"), format!("lost-{number}"));
+        call(site.callers(0), keyed_order(&boat, &key)).await.expect("answer");
+    }
+    site.store.restore(copy);
+    for number in 0..40 {
+        let (boat, key) = (format!("late-{number}"), format!("late-{number}"));
+        wait_until("a key can be claimed", async || {
+            let answer = call(site.callers(0), keyed_order(&boat, &key)).await.expect("answer");
+            answer.status == 200
+        })
+        .await;
+    }
+    for round in ["early", "lost", "late"] {
+        for number in 0..40 {
+            let name = format!("{round}-{number}");
+            let again = call(site.callers(1), keyed_order(&name, &name)).await.expect("answer");
+            assert_eq!((again.status, again.code().as_str()), (409, "key_taken"), "{name}");
+            assert_eq!(site.plain.times_run(&name), 1, "{name}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_lost_configuration_is_kept_and_can_be_replaced() {
+    let site = Site::start(2, 1, EngineSpec::default()).await;
+    let copy = site.store.to_copy();
+    let second = VALDIVIA.replace("weight = 3", "weight = 4");
+    let applied = site.apply(&second, version(&site, 0).await).await;
+    assert_eq!(applied.status, 200);
+    let second = applied.json()["version"].as_u64().unwrap();
+    for entry in 0..2 {
+        wait_until("it is in force", async || version(&site, entry).await == second).await;
+    }
+    site.store.restore(copy);
+    let third = VALDIVIA.replace("weight = 3", "weight = 5");
+    let applied = site.apply(&third, second).await;
+    assert_eq!(applied.status, 200, "{}", String::from_utf8_lossy(&applied.body));
+    let third = applied.json()["version"].as_u64().unwrap();
+    assert!(third > second, "{third} after {second}");
+    for entry in 0..2 {
+        wait_until("the third is in force", async || {
+            let known = version(&site, entry).await;
+            assert!(known >= second, "a step back to {known}");
+            known == third
+        })
+        .await;
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use shalelane::hosts::{HostRecord, HostRole, HostState};
-use standins::caller::{WholeAnswer, call, request};
+use standins::caller::{WholeAnswer, call, order, request};
 use standins::engine_model::EngineSpec;
 use standins::engine_server::EngineServer;
 use standins::fleet::{ADMIN_KEY, PEER_KEY};
@@ -254,6 +254,13 @@
     });
 }
 
+/// An order that may run once for its key.
+pub fn keyed_order(name: &str, key: &str) -> hyper::Request<http_body_util::Full<bytes::Bytes>> {
+    let mut request = order(name);
+    request.headers_mut().insert("idempotency-key", key.parse().expect("a header"));
+    request
+}
+
 /// Waits for something that must come.
 pub async fn wait_until(what: &str, mut is_there: impl AsyncFnMut() -> bool) {
     let start = Instant::now();
