Unreadable entries decided in the core, unreadable notes logged; two promises tested

The adapter says what an event is (TargetEvent); that an entry which can not be read lists no target is decided by TargetNews::into_changes in the core. Notes in the configuration's status that can not be read were left out without a word; each has a line now.

--- a/src/relay/discovery/feed.rs
+++ b/src/relay/discovery/feed.rs
@@ -21,6 +21,8 @@
     pub store_revision: StoreRevision,
     /// The configuration, none where the revision is the one that is known.
     pub config: Option<RelayConfig>,
+    /// Why notes that stand beside it can not be read.
+    pub unreadable: Vec<String>,
 }
 
 /// A change of the configuration that a watch told of.
@@ -30,13 +32,15 @@
     pub revision: StoreRevision,
     /// The configuration.
     pub config: RelayConfig,
+    /// Why notes that stand beside it can not be read.
+    pub unreadable: Vec<String>,
 }
 
 /// What a watch of the configuration brought.
 #[derive(Debug)]
 pub enum ConfigWatch {
     /// The newest change, if any, up to a revision of the store.
-    Changes(Option<ConfigNews>, StoreRevision),
+    Changes(Option<Box<ConfigNews>>, StoreRevision),
     /// The store has forgotten changes since then: it is to be read anew.
     Forgotten,
 }
@@ -75,12 +79,38 @@
 /// What a watch of the list told.
 #[derive(Debug)]
 pub struct TargetNews {
-    /// The changes, in order.
-    pub changes: Vec<TargetChange>,
+    /// What happened, in order.
+    pub events: Vec<TargetEvent>,
     /// Revision to go on from.
     pub revision: StoreRevision,
-    /// Entries that list no target any more, which `changes` holds as removed.
-    pub unreadable: Vec<UnreadableEntry>,
+}
+
+/// What happened to one entry of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub enum TargetEvent {
+    /// It changed, or is gone.
+    Changed(TargetChange),
+    /// It can not be read any more.
+    Unreadable(UnreadableEntry),
+}
+
+impl TargetNews {
+    /// Splits it into what it changes and the entries that can not be read. Such an entry
+    /// lists no target, so one that was listed under its name is gone.
+    #[must_use]
+    pub fn into_changes(self) -> (Vec<TargetChange>, Vec<UnreadableEntry>) {
+        let (mut changes, mut unreadable) = (Vec::new(), Vec::new());
+        for event in self.events {
+            match event {
+                TargetEvent::Changed(change) => changes.push(change),
+                TargetEvent::Unreadable(entry) => {
+                    changes.extend(entry.name.clone().map(TargetChange::Removed));
+                    unreadable.push(entry);
+                }
+            }
+        }
+        (changes, unreadable)
+    }
 }
 
 /// How a write ended that holds only at the revision that was known.
--- a/src/relay/discovery/follow.rs
+++ b/src/relay/discovery/follow.rs
@@ -6,7 +6,7 @@
 
 use tokio::sync::watch;
 
-use super::feed::{ConfigWatch, PlatformFeed, TargetNews, TargetWatch};
+use super::feed::{ConfigWatch, PlatformFeed, TargetWatch};
 use super::list_share::ListNews;
 use super::proof_share::{PeerVerdict, ProofShare};
 use super::store_revision::StoreRevision;
@@ -180,8 +180,9 @@
         }
         let news = shared.config_news.borrow_mut().take();
         let Some(news) = news else { return };
+        shared.log.notes_unreadable(&news.unreadable, shared.now());
         let mut core = shared.core.borrow_mut();
-        if core.take_news(news, shared.now()) {
+        if core.take_news(*news, shared.now()) {
             shared.log.config_changed(core.rules().version());
         }
         drop(core);
@@ -375,8 +376,10 @@
             shared.note_epoch(news.revision.epoch);
             None
         }
-        Ok(TargetWatch::Changes(TargetNews { changes, revision: next, unreadable })) => {
+        Ok(TargetWatch::Changes(news)) => {
             let now = shared.now();
+            let next = news.revision;
+            let (changes, unreadable) = news.into_changes();
             shared.log.entries_unreadable(&unreadable, now);
             let away = shared.was_away(now);
             let (change, news) = shared.core.borrow_mut().take_watched(changes, next, away, now);
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -347,6 +347,15 @@
         }
     }
 
+    /// Notes beside the configuration can not be read.
+    pub fn notes_unreadable(&self, reasons: &[String], now: Tick) {
+        for why in reasons {
+            let Some(left_out) = self.take_line("note_unreadable", now) else { continue };
+            warn!(self.logger, "note beside the configuration not read";
+                "why" => why, "left_out" => left_out);
+        }
+    }
+
     /// Targets ended under a request.
     pub fn suspected(&self, digest: RequestDigest, ends: usize) {
         warn!(self.logger, "targets ended under a request";
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -45,7 +45,7 @@
     /// Told by the watch of the configuration, with news or at its end.
     pub(crate) config_changed: Notify,
     /// The newest change that it told of and that was not taken yet.
-    pub(crate) config_news: RefCell<Option<ConfigNews>>,
+    pub(crate) config_news: RefCell<Option<Box<ConfigNews>>>,
     /// Told when the list is to be read, or this entry begins or ends to watch it.
     pub(crate) list_due: Notify,
     /// What its last answer was worth.
@@ -126,6 +126,7 @@
 
     /// Takes a read of the configuration that was sent at `sent_at`.
     pub(crate) fn take_read(&self, read: ConfigRead, sent_at: Tick) {
+        self.log.notes_unreadable(&read.unreadable, self.now());
         let mut core = self.core.borrow_mut();
         let was_behind = core.is_store_behind();
         if core.take_read(read, sent_at) {
--- a/tests/relay/fixture.rs
+++ b/tests/relay/fixture.rs
@@ -12,7 +12,9 @@
 use shalelane::relay::decide::retry_budget::RetryBound;
 use shalelane::relay::decide::stream_load::{StreamKey, StreamLoad};
 use shalelane::relay::decide::targets::{TargetRecord, TargetSet};
+use shalelane::relay::discovery::feed::ConfigNews;
 use shalelane::relay::discovery::freshness::StalePolicy;
+use shalelane::relay::discovery::rules::RelayConfig;
 use shalelane::relay::discovery::store_revision::StoreRevision;
 use shalelane::time::Tick;
 
@@ -58,6 +60,11 @@
     StoreRevision { epoch: 0, number }
 }
 
+/// News of a configuration whose notes can all be read.
+pub fn config_news(revision: StoreRevision, config: RelayConfig) -> ConfigNews {
+    ConfigNews { revision, config, unreadable: Vec::new() }
+}
+
 pub fn record(name: &str, number: u8) -> TargetRecord {
     TargetRecord {
         incarnation: name.into(),
--- a/tests/relay/quarantine.rs
+++ b/tests/relay/quarantine.rs
@@ -10,13 +10,12 @@
 use shalelane::relay::decide::quarantine::{QuarantineLedger, SuspectNews};
 use shalelane::relay::decide::request_digest::RequestDigest;
 use shalelane::relay::decide::targets::TargetLife;
-use shalelane::relay::discovery::feed::ConfigNews;
 use shalelane::relay::discovery::freshness::StalePolicy;
 use shalelane::relay::discovery::rules::RelayConfig;
 use shalelane::relay::peers::load_note::{LoadNote, MAX_NOTE};
 use shalelane::relay::peers::subscriber_set::SubscriberSet;
 
-use crate::fixture::{at, check, limits, ms, name, record, revision};
+use crate::fixture::{at, check, config_news, limits, ms, name, record, revision};
 
 const NO_TIME: Duration = Duration::ZERO;
 
@@ -249,7 +248,7 @@
     let record = QuarantineRecord { digest: digest("a"), since_ms: EPOCH_MS, renewals: 0 };
     let config = RelayConfig { version: 5, ..RelayConfig::default() };
     let noted = RelayConfig { quarantine: vec![record], ..config.clone() };
-    let news = |config| ConfigNews { revision: revision(9), config };
+    let news = |config| config_news(revision(9), config);
     let mut core = RelayCore::new(limits(StalePolicy::FailClosed), 1);
     core.set_epoch(EPOCH_MS);
     assert!(core.take_config(Some(config.clone()), at(0)));
@@ -316,3 +315,32 @@
     let end = ROUNDS * 100 + 50;
     is_held(&ledger, "cause", end) && !bystanders.iter().any(|body| is_held(&ledger, body, end))
 }
+
+/// What is kept of suspects is bounded, whatever callers send: the newest are kept.
+#[test]
+fn the_suspects_that_are_kept_are_bounded() {
+    const MOST: u64 = 1_024;
+    let mut ledger = QuarantineLedger::default();
+    for number in 1..=2 * MOST {
+        // Two ends each, from which on it shows.
+        end_under(&mut ledger, &format!("b{number}"), 2 * number, at(number));
+        end_under(&mut ledger, &format!("b{number}"), 2 * number + 1, at(number));
+    }
+    let is_kept = |number: &u64| ledger.is_suspect(&digest(&format!("b{number}")));
+    assert_eq!((1..=2 * MOST).filter(is_kept).count() as u64, MOST);
+    assert!(is_kept(&(2 * MOST)) && !is_kept(&1));
+}
+
+/// Nobody can have another account's request held back by sending its body.
+#[test]
+fn the_same_body_from_two_accounts_is_two_requests() {
+    let of = |account| RequestDigest::of(account, "h.example", "/x", b"a");
+    assert_ne!(of(Some("acme")), of(Some("other")));
+    assert_ne!(of(Some("acme")), of(None));
+    assert_ne!(of(Some("")), of(None), "no account is not one without a name");
+    let ledger = ledger_of("a", &[1, 2, 3]);
+    assert_eq!(of(Some("acme")), digest("a"));
+    assert!(ledger.holds().held_for(&of(Some("acme")), at(300)).is_some());
+    assert!(ledger.holds().held_for(&of(Some("other")), at(300)).is_none());
+    assert!(ledger.holds().held_for(&of(None), at(300)).is_none());
+}
--- a/tests/relay/restored_store.rs
+++ b/tests/relay/restored_store.rs
@@ -5,7 +5,7 @@
 use shalelane::relay::decide::hold_list::QuarantineRecord;
 use shalelane::relay::decide::request_digest::RequestDigest;
 use shalelane::relay::decide::targets::{TargetRecord, TargetSet};
-use shalelane::relay::discovery::feed::{ConfigNews, ConfigRead, TargetList};
+use shalelane::relay::discovery::feed::{ConfigRead, TargetList};
 use shalelane::relay::discovery::freshness::StalePolicy;
 use shalelane::relay::discovery::list_share::{ListNews, ListShare, NewsVerdict};
 use shalelane::relay::discovery::proof_share::{PeerProof, PeerVerdict, ProofShare};
@@ -14,7 +14,7 @@
 use shalelane::relay::peers::config_copy::ConfigCopy;
 use shalelane::time::Tick;
 
-use crate::fixture::{at, limits, ms, name, record};
+use crate::fixture::{at, config_news, limits, ms, name, record};
 
 const fn before(number: u64) -> StoreRevision {
     StoreRevision { epoch: 1, number }
@@ -169,7 +169,7 @@
 #[test]
 fn a_read_that_was_overtaken_proves_and_changes_nothing() {
     let mut core = core_at(after(9), 3);
-    core.take_news(ConfigNews { revision: after(12), config: config(4) }, at(2_000));
+    core.take_news(config_news(after(12), config(4)), at(2_000));
     assert!(!core.take_read(read(after(9), Some(3)), at(1_900)));
     assert_eq!(core.lease().proven_at(), Some(at(1_900)));
     assert!(!core.is_store_behind());
@@ -180,7 +180,7 @@
 fn an_answer_of_the_last_epoch_proves_nothing() {
     let mut core = core_at(after(5), 3);
     assert!(!core.take_read(read(before(20), Some(9)), at(5_000)));
-    assert!(!core.take_news(ConfigNews { revision: before(20), config: config(9) }, at(5_000)));
+    assert!(!core.take_news(config_news(before(20), config(9)), at(5_000)));
     assert_eq!(core.lease().proven_at(), Some(at(1_000)));
     assert_eq!(core.rules().version(), 3);
 }
@@ -198,7 +198,8 @@
 }
 
 fn read(revision: StoreRevision, version: Option<u64>) -> ConfigRead {
-    ConfigRead { revision, store_revision: revision, config: version.map(config) }
+    let (store_revision, config) = (revision, version.map(config));
+    ConfigRead { revision, store_revision, config, unreadable: Vec::new() }
 }
 
 /// An entry that knows no configuration takes what there is.
--- a/tests/relay/rules.rs
+++ b/tests/relay/rules.rs
@@ -1,14 +1,13 @@
 //! Routes, keys, and the proof that they are current.
 
 use shalelane::relay::core::{Refusal, RelayCore};
-use shalelane::relay::discovery::feed::ConfigNews;
 use shalelane::relay::discovery::freshness::{FreshnessLease, StalePolicy};
 use shalelane::relay::discovery::rules::{
     AccountRule, RelayConfig, RepeatRule, RouteRule, WeightedService,
 };
 use shalelane::relay::peers::load_note::LoadNote;
 
-use crate::fixture::{at, check, limits, ms, name, revision};
+use crate::fixture::{at, check, config_news, limits, ms, name, revision};
 
 fn route(path: &str, is_public: bool) -> RouteRule {
     RouteRule {
@@ -121,7 +120,7 @@
     let mut core = open_core();
     assert_eq!(core.admit("h", "/a/x", Some("k"), at(1)).unwrap_err(), Refusal::NotFresh);
     // A watch tells of it, and proves nothing.
-    core.take_news(ConfigNews { revision: revision(1), config: config(1, &["k"]) }, at(0));
+    core.take_news(config_news(revision(1), config(1, &["k"])), at(0));
     assert_eq!(core.admit("h", "/a/x", Some("k"), at(2)).unwrap_err(), Refusal::NotFresh);
 }
 
