The product's entry remembers which requests ended engines

Cause: as of the incident of engines that end, in src/entry: what an entry learned of a request ended with the sending. Change: agents tell their entries of the end of their engine (TargetLost); an entry keeps the ledger of the relay, by digest of account, service, path and body, and lives by the ends it was told of. 503, held_back, with the time at which the hold lapses, and no further attempt of a request that is held. Not shared between entries yet, and lost when an entry starts again.

--- a/src/agent/target.rs
+++ b/src/agent/target.rs
@@ -50,6 +50,10 @@
         for claim in std::mem::take(&mut self.claims) {
             self.send(Some(claim.conn), ToEntry::NotHeld(claim.id.key));
         }
+        let conns: Vec<_> = self.peers.keys().copied().collect();
+        for conn in conns {
+            self.send(Some(conn), ToEntry::TargetLost);
+        }
         self.out.push(Effect::Reset);
     }
 
--- a/src/entry/answers.rs
+++ b/src/entry/answers.rs
@@ -16,9 +16,10 @@
 pub(super) fn to_status(code: FailureCode) -> StatusCode {
     match code {
         FailureCode::LimitExceeded => StatusCode::TOO_MANY_REQUESTS,
-        FailureCode::Overloaded | FailureCode::NoTarget | FailureCode::Stopping => {
-            StatusCode::SERVICE_UNAVAILABLE
-        }
+        FailureCode::Overloaded
+        | FailureCode::NoTarget
+        | FailureCode::HeldBack
+        | FailureCode::Stopping => StatusCode::SERVICE_UNAVAILABLE,
         FailureCode::TimeLimit => StatusCode::GATEWAY_TIMEOUT,
         FailureCode::TargetFailed => StatusCode::BAD_GATEWAY,
         FailureCode::PromptTooLong => StatusCode::PAYLOAD_TOO_LARGE,
--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -97,6 +97,7 @@
             }
             ToEntry::Held { attempt, engine } => self.on_held(target, attempt, engine, now),
             ToEntry::NotHeld(attempt) => self.on_not_held(target, attempt, now),
+            ToEntry::TargetLost => self.on_target_lost(target, now),
             ToEntry::Leaving => self.table.close(target, now + super::asking::CLOSED_SPAN),
         }
     }
@@ -170,10 +171,17 @@
         now: Tick,
     ) {
         self.release_members(number);
-        let Some(request) = self.requests.get_mut(&number) else {
+        let Some(request) = self.requests.get(&number) else {
             return;
         };
         let target = request.holder().map_or_else(|| "".into(), |(target, _)| target.clone());
+        if verdict == Verdict::MayHaveRun {
+            self.note_broken(number, &target, now);
+        }
+        let is_held = self.is_held(number, now);
+        let Some(request) = self.requests.get_mut(&number) else {
+            return;
+        };
         request.verdict = request.verdict.join(verdict);
         request.log.push(
             now,
@@ -188,7 +196,7 @@
         request.phase = Phase::Backoff { until: now };
         let bears_retry =
             verdict.may_retry(request.arrival.repeatable) || is_on(Mutant::VerdictOff);
-        let may_retry = bears_retry && !request.has_begun();
+        let may_retry = bears_retry && !request.has_begun() && !is_held;
         let has_attempts = request.dispatches < self.tuning.max_attempts;
         if !may_retry || !has_attempts || !self.budget.spend() {
             self.fail(number, FailureCode::TargetFailed, reason, now);
@@ -296,6 +304,7 @@
             completion.waited_us / 1000
         );
         let wait = Duration::from_micros(completion.wait_us);
+        self.note_served(key.0);
         self.memory.note_wait(target, wait, now);
         self.counts.finished += 1;
         self.release_members(key.0);
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -18,6 +18,7 @@
 use crate::id::{Incarnation, ProcessId};
 use crate::invariant::InvariantCheck;
 use crate::mutant::{Mutant, is_on};
+use crate::relay::decide::quarantine::QuarantineLedger;
 use crate::time::{Tick, TimerService};
 use crate::tokens::TokenEstimator;
 use crate::verdict::Verdict;
@@ -83,6 +84,10 @@
     pub(super) timers: TimerService<Timer>,
     pub(super) memory: DirectMemory,
     pub(super) budget: RetryBudget,
+    /// Requests that end the engines that run them.
+    pub(super) quarantine: QuarantineLedger,
+    /// How often the engine of a target has ended.
+    pub(super) lives: HashMap<Arc<str>, u64>,
     pub(super) rng: StdRng,
     pub(super) why: WhyBook,
     pub(super) draining: bool,
@@ -111,6 +116,8 @@
             timers: TimerService::new(),
             memory: DirectMemory::default(),
             budget: RetryBudget::new(tuning.retry_share),
+            quarantine: QuarantineLedger::default(),
+            lives: HashMap::new(),
             rng: StdRng::seed_from_u64(seed),
             why: WhyBook::new(tuning.why_capacity),
             draining: false,
@@ -219,6 +226,12 @@
             self.out.push(Effect::Reply(number, Reply::Failed(failure)));
             return;
         }
+        if let Some(span) = self.held_for(&arrival, now) {
+            let text = "targets ended under this request";
+            let failure = refused(FailureCode::HeldBack, text, span);
+            self.out.push(Effect::Reply(number, Reply::Failed(failure)));
+            return;
+        }
         let prompt = match &arrival.call {
             Call::Model { model, .. } => self.estimator.estimate(model, arrival.prompt_bytes),
             Call::Plain { .. } => 0,
--- a/src/entry/event.rs
+++ b/src/entry/event.rs
@@ -81,6 +81,9 @@
     /// The target failed.
     #[display("target_failed")]
     TargetFailed,
+    /// Targets ended under the request, and it is held back for a while.
+    #[display("held_back")]
+    HeldBack,
     /// The entry is stopping.
     #[display("stopping")]
     Stopping,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -20,6 +20,7 @@
 mod http;
 mod links;
 mod metrics;
+mod quarantine;
 mod request;
 mod retry;
 pub mod route;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -336,6 +336,9 @@
     /// The target is leaving: no new work.
     #[serde(rename = "l")]
     Leaving,
+    /// The engine has ended, or does not answer any more.
+    #[serde(rename = "t")]
+    TargetLost,
 }
 
 /// A message that has a frame.
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -7,4 +7,5 @@
 mod paused_behind_waiting;
 mod refused_dispatch_comes_again;
 mod release_before_start;
+mod requests_that_end_engines;
 mod stray_reservation;
--- /dev/null
+++ b/tests/regression/requests_that_end_engines.rs
@@ -0,0 +1,159 @@
+//! A request ended each engine that ran it, and its caller sent it again and again. The entry
+//! forgot with each sending what it had done: one after the other, every engine ended.
+
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use shalelane::config::{AccountPolicy, Config, ConfigVersion};
+use shalelane::entry::{Arrival, Effect, EntryCore, EntryTuning, Event, FailureCode, Reply};
+use shalelane::hosts::{HostDelta, HostRecord, HostRole, HostState};
+use shalelane::prefix::PrefixMarks;
+use shalelane::time::Tick;
+use shalelane::wire::{Call, Completion, ProbeAnswer, ToAgent, ToEntry};
+use shalelane::{Incarnation, ProcessId, Verdict};
+
+const ENGINES: usize = 8;
+
+/// Ends of engines from which on a request is known for what it does.
+const KNOWN_ENDS: usize = 3;
+
+/// An entry whose engines end when they run a certain body.
+struct CrashingFleet {
+    core: EntryCore,
+    policy: Rc<AccountPolicy>,
+    now: Tick,
+    next_number: u64,
+    up: HashSet<Arc<str>>,
+    ends: usize,
+    replies: Vec<(u64, Reply)>,
+}
+
+impl CrashingFleet {
+    fn new() -> Self {
+        let process = ProcessId { name: "entry".into(), incarnation: Incarnation(1) };
+        let core = EntryCore::new(process, "here".into(), EntryTuning::default(), 1);
+        let config = Config::from_toml(include_str!("../../examples/valdivia.toml")).unwrap();
+        let config = Arc::new(Config { version: ConfigVersion(1), ..config });
+        let policy = config.policy(&config.client_accounts[0]).expect("an account");
+        let mut fleet = CrashingFleet {
+            core,
+            policy: Rc::new(policy),
+            now: Tick(1),
+            next_number: 0,
+            up: HashSet::new(),
+            ends: 0,
+            replies: Vec::new(),
+        };
+        let hosts = (0..ENGINES).map(|number| HostRecord {
+            name: format!("runner-{number}").into(),
+            role: HostRole::Target { service: "canal-assistant".into() },
+            address: format!("10.0.0.{number}:80").into(),
+            failure_domain: "here".into(),
+            state: HostState::Live,
+        });
+        fleet.feed(Event::Hosts(HostDelta { revision: 1, hosts: hosts.collect() }));
+        fleet.feed(Event::Config(config));
+        fleet
+    }
+
+    fn feed(&mut self, event: Event) {
+        self.now = self.now + Duration::from_micros(50);
+        for effect in self.core.on_event(self.now, event) {
+            match effect {
+                Effect::Send(target, message) => self.answer(&target, message),
+                Effect::Reply(number, reply) => self.replies.push((number, reply)),
+                _ => {}
+            }
+        }
+    }
+
+    fn agent(&mut self, target: &Arc<str>, message: ToEntry) {
+        self.feed(Event::Agent(target.clone(), message));
+    }
+
+    fn answer(&mut self, target: &Arc<str>, message: ToAgent) {
+        if self.up.insert(target.clone()) {
+            self.feed(Event::AgentUp(target.clone(), Incarnation(1)));
+        }
+        match message {
+            ToAgent::Probe(probe) => {
+                let answer = ProbeAnswer {
+                    number: probe.number,
+                    open: true,
+                    wait_us: 0,
+                    prefill_us: 0,
+                    cached_tokens: 0,
+                    free_tokens: 1_000_000,
+                    capacity_tokens: 1_000_000,
+                    config_version: ConfigVersion(1),
+                };
+                self.agent(target, ToEntry::ProbeAnswer(answer));
+            }
+            ToAgent::Dispatch(dispatch) if dispatch.body_len == CRASH.len() as u64 => {
+                let (attempt, verdict) = (dispatch.attempt, Verdict::MayHaveRun);
+                self.ends += 1;
+                self.agent(target, ToEntry::Failed { attempt, verdict, reason: "broken".into() });
+                self.agent(target, ToEntry::TargetLost);
+            }
+            ToAgent::Dispatch(dispatch) => {
+                self.agent(target, ToEntry::Accepted(dispatch.attempt));
+                self.agent(target, ToEntry::Done(dispatch.attempt, Completion::default()));
+            }
+            _ => {}
+        }
+    }
+
+    /// Sends a request and lets some time pass. Returns its last reply.
+    fn ask(&mut self, body: &'static str) -> Reply {
+        self.next_number += 1;
+        let number = self.next_number;
+        self.feed(Event::Arrive(Box::new(Arrival {
+            number,
+            policy: self.policy.clone(),
+            service: "canal-assistant".into(),
+            call: Call::Model { model: "canal-8b".into(), path: "/v1/completions".into() },
+            prompt_bytes: 400,
+            answer_tokens: 10,
+            marks: PrefixMarks::default(),
+            body: body.into(),
+            repeatable: false,
+        })));
+        for _ in 0..100 {
+            self.now = self.now + Duration::from_millis(5);
+            self.feed(Event::Wake);
+        }
+        let replies = self.replies.iter().filter(|(other, _)| *other == number);
+        replies.last().expect("a reply").1.clone()
+    }
+}
+
+/// Body of the request that ends engines.
+const CRASH: &str = "crash";
+
+#[test]
+fn a_request_that_ends_engines_is_held_back() {
+    let mut fleet = CrashingFleet::new();
+    for _ in 0..KNOWN_ENDS {
+        let Reply::Failed(failure) = fleet.ask(CRASH) else { panic!("it can not be answered") };
+        assert_eq!(failure.code, FailureCode::TargetFailed);
+    }
+    for _ in 0..20 {
+        let Reply::Failed(failure) = fleet.ask(CRASH) else { panic!("it can not be answered") };
+        assert_eq!((failure.code, failure.verdict), (FailureCode::HeldBack, Verdict::NotRun));
+        assert!(failure.retry_after.is_some_and(|after| after > Duration::from_secs(500)));
+    }
+    assert_eq!(fleet.ends, KNOWN_ENDS);
+    assert!(matches!(fleet.ask("another"), Reply::Done(_)), "others are served");
+}
+
+#[test]
+fn requests_that_are_answered_are_not_held_back() {
+    let mut fleet = CrashingFleet::new();
+    for _ in 0..2 * KNOWN_ENDS {
+        fleet.ask("served");
+    }
+    assert_eq!(fleet.ends, 0);
+    assert!(matches!(fleet.ask("served"), Reply::Done(_)));
+}
