--- a/src/relay/discovery/follow.rs
+++ b/src/relay/discovery/follow_config.rs
@@ -1,16 +1,13 @@
-//! Follows the platform's store: when it is read, and what for.
+//! Follows the configuration: when it is read, and how it is proven current.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::sync::watch;
-
-use super::feed::{ConfigWatch, PlatformFeed, TargetWatch};
-use super::list_share::ListNews;
+use super::feed::{ConfigWatch, PlatformFeed};
 use super::proof_share::{PeerVerdict, ProofShare};
 use super::store_revision::StoreRevision;
-use super::watch_pace::{LONGEST_WAIT, NEWS_STEP, WatchEnd, list_rest, rest_after, watch_wait};
+use super::watch_pace::{NEWS_STEP, WatchEnd, rest_after};
 use crate::relay::counts::StoreCall;
 use crate::relay::peers::config_copy::read_copy;
 use crate::relay::shared::RelayShared;
@@ -29,13 +26,6 @@
 /// back: reads are well under that, and well over the price of each.
 const TURNED_AWAY_STEP: Duration = Duration::from_secs(1);
 
-/// Longest time after which the list is read again while the store is away;
-/// the read of the configuration, which is tried more often, ends the wait.
-const LIST_RETRY: Duration = Duration::from_secs(1);
-
-/// Time without an answer after which entries of the list may have lapsed.
-const OUTAGE: Duration = Duration::from_millis(1_500);
-
 /// Follows the configuration for as long as the process runs.
 pub(crate) async fn follow_config(shared: Rc<RelayShared>, feed: Rc<PlatformFeed>) {
     let mut is_there = true;
@@ -223,11 +213,6 @@
     }
 }
 
-/// Longest wait of a watch.
-fn wait_of(shared: &RelayShared) -> Duration {
-    watch_wait(shared.core.borrow().limits().store_history)
-}
-
 /// Tells of changes of the configuration until the store does not answer or
 /// has forgotten what happened. A watch that brings nothing proves nothing.
 async fn watch_config(
@@ -237,7 +222,7 @@
 ) {
     let (end, lasted) = loop {
         let begun = shared.now();
-        let result = (feed.watch_config)(revision, wait_of(&shared)).await;
+        let result = (feed.watch_config)(revision, shared.watch_wait()).await;
         shared.counts.borrow().note_store_call(StoreCall::ConfigWatch);
         match result {
             Ok(ConfigWatch::Changes(_, next)) if next.epoch != revision.epoch => {
@@ -265,150 +250,3 @@
     // Whatever the reason, only a read tells what holds now.
     shared.config_changed.notify_one();
 }
-
-/// Follows the list of targets for as long as the process runs.
-pub(crate) async fn follow_targets(shared: Rc<RelayShared>, feed: Rc<PlatformFeed>) {
-    let mut heard_at = shared.now();
-    let mut outages = shared.outages.subscribe();
-    loop {
-        outages.mark_unchanged();
-        let Some(mut revision) = read_list(&shared, &feed, heard_at).await else {
-            wait_for_list(&shared, &mut outages).await;
-            continue;
-        };
-        loop {
-            heard_at = shared.now();
-            let next = tokio::select! {
-                next = hear_once(&shared, &feed, revision) => next,
-                // The connection of the watch may hang since an outage.
-                _ = outages.changed() => None,
-            };
-            let Some(next) = next else { break };
-            revision = next;
-        }
-    }
-}
-
-/// Waits until the list is to be read again after a failure.
-async fn wait_for_list(shared: &RelayShared, outages: &mut watch::Receiver<u64>) {
-    loop {
-        let told = tokio::time::timeout(LIST_RETRY, outages.changed()).await;
-        if told.is_ok() || shared.core.borrow().probes_store() {
-            return;
-        }
-    }
-}
-
-/// Hears of changes for a while, by an own watch or by the news of others. Returns
-/// the next revision to watch from, none where the list has to be read anew.
-async fn hear_once(
-    shared: &RelayShared,
-    feed: &PlatformFeed,
-    revision: StoreRevision,
-) -> Option<StoreRevision> {
-    let is_watching = shared.core.borrow().list_share().is_watching();
-    let watching = async {
-        if is_watching {
-            return watch_once(shared, feed, revision).await;
-        }
-        std::future::pending().await
-    };
-    tokio::select! {
-        next = watching => next,
-        () = shared.list_due.notified() => {
-            let core = shared.core.borrow();
-            // All up to the mark is known.
-            let next = revision.max(core.list_share().mark());
-            (!core.list_share().is_behind(shared.now())).then_some(next)
-        }
-    }
-}
-
-/// Reads the whole list. Returns its revision, none where that failed.
-async fn read_list(
-    shared: &RelayShared,
-    feed: &PlatformFeed,
-    heard_at: Tick,
-) -> Option<StoreRevision> {
-    let result = (feed.list_targets)().await;
-    shared.counts.borrow().note_store_call(StoreCall::ListRead);
-    let now = shared.now();
-    match result {
-        Ok(list) => {
-            let revision = list.revision;
-            shared.note_epoch(revision.epoch);
-            if revision.epoch < shared.core.borrow().store_epoch() {
-                // It was under way while the store came back from a copy.
-                return None;
-            }
-            let is_after_outage = now.since(heard_at) > LONGEST_WAIT + OUTAGE;
-            let is_after_outage = is_after_outage || shared.was_away(now);
-            shared.log.entries_unreadable(&list.unreadable, now);
-            let (change, news) = shared.core.borrow_mut().take_reread(list, is_after_outage, now);
-            shared.log.targets_changed(&change);
-            shared.note_started();
-            if let Some(news) = news {
-                tell_others(shared, news);
-            }
-            Some(revision)
-        }
-        Err(error) => {
-            shared.away_at.set(Some(now));
-            shared.counts.borrow_mut().store_failures += 1;
-            shared.note_turned_away();
-            shared.log.dependency("target list", false, &error.to_string());
-            None
-        }
-    }
-}
-
-/// Waits for one answer of a watch. Returns the next revision, none where the
-/// list has to be read anew.
-async fn watch_once(
-    shared: &RelayShared,
-    feed: &PlatformFeed,
-    revision: StoreRevision,
-) -> Option<StoreRevision> {
-    let result = (feed.watch_targets)(revision, wait_of(shared)).await;
-    shared.counts.borrow().note_store_call(StoreCall::ListWatch);
-    match result {
-        Ok(TargetWatch::Changes(news)) if news.revision.epoch != revision.epoch => {
-            shared.note_epoch(news.revision.epoch);
-            None
-        }
-        Ok(TargetWatch::Changes(news)) => {
-            let now = shared.now();
-            let next = news.revision;
-            let (changes, unreadable) = news.into_changes();
-            shared.log.entries_unreadable(&unreadable, now);
-            let away = shared.was_away(now);
-            let (change, news) = shared.core.borrow_mut().take_watched(changes, next, away, now);
-            shared.log.targets_changed(&change);
-            if let Some(news) = news {
-                tell_others(shared, news);
-                tokio::time::sleep(watch_step(shared, now)).await;
-            }
-            Some(next)
-        }
-        Ok(TargetWatch::Forgotten) => None,
-        Err(error) => {
-            shared.log.dependency("target watch", false, &error.to_string());
-            None
-        }
-    }
-}
-
-/// Tells others of changes, where this entry is one of those who watch for them.
-fn tell_others(shared: &RelayShared, news: ListNews) {
-    let core = shared.core.borrow();
-    let share = core.list_share();
-    if share.is_watching() && share.tells(rand::random()) {
-        shared.link.tell_list(&core, news);
-    }
-}
-
-/// Time until the next answer of the watch is asked for.
-fn watch_step(shared: &RelayShared, now: Tick) -> Duration {
-    // Ticks count from the start of the process.
-    list_rest(now.since(Tick::default()), shared.core.borrow().limits().drain_bound)
-}
--- a/src/relay/discovery/mod.rs
+++ b/src/relay/discovery/mod.rs
@@ -1,7 +1,7 @@
 //! What a process knows of its platform, and how current that is.
 //!
 //! - [`feed`]: how the platform's store is read, and [`store_revision`]: up to where,
-//! - `follow`: when and what for,
+//! - `follow_config`, `follow_targets`: when and what for,
 //! - `follow_quarantine`: what entries put there,
 //! - [`watch_pace`]: how long its watches wait,
 //! - [`rules`]: what a configuration allows, and to whom,
@@ -9,8 +9,9 @@
 //! - [`proof_share`], [`list_share`]: how entries learn from one another.
 
 pub mod feed;
-pub(crate) mod follow;
+pub(crate) mod follow_config;
 pub(crate) mod follow_quarantine;
+pub(crate) mod follow_targets;
 pub mod freshness;
 pub mod list_share;
 pub mod proof_share;
--- a/src/relay/peers/adviser.rs
+++ b/src/relay/peers/adviser.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use futures_util::FutureExt;
-use futures_util::future::{Fuse, FusedFuture};
+use futures_util::future::{Fuse, FusedFuture, LocalBoxFuture};
 use http_body_util::BodyExt;
 use hyper::Request;
 use tokio::net::UdpSocket;
 
-use super::engine_watch::{EngineWatch, ReportEnd};
+use super::engine_watch::{EngineLook, EngineWatch, ReportEnd};
 use super::load_note::{LoadNote, MAX_NOTE};
 use super::subscriber_set::{NoteOut, SubscriberSet};
 use crate::Result;
@@ -43,7 +43,7 @@
     let client = HttpClient::new(1);
     let mut set = SubscriberSet::default();
     let mut watch = EngineWatch::default();
-    let mut looking = Fuse::terminated();
+    let mut looking: Fuse<LocalBoxFuture<'_, EngineLook>> = Fuse::terminated();
     let mut buffer = [0; MAX_NOTE];
     let mut ticks = tokio::time::interval(TICK_STEP);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -60,17 +60,16 @@
             _ = ticks.tick() => {
                 send_all(&socket, set.expire(clock.now()));
             }
-            end = &mut looking, if !looking.is_terminated() => {
+            look = &mut looking, if !looking.is_terminated() => {
                 let was_down = watch.is_down();
-                let (end, born_ms) = end;
-                if let Some(born_ms) = born_ms {
+                if let Some(born_ms) = look.born_ms {
                     watch.note_born(born_ms);
                 }
-                if watch.note_report(end) {
+                if watch.note_report(look.end) {
                     send_all(&socket, set.to_down());
                 }
-                if let Some(next_ms) = watch.take_exit() {
-                    send_all(&socket, set.to_exited(next_ms));
+                if let Some(exit) = watch.take_exit() {
+                    send_all(&socket, set.to_exited(exit.next_ms));
                 }
                 if watch.is_down() != was_down {
                     slog::warn!(logger, "target"; "is_down" => watch.is_down());
@@ -111,14 +110,13 @@
     }
 }
 
-/// Looks at the engine's report. Returns how that ended, and the start of the engine's
-/// life where it says that.
+/// Looks at the engine's report.
 async fn read_report(
     client: &HttpClient,
     dialect: &TargetDialect,
     target: SocketAddr,
     logger: &slog::Logger,
-) -> (ReportEnd, Option<u64>) {
+) -> EngineLook {
     let mut request = Request::new(full(""));
     let uri = format!("http://{target}{}", dialect.report_path);
     *request.uri_mut() = uri.parse().unwrap_or_default();
@@ -131,22 +129,25 @@
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(CallFault::NotSent(error))) => {
             slog::debug!(logger, "no report of the target"; "error" => error);
-            return (ReportEnd::Refused, None);
+            return EngineLook::without_report(ReportEnd::Refused);
         }
         Ok(Err(CallFault::Unknown(error))) => {
             slog::warn!(logger, "no report of the target"; "error" => error);
-            return (ReportEnd::Missed, None);
+            return EngineLook::without_report(ReportEnd::Missed);
         }
         Err(elapsed) => {
             slog::warn!(logger, "no report of the target"; "error" => %elapsed);
-            return (ReportEnd::Missed, None);
+            return EngineLook::without_report(ReportEnd::Missed);
         }
     };
     match (dialect.parse_report)(&body) {
-        Ok(report) => (ReportEnd::Pace((report.pace * 100.0) as u32), report.born_ms),
+        Ok(report) => {
+            let end = ReportEnd::Pace((report.pace * 100.0) as u32);
+            EngineLook { end, born_ms: report.born_ms }
+        }
         Err(error) => {
             slog::warn!(logger, "report of the target not read"; "error" => %error);
-            (ReportEnd::Missed, None)
+            EngineLook::without_report(ReportEnd::Missed)
         }
     }
 }
--- a/src/relay/peers/engine_watch.rs
+++ b/src/relay/peers/engine_watch.rs
@@ -52,6 +52,30 @@
     Missed,
 }
 
+/// What a look at the engine's report brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EngineLook {
+    /// How it ended.
+    pub end: ReportEnd,
+    /// Start of the engine's life in Unix milliseconds, where it says so.
+    pub born_ms: Option<u64>,
+}
+
+impl EngineLook {
+    /// A look that brought no report.
+    #[must_use]
+    pub fn without_report(end: ReportEnd) -> Self {
+        EngineLook { end, born_ms: None }
+    }
+}
+
+/// The end of a life of the engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EngineExit {
+    /// Start of the life that follows in Unix milliseconds, where there is one.
+    pub next_ms: Option<u64>,
+}
+
 /// What an agent knows of its engine.
 #[derive(Debug)]
 pub struct EngineWatch {
@@ -142,12 +166,12 @@
 
     /// Whether entries are to be told that the engine has ended, after each look: with the
     /// start of the life that follows, where it is back.
-    pub fn take_exit(&mut self) -> Option<Option<u64>> {
+    pub fn take_exit(&mut self) -> Option<EngineExit> {
         if self.refused >= ENDED_LOOKS {
-            return Some(None);
+            return Some(EngineExit { next_ms: None });
         }
         self.life_notes_left = self.life_notes_left.checked_sub(1)?;
-        Some(self.born_ms)
+        Some(EngineExit { next_ms: self.born_ms })
     }
 
     /// Takes the end of a look. Returns true where entries are to be told that the
--- a/src/relay/proxy/series.rs
+++ b/src/relay/proxy/series.rs
@@ -40,6 +40,27 @@
     RelayFault::refused("targets_closed", why, after_reopening(wait, &mut rand::rng()))
 }
 
+/// Notes what a failed attempt says of its target's health. Returns true where the target is
+/// to be passed over by the request that met it.
+fn note_health(shared: &RelayShared, target: &Arc<str>, fault: &AttemptFault, now: Tick) -> bool {
+    let mut core = shared.core.borrow_mut();
+    let is_of_helper =
+        fault.blamed.is_some_and(|address| core.note_helper_failure(target, address, now));
+    drop(core);
+    if let Some(suspect) = fault.blamed.or_else(|| fault.suspect(shared, target)) {
+        shared.link.suspect(suspect);
+    }
+    let is_of_target = !fault.is_stale && !is_of_helper;
+    if !fault.is_timeout
+        && is_of_target
+        && let Some(span) = shared.core.borrow_mut().note_failure(target, fault.fault, now)
+    {
+        shared.log.ejected(target, span);
+        shared.counts.borrow_mut().ejections += 1;
+    }
+    is_of_target
+}
+
 /// The attempts of one request.
 pub(crate) struct AttemptSeries {
     tried: Vec<Arc<str>>,
@@ -166,21 +187,7 @@
         shared.log.attempt_failed(&line, now);
         shared.counts.borrow_mut().failed_attempts += 1;
         self.note_target_end(shared, job, &fault, now);
-        let is_of_helper = fault.blamed.is_some_and(|address| {
-            shared.core.borrow_mut().note_helper_failure(target, address, now)
-        });
-        if let Some(suspect) = fault.blamed.or_else(|| fault.suspect(shared, target)) {
-            shared.link.suspect(suspect);
-        }
-        let is_of_target = !fault.is_stale && !is_of_helper;
-        if !fault.is_timeout
-            && is_of_target
-            && let Some(span) = shared.core.borrow_mut().note_failure(target, fault.fault, now)
-        {
-            shared.log.ejected(target, span);
-            shared.counts.borrow_mut().ejections += 1;
-        }
-        if is_of_target {
+        if note_health(shared, target, &fault, now) {
             self.tried.push(target.clone());
         }
         let end = fault.to_end();
@@ -201,6 +208,17 @@
         if !fault.verdict.may_retry(job.route.repeat.is_repeatable()) {
             return Err(SeriesEnd::RunsOnce);
         }
+        self.take_another(shared, job, fault.is_sent, now)
+    }
+
+    /// Takes one more send from what the request and the service have left.
+    fn take_another(
+        &self,
+        shared: &RelayShared,
+        job: &RelayJob,
+        is_sent: bool,
+        now: Tick,
+    ) -> Result<(), SeriesEnd> {
         let policy = shared.core.borrow().limits().policy;
         // A failure of the target's own is an answer that the caller can have.
         let repeated = if self.answer.is_none() { policy.repeated_runs } else { 0 };
@@ -208,7 +226,7 @@
         if !self.sends.permits(most_runs) {
             return Err(SeriesEnd::MostSends);
         }
-        if fault.is_sent && !shared.core.borrow_mut().take_retry(&job.service, now) {
+        if is_sent && !shared.core.borrow_mut().take_retry(&job.service, now) {
             return Err(SeriesEnd::NoBudget);
         }
         Ok(())
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -15,6 +15,7 @@
 use super::decide::targets::TargetLife;
 use super::discovery::feed::{ConfigNews, ConfigRead};
 use super::discovery::proof_share::PeerVerdict;
+use super::discovery::watch_pace::watch_wait;
 use super::peers::load_link::LoadLink;
 use super::peers::load_note::LoadNote;
 use super::proxy::connections::ConnectionPool;
@@ -195,6 +196,11 @@
         drop(tokio::time::timeout(wait, start.wait_for(|phase| phase.is_over())).await);
     }
 
+    /// Longest wait of one watch of the store.
+    pub(crate) fn watch_wait(&self) -> Duration {
+        watch_wait(self.core.borrow().limits().store_history)
+    }
+
     /// Returns true where entries of the target list may have lapsed because
     /// the store was away.
     pub(crate) fn was_away(&self, now: Tick) -> bool {
--- a/tests/relay/lives.rs
+++ b/tests/relay/lives.rs
@@ -7,7 +7,7 @@
 use shalelane::relay::decide::targets::{TargetRecord, TargetSet};
 use shalelane::relay::discovery::freshness::StalePolicy;
 use shalelane::relay::discovery::rules::{RelayConfig, ServiceRule};
-use shalelane::relay::peers::engine_watch::{EngineWatch, ReportEnd};
+use shalelane::relay::peers::engine_watch::{EngineExit, EngineWatch, ReportEnd};
 
 use crate::fixture::{at, limits, name, need, rates, record, revision};
 
@@ -100,13 +100,17 @@
     assert_eq!(watch.take_exit(), None);
     watch.note_born(200);
     for _ in 0..3 {
-        assert_eq!(watch.take_exit(), Some(Some(200)), "a datagram may be lost");
+        assert_eq!(
+            watch.take_exit(),
+            Some(EngineExit { next_ms: Some(200) }),
+            "a datagram may be lost"
+        );
     }
     assert_eq!(watch.take_exit(), None);
     watch.note_report(ReportEnd::Refused);
     assert_eq!(watch.take_exit(), None, "one refusal may be for want of room");
     watch.note_report(ReportEnd::Refused);
-    assert_eq!(watch.take_exit(), Some(None));
+    assert_eq!(watch.take_exit(), Some(EngineExit { next_ms: None }));
 }
 
 #[test]
