--- a/tests/restored_store.rs
+++ b/tests/restored_store.rs
@@ -33,6 +33,32 @@
     assert_eq!(site.plain.times_run("boat-1"), 1);
 }
 
+/// A process that starts after the return has never known another epoch, and what others are to
+/// write again may not be there yet: the one that knows of the claim stands still meanwhile.
+#[tokio::test]
+async fn a_process_that_starts_after_the_return_waits_for_claims() {
+    let mut site = Site::start(1, 1, EngineSpec::default()).await;
+    let early = call(site.callers(0), keyed_order("boat-0", "early")).await.expect("answer");
+    assert_eq!(early.status, 200);
+    let copy = site.store.to_copy();
+    let first = call(site.callers(0), keyed_order("boat-1", "key")).await.expect("answer");
+    assert_eq!(first.status, 200);
+    site.entries[0].freeze(true);
+    site.store.restore(copy);
+    site.add_entry(1);
+    site.wait_ready(1).await;
+    let answer = call(site.callers(1), keyed_order("boat-1", "key")).await.expect("answer");
+    assert_eq!((answer.status, answer.code().as_str()), (503, "claims_away"));
+    site.entries[0].freeze(false);
+    wait_until("the key is known to be taken", async || {
+        let answer = call(site.callers(1), keyed_order("boat-1", "key")).await.expect("answer");
+        assert_ne!(answer.status, 200);
+        answer.status == 409
+    })
+    .await;
+    assert_eq!(site.plain.times_run("boat-1"), 1);
+}
+
 /// The first entry has read more of the log than there is now, and writes on.
 #[tokio::test]
 async fn claims_go_on_without_a_gap() {
