A log of claims says in which epoch of the store it is whole

Cause: a process that starts after the return can not know that there was one, and its log may lack what others are still to write again. Change: the log's head names the epoch in which it is whole; where that is behind the store's, nobody gets a free key for 3 s after reading it, and whoever goes on then writes it there.

--- a/src/claim.rs
+++ b/src/claim.rs
@@ -78,6 +78,16 @@
 pub struct ClaimHead {
     /// Number of the first segment whose claims are remembered.
     pub first: u64,
+    /// Epoch of the store in which the log is known to be whole again.
+    #[serde(default)]
+    pub epoch: u64,
+}
+
+impl Default for ClaimHead {
+    /// The head of a log that nobody has begun.
+    fn default() -> Self {
+        ClaimHead { first: 1, epoch: 0 }
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -162,14 +172,14 @@
         records.collect()
     }
 
-    /// Forgets claims that are older than the retention. Returns where the log
-    /// begins now, if that has moved.
-    pub fn expire(&mut self, now: u64) -> Option<ClaimHead> {
+    /// Forgets claims that are older than the retention. Returns the number of the first
+    /// segment that counts now, if that has moved.
+    pub fn expire(&mut self, now: u64) -> Option<u64> {
         let oldest = now.saturating_sub(RETENTION);
         self.owners.retain(|_, owner| owner.at >= oldest);
         let old = self.starts.iter().take_while(|(_, at)| *at < oldest).count();
         let (last, _) = self.starts.drain(..old).next_back()?;
-        Some(ClaimHead { first: last + 1 })
+        Some(last + 1)
     }
 
     /// How many claims are remembered.
--- a/src/claim_store.rs
+++ b/src/claim_store.rs
@@ -10,6 +10,7 @@
 use serde::de::DeserializeOwned;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 
 use crate::claim::{ClaimHead, ClaimKey, ClaimLog, ClaimRecord, ClaimSegment};
 use crate::clock::wall_micros;
@@ -97,6 +98,10 @@
     log: Option<ClaimLog>,
     /// Epoch of the store in which the log was read.
     log_epoch: u64,
+    /// Where the log begins, as it was read or written last.
+    head: ClaimHead,
+    /// Until when others may still write again what the store has lost.
+    closed_until: Option<Instant>,
     /// Claims that the store has lost and that are to be written again.
     lost: Vec<ClaimRecord>,
     leftover: Vec<ClaimRecord>,
@@ -104,13 +109,21 @@
 
 impl ShardWriter {
     fn new(store: StoreClient, shard: u8) -> Self {
-        let (lost, leftover) = (Vec::new(), Vec::new());
-        ShardWriter { store, shard, log: None, log_epoch: 0, lost, leftover }
+        ShardWriter {
+            store,
+            shard,
+            log: None,
+            log_epoch: 0,
+            head: ClaimHead::default(),
+            closed_until: None,
+            lost: Vec::new(),
+            leftover: Vec::new(),
+        }
     }
 
     /// Returns true where the store lacks what this writer knows.
     fn is_rewrite_due(&self) -> bool {
-        let is_outdated = self.log_epoch != self.store.epoch().number;
+        let is_outdated = self.log_epoch != self.store.epoch();
         (self.log.is_some() && is_outdated) || !self.lost.is_empty()
     }
 
@@ -172,15 +185,18 @@
     async fn write(&mut self, records: &[ClaimRecord]) -> Result<()> {
         self.load().await?;
         loop {
-            let is_closed = self.is_being_rewritten();
+            let is_closed = self.closed_until.is_some_and(|until| Instant::now() < until);
             let Some(log) = &mut self.log else {
                 return Err(Error::unreachable("no log"));
             };
             let at = wall_micros() / 1_000_000;
-            if let Some(head) = log.expire(at) {
-                let store = self.store.clone();
-                let name = format!("claims/{}/head", self.shard);
-                spawn_local(move_head(store, name, head));
+            let first = log.expire(at).unwrap_or(self.head.first);
+            let epoch = if is_closed { self.head.epoch } else { self.log_epoch };
+            let head = ClaimHead { first, epoch };
+            if head != self.head {
+                self.head = head;
+                let name = head_name(self.shard);
+                spawn_local(move_head(self.store.clone(), name, head));
             }
             let wanted = records.iter().filter(|one| one.is_release || !is_closed);
             let wanted: Vec<_> = self.lost.iter().chain(wanted).cloned().collect();
@@ -194,7 +210,7 @@
             let token = format!("{:016x}", rand::random::<u64>());
             let segment = ClaimSegment { token, at, records: selected };
             let found = self.create(number, &segment).await?;
-            if self.store.epoch().number != self.log_epoch {
+            if self.store.epoch() != self.log_epoch {
                 // The store came back from a copy: the segment may stand behind a gap.
                 self.load().await?;
                 continue;
@@ -205,11 +221,6 @@
         }
     }
 
-    /// Returns true while others may still write again what the store has lost.
-    fn is_being_rewritten(&self) -> bool {
-        self.store.epoch().begun_at.is_some_and(|at| at.elapsed() < REWRITE_SPAN)
-    }
-
     /// Creates a segment. Returns the one that is there in the end: this one,
     /// or that of a faster writer.
     async fn create(&self, number: u64, segment: &ClaimSegment) -> Result<ClaimSegment> {
@@ -231,16 +242,17 @@
     /// Reads the log up to its end, once in each epoch of the store. What others write later
     /// is found where this writer wants to write.
     async fn load(&mut self) -> Result<()> {
-        if self.log.is_some() && self.log_epoch == self.store.epoch().number {
+        if self.log.is_some() && self.log_epoch == self.store.epoch() {
             return Ok(());
         }
-        let head = read(&self.store, &format!("claims/{}/head", self.shard)).await?;
-        let epoch = self.store.epoch().number;
-        let mut log = ClaimLog::new(head.unwrap_or(ClaimHead { first: 1 }));
+        let head: Option<ClaimHead> = read(&self.store, &head_name(self.shard)).await?;
+        let head = head.unwrap_or_default();
+        let epoch = self.store.epoch();
+        let mut log = ClaimLog::new(head);
         while let Some(segment) = read(&self.store, &self.name(log.next())).await? {
             log.push(&segment);
         }
-        if self.store.epoch().number != epoch {
+        if self.store.epoch() != epoch {
             return Err(Error::unreachable("the store came back while its log was read"));
         }
         if let Some(former) = &self.log {
@@ -248,6 +260,10 @@
         }
         self.log = Some(log);
         self.log_epoch = epoch;
+        self.head = head;
+        // Nobody has said since the store came back that the log is whole again.
+        let is_rewritten = head.epoch >= epoch;
+        self.closed_until = (!is_rewritten).then(|| Instant::now() + REWRITE_SPAN);
         Ok(())
     }
 
@@ -256,6 +272,10 @@
     }
 }
 
+fn head_name(shard: u8) -> String {
+    format!("claims/{shard}/head")
+}
+
 async fn read<T: DeserializeOwned>(store: &StoreClient, name: &str) -> Result<Option<T>> {
     let Some(stored) = store.get(name).await? else { return Ok(None) };
     serde_json::from_slice(&stored.content).map(Some).map_err(Error::unreachable)
--- a/src/config_store.rs
+++ b/src/config_store.rs
@@ -50,7 +50,7 @@
     /// The store is away, or what it holds is no configuration.
     pub async fn watch(&mut self, after: ConfigVersion, wait: Duration) -> Result<Option<Config>> {
         // A store that is back from a copy gives out versions again.
-        let is_same = self.position.epoch == self.store.epoch().number;
+        let is_same = self.position.epoch == self.store.epoch();
         let known = if is_same { self.position.version } else { 0 };
         let stored = self.store.watch(MANIFEST, known, wait).await?;
         self.load_newer(stored, after).await
@@ -113,7 +113,7 @@
         let token = format!("{:016x}", rand::random::<u64>());
         let replaced = self.find_replaced(expected).await?;
         let (manifest, objects) = Manifest::from_config(config, token);
-        let manifest = Manifest { epoch: self.store.epoch().number, ..manifest };
+        let manifest = Manifest { epoch: self.store.epoch(), ..manifest };
         for object in objects {
             // What was read of the store before it came back from a copy may be lost.
             let is_there = self.position.epoch == manifest.epoch;
--- a/src/store.rs
+++ b/src/store.rs
@@ -8,7 +8,6 @@
 use hyper::header::{ETAG, HeaderMap, IF_MATCH, IF_NONE_MATCH};
 use hyper::{Method, Request, Response, StatusCode};
 use tokio::sync::watch;
-use tokio::time::Instant;
 
 use crate::client::{CallBody, HttpClient, full};
 use crate::error::{Error, ErrorCode, Result};
@@ -25,16 +24,6 @@
 /// Version of a stored object, zero for one that is not there.
 pub type ObjectVersion = u64;
 
-/// An epoch of the store: how often it has come back from an old copy, each of which gives out
-/// versions again.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct StoreEpoch {
-    /// Its number.
-    pub number: u64,
-    /// When this process saw that it had begun, none for the first one that it knew.
-    pub begun_at: Option<Instant>,
-}
-
 /// An object as it is stored.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoredObject {
@@ -51,43 +40,41 @@
 pub struct StoreClient {
     address: Arc<str>,
     http: HttpClient,
-    /// The newest epoch that an answer named, none before the first one.
-    epoch: Arc<watch::Sender<Option<StoreEpoch>>>,
+    /// The newest epoch that an answer named.
+    epoch: Arc<watch::Sender<u64>>,
 }
 
 impl StoreClient {
     /// A client of the store at `address`, `ip:port`.
     #[must_use]
     pub fn new(address: Arc<str>) -> Self {
-        let epoch = Arc::new(watch::Sender::new(None));
+        let epoch = Arc::new(watch::Sender::new(0));
         StoreClient { address, http: HttpClient::new(KEPT), epoch }
     }
 
-    /// The epoch of the store, as far as it is known here.
+    /// The epoch of the store, as far as it is known here: how often it has come back from an
+    /// old copy, each of which gives out versions again.
     #[must_use]
-    pub fn epoch(&self) -> StoreEpoch {
-        self.epoch.borrow().unwrap_or_default()
+    pub fn epoch(&self) -> u64 {
+        *self.epoch.borrow()
     }
 
     /// Tells of each new epoch.
     #[must_use]
-    pub fn subscribe_epoch(&self) -> watch::Receiver<Option<StoreEpoch>> {
+    pub fn subscribe_epoch(&self) -> watch::Receiver<u64> {
         self.epoch.subscribe()
     }
 
     /// Calls the store, and notes the epoch that its answer names.
     async fn call(&self, request: Request<CallBody>, limit: Duration) -> Result<Response<Bytes>> {
         let response = self.http.call(request, limit).await?;
-        let number = to_epoch(&response)?;
+        let epoch = to_epoch(&response)?;
         self.epoch.send_if_modified(|known| {
-            let is_new = known.is_none_or(|known| known.number < number);
-            if is_new {
-                let begun_at = known.map(|_| Instant::now());
-                *known = Some(StoreEpoch { number, begun_at });
-            }
+            let is_new = *known < epoch;
+            *known = epoch.max(*known);
             is_new
         });
-        if number < self.epoch().number {
+        if epoch < self.epoch() {
             return Err(Error::unreachable("an answer of the store before it came back"));
         }
         Ok(response)
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -21,7 +21,7 @@
 
 #[test]
 fn the_first_claim_wins_within_a_batch_and_over_segments() {
-    let mut log = ClaimLog::new(ClaimHead { first: 1 });
+    let mut log = ClaimLog::new(ClaimHead::default());
     let batch = [claim("a", "one"), claim("a", "two"), claim("b", "two")];
     let selected = log.select(&batch);
     assert_eq!(selected, [claim("a", "one"), claim("b", "two")]);
@@ -34,7 +34,7 @@
 
 #[test]
 fn only_its_owner_gives_a_key_back() {
-    let mut log = ClaimLog::new(ClaimHead { first: 1 });
+    let mut log = ClaimLog::new(ClaimHead::default());
     log.push(&segment(10, vec![claim("a", "one")]));
     assert!(log.select(&[release("a", "two")]).is_empty());
     log.push(&segment(11, vec![release("a", "two")]));
@@ -46,11 +46,11 @@
 
 #[test]
 fn claims_are_forgotten_after_the_retention_and_the_head_moves() {
-    let mut log = ClaimLog::new(ClaimHead { first: 5 });
+    let mut log = ClaimLog::new(ClaimHead { first: 5, epoch: 0 });
     log.push(&segment(100, vec![claim("a", "one")]));
     log.push(&segment(200, vec![claim("b", "one")]));
     assert_eq!(log.expire(100 + RETENTION), None);
-    assert_eq!(log.expire(101 + RETENTION), Some(ClaimHead { first: 6 }));
+    assert_eq!(log.expire(101 + RETENTION), Some(6));
     assert_eq!((owner(&log, "a"), owner(&log, "b")), (None, Some("one")));
     assert_eq!(log.len(), 1);
 }
