Write lost claims again at half-second steps

Cause: a writer that could not reach the store tried each 100 ms, for each log and entry: with 400 entries and eight logs 32,000 calls a second at a store that has just come back (derived). Change: 500 ms.

--- a/src/claim_store.rs
+++ b/src/claim_store.rs
@@ -29,6 +29,10 @@
 /// store.
 const REWRITE_SPAN: Duration = Duration::from_secs(3);
 
+/// Wait before what the store has lost is tried again to be written: each entry does so for
+/// each log that it has read.
+const REWRITE_STEP: Duration = Duration::from_millis(500);
+
 /// Readings back of a lost answer.
 const READ_BACKS: u32 = 3;
 
@@ -140,7 +144,7 @@
                 }
                 // What the store has lost is written again, whether anybody asks or not.
                 _ = epochs.changed() => {}
-                () = tokio::time::sleep(READ_BACK_STEP), if self.is_rewrite_due() => {}
+                () = tokio::time::sleep(REWRITE_STEP), if self.is_rewrite_due() => {}
             }
             while batch.len() < MAX_BATCH
                 && let Ok(more) = pending.try_recv()
--- a/src/relay/decide/target_state.rs
+++ b/src/relay/decide/target_state.rs
@@ -68,7 +68,7 @@
     /// True where it takes nothing new.
     #[serde(rename = "l")]
     pub is_leaving: bool,
-    /// When it was listed first, in a count that only grows.
+    /// Revision of the store at which it was listed first.
     #[serde(rename = "t")]
     pub listed_at: StoreRevision,
 }
