Sight: what answers name as the rate of their target is decoded, logged and counted

Cause for it: between "nobody reads the rate" and "each entry keeps it alone" no line decided; no entry alone sent more than 8 in 4 s where 12 would do. Nothing is decided by it.

--- a/src/relay/counts.rs
+++ b/src/relay/counts.rs
@@ -5,6 +5,7 @@
 use prometheus::{HistogramVec, IntCounterVec, IntGauge};
 
 use super::core::RelayCore;
+use super::decide::rate_limit::RateWord;
 use super::decide::target_notice::TargetNotice;
 use super::record::RequestEnd;
 use crate::metrics::{CountMirror, MetricsPage, length_class};
@@ -151,7 +152,11 @@
 
     /// Notes what an answer said of its target.
     pub(crate) fn note_notice(&self, notice: &TargetNotice) {
-        let kinds = [("leaving", notice.is_leaving), ("backoff", notice.backoff.is_some())];
+        let kinds = [
+            ("leaving", notice.is_leaving),
+            ("backoff", notice.backoff.is_some()),
+            ("rate", notice.rate != RateWord::Silent),
+        ];
         for (kind, _) in kinds.into_iter().filter(|(_, is_said)| *is_said) {
             self.notices.with_label_values(&[kind]).inc();
         }
--- a/src/relay/decide/mod.rs
+++ b/src/relay/decide/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`targets`]: which targets there are, [`target_state`]: which of them work, and
 //!   [`target_notice`]: what their answers say of them,
+//! - [`rate_limit`]: how many requests a second a target takes from all entries together,
 //! - [`engine_subset`]: which engines of a large fleet are used,
 //! - [`engine_rates`], [`stream_load`], [`pass_model`], [`pass_outlook`]: what a prompt
 //!   costs an engine and those who wait there,
@@ -28,6 +29,7 @@
 pub mod placement;
 pub mod policy;
 pub mod quarantine;
+pub mod rate_limit;
 pub mod request_digest;
 pub mod retry_budget;
 pub mod return_time;
--- a/src/relay/decide/target_notice.rs
+++ b/src/relay/decide/target_notice.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use super::rate_limit::RateWord;
 use super::target_state::{TargetLife, TargetRecord};
 use crate::relay::discovery::store_revision::StoreRevision;
 use crate::time::Tick;
@@ -23,12 +24,14 @@
 const MOST_KEPT: usize = 1_024;
 
 /// What an answer says of the target that gave it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct TargetNotice {
     /// True where the target is leaving: it takes nothing new from now on.
     pub is_leaving: bool,
     /// Time for which it wants nothing more from this process.
     pub backoff: Option<Duration>,
+    /// The rate that it takes from all entries together.
+    pub rate: RateWord,
 }
 
 impl TargetNotice {
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -13,6 +13,7 @@
 
 use slog::{Drain, Logger, Never, OwnedKVList, Record, info, o, warn};
 
+use super::decide::rate_limit::RateWord;
 use super::decide::request_digest::RequestDigest;
 use super::decide::target_notice::TargetNotice;
 use super::decide::targets::ListChange;
@@ -303,6 +304,11 @@
         info!(self.logger, "target says";
             "target" => target, "is_leaving" => notice.is_leaving,
             "backoff_ms" => notice.backoff.map(|span| span.as_millis() as u64),
+            "rate" => match notice.rate {
+                RateWord::Silent => None,
+                RateWord::Unreadable => Some("unreadable".to_owned()),
+                RateWord::Named(rate) => Some(rate.per_second().to_string()),
+            },
             "left_out" => left_out);
     }
 
--- a/tests/relay/notices.rs
+++ b/tests/relay/notices.rs
@@ -5,6 +5,7 @@
 
 use shalelane::relay::core::{AttemptShare, RelayCore};
 use shalelane::relay::decide::placement::{Placement, TargetScope};
+use shalelane::relay::decide::rate_limit::RateWord;
 use shalelane::relay::decide::return_time::until_usable;
 use shalelane::relay::decide::target_notice::{KeptNotice, NoticeMemory, TargetNotice};
 use shalelane::relay::decide::targets::{TargetFault, TargetLife, TargetRecord};
@@ -15,10 +16,11 @@
 
 use crate::fixture::{at, limits, ms, name, need, rates, record, revision};
 
-const LEAVING: TargetNotice = TargetNotice { is_leaving: true, backoff: None };
+const LEAVING: TargetNotice =
+    TargetNotice { is_leaving: true, backoff: None, rate: RateWord::Silent };
 
 fn backoff(millis: u64) -> TargetNotice {
-    TargetNotice { is_leaving: false, backoff: Some(ms(millis)) }
+    TargetNotice { backoff: Some(ms(millis)), ..TargetNotice::default() }
 }
 
 fn life(name: &str) -> TargetLife {
