Send to a target that names a rate only by permits of one agent

Callers saw such a target overrun: 24 requests in 4 s where 18 are allowed, over five entries. Cause: nobody read the rate that answers name. Its class: a bound over all entries that each would count alone; read by each entry alone it would have been five times, or 402 times, too much.

Change: an entry that knows a rate asks the agent beside the target (for targets without one, an agent that all choose alike) for each send, and sends nothing without its answer; the agent gives turns one step apart, in the future where the request would wait for it. So the sum holds for any number of entries, idle, new or cut off. Rates go round beside subscriptions, so that idle entries know them. Missed turns are not used; orders without a permit are counted; such targets help with no joint prompt and are the last choice; where there is no turn in time callers are refused at once with the time of one.

--- a/src/relay/core/attempts.rs
+++ b/src/relay/core/attempts.rs
@@ -7,7 +7,7 @@
 use super::{AttemptShare, RelayCore, RelayLimits};
 use crate::relay::decide::group_search::place_prompt;
 use crate::relay::decide::placement::{
-    Placement, PlacementQuery, PromptNeed, TargetScope, place_call,
+    Placement, PlacementQuery, PromptNeed, TargetScope, TurnPolicy, place_call,
 };
 use crate::relay::decide::retry_budget::RetryBudget;
 use crate::relay::decide::return_time::until_usable;
@@ -53,6 +53,29 @@
         need: Option<&PromptNeed>,
         scope: TargetScope<'_>,
         now: Tick,
+    ) -> Option<Placement> {
+        self.place_at(service, need, scope, TurnPolicy::AtOnce, now)
+    }
+
+    /// Chooses where a request goes that would wait for its turn, none where no target can
+    /// take it.
+    pub fn place_for_turn(
+        &mut self,
+        service: &str,
+        need: Option<&PromptNeed>,
+        scope: TargetScope<'_>,
+        now: Tick,
+    ) -> Option<Placement> {
+        self.place_at(service, need, scope, TurnPolicy::Waits, now)
+    }
+
+    fn place_at(
+        &mut self,
+        service: &str,
+        need: Option<&PromptNeed>,
+        scope: TargetScope<'_>,
+        turn: TurnPolicy,
+        now: Tick,
     ) -> Option<Placement> {
         self.remove_missing(now);
         for target in self.targets.iter_mut().filter(|target| target.is_used) {
@@ -61,7 +84,8 @@
             }
         }
         let RelayLimits { failure_domain, policy, .. } = &self.limits;
-        let query = PlacementQuery { service, failure_domain, scope, entry: self.entry, policy };
+        let entry = self.entry;
+        let query = PlacementQuery { service, failure_domain, scope, turn, entry, policy };
         match need {
             Some(need) => place_prompt(&self.targets, &query, need, now),
             None => place_call(&self.targets, &query, now),
@@ -89,6 +113,7 @@
             is_suspect: false,
             helpers: placement.helpers.clone(),
             key,
+            turn_until: placement.turn_until,
         }
     }
 
@@ -200,7 +225,8 @@
         self.targets.get_mut(target)?.note_failure(fault, now)
     }
 
-    /// Takes what an answer says of the life of a target that gave it.
+    /// Takes what an answer says of the life of a target that gave it, but for its rate
+    /// ([`RelayCore::take_rate`]).
     pub fn take_notice(&mut self, life: &TargetLife, notice: &TargetNotice, now: Tick) {
         let target = self.targets.get_mut(&life.incarnation);
         let target = target.filter(|target| target.record.to_life() == *life);
@@ -214,10 +240,17 @@
     /// asked for nothing more since.
     #[must_use]
     pub fn may_send(&self, share: &AttemptShare, now: Tick) -> bool {
-        let is_same = self.life_of(&share.target) == share.life;
-        let mut names = std::iter::once(&share.target).chain(&share.helpers);
-        is_same
-            && names.all(|name| self.targets.get(name).is_some_and(|target| target.is_usable(now)))
+        if self.life_of(&share.target) != share.life {
+            return false;
+        }
+        let Some(target) = self.targets.get(&share.target) else { return false };
+        let is_in_turn = match share.turn_until {
+            Some(until) => now <= until,
+            None => target.rate.is_none(),
+        };
+        let is_willing =
+            |name: &Arc<str>| self.targets.get(name).is_some_and(|target| target.is_willing(now));
+        is_in_turn && is_willing(&share.target) && share.helpers.iter().all(is_willing)
     }
 
     /// Time until a target of a service may be sent requests again, none where one may be now
--- a/src/relay/core/mod.rs
+++ b/src/relay/core/mod.rs
@@ -1,12 +1,14 @@
 //! What the relay of one entry knows and decides, without input or output.
 
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::relay::decide::policy::RelayPolicy;
 use crate::relay::decide::quarantine::QuarantineLedger;
+use crate::relay::decide::rate_book::{RateBook, RateTold};
 use crate::relay::decide::retry_budget::{RetryBound, RetryBudget};
 use crate::relay::decide::stream_load::StreamKey;
 use crate::relay::decide::targets::{ListChange, TargetLife, TargetSet};
@@ -20,12 +22,17 @@
 
 mod attempts;
 mod configuration;
+pub mod permits;
 mod quarantine;
 mod target_list;
 
 /// Places among entries that write the same, by the random part of an incarnation.
 const PLACES: u64 = 1 << 10;
 
+fn spread_of(entry: u64) -> f64 {
+    (entry % PLACES) as f64 / PLACES as f64
+}
+
 /// What does not change while the process runs.
 #[derive(Clone, Debug)]
 pub struct RelayLimits {
@@ -69,6 +76,8 @@
     pub helpers: Vec<Arc<str>>,
     /// The name of its stream.
     pub key: StreamKey,
+    /// Latest time at which it is sent, none where its target took any number.
+    pub turn_until: Option<Tick>,
 }
 
 /// State and decisions of the relay.
@@ -102,6 +111,9 @@
     entries: Option<usize>,
     notes: Vec<LoadNote>,
     quarantine: QuarantineLedger,
+    rates: RateBook,
+    /// What agents were told of rates.
+    rates_told: RateTold,
     /// Unix time of tick zero, in milliseconds.
     epoch_ms: u64,
 }
@@ -129,7 +141,9 @@
             budgets: HashMap::new(),
             entries: None,
             notes: Vec::new(),
-            quarantine: QuarantineLedger::new((entry % PLACES) as f64 / PLACES as f64),
+            quarantine: QuarantineLedger::new(spread_of(entry)),
+            rates: RateBook::default(),
+            rates_told: RateTold::default(),
             epoch_ms: 0,
         }
     }
@@ -181,6 +195,22 @@
         self.lease.permits_public() && self.targets.has_list()
     }
 
+    /// Place of this entry among all, from 0 to 1, at random but always the same.
+    fn spread(&self) -> f64 {
+        spread_of(self.entry)
+    }
+
+    /// Hosts of all engines, by the address of one engine each, in the order of `rank` of
+    /// their names: the same for all entries, whichever engines these use.
+    pub(crate) fn ranked_hosts(&self, rank: impl Fn(&str) -> u64) -> Vec<SocketAddr> {
+        let engines = self.targets.iter().filter(|target| target.model.is_some());
+        let mut hosts: Vec<_> = engines.map(|target| target.record.address).collect();
+        hosts.sort_by_key(|address| (address.ip(), address.port()));
+        hosts.dedup_by_key(|address| address.ip());
+        hosts.sort_by_cached_key(|address| rank(&address.ip().to_string()));
+        hosts
+    }
+
     /// Finds the route and account of a request that was read at `now`.
     ///
     /// # Errors
--- /dev/null
+++ b/src/relay/core/permits.rs
@@ -0,0 +1,186 @@
+//! What the core knows of rates that targets take, and when it may send there.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::RelayCore;
+use crate::relay::decide::permit_desk::{PermitAsk, PermitReply};
+use crate::relay::decide::placement::Placement;
+use crate::relay::decide::rate_book::RateNews;
+use crate::relay::decide::rate_limit::RateWord;
+use crate::relay::decide::return_time::until_turn;
+use crate::relay::decide::target_state::{TargetLife, TargetState};
+use crate::time::Tick;
+
+/// Time after its turn within which a request is sent: one that is held up by a slow
+/// connection or a frozen host would join those of later turns.
+const TURN_SPAN: Duration = Duration::from_millis(300);
+
+/// Time for which an agent that did not answer is passed over for the second one.
+const PASSED_OVER_SPAN: Duration = Duration::from_secs(2);
+
+/// Time for which a target is left alone where no agent answers for it.
+const UNHEARD_SPAN: Duration = Duration::from_millis(500);
+
+/// Most agents that are told of the targets for which they give permits, at each occasion.
+const MOST_GIVERS: usize = 64;
+
+/// A question for a permit, and who is asked.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PermitQuery {
+    /// What is asked.
+    pub ask: PermitAsk,
+    /// A target on the host of the agent that is asked; none where there is none.
+    pub beside: Option<SocketAddr>,
+}
+
+/// What became of the question.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PermitVerdict {
+    /// The request may be sent within these times.
+    Turn {
+        /// Not before.
+        from: Tick,
+        /// Not after.
+        until: Tick,
+    },
+    /// It is to be placed anew.
+    Elsewhere,
+}
+
+impl RelayCore {
+    /// Takes what an answer says of the rate of the target that gave it, to a request that
+    /// was sent at `sent_at`; none where what it leaves out says nothing.
+    pub fn take_rate(
+        &mut self,
+        life: &TargetLife,
+        word: RateWord,
+        sent_at: Option<Tick>,
+        now: Tick,
+    ) {
+        let is_changed = match word {
+            RateWord::Silent => sent_at.is_some_and(|at| self.rates.note_silent(life, at)),
+            RateWord::Unreadable => false,
+            RateWord::Named(rate) => self.rates.note_named(life, rate, now),
+        };
+        if is_changed {
+            self.mark_rates();
+        }
+    }
+
+    /// Takes what an agent knows of rates.
+    pub fn take_rates(&mut self, news: &[RateNews], now: Tick) {
+        let mut is_changed = false;
+        for news in news {
+            is_changed |= self.rates.take(news, now);
+        }
+        if is_changed {
+            self.mark_rates();
+        }
+    }
+
+    /// What agents are told of rates.
+    pub fn to_rates(&mut self, now: Tick) -> Vec<RateNews> {
+        self.rates.to_news(&mut self.rates_told, now)
+    }
+
+    /// What the agent that gives permits for a target is told of it, with the address of a
+    /// target on its host: it may have started anew.
+    #[must_use]
+    pub fn to_giver_rates(&self, now: Tick) -> Vec<(SocketAddr, RateNews)> {
+        let scarce = self.targets.iter().filter(|target| target.rate.is_some());
+        let told = scarce.filter_map(|target| {
+            let news = self.rates.to_news_of(&target.record.to_life(), now)?;
+            Some((self.permit_giver(target, false)?, news))
+        });
+        told.take(MOST_GIVERS).collect()
+    }
+
+    /// Forgets rates of which nothing was heard for long.
+    pub fn expire_rates(&mut self, now: Tick) {
+        if self.rates.expire(self.spread(), now) {
+            self.mark_rates();
+        }
+    }
+
+    /// Gives each target the rate that is known of it.
+    pub(super) fn mark_rates(&mut self) {
+        for target in self.targets.iter_mut() {
+            target.rate = self.rates.rate_of(&target.record.to_life());
+        }
+    }
+
+    /// What has to be asked before a request is sent as it was placed, none where its target
+    /// takes any number. It would wait for its turn for `most_wait`.
+    #[must_use]
+    pub fn permit_query(
+        &self,
+        placement: &Placement,
+        most_wait: Duration,
+        now: Tick,
+    ) -> Option<PermitQuery> {
+        let target = self.targets.get(&placement.target)?;
+        target.rate?;
+        let news = self.rates.to_news_of(&target.record.to_life(), now)?;
+        let is_second = target.unheard_at.is_some_and(|at| now.since(at) < PASSED_OVER_SPAN);
+        let ask = PermitAsk {
+            news,
+            most_wait_ms: most_wait.as_millis().try_into().unwrap_or(u32::MAX),
+            is_second,
+        };
+        Some(PermitQuery { ask, beside: self.permit_giver(target, is_second) })
+    }
+
+    /// Time until there may be a turn at a target of a service that would take a request now,
+    /// none where no target would.
+    #[must_use]
+    pub fn time_to_turn(&self, service: &str, now: Tick) -> Option<Duration> {
+        until_turn(&self.targets, service, now)
+    }
+
+    /// A target on the host whose agent gives permits for a target: all entries ask the same
+    /// one, whichever targets they use.
+    fn permit_giver(&self, target: &TargetState, is_second: bool) -> Option<SocketAddr> {
+        let beside = target.model.is_some().then_some(target.record.address);
+        let life = target.record.to_life();
+        let hosts = self.ranked_hosts(|host| {
+            xxhash_rust::xxh3::xxh3_64_with_seed(host.as_bytes(), life.seed())
+        });
+        let others =
+            hosts.into_iter().filter(|host| beside.is_none_or(|own| own.ip() != host.ip()));
+        beside.into_iter().chain(others).nth(usize::from(is_second))
+    }
+
+    /// Takes the answer to a question, none where none came.
+    pub fn take_permit(
+        &mut self,
+        query: &PermitQuery,
+        reply: Option<PermitReply>,
+        now: Tick,
+    ) -> PermitVerdict {
+        let life = &query.ask.news.life;
+        if reply == Some(PermitReply::Open) {
+            let news = RateNews { rate: None, age_ms: 0, ..query.ask.news.clone() };
+            self.take_rates(&[news], now);
+            return PermitVerdict::Turn { from: now, until: Tick::NEVER };
+        }
+        let target = self.targets.get_mut(&life.incarnation);
+        let Some(target) = target.filter(|target| target.record.to_life() == *life) else {
+            return PermitVerdict::Elsewhere;
+        };
+        match reply {
+            Some(PermitReply::Granted { after_ms }) => {
+                let from = now + Duration::from_millis(after_ms.into());
+                return PermitVerdict::Turn { from, until: from + TURN_SPAN };
+            }
+            Some(PermitReply::Refused { wait_ms }) => {
+                target.close(now + Duration::from_millis(wait_ms.into()), now);
+            }
+            _ if query.ask.is_second || query.beside.is_none() => {
+                target.close(now + UNHEARD_SPAN, now);
+            }
+            _ => target.unheard_at = Some(now),
+        }
+        PermitVerdict::Elsewhere
+    }
+}
--- a/src/relay/core/target_list.rs
+++ b/src/relay/core/target_list.rs
@@ -74,6 +74,7 @@
 
     /// Chooses anew which engines this entry uses.
     pub fn choose_engines(&mut self, now: Tick) {
+        self.mark_rates();
         let RelayLimits { failure_domain, policy, .. } = &self.limits;
         let query = SubsetQuery { entry: self.entry, failure_domain, most: policy.most_engines };
         let services: Vec<_> = self.engine_services().into_iter().collect();
--- a/src/relay/counts.rs
+++ b/src/relay/counts.rs
@@ -5,6 +5,7 @@
 use prometheus::{HistogramVec, IntCounterVec, IntGauge};
 
 use super::core::RelayCore;
+use super::decide::permit_desk::PermitReply;
 use super::decide::rate_limit::RateWord;
 use super::decide::target_notice::TargetNotice;
 use super::record::RequestEnd;
@@ -51,6 +52,7 @@
     mirrors: [CountMirror; 12],
     store_calls: IntCounterVec,
     notices: IntCounterVec,
+    permits: IntCounterVec,
     first_event: HistogramVec,
     faults: IntCounterVec,
     config_version: IntGauge,
@@ -97,6 +99,11 @@
                 "answers that said something of their target, by what",
                 "kind",
             ),
+            permits: page.add_counts(
+                "shalelane_relay_permits_total",
+                "questions whether a target that takes few requests takes one, by answer",
+                "answer",
+            ),
             store_failures: 0,
             shared_proofs: 0,
             answered: 0,
@@ -162,6 +169,17 @@
         }
     }
 
+    /// Notes how a question for a permit ended, none where there was no answer.
+    pub(crate) fn note_permit(&self, reply: Option<PermitReply>) {
+        let kind = match reply {
+            Some(PermitReply::Granted { .. }) => "granted",
+            Some(PermitReply::Refused { .. }) => "refused",
+            Some(PermitReply::Open) => "open",
+            None => "unanswered",
+        };
+        self.permits.with_label_values(&[kind]).inc();
+    }
+
     /// Notes a failure that the relay answers itself. Codes are few and fixed.
     pub(crate) fn note_fault(&self, code: &'static str) {
         self.faults.with_label_values(&[code]).inc();
--- a/src/relay/decide/engine_subset.rs
+++ b/src/relay/decide/engine_subset.rs
@@ -55,7 +55,10 @@
     now: Tick,
 ) -> Option<Vec<Arc<str>>> {
     let mut engines: Vec<_> =
-        set.usable(service, now).filter(|target| !target.is_ejected(now)).collect();
+        // One that is closed for a moment keeps its place.
+        set.of_service(service)
+            .filter(|target| target.is_willing(now) && !target.is_ejected(now))
+            .collect();
     if query.most == 0 || engines.len() <= query.most {
         return None;
     }
--- a/src/relay/decide/group_search.rs
+++ b/src/relay/decide/group_search.rs
@@ -13,7 +13,7 @@
 use super::loss::{FIRST_PART, LATE_LOSS, pause_loss};
 use super::pass_outlook::{JointRead, PassForecast, PassOutlook};
 use super::placement::{
-    MemorySeat, Placement, PlacementQuery, PromptNeed, SHORT_TOKENS, candidates,
+    MemorySeat, Placement, PlacementQuery, PromptNeed, SHORT_TOKENS, candidates, scarce_cost,
 };
 use super::policy::RelayPolicy;
 use super::stream_load::{StreamKey, StreamLoad};
@@ -188,6 +188,7 @@
             own: own.min(need.value() * LATE_LOSS),
             claim,
             candidates: self.engines.len(),
+            turn_until: None,
         })
     }
 
@@ -210,7 +211,9 @@
             return Some(Vec::new());
         }
         let mut helpers = self.weigh(&self.need.to_helper_load(self.read, size));
-        helpers.retain(|helper| !std::ptr::eq(helper.target, writer.target));
+        // Its part would reach one that takes few requests without a permit.
+        let may_help = |helper: &Candidate<'_>| helper.target.rate.is_none();
+        helpers.retain(|helper| !std::ptr::eq(helper.target, writer.target) && may_help(helper));
         helpers.sort_by(|a, b| a.cost.total_cmp(&b.cost));
         helpers.truncate(size - 1);
         (helpers.len() == size - 1).then_some(helpers)
@@ -252,6 +255,7 @@
         let &PassForecast { active, steady, pause, .. } = &writer.forecast;
         let capacity = record.capacity;
         let mut cost = pause_loss(need.value(), pause, need.longest_pause);
+        cost += scarce_cost(writer.target, policy);
         if steady.as_secs_f64() > need.longest_pause.as_secs_f64() * FIRST_PART {
             cost += need.value() * LATE_LOSS;
         }
@@ -262,7 +266,7 @@
             let more_free = (capacity - active) as i32 - 1;
             cost += policy.near_full_cost * policy.near_full_decay.powi(more_free);
         }
-        if active < capacity && need.prompt <= SHORT_TOKENS {
+        if active < capacity && need.prompt <= SHORT_TOKENS && writer.target.rate.is_none() {
             let packed = active.min(capacity - capacity / policy.kept_free_divisor);
             cost -= policy.packing_gain * packed as f32;
             cost += policy.spread * self.query.preference(&record.incarnation);
--- a/src/relay/decide/mod.rs
+++ b/src/relay/decide/mod.rs
@@ -3,6 +3,7 @@
 //! - [`targets`]: which targets there are, [`target_state`]: which of them work, and
 //!   [`target_notice`]: what their answers say of them,
 //! - [`rate_limit`]: how many requests a second a target takes from all entries together,
+//!   [`rate_book`]: what is known of that, and [`permit_desk`]: who may send there,
 //! - [`engine_subset`]: which engines of a large fleet are used,
 //! - [`engine_rates`], [`stream_load`], [`pass_model`], [`pass_outlook`]: what a prompt
 //!   costs an engine and those who wait there,
@@ -26,9 +27,11 @@
 pub mod pass_model;
 pub mod pass_outlook;
 mod pending_read;
+pub mod permit_desk;
 pub mod placement;
 pub mod policy;
 pub mod quarantine;
+pub mod rate_book;
 pub mod rate_limit;
 pub mod request_digest;
 pub mod retry_budget;
--- a/src/relay/decide/placement.rs
+++ b/src/relay/decide/placement.rs
@@ -109,6 +109,8 @@
     pub claim: f32,
     /// Targets that were weighed.
     pub candidates: usize,
+    /// Latest time at which it is sent, none where its target takes any number.
+    pub turn_until: Option<Tick>,
 }
 
 /// Which targets a request may go to.
@@ -130,6 +132,15 @@
     }
 }
 
+/// Whether a request waits for its turn at a target that takes few.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TurnPolicy {
+    /// It goes only where there may be a turn now.
+    AtOnce,
+    /// It waits, since nobody else takes it.
+    Waits,
+}
+
 /// What a request may use, and where it comes from.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementQuery<'a> {
@@ -139,6 +150,8 @@
     pub failure_domain: &'a str,
     /// Where it may go.
     pub scope: TargetScope<'a>,
+    /// Whether it waits for its turn.
+    pub turn: TurnPolicy,
     /// Incarnation of this entry.
     pub entry: u64,
     /// What is weighed, and how much.
@@ -236,13 +249,21 @@
         own: 0.0,
         claim: 0.0,
         candidates: count,
+        turn_until: None,
     })
 }
 
 fn call_cost(target: &TargetState, query: &PlacementQuery<'_>) -> f32 {
     let busy = target.in_flight as f32 / target.record.capacity.max(1) as f32;
     let is_far = *target.record.failure_domain != *query.failure_domain;
-    busy + if is_far { query.policy.call_distance } else { 0.0 }
+    let far = if is_far { query.policy.call_distance } else { 0.0 };
+    busy + far + scarce_cost(target, query.policy)
+}
+
+/// What it costs to take a turn of a target that gives few: others may have nowhere else to
+/// go.
+pub(super) fn scarce_cost(target: &TargetState, policy: &RelayPolicy) -> f32 {
+    target.rate.map_or(0.0, |_| policy.scarce_cost)
 }
 
 /// The usable targets in a request's scope; those that are left alone only where
@@ -252,8 +273,12 @@
     query: &PlacementQuery<'a>,
     now: Tick,
 ) -> Vec<&'a TargetState> {
-    let fresh: Vec<_> =
-        set.usable(query.service, now).filter(|target| query.scope.holds(target)).collect();
+    let is_open = |target: &&TargetState| match query.turn {
+        TurnPolicy::AtOnce => target.is_usable(now),
+        TurnPolicy::Waits => target.is_willing(now),
+    };
+    let open = set.of_service(query.service).filter(is_open);
+    let fresh: Vec<_> = open.filter(|target| query.scope.holds(target)).collect();
     let is_well = |target: &&TargetState| !(query.policy.ejects && target.is_ejected(now));
     let well: Vec<_> = fresh.iter().copied().filter(is_well).collect();
     if well.is_empty() { fresh } else { well }
--- a/src/relay/decide/policy.rs
+++ b/src/relay/decide/policy.rs
@@ -42,6 +42,9 @@
     pub distance_cost: f32,
     /// Cost of each request over an engine's capacity: it waits for an end.
     pub queue_cost: f32,
+    /// Cost of a request at a target that takes few: in short requests, or as a share of a
+    /// plain target's slots.
+    pub scarce_cost: f32,
     /// Share of a plain target's slots that distance is worth.
     pub call_distance: f32,
     /// Most that a second of an engine's reading is worth to requests to come.
@@ -89,6 +92,7 @@
         spread: 0.03,
         distance_cost: 0.004,
         queue_cost: 0.6,
+        scarce_cost: 0.5,
         call_distance: 0.2,
         engine_price: 4.0,
         half_price_backlog_ms: 500,
--- a/src/relay/decide/rate_limit.rs
+++ b/src/relay/decide/rate_limit.rs
@@ -1,7 +1,13 @@
 //! How many requests a second a target takes from all entries together.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
+/// Longest time between two requests, however low the rate: only an answer tells that the
+/// rate has changed.
+const LONGEST_STEP: Duration = Duration::from_secs(10);
+
 /// Requests a second beyond which a rate bounds nothing.
 const HIGHEST: f64 = 1e6;
 
@@ -32,6 +38,13 @@
     pub fn per_second(self) -> f64 {
         self.0
     }
+
+    /// Time between two requests.
+    #[must_use]
+    pub fn to_step(self) -> Duration {
+        let step = Duration::try_from_secs_f64(self.0.recip());
+        step.map_or(LONGEST_STEP, |step| step.min(LONGEST_STEP))
+    }
 }
 
 /// What an answer says of the rate that its target takes.
--- a/src/relay/decide/return_time.rs
+++ b/src/relay/decide/return_time.rs
@@ -38,12 +38,24 @@
         if target.is_usable(now) {
             return None;
         }
-        let wait = if target.is_leaving() { REPLACED_AFTER } else { target.backoff(now) };
+        let wait = if target.is_leaving() {
+            REPLACED_AFTER
+        } else {
+            target.backoff(now).max(target.closed_for(now))
+        };
         shortest = Some(shortest.map_or(wait, |shortest| shortest.min(wait)));
     }
     shortest
 }
 
+/// Time until there may be a turn at a target that would take a request now, zero where there
+/// may be one at once, none where no target would.
+#[must_use]
+pub fn until_turn(set: &TargetSet, service: &str, now: Tick) -> Option<Duration> {
+    let willing = set.of_service(service).filter(|target| target.is_willing(now));
+    willing.map(|target| target.closed_for(now)).min()
+}
+
 /// Time to come back for a caller that is refused until then.
 #[must_use]
 pub fn after_reopening(wait: Duration, random: &mut impl Rng) -> Duration {
--- a/src/relay/decide/target_state.rs
+++ b/src/relay/decide/target_state.rs
@@ -9,6 +9,7 @@
 
 use super::engine_rates::EngineRates;
 use super::pass_model::PassModel;
+use super::rate_limit::RateLimit;
 use super::target_notice::{KeptNotice, TargetNotice};
 use crate::relay::discovery::store_revision::StoreRevision;
 use crate::time::Tick;
@@ -44,6 +45,14 @@
     pub born_ms: u64,
 }
 
+impl TargetLife {
+    /// A number of its own, the same in all processes.
+    #[must_use]
+    pub fn seed(&self) -> u64 {
+        xxhash_rust::xxh3::xxh3_64_with_seed(self.incarnation.as_bytes(), self.born_ms)
+    }
+}
+
 /// A target as the platform lists it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TargetRecord {
@@ -124,6 +133,12 @@
     ejected_until: Tick,
     /// What its answers have said of it.
     pub(super) said: KeptNotice,
+    /// The rate that it takes from all entries together, where it is bounded.
+    pub rate: Option<RateLimit>,
+    /// When there may be a permit to send there, where it has a rate.
+    closed_until: Tick,
+    /// When the agent that gives permits for it did not answer.
+    pub unheard_at: Option<Tick>,
     /// When it is removed, where it is missing in the list.
     pub(super) gone_at: Option<Tick>,
     pub(super) is_superseded: bool,
@@ -146,6 +161,9 @@
             ejections: 0,
             ejected_until: Tick::default(),
             said: KeptNotice::default(),
+            rate: None,
+            closed_until: Tick::default(),
+            unheard_at: None,
             gone_at: None,
             is_superseded: false,
             is_named: true,
@@ -163,9 +181,27 @@
     /// Returns true where requests may be sent there.
     #[must_use]
     pub fn is_usable(&self, now: Tick) -> bool {
+        self.is_willing(now) && self.closed_for(now).is_zero()
+    }
+
+    /// Returns true where it wants requests, whether there is a permit for one or not.
+    #[must_use]
+    pub fn is_willing(&self, now: Tick) -> bool {
         self.is_current() && !self.is_leaving() && self.backoff(now).is_zero()
     }
 
+    /// Time until there may be a permit to send there.
+    #[must_use]
+    pub fn closed_for(&self, now: Tick) -> Duration {
+        self.rate.map_or(Duration::ZERO, |_| self.closed_until.since(now))
+    }
+
+    /// Notes that there is no permit until then. Of several answers the earliest time holds.
+    pub fn close(&mut self, until: Tick, now: Tick) {
+        let is_closed = self.closed_until > now;
+        self.closed_until = if is_closed { self.closed_until.min(until) } else { until };
+    }
+
     /// Returns true where it stands for its address and a service that is known.
     #[must_use]
     pub fn is_current(&self) -> bool {
@@ -188,9 +224,9 @@
     /// Takes what an answer of this life says of it. Returns true where it can be sent less
     /// than before.
     pub fn take_notice(&mut self, notice: &TargetNotice, now: Tick) -> bool {
-        let was_usable = self.is_usable(now);
+        let was_willing = self.is_willing(now);
         self.said.take(notice, now);
-        was_usable && !self.is_usable(now)
+        was_willing && !self.is_willing(now)
     }
 
     /// The life that has ended with it, none where it had said that it would leave.
--- a/src/relay/peers/load_link.rs
+++ b/src/relay/peers/load_link.rs
@@ -71,7 +71,7 @@
     }
 
     /// Sends a note to the agent beside a target.
-    fn send_beside(&self, target: SocketAddr, note: &LoadNote) {
+    pub(crate) fn send_beside(&self, target: SocketAddr, note: &LoadNote) {
         self.send_to(SocketAddr::new(target.ip(), self.address.port()), note);
     }
 
@@ -100,11 +100,27 @@
     }
 
     /// Tells the agents from time to time that this entry uses their engines.
-    pub(crate) fn subscribe(&self, core: &RelayCore, now: Tick) {
+    pub(crate) fn subscribe(&self, core: &mut RelayCore, now: Tick) {
         if self.subscribed_at.get().is_some_and(|at| now.since(at) < SUBSCRIBE_STEP) {
             return;
         }
         self.announce(core, now);
+        self.tell_rates(core, now);
+    }
+
+    /// Tells the agents what is known of rates, where anything is.
+    fn tell_rates(&self, core: &mut RelayCore, now: Tick) {
+        for (beside, news) in core.to_giver_rates(now) {
+            self.send_beside(beside, &LoadNote::Rates(vec![news]));
+        }
+        let rates = core.to_rates(now);
+        if rates.is_empty() {
+            return;
+        }
+        let note = LoadNote::Rates(rates);
+        for address in used_engines(core) {
+            self.send_beside(address, &note);
+        }
     }
 
     /// Tells all agents that this entry uses, of its proof as well.
@@ -139,14 +155,9 @@
     engines.map(|target| target.record.address)
 }
 
-/// Engines beside which agents keep what is known of a request: the same ones for all
-/// entries, whichever engines these use.
+/// Engines beside which agents keep what is known of a request.
 fn suspect_keepers(core: &RelayCore, digest: RequestDigest) -> Vec<SocketAddr> {
-    let engines = core.targets.iter().filter(|target| target.model.is_some());
-    let mut hosts: Vec<_> = engines.map(|target| target.record.address).collect();
-    hosts.sort_by_key(|address| (address.ip(), address.port()));
-    hosts.dedup_by_key(|address| address.ip());
-    hosts.sort_by_cached_key(|address| digest.rank_of(&address.ip().to_string()));
+    let mut hosts = core.ranked_hosts(|host| digest.rank_of(host));
     hosts.truncate(SUSPECT_KEEPERS);
     hosts
 }
--- a/src/relay/peers/load_note.rs
+++ b/src/relay/peers/load_note.rs
@@ -9,9 +9,12 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::relay::decide::permit_desk::{PermitAsk, PermitReply};
 use crate::relay::decide::quarantine::SuspectNews;
+use crate::relay::decide::rate_book::RateNews;
 use crate::relay::decide::request_digest::RequestDigest;
 use crate::relay::decide::stream_load::{StreamKey, StreamLoad};
+use crate::relay::decide::target_state::TargetLife;
 use crate::relay::discovery::list_share::ListNews;
 use crate::relay::discovery::store_revision::StoreRevision;
 
@@ -87,6 +90,29 @@
         /// Age of the proof that it is current, in milliseconds, rounded up.
         proof_age_ms: u32,
     },
+    /// Rates that targets take, as far as the sender knows them. Entries and agents tell one
+    /// another, beside subscriptions and their answers.
+    #[serde(rename = "r")]
+    Rates(Vec<RateNews>),
+    /// An entry asks whether it may send to a target that takes a bounded rate.
+    #[serde(rename = "m")]
+    AskPermit {
+        /// Names the question.
+        nonce: u64,
+        /// What is asked.
+        ask: PermitAsk,
+    },
+    /// The answer.
+    #[serde(rename = "n")]
+    TellPermit {
+        /// The question.
+        nonce: u64,
+        /// What is answered.
+        reply: PermitReply,
+    },
+    /// An entry had to send to such a target without a permit.
+    #[serde(rename = "o")]
+    Spent(TargetLife),
     /// A stream was given to the engine.
     #[serde(rename = "p")]
     Placed {
--- a/src/relay/peers/receive.rs
+++ b/src/relay/peers/receive.rs
@@ -41,6 +41,8 @@
                 shared.tell_suspects();
             }
             LoadNote::Cleared(digest) => shared.core.borrow_mut().take_cleared(&digest),
+            LoadNote::Rates(news) => shared.core.borrow_mut().take_rates(&news, now),
+            LoadNote::TellPermit { nonce, reply } => shared.take_permit_reply(nonce, reply),
             LoadNote::TellProof { nonce, revision, proof_age_ms } => {
                 let age = Duration::from_millis(proof_age_ms.into());
                 let verdict =
--- a/src/relay/peers/subscriber_set.rs
+++ b/src/relay/peers/subscriber_set.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use super::load_note::LoadNote;
+use crate::relay::decide::permit_desk::PermitDesk;
 use crate::relay::decide::quarantine::{QuarantineLedger, SuspectNews};
+use crate::relay::decide::rate_book::RateTold;
 use crate::relay::decide::stream_load::StreamKey;
 use crate::relay::discovery::store_revision::StoreRevision;
 use crate::time::Tick;
@@ -26,6 +28,10 @@
     streams: HashMap<StreamKey, LoadNote>,
     /// What entries told of requests that end targets.
     suspects: QuarantineLedger,
+    /// Rates that targets take, and who may send there.
+    permits: PermitDesk,
+    /// What each subscriber was told of rates.
+    rates_told: HashMap<SocketAddr, RateTold>,
 }
 
 #[derive(Debug)]
@@ -79,7 +85,20 @@
                 self.suspects.note_served(digest);
                 if was_told { self.to_others(from, note) } else { Vec::new() }
             }
-            LoadNote::Exited { .. }
+            LoadNote::Rates(news) => {
+                self.permits.take_news(news, now);
+                Vec::new()
+            }
+            LoadNote::AskPermit { nonce, ask } => {
+                let reply = self.permits.on_ask(ask, now);
+                vec![NoteOut { to: from, note: LoadNote::TellPermit { nonce: *nonce, reply } }]
+            }
+            LoadNote::Spent(life) => {
+                self.permits.note_spent(life, now);
+                Vec::new()
+            }
+            LoadNote::TellPermit { .. }
+            | LoadNote::Exited { .. }
             | LoadNote::Suspect
             | LoadNote::Down
             | LoadNote::Welcome { .. }
@@ -114,9 +133,17 @@
         };
         let mut out = vec![NoteOut { to: from, note: welcome }];
         let is_new = known.as_ref().is_none_or(|known| known.entry != entry);
+        if is_new {
+            self.rates_told.remove(&from);
+        }
         if let Some(known) = known.filter(|known| known.entry != entry) {
             out.extend(self.drop_entry(known.entry));
         }
+        let told = self.rates_told.entry(from).or_default();
+        let rates = self.permits.to_news(told, now);
+        if !rates.is_empty() {
+            out.push(NoteOut { to: from, note: LoadNote::Rates(rates) });
+        }
         if is_new {
             out.extend(self.streams.values().map(|note| NoteOut { to: from, note: note.clone() }));
             let suspects = self.suspects.to_news().into_iter().map(LoadNote::Suspected);
@@ -146,6 +173,7 @@
 
     /// Forgets entries that were not heard of, and says what is to be sent.
     pub fn expire(&mut self, now: Tick) -> Vec<NoteOut> {
+        self.permits.expire(now);
         let gone: Vec<u64> = self
             .subscribers
             .values()
@@ -153,6 +181,7 @@
             .map(|subscriber| subscriber.entry)
             .collect();
         self.subscribers.retain(|_, subscriber| !gone.contains(&subscriber.entry));
+        self.rates_told.retain(|from, _| self.subscribers.contains_key(from));
         gone.into_iter().flat_map(|entry| self.drop_entry(entry)).collect()
     }
 
--- a/src/relay/proxy/call.rs
+++ b/src/relay/proxy/call.rs
@@ -10,6 +10,7 @@
 use super::answer::{RelayAnswer, RelayBody, RelayFault};
 use super::forward::{AttemptFault, OpenAnswer, RelayJob, open};
 use super::ledger::RequestLedger;
+use super::permit::take_turn;
 use super::series::AttemptSeries;
 use crate::relay::decide::placement::Placement;
 use crate::relay::decide::targets::TargetFault;
@@ -33,10 +34,13 @@
             ledger.series_end = Some(SeriesEnd::HeldBack);
             return Err(fault);
         }
-        let Some(placement) = series.place(shared, job) else {
+        let Some(mut placement) = series.place(shared, job) else {
             ledger.series_end = Some(SeriesEnd::NoTarget);
             return Err(series.to_fault(shared, job, false));
         };
+        if !take_turn(shared, job, &series, &mut placement).await {
+            continue;
+        }
         ledger.note_send(&placement.target);
         let may_hedge = series.may_hedge(shared, job, &placement.target);
         let result = call_once(shared, job, &placement, may_hedge).await;
--- a/src/relay/proxy/forward.rs
+++ b/src/relay/proxy/forward.rs
@@ -101,6 +101,11 @@
         }
     }
 
+    /// Time that is left of its objective: what comes later is better left to others.
+    pub(crate) fn patience(&self, now: Tick) -> Duration {
+        (self.arrived + self.route.objective).min(self.deadline).since(now)
+    }
+
     /// Time after which its prompt is placed anew, where it waits.
     pub(crate) fn place_step(&self) -> Duration {
         self.route.objective / PLACE_WAITS
@@ -160,7 +165,7 @@
     /// What its targets said of themselves came before it was sent: that says nothing of how
     /// they work.
     fn overtaken() -> Self {
-        let why = "a target leaves or rests since it was placed";
+        let why = "its targets have said since it was placed that they want it not now";
         AttemptFault { is_stale: true, ..AttemptFault::not_sent(why) }
     }
 
@@ -281,6 +286,7 @@
     }
     let connection = guard.connection.insert(connection);
     let request = to_request(shared, job, placement, &helpers, resume_after);
+    let sent_at = shared.now();
     let sending = connection.sender.send_request(request);
     let waiting = wait_for_head(shared, job, placement, share, may_hedge);
     let response = tokio::select! {
@@ -300,7 +306,9 @@
     let head = (shared.targets.parse_answer)(parts.status, &parts.headers);
     // Where another life has the address, that one speaks of itself.
     if !head.is_replaced {
-        shared.take_notice(guard.share.life.as_ref(), &head.notice);
+        // What is not surely the answer to this request says nothing by what it leaves out.
+        let is_own = head.is_signed && head.attempt.as_deref() == job.head.attempt.as_deref();
+        shared.take_notice(guard.share.life.as_ref(), &head.notice, is_own.then_some(sent_at));
     }
     check_head(job, &parts, &head).map_err(|fault| {
         let is_stale = is_reused && fault.fault == TargetFault::Garbled;
--- a/src/relay/proxy/memory_hold.rs
+++ b/src/relay/proxy/memory_hold.rs
@@ -18,7 +18,8 @@
 use crate::Result;
 use crate::client::full;
 use crate::relay::decide::placement::Placement;
-use crate::relay::decide::targets::TargetLife;
+use crate::relay::decide::targets::{TargetLife, TargetState};
+use crate::relay::peers::load_note::LoadNote;
 use crate::relay::shared::RelayShared;
 
 /// How long a reservation lasts without renewal: less than the two seconds
@@ -138,9 +139,20 @@
     *request.uri_mut() = uri.parse().unwrap_or_default();
     request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     let response = shared.orders.call(request, ORDER_LIMIT).await?;
+    note_spent(shared, seat);
     let head = (shared.targets.parse_answer)(response.status(), response.headers());
     if !head.is_replaced {
-        shared.take_notice(seat.life.as_ref(), &head.notice);
+        shared.take_notice(seat.life.as_ref(), &head.notice, None);
     }
     Ok(response.status())
 }
+
+/// Tells the agent beside a target that takes few requests of an order that it got: memory
+/// that was reserved before has to be renewed and given back.
+fn note_spent(shared: &RelayShared, seat: &HeldSeat) {
+    let Some(life) = &seat.life else { return };
+    let is_scarce = |target: &TargetState| target.rate.is_some();
+    if shared.core.borrow().targets.get(&life.incarnation).is_some_and(is_scarce) {
+        shared.link.send_beside(seat.address, &LoadNote::Spent(life.clone()));
+    }
+}
--- a/src/relay/proxy/series.rs
+++ b/src/relay/proxy/series.rs
@@ -36,7 +36,7 @@
 /// it may come again when one takes requests.
 #[cold]
 fn to_closed(wait: Duration) -> RelayFault {
-    let why = "all targets of the service are leaving, or asked for a pause";
+    let why = "all targets of the service are leaving, asked for a pause, or take few requests";
     RelayFault::refused("targets_closed", why, after_reopening(wait, &mut rand::rng()))
 }
 
@@ -70,6 +70,8 @@
     placed_at: Option<TargetLife>,
     /// Whether the last attempt was refused, or could not be sent.
     was_refused: bool,
+    /// Whether it was placed where it would wait for its turn.
+    waits_for_turn: bool,
     sends: SendCount,
     worst: Verdict,
     pub(crate) answer: Option<Box<Response<Bytes>>>,
@@ -83,6 +85,7 @@
             ran_at: Vec::new(),
             placed_at: None,
             was_refused: false,
+            waits_for_turn: false,
             sends: SendCount::default(),
             worst: Verdict::NotRun,
             answer: None,
@@ -118,7 +121,8 @@
         let now = shared.now();
         let placement = {
             let mut core = shared.core.borrow_mut();
-            let placement = self.place_in(&mut core, job, now)?;
+            let placement = self.place_in(&mut core, job, now);
+            let placement = placement.or_else(|| self.place_for_turn(&mut core, job, now))?;
             self.placed_at = core.life_of(&placement.target);
             placement
         };
@@ -157,6 +161,29 @@
         core.place(&job.service, need.as_ref(), TargetScope::Untried(&self.tried), now)
     }
 
+    /// Chooses a target where it waits for its turn, where there may be one in time: once, the
+    /// agent that gives the turns knows better.
+    fn place_for_turn(
+        &mut self,
+        core: &mut RelayCore,
+        job: &RelayJob,
+        now: Tick,
+    ) -> Option<Placement> {
+        let wait = core.time_to_turn(&job.service, now)?;
+        let is_bound = self.ran_at.len() >= job.route.max_targets;
+        if is_bound || self.waits_for_turn || wait.is_zero() || wait > job.patience(now) {
+            return None;
+        }
+        self.waits_for_turn = true;
+        let scope = TargetScope::Untried(&self.tried);
+        core.place_for_turn(&job.service, job.need_at(now).as_ref(), scope, now)
+    }
+
+    /// Time for which a request would wait for its turn: nothing while others may take it.
+    pub(crate) fn most_wait(&self, job: &RelayJob, now: Tick) -> Duration {
+        if self.waits_for_turn { job.patience(now) } else { Duration::ZERO }
+    }
+
     /// The answer where the request is held back, none where it may be sent.
     pub(crate) fn hold_fault(&self, shared: &RelayShared, job: &RelayJob) -> Option<RelayFault> {
         let span = job.held_for(shared)?;
--- a/src/relay/proxy/stream.rs
+++ b/src/relay/proxy/stream.rs
@@ -16,6 +16,7 @@
 use super::event_stream::EventSplitter;
 use super::forward::{AttemptFault, OpenAnswer, RelayJob, open};
 use super::ledger::RequestLedger;
+use super::permit::take_turn;
 use super::series::AttemptSeries;
 use crate::relay::core::AttemptShare;
 use crate::relay::decide::placement::{Placement, PlacementAction, PromptNeed};
@@ -122,7 +123,7 @@
             ledger.series_end = Some(SeriesEnd::HeldBack);
             return fail_stream(feed.output, &series, fault, ledger).await;
         }
-        let Some(placement) = series.place(shared, job) else {
+        let Some(mut placement) = series.place(shared, job) else {
             ledger.series_end = Some(SeriesEnd::NoTarget);
             let fault = series.to_fault(shared, job, false);
             return fail_stream(feed.output, &series, fault, ledger).await;
@@ -143,6 +144,9 @@
                 return feed.output.begin(StreamStart::Fault(fault));
             }
         }
+        if !take_turn(shared, job, &series, &mut placement).await {
+            continue;
+        }
         ledger.note_send(&placement.target);
         feed.splitter.clear_rest();
         feed.begun_at = None;
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -111,6 +111,7 @@
         link,
         orders: HttpClient::new(1),
         order_number: Cell::new(0),
+        permit_asks: RefCell::default(),
         clock: ProcessClock::new(),
         open: Cell::new(0),
     });
@@ -286,7 +287,8 @@
         shared.tell_suspects();
         shared.core.borrow_mut().choose_engines(now);
         follow_list_share(&shared, now);
-        shared.link.subscribe(&shared.core.borrow(), now);
+        shared.core.borrow_mut().expire_rates(now);
+        shared.link.subscribe(&mut shared.core.borrow_mut(), now);
         was_held = log_proof(&shared, was_held, now);
     }
 }
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -1,15 +1,16 @@
 //! State that the tasks of one entry share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, oneshot, watch};
 
 use super::core::RelayCore;
 use super::counts::RelayCounts;
+use super::decide::permit_desk::PermitReply;
 use super::decide::start_wait::{StartPhase, start_wait};
 use super::decide::target_notice::TargetNotice;
 use super::decide::targets::TargetLife;
@@ -62,6 +63,8 @@
     pub(crate) link: LoadLink,
     pub(crate) orders: HttpClient,
     pub(crate) order_number: Cell<u32>,
+    /// Questions for permits that wait for an answer.
+    pub(crate) permit_asks: RefCell<HashMap<u64, oneshot::Sender<PermitReply>>>,
     pub(crate) clock: ProcessClock,
     pub(crate) open: Cell<usize>,
 }
@@ -80,13 +83,30 @@
         core.targets.get(target).map_or(Duration::ZERO, |target| target.silence(self.now()))
     }
 
-    /// Takes what an answer says of the target that gave it.
-    pub(crate) fn take_notice(&self, life: Option<&TargetLife>, notice: &TargetNotice) {
-        let Some(life) = life.filter(|_| !notice.is_empty()) else { return };
+    /// Takes what an answer says of the target that gave it, to a request that was sent at
+    /// `sent_at`; none where what it leaves out says nothing.
+    pub(crate) fn take_notice(
+        &self,
+        life: Option<&TargetLife>,
+        notice: &TargetNotice,
+        sent_at: Option<Tick>,
+    ) {
+        let Some(life) = life else { return };
         let now = self.now();
-        self.log.target_noted(&life.incarnation, notice, now);
-        self.counts.borrow().note_notice(notice);
-        self.core.borrow_mut().take_notice(life, notice, now);
+        if !notice.is_empty() {
+            self.log.target_noted(&life.incarnation, notice, now);
+            self.counts.borrow().note_notice(notice);
+        }
+        let mut core = self.core.borrow_mut();
+        core.take_notice(life, notice, now);
+        core.take_rate(life, notice.rate, sent_at, now);
+    }
+
+    /// Gives an agent's answer to the request that asked for it, unless it waits no more.
+    pub(crate) fn take_permit_reply(&self, nonce: u64, reply: PermitReply) {
+        if let Some(asker) = self.permit_asks.borrow_mut().remove(&nonce) {
+            let _ = asker.send(reply);
+        }
     }
 
     /// Waits for something until a tick, none where that comes first. Timers stand still
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -12,6 +12,7 @@
 mod places;
 mod proofs;
 mod quarantine;
+mod rates;
 mod restored_store;
 mod return_time;
 mod rules;
--- a/tests/relay/places.rs
+++ b/tests/relay/places.rs
@@ -4,7 +4,7 @@
 
 use shalelane::relay::decide::group_search::place_prompt;
 use shalelane::relay::decide::placement::{
-    Placement, PlacementAction, PlacementQuery, PromptNeed, TargetScope, place_call,
+    Placement, PlacementAction, PlacementQuery, PromptNeed, TargetScope, TurnPolicy, place_call,
 };
 use shalelane::relay::decide::policy::RelayPolicy;
 use shalelane::relay::decide::stream_load::StreamLoad;
@@ -16,6 +16,7 @@
     service: "engines",
     failure_domain: "here",
     scope: TargetScope::Untried(&[]),
+    turn: TurnPolicy::AtOnce,
     entry: 1,
     policy: &RelayPolicy::DEFAULT,
 };
