--- a/src/relay/decide/permit_desk.rs
+++ b/src/relay/decide/permit_desk.rs
@@ -130,6 +130,12 @@
         }
     }
 
+    /// Returns true where a target of that name takes a bounded rate.
+    #[must_use]
+    pub fn is_scarce(&self, name: &str) -> bool {
+        self.book.is_scarce(name)
+    }
+
     /// Takes what an entry knows of rates.
     pub fn take_news(&mut self, news: &[RateNews], now: Tick) {
         for news in news {
--- a/src/relay/decide/rate_book.rs
+++ b/src/relay/decide/rate_book.rs
@@ -109,6 +109,13 @@
         self.known.get(life)?.rate
     }
 
+    /// Returns true where a target of that name takes a bounded rate.
+    #[must_use]
+    pub fn is_scarce(&self, name: &str) -> bool {
+        let known = self.known.iter().filter(|(life, _)| &*life.incarnation == name);
+        known.into_iter().any(|(_, known)| known.rate.is_some())
+    }
+
     /// What is known of one target.
     #[must_use]
     pub fn to_news_of(&self, life: &TargetLife, now: Tick) -> Option<RateNews> {
--- a/src/relay/peers/adviser.rs
+++ b/src/relay/peers/adviser.rs
@@ -92,6 +92,7 @@
                 }
             }
         }
+        watch.set_scarce(set.is_scarce());
         if looking.is_terminated() && watch.is_due(set.is_busy(), clock.now()) {
             let look = read_report(&client, &dialect, settings.target, &logger);
             looking = look.boxed_local().fuse();
--- a/src/relay/peers/engine_watch.rs
+++ b/src/relay/peers/engine_watch.rs
@@ -15,6 +15,9 @@
 /// Time between two looks at the engine's report while it works, or is down.
 const REPORT_STEP: Duration = Duration::from_millis(400);
 
+/// Time between two looks at an engine that takes few requests: a look is one more.
+const SCARCE_STEP: Duration = Duration::from_secs(2);
+
 /// Least time between two looks that entries ask for: some of them suspect an
 /// engine at the same moment.
 const SUSPECT_STEP: Duration = Duration::from_millis(100);
@@ -86,6 +89,8 @@
     born_ms: Option<u64>,
     life_notes_left: u32,
     is_down: bool,
+    /// Whether the engine takes few requests.
+    is_scarce: bool,
     looked_at: Option<Tick>,
     is_suspected: bool,
     /// Who suspected the engine lately, and when last.
@@ -103,6 +108,7 @@
             born_ms: None,
             life_notes_left: 0,
             is_down: false,
+            is_scarce: false,
             looked_at: None,
             is_suspected: false,
             suspicions: Vec::new(),
@@ -124,6 +130,11 @@
         self.is_down
     }
 
+    /// Notes whether the engine takes few requests.
+    pub fn set_scarce(&mut self, is_scarce: bool) {
+        self.is_scarce = is_scarce;
+    }
+
     /// Notes that the entry at `from` suspects the engine. Returns true where all
     /// entries are to be told that it is down, since others suspect it as well.
     pub fn note_suspicion(&mut self, from: SocketAddr, now: Tick) -> bool {
@@ -146,6 +157,7 @@
         let is_open = self.is_suspected || (1..ENDED_LOOKS).contains(&self.refused);
         let step = match (is_open, is_asked) {
             (true, _) => SUSPECT_STEP,
+            (false, true) if self.is_scarce && !self.is_down => SCARCE_STEP,
             (false, true) => REPORT_STEP,
             (false, false) => return false,
         };
--- a/src/relay/peers/subscriber_set.rs
+++ b/src/relay/peers/subscriber_set.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::load_note::LoadNote;
@@ -33,6 +34,8 @@
     permits: PermitDesk,
     /// Second attempts that it gives.
     slack: SlackGate,
+    /// Name of the engine beside this agent, as entries call it.
+    beside: Option<Arc<str>>,
     /// What each subscriber was told of rates.
     rates_told: HashMap<SocketAddr, RateTold>,
 }
@@ -73,7 +76,8 @@
                 let subscriber = Subscriber { entry, heard_at: now, proven_at, list_mark };
                 self.on_subscribe(subscriber, from, pace_percent)
             }
-            LoadNote::Placed { key, .. } => {
+            LoadNote::Placed { key, target, .. } => {
+                self.beside = Some(target.clone());
                 self.streams.insert(*key, note.clone());
                 self.to_others(from, note)
             }
@@ -230,6 +234,12 @@
         self.to_all(&LoadNote::Down)
     }
 
+    /// Returns true where the engine beside this agent takes few requests.
+    #[must_use]
+    pub fn is_scarce(&self) -> bool {
+        self.beside.as_deref().is_some_and(|name| self.permits.is_scarce(name))
+    }
+
     /// Returns true where some stream is known.
     #[must_use]
     pub fn is_busy(&self) -> bool {
--- a/tests/relay/rates.rs
+++ b/tests/relay/rates.rs
@@ -14,9 +14,12 @@
 use shalelane::relay::decide::targets::TargetLife;
 use shalelane::relay::discovery::freshness::StalePolicy;
 use shalelane::relay::discovery::rules::{RelayConfig, ServiceRule};
+use shalelane::relay::peers::engine_watch::EngineWatch;
+use shalelane::relay::peers::load_note::LoadNote;
+use shalelane::relay::peers::subscriber_set::SubscriberSet;
 use shalelane::time::Tick;
 
-use crate::fixture::{at, limits, ms, name, need, rates, record};
+use crate::fixture::{at, key, limits, ms, name, need, rates, record, short_load};
 
 fn rate(per_second: f64) -> RateLimit {
     RateLimit::from_per_second(per_second).unwrap()
@@ -429,3 +432,28 @@
     assert_eq!(book.len(), 1_024);
     assert!(book.rate_of(&life("t1999")).is_some());
 }
+
+/// An agent's looks at its engine are requests, too.
+#[test]
+fn an_agent_looks_less_often_at_an_engine_that_takes_few_requests() {
+    let looks = |is_scarce| {
+        let mut watch = EngineWatch::default();
+        watch.set_scarce(is_scarce);
+        (0..80).filter(|step| watch.is_due(true, at(step * 100))).count()
+    };
+    assert_eq!((looks(false), looks(true)), (20, 4));
+}
+
+#[test]
+fn an_agent_knows_whether_its_own_engine_takes_few_requests() {
+    let mut set = SubscriberSet::default();
+    let from = ([10, 1, 0, 1], 7_000).into();
+    let mut note = |note: &LoadNote| drop(set.on_note(note, from, 100, at(0)));
+    note(&LoadNote::Rates(vec![news(Some(2.0), 0)]));
+    let load = short_load();
+    note(&LoadNote::Placed { target: name("b"), key: key(1), load });
+    assert!(!set.is_scarce(), "another target does");
+    let mut note = |note: &LoadNote| drop(set.on_note(note, from, 100, at(0)));
+    note(&LoadNote::Placed { target: name("a"), key: key(2), load });
+    assert!(set.is_scarce());
+}
