--- a/src/relay/decide/slack_gate.rs
+++ b/src/relay/decide/slack_gate.rs
@@ -10,7 +10,7 @@
 use crate::time::Tick;
 
 /// Part of the slack that the first agent gives in a window.
-const FIRST_PART: f64 = 0.6;
+const FIRST_PART: f64 = 0.7;
 
 /// Part that the second one gives, to entries that the first does not answer.
 const SECOND_PART: f64 = 0.2;
@@ -18,7 +18,7 @@
 /// Part of what an agent gives in a window that it may give at once. The rest comes evenly:
 /// an agent that starts again has none to give at once, so that what it gave before and after
 /// stays within the bound.
-const BURST_PART: f64 = 0.5;
+const BURST_PART: f64 = 0.75;
 
 /// Most services of which an agent counts second attempts.
 const MOST_SERVICES: usize = 256;
