--- a/src/relay/core/attempts.rs
+++ b/src/relay/core/attempts.rs
@@ -28,14 +28,13 @@
         self.budget(service).take(now)
     }
 
-    /// Returns true where a second attempt could be made now at a target that
-    /// was not tried.
+    /// Returns true where a second attempt could be made now at a target that was not tried,
+    /// and that has a turn for sure.
     pub fn could_retry(&mut self, service: &Arc<str>, tried: &[Arc<str>], now: Tick) -> bool {
         let is_new = |name| !tried.contains(name);
-        let has_other = self
-            .targets
-            .usable(service, now)
-            .any(|target| target.is_used && is_new(&target.record.incarnation));
+        let has_other = self.targets.usable(service, now).any(|target| {
+            target.is_used && target.rate.is_none() && is_new(&target.record.incarnation)
+        });
         let budget = self.budget(service);
         has_other && (budget.is_left(now) || budget.may_ask(now))
     }
--- a/src/relay/core/permits.rs
+++ b/src/relay/core/permits.rs
@@ -33,6 +33,8 @@
 pub struct PermitQuery {
     /// What is asked.
     pub ask: PermitAsk,
+    /// When.
+    pub asked_at: Tick,
     /// A target on the host of the agent that is asked; none where there is none.
     pub beside: Option<SocketAddr>,
 }
@@ -117,6 +119,10 @@
 
     /// Gives each target the rate that is known of it.
     pub(super) fn mark_rates(&mut self) {
+        if self.rates.is_empty() {
+            self.targets.iter_mut().for_each(|target| target.rate = None);
+            return;
+        }
         for target in self.targets.iter_mut() {
             target.rate = self.rates.rate_of(&target.record.to_life());
         }
@@ -140,7 +146,7 @@
             most_wait_ms: most_wait.as_millis().try_into().unwrap_or(u32::MAX),
             is_second,
         };
-        Some(PermitQuery { ask, beside: self.permit_giver(target, is_second) })
+        Some(PermitQuery { ask, asked_at: now, beside: self.permit_giver(target, is_second) })
     }
 
     /// Time until there may be a turn at a target of a service that would take a request now,
@@ -196,6 +202,9 @@
     /// one, whichever targets they use.
     fn permit_giver(&self, target: &TargetState, is_second: bool) -> Option<SocketAddr> {
         let beside = target.model.is_some().then_some(target.record.address);
+        if !is_second && beside.is_some() {
+            return beside;
+        }
         let life = target.record.to_life();
         let hosts = self.ranked_hosts(|host| {
             xxhash_rust::xxh3::xxh3_64_with_seed(host.as_bytes(), life.seed())
@@ -214,7 +223,9 @@
     ) -> PermitVerdict {
         let life = &query.ask.news.life;
         if reply == Some(PermitReply::Open) {
-            let news = RateNews { rate: None, age_ms: 0, ..query.ask.news.clone() };
+            // An answer may have named a rate since.
+            let age_ms = now.since(query.asked_at).as_millis().try_into().unwrap_or(u32::MAX);
+            let news = RateNews { rate: None, age_ms, ..query.ask.news.clone() };
             self.take_rates(&[news], now);
             return PermitVerdict::Turn { from: now, until: Tick::NEVER };
         }
--- a/tests/relay/rates.rs
+++ b/tests/relay/rates.rs
@@ -457,3 +457,31 @@
     note(&LoadNote::Placed { target: name("a"), key: key(2), load });
     assert!(set.is_scarce());
 }
+
+/// Nobody gives up a target for one that may have no turn.
+#[test]
+fn a_target_that_takes_few_is_no_reason_to_end_an_attempt() {
+    let mut core = core_of(1, &["a", "b"]);
+    let service = name("engines");
+    assert!(core.could_retry(&service, &[name("b")], at(0)));
+    core.take_rate(&life("a"), RateWord::Named(rate(2.0)), Some(at(0)), at(10));
+    assert!(!core.could_retry(&service, &[name("b")], at(20)));
+}
+
+#[test]
+fn an_agent_that_says_a_target_is_open_ends_what_was_known_when_it_was_asked() {
+    for (named_again, is_over) in [(None, true), (Some(at(150)), false)] {
+        let mut core = core_of(1, &["a"]);
+        core.take_rate(&life("a"), RateWord::Named(rate(2.0)), Some(at(0)), at(10));
+        let need = need(5_000);
+        let placement =
+            core.place("engines", Some(&need), TargetScope::Untried(&[]), at(100)).unwrap();
+        let query = core.permit_query(&placement, ms(0), at(100)).unwrap();
+        if let Some(named_at) = named_again {
+            core.take_rate(&life("a"), RateWord::Named(rate(1.0)), Some(at(0)), named_at);
+        }
+        let verdict = core.take_permit(&query, Some(PermitReply::Open), at(160));
+        assert!(matches!(verdict, PermitVerdict::Turn { .. }));
+        assert_eq!(core.targets.get("a").unwrap().rate.is_none(), is_over);
+    }
+}
