An agent has a quarter of the slack to give when it starts

Change: 0.25 at a start beside 0.4 in a window and 0.1 of the second agent; the bound holds over two starts in a window.

--- a/src/relay/decide/slack_gate.rs
+++ b/src/relay/decide/slack_gate.rs
@@ -10,16 +10,20 @@
 use crate::time::Tick;
 
 /// Part of the slack that the first agent gives in a window.
-const FIRST_PART: f64 = 0.7;
+const FIRST_PART: f64 = 0.4;
 
 /// Part that the second one gives, to entries that the first does not answer.
-const SECOND_PART: f64 = 0.2;
+const SECOND_PART: f64 = 0.1;
 
-/// Part of what an agent gives in a window that it may give at once. The rest comes evenly:
-/// an agent that starts again has none to give at once, so that what it gave before and after
-/// stays within the bound.
+/// Part of what an agent gives in a window that it may give at once. The rest comes evenly.
 const BURST_PART: f64 = 0.75;
 
+/// Part of the slack that the first agent has to give when it starts. What it gave before is
+/// not known, so it is apart from the rest: with it the bound holds over two starts in a
+/// window. Without it callers that meet targets which have started again with all other
+/// processes are refused.
+const START_PART: f64 = 0.25;
+
 /// Most services of which an agent counts second attempts.
 const MOST_SERVICES: usize = 256;
 
@@ -57,12 +61,14 @@
 impl SlackGate {
     /// Answers an entry.
     pub fn on_ask(&mut self, ask: &SlackAsk, now: Tick) -> PermitReply {
-        let part = if ask.is_second { SECOND_PART } else { FIRST_PART };
+        let (part, start) =
+            if ask.is_second { (SECOND_PART, 0.0) } else { (FIRST_PART, START_PART) };
         let window = f64::from(ask.window_ms.max(1)) / 1e3;
-        let given = if ask.slack.is_finite() { ask.slack.max(0.0) * part } else { 0.0 };
+        let slack = if ask.slack.is_finite() { ask.slack.max(0.0) } else { 0.0 };
+        let given = slack * part;
         let most = given * BURST_PART;
         let per_second = given * (1.0 - BURST_PART) / window;
-        let bucket = self.bucket(ask, now);
+        let bucket = self.bucket(ask, slack * start, now);
         let earned = now.since(bucket.filled_at).as_secs_f64() * per_second;
         bucket.credit = (bucket.credit + earned).min(most);
         bucket.filled_at = now;
@@ -75,8 +81,7 @@
         PermitReply::Granted { after_ms: 0 }
     }
 
-    /// What was given before this process started is not known: it begins with nothing then.
-    fn bucket(&mut self, ask: &SlackAsk, now: Tick) -> &mut SlackBucket {
+    fn bucket(&mut self, ask: &SlackAsk, start: f64, now: Tick) -> &mut SlackBucket {
         let key = (ask.service.clone(), ask.is_second);
         if self.buckets.len() >= MOST_SERVICES && !self.buckets.contains_key(&key) {
             let idle = self.buckets.iter().min_by_key(|(_, bucket)| bucket.filled_at);
@@ -86,6 +91,7 @@
             }
         }
         let filled_at = self.known_since;
-        self.buckets.entry(key).or_insert(SlackBucket { credit: 0.0, filled_at })
+        let credit = if filled_at == Tick::default() { start } else { 0.0 };
+        self.buckets.entry(key).or_insert(SlackBucket { credit, filled_at })
     }
 }
