--- a/src/relay/proxy/permit.rs
+++ b/src/relay/proxy/permit.rs
@@ -68,17 +68,29 @@
     shared.core.borrow_mut().take_slack(service, reply, shared.now())
 }
 
+/// A question that waits for its answer. It is forgotten when this is dropped, as it is where
+/// its caller leaves.
+struct OpenAsk<'a> {
+    shared: &'a RelayShared,
+    nonce: u64,
+}
+
+impl Drop for OpenAsk<'_> {
+    fn drop(&mut self) {
+        self.shared.permit_asks.borrow_mut().remove(&self.nonce);
+    }
+}
+
 /// Asks the agent beside a target, none where it does not answer in time.
 async fn ask(
     shared: &RelayShared,
     beside: SocketAddr,
     to_note: impl FnOnce(u64) -> LoadNote,
 ) -> Option<PermitReply> {
-    let nonce = rand::random();
+    let open = OpenAsk { shared, nonce: rand::random() };
     let (asker, answer) = oneshot::channel();
-    shared.permit_asks.borrow_mut().insert(nonce, asker);
-    shared.link.send_beside(beside, &to_note(nonce));
+    shared.permit_asks.borrow_mut().insert(open.nonce, asker);
+    shared.link.send_beside(beside, &to_note(open.nonce));
     let answer = tokio::time::timeout(ASK_LIMIT, answer).await;
-    shared.permit_asks.borrow_mut().remove(&nonce);
     answer.ok()?.ok()
 }
