A failure that names no rate does not end one

Callers of a scarce target that also fails had it overrun: one 500 without the header ended the rate for all entries, 20 requests in a second where 5 have turns. Cause: every signed answer counted by what it leaves out. Only a success does now. target_rates: 10 passed.

--- a/src/relay/proxy/forward.rs
+++ b/src/relay/proxy/forward.rs
@@ -306,8 +306,11 @@
     let head = (shared.targets.parse_answer)(parts.status, &parts.headers);
     // Where another life has the address, that one speaks of itself.
     if !head.is_replaced {
-        // What is not surely the answer to this request says nothing by what it leaves out.
-        let is_own = head.is_signed && head.attempt.as_deref() == job.head.attempt.as_deref();
+        // What is not surely the target's answer to this request, and a failure, which may be
+        // made by less than all of it, say nothing by what they leave out.
+        let is_own = parts.status.is_success()
+            && head.is_signed
+            && head.attempt.as_deref() == job.head.attempt.as_deref();
         shared.take_notice(guard.share.life.as_ref(), &head.notice, is_own.then_some(sent_at));
     }
     check_head(job, &parts, &head).map_err(|fault| {
