--- a/tests/relay/rates.rs
+++ b/tests/relay/rates.rs
@@ -485,3 +485,13 @@
         assert_eq!(core.targets.get("a").unwrap().rate.is_none(), is_over);
     }
 }
+
+/// It may have been under way while the rate ended: taken, and ended by the next answer.
+#[test]
+fn a_rate_in_an_old_answer_binds_until_the_next_one() {
+    let mut book = book_at(2.0, at(100));
+    assert!(book.note_silent(&life("a"), at(200)));
+    assert!(book.note_named(&life("a"), rate(2.0), at(300)));
+    assert!(book.note_silent(&life("a"), at(301)));
+    assert_eq!(book.rate_of(&life("a")), None);
+}
