--- a/tests/relay/rates.rs
+++ b/tests/relay/rates.rs
@@ -495,3 +495,18 @@
     assert!(book.note_silent(&life("a"), at(301)));
     assert_eq!(book.rate_of(&life("a")), None);
 }
+
+/// A target that takes any number, and was tried, says nothing of when there is a turn.
+#[test]
+fn a_second_attempt_waits_for_a_turn_where_only_a_scarce_target_is_left() {
+    let mut core = core_of(1, &["a", "b"]);
+    core.take_rate(&life("a"), RateWord::Named(rate(2.0)), Some(at(0)), at(10));
+    let (need, tried) = (need(5_000), [name("b")]);
+    let scope = TargetScope::Untried(&tried);
+    let placement = core.place("engines", Some(&need), scope, at(20)).unwrap();
+    let query = core.permit_query(&placement, ms(0), at(20)).unwrap();
+    core.take_permit(&query, Some(PermitReply::Refused { wait_ms: 200 }), at(20));
+    assert!(core.place("engines", Some(&need), scope, at(30)).is_none());
+    assert_eq!(core.time_to_turn("engines", at(30)), Some(ms(190)));
+    assert!(core.place_for_turn("engines", Some(&need), scope, at(30)).is_some());
+}
