A second attempt waits for a turn where only a scarce target is left

Callers whose other targets had failed were refused at once though a turn was within their objective. Cause: targets that were tried counted as open when the wait was looked for. Only scarce ones do now.

--- a/src/relay/core/permits.rs
+++ b/src/relay/core/permits.rs
@@ -149,8 +149,8 @@
         Some(PermitQuery { ask, asked_at: now, beside: self.permit_giver(target, is_second) })
     }
 
-    /// Time until there may be a turn at a target of a service that would take a request now,
-    /// none where no target would.
+    /// Time until there may be a turn at a target of a service that takes few requests and
+    /// would take one now, none where there is no such target.
     #[must_use]
     pub fn time_to_turn(&self, service: &str, now: Tick) -> Option<Duration> {
         until_turn(&self.targets, service, now)
--- a/src/relay/decide/return_time.rs
+++ b/src/relay/decide/return_time.rs
@@ -48,11 +48,13 @@
     shortest
 }
 
-/// Time until there may be a turn at a target that would take a request now, zero where there
-/// may be one at once, none where no target would.
+/// Time until there may be a turn at a target that takes few requests and would take one now,
+/// zero where there may be one at once, none where there is no such target.
 #[must_use]
 pub fn until_turn(set: &TargetSet, service: &str, now: Tick) -> Option<Duration> {
-    let willing = set.of_service(service).filter(|target| target.is_willing(now));
+    // Those that take any number are placed at without a turn, or were tried already.
+    let scarce = set.of_service(service).filter(|target| target.rate.is_some());
+    let willing = scarce.filter(|target| target.is_willing(now));
     willing.map(|target| target.closed_for(now)).min()
 }
 
