--- a/tests/relay/targets.rs
+++ b/tests/relay/targets.rs
@@ -6,7 +6,7 @@
 use shalelane::relay::discovery::freshness::StalePolicy;
 use shalelane::relay::discovery::rules::{RelayConfig, ServiceRule};
 
-use crate::fixture::{at, limits, name, need, rates, record, revision};
+use crate::fixture::{at, engines, limits, name, need, rates, record, revision};
 
 const ANY: TargetScope<'static> = TargetScope::Untried(&[]);
 
@@ -106,3 +106,17 @@
     core.take_config(Some(engine_config()), at(1));
     assert!(core.place("engines", Some(&need(5_000)), ANY, at(2)).is_some());
 }
+
+/// After an outage of the store an entry heard of a removal 0.53 s after the store had taken it,
+/// and kept the target for its whole grace from then on: a request reached it 2.012 s after the
+/// ack, where the bound is two seconds.
+#[test]
+fn a_removal_that_is_heard_late_after_an_outage_keeps_the_drain_bound() {
+    const HEARD_AFTER: u64 = 530;
+    const BOUND: u64 = 2_000;
+    let mut set = engines(2);
+    set.take_removal("e0", true, at(HEARD_AFTER));
+    set.expire(at(BOUND));
+    let used = set.usable("engines", at(BOUND)).any(|target| &*target.record.incarnation == "e0");
+    assert!(!used, "still sent requests 2 s after its removal");
+}
