The grace of a target that may come back counts from when the list dropped it

Change: a position in the list holds when the store was last known to have nothing later; what a watch or another entry's news bring was taken after that (news carry their age), and the grace counts from there. A test more: the grace ends at the same moment at the entry that watches and at one that is told.

--- a/src/relay/core/target_list.rs
+++ b/src/relay/core/target_list.rs
@@ -10,6 +10,11 @@
 use crate::relay::discovery::store_revision::StoreRevision;
 use crate::time::Tick;
 
+/// An age on the wire, rounded up.
+fn to_age_ms(age: Duration) -> u32 {
+    age.as_micros().div_ceil(1_000).try_into().unwrap_or(u32::MAX)
+}
+
 impl RelayCore {
     /// Takes a whole list of targets, after [`RelayCore::note_list`].
     pub fn take_list(
@@ -29,13 +34,14 @@
         change
     }
 
-    /// Takes a list that was read. Returns what it changed, and what others are to be
-    /// told: none for the first list of a process, and none after an outage, when each
-    /// entry says for itself what may still come back.
+    /// Takes a list that was read; the one before was true until `known_at`. Returns what
+    /// it changed, and what others are to be told: none for the first list of a process, and
+    /// none after an outage, when each entry says for itself what may still come back.
     pub fn take_reread(
         &mut self,
         list: TargetList,
         is_after_outage: bool,
+        known_at: Tick,
         now: Tick,
     ) -> (ListChange, Option<ListNews>) {
         let is_told = self.targets.has_list() && !is_after_outage;
@@ -44,7 +50,9 @@
         let change = self.take_list(list.records, is_after_outage, now);
         let mark = self.list_share.mark();
         let is_told = is_told && !change.is_empty() && mark.epoch == since.epoch;
-        let news = is_told.then(|| ListNews { since, mark, changes: self.to_changes(&change) });
+        let age_ms = to_age_ms(now.since(known_at));
+        let changes = || self.to_changes(&change);
+        let news = is_told.then(|| ListNews { since, mark, age_ms, changes: changes() });
         (change, news)
     }
 
@@ -109,8 +117,13 @@
         change
     }
 
-    fn take_removal(&mut self, name: &str, is_after_outage: bool, now: Tick) -> ListChange {
-        let change = self.targets.take_removal(name, is_after_outage, now);
+    fn take_removal(
+        &mut self,
+        name: &str,
+        outage_removal: Option<Tick>,
+        now: Tick,
+    ) -> ListChange {
+        let change = self.targets.take_removal(name, outage_removal, now);
         self.note_ends(&change, now);
         change
     }
@@ -127,21 +140,23 @@
         self.list_share.note_list(revision, changed_at);
     }
 
-    /// Takes changes that the own watch brought, up to `revision`. Returns what others
-    /// are to be told, none where they changed nothing.
+    /// Takes changes that the own watch brought, up to `revision`, and that the store took
+    /// after `known_at`. Returns what others are to be told, none where they changed nothing.
     pub fn take_watched(
         &mut self,
         changes: Vec<TargetChange>,
         revision: StoreRevision,
         is_after_outage: bool,
+        known_at: Tick,
         now: Tick,
     ) -> (ListChange, Option<ListNews>) {
         if changes.is_empty() {
             return (ListChange::default(), None);
         }
-        let change = self.take_changes(&changes, is_after_outage, now);
+        let change = self.take_changes(&changes, is_after_outage.then_some(known_at), now);
         let since = self.list_share.note_watched(revision);
-        let news = ListNews { since, mark: self.list_share.mark(), changes };
+        let age_ms = to_age_ms(now.since(known_at));
+        let news = ListNews { since, mark: self.list_share.mark(), age_ms, changes };
         (change, Some(news))
     }
 
@@ -154,7 +169,10 @@
         now: Tick,
     ) -> ListChange {
         match self.list_share.take_news(news, now) {
-            NewsVerdict::Next => self.take_changes(&news.changes, is_after_outage, now),
+            NewsVerdict::Next => {
+                let known_at = now - Duration::from_millis(news.age_ms.into());
+                self.take_changes(&news.changes, is_after_outage.then_some(known_at), now)
+            }
             NewsVerdict::Known | NewsVerdict::Gap => ListChange::default(),
         }
     }
@@ -162,14 +180,14 @@
     fn take_changes(
         &mut self,
         changes: &[TargetChange],
-        is_after_outage: bool,
+        outage_removal: Option<Tick>,
         now: Tick,
     ) -> ListChange {
         let mut all = ListChange::default();
         for change in changes {
             all.join(match change {
                 TargetChange::Listed(record) => self.take_change(record.clone(), now),
-                TargetChange::Removed(name) => self.take_removal(name, is_after_outage, now),
+                TargetChange::Removed(name) => self.take_removal(name, outage_removal, now),
             });
         }
         all
--- a/src/relay/decide/targets.rs
+++ b/src/relay/decide/targets.rs
@@ -149,16 +149,17 @@
     }
 
     /// Takes the removal of one target from the list. After an outage it may
-    /// still come back for a while and is kept.
+    /// still come back for a while and is kept: `outage_removal` is then the earliest
+    /// time at which the list can have dropped it, however late that is heard.
     pub fn take_removal(
         &mut self,
         incarnation: &str,
-        is_after_outage: bool,
+        outage_removal: Option<Tick>,
         now: Tick,
     ) -> ListChange {
         let mut change = ListChange::default();
         if let Some(target) = self.targets.get_mut(incarnation) {
-            target.gone_at.get_or_insert(if is_after_outage { now + RETURN_SPAN } else { now });
+            target.gone_at.get_or_insert(outage_removal.map_or(now, |at| at + RETURN_SPAN));
         }
         self.remove_missing(now, &mut change);
         change
--- a/src/relay/discovery/follow_targets.rs
+++ b/src/relay/discovery/follow_targets.rs
@@ -20,25 +20,39 @@
 /// Time without an answer after which entries of the list may have lapsed.
 const OUTAGE: Duration = Duration::from_millis(1_500);
 
+/// Longest time in which the store tells a watch that waits of a change.
+const TELL_SPAN: Duration = Duration::from_millis(100);
+
+/// Up to where the list is known.
+#[derive(Clone, Copy, Debug)]
+struct ListPosition {
+    /// Revision to watch from.
+    revision: StoreRevision,
+    /// When the store was heard of last to have nothing later: what comes next was taken
+    /// after that.
+    known_at: Tick,
+}
+
 /// Follows the list of targets for as long as the process runs.
 pub(crate) async fn follow_targets(shared: Rc<RelayShared>, feed: Rc<PlatformFeed>) {
     let mut heard_at = shared.now();
+    let mut known_at = heard_at;
     let mut outages = shared.outages.subscribe();
     loop {
         outages.mark_unchanged();
-        let Some(mut revision) = read_list(&shared, &feed, heard_at).await else {
+        let Some(mut position) = read_list(&shared, &feed, heard_at, known_at).await else {
             wait_for_list(&shared, &mut outages).await;
             continue;
         };
         loop {
-            heard_at = shared.now();
+            (heard_at, known_at) = (shared.now(), position.known_at);
             let next = tokio::select! {
-                next = hear_once(&shared, &feed, revision) => next,
+                next = hear_once(&shared, &feed, position) => next,
                 // The connection of the watch may hang since an outage.
                 _ = outages.changed() => None,
             };
             let Some(next) = next else { break };
-            revision = next;
+            position = next;
         }
     }
 }
@@ -54,16 +68,16 @@
 }
 
 /// Hears of changes for a while, by an own watch or by the news of others. Returns
-/// the next revision to watch from, none where the list has to be read anew.
+/// the next position, none where the list has to be read anew.
 async fn hear_once(
     shared: &RelayShared,
     feed: &PlatformFeed,
-    revision: StoreRevision,
-) -> Option<StoreRevision> {
+    position: ListPosition,
+) -> Option<ListPosition> {
     let is_watching = shared.core.borrow().list_share().is_watching();
     let watching = async {
         if is_watching {
-            return watch_once(shared, feed, revision).await;
+            return watch_once(shared, feed, position).await;
         }
         std::future::pending().await
     };
@@ -72,18 +86,21 @@
         () = shared.list_due.notified() => {
             let core = shared.core.borrow();
             // All up to the mark is known.
-            let next = revision.max(core.list_share().mark());
+            let revision = position.revision.max(core.list_share().mark());
+            let next = ListPosition { revision, ..position };
             (!core.list_share().is_behind(shared.now())).then_some(next)
         }
     }
 }
 
-/// Reads the whole list. Returns its revision, none where that failed.
+/// Reads the whole list. Returns up to where it is known, none where that failed.
 async fn read_list(
     shared: &RelayShared,
     feed: &PlatformFeed,
     heard_at: Tick,
-) -> Option<StoreRevision> {
+    known_at: Tick,
+) -> Option<ListPosition> {
+    let sent_at = shared.now();
     let result = (feed.list_targets)().await;
     shared.counts.borrow().note_store_call(StoreCall::ListRead);
     let now = shared.now();
@@ -98,13 +115,14 @@
             let is_after_outage = now.since(heard_at) > LONGEST_WAIT + OUTAGE;
             let is_after_outage = is_after_outage || shared.was_away(now);
             shared.log.entries_unreadable(&list.unreadable, now);
-            let (change, news) = shared.core.borrow_mut().take_reread(list, is_after_outage, now);
+            let (change, news) =
+                shared.core.borrow_mut().take_reread(list, is_after_outage, known_at, now);
             shared.log.targets_changed(&change);
             shared.note_started();
             if let Some(news) = news {
                 tell_others(shared, news);
             }
-            Some(revision)
+            Some(ListPosition { revision, known_at: sent_at })
         }
         Err(error) => {
             shared.away_at.set(Some(now));
@@ -116,13 +134,15 @@
     }
 }
 
-/// Waits for one answer of a watch. Returns the next revision, none where the
+/// Waits for one answer of a watch. Returns the next position, none where the
 /// list has to be read anew.
 async fn watch_once(
     shared: &RelayShared,
     feed: &PlatformFeed,
-    revision: StoreRevision,
-) -> Option<StoreRevision> {
+    position: ListPosition,
+) -> Option<ListPosition> {
+    let ListPosition { revision, known_at } = position;
+    let begun = shared.now();
     let result = (feed.watch_targets)(revision, shared.watch_wait()).await;
     shared.counts.borrow().note_store_call(StoreCall::ListWatch);
     match result {
@@ -136,13 +156,17 @@
             let (changes, unreadable) = news.into_changes();
             shared.log.entries_unreadable(&unreadable, now);
             let away = shared.was_away(now);
-            let (change, news) = shared.core.borrow_mut().take_watched(changes, next, away, now);
+            // What is told at once may be older than the watch.
+            let is_late = now.since(begun) > TELL_SPAN;
+            let known_at = if is_late { now - TELL_SPAN } else { known_at };
+            let (change, news) =
+                shared.core.borrow_mut().take_watched(changes, next, away, known_at, now);
             shared.log.targets_changed(&change);
             if let Some(news) = news {
                 tell_others(shared, news);
                 tokio::time::sleep(watch_step(shared, now)).await;
             }
-            Some(next)
+            Some(ListPosition { revision: next, known_at: now })
         }
         Ok(TargetWatch::Forgotten) => None,
         Err(error) => {
--- a/src/relay/discovery/list_share.rs
+++ b/src/relay/discovery/list_share.rs
@@ -53,6 +53,9 @@
     /// They end at this mark.
     #[serde(rename = "m")]
     pub mark: StoreRevision,
+    /// Longest time since the store can have taken them, in milliseconds.
+    #[serde(rename = "g")]
+    pub age_ms: u32,
     /// The changes.
     #[serde(rename = "c")]
     pub changes: Vec<TargetChange>,
--- a/tests/relay/list_news.rs
+++ b/tests/relay/list_news.rs
@@ -10,7 +10,7 @@
 use crate::fixture::{at, check, limits, name, record, revision};
 
 fn news(since: u64, mark: u64) -> ListNews {
-    ListNews { since: revision(since), mark: revision(mark), changes: Vec::new() }
+    ListNews { since: revision(since), mark: revision(mark), age_ms: 0, changes: Vec::new() }
 }
 
 /// A share that knows all up to `mark`.
@@ -37,7 +37,7 @@
 fn core_of_two() -> RelayCore {
     let mut core = RelayCore::new(limits(StalePolicy::FailClosed), 1);
     let both = list(5, vec![record("a", 1), record("b", 2)]);
-    let (_, news) = core.take_reread(both, false, at(0));
+    let (_, news) = core.take_reread(both, false, at(0), at(0));
     assert_eq!(news, None, "the first list of a process is no change");
     core
 }
@@ -148,7 +148,7 @@
     let (mut watcher, mut other) = (core_of_two(), core_of_two());
     let leaving = TargetRecord { is_leaving: true, ..record("a", 1) };
     let changes = vec![TargetChange::Listed(leaving), TargetChange::Removed(name("b"))];
-    let (change, news) = watcher.take_watched(changes, revision(9), false, at(100));
+    let (change, news) = watcher.take_watched(changes, revision(9), false, at(90), at(100));
     assert_eq!(other.take_list_news(&news.clone().unwrap(), false, at(102)), change);
     assert!(!other.targets.get("a").unwrap().is_usable(at(103)));
     assert!(other.targets.get("b").is_none());
@@ -162,12 +162,30 @@
 fn who_never_lost_the_store_takes_a_removal_at_once() {
     let (mut turned_away, mut other) = (core_of_two(), core_of_two());
     let changes = vec![TargetChange::Removed(name("b"))];
-    let (change, news) = turned_away.take_watched(changes, revision(9), true, at(13_070));
+    let (change, news) =
+        turned_away.take_watched(changes, revision(9), true, at(13_000), at(13_070));
     assert_eq!(change.removed, [], "it may come back");
     let change = other.take_list_news(&news.unwrap(), false, at(13_072));
     assert_eq!(change.removed, [name("b")]);
 }
 
+/// Whoever lost the store as well keeps a target from when the list can have dropped it, not
+/// from when it hears so.
+#[test]
+fn the_grace_of_a_removal_counts_from_the_list_at_all_entries() {
+    let (mut watcher, mut other) = (core_of_two(), core_of_two());
+    let changes = vec![TargetChange::Removed(name("b"))];
+    let (_, news) = watcher.take_watched(changes, revision(9), true, at(12_500), at(13_000));
+    let news = news.expect("a target is gone");
+    assert_eq!(news.age_ms, 500);
+    assert!(other.take_list_news(&news, true, at(13_100)).is_empty(), "it may come back");
+    for core in [&mut watcher, &mut other] {
+        assert_eq!(core.expire_targets(at(14_000)).removed, []);
+    }
+    assert_eq!(watcher.expire_targets(at(14_100)).removed, [name("b")]);
+    assert_eq!(other.expire_targets(at(14_200)).removed, [name("b")]);
+}
+
 /// Past failure: the store had forgotten its history when a target left. Who watched the
 /// list read it anew and saw that; the other 23 of 30 entries heard nothing, and sent
 /// requests to the address of that target for the rest of the day.
@@ -198,11 +216,12 @@
 #[test]
 fn what_one_entry_sees_by_reading_again_holds_at_another() {
     let (mut watcher, mut other) = (core_of_two(), core_of_two());
-    let (_, news) = watcher.take_reread(list(9, vec![record("a", 1)]), false, at(3_000));
+    let (_, news) = watcher.take_reread(list(9, vec![record("a", 1)]), false, at(0), at(3_000));
     let news = news.expect("a target is gone");
     assert_eq!((news.since, news.mark), (revision(5), revision(9)));
     assert_eq!(other.take_list_news(&news, false, at(3_001)).removed, [name("b")]);
-    let (_, news) = watcher.take_reread(list(12, vec![record("a", 1)]), false, at(4_000));
+    let (_, news) =
+        watcher.take_reread(list(12, vec![record("a", 1)]), false, at(3_000), at(4_000));
     assert_eq!(news, None, "nothing changed");
 }
 
@@ -210,7 +229,8 @@
 fn news_of_ten_targets_fit_a_datagram() {
     let changes = (0..10)
         .map(|number| TargetChange::Listed(record(&format!("i-0123456789{number}"), number)));
-    let news = ListNews { since: revision(1), mark: revision(2), changes: changes.collect() };
+    let news =
+        ListNews { since: revision(1), mark: revision(2), age_ms: 0, changes: changes.collect() };
     let note = LoadNote::ListChanged(news);
     let bytes = note.to_bytes().unwrap();
     assert!(bytes.len() <= MAX_NOTE, "{} bytes", bytes.len());
--- a/tests/relay/lives.rs
+++ b/tests/relay/lives.rs
@@ -73,7 +73,7 @@
         changed_at: revision(9),
         unreadable: Vec::new(),
     };
-    let (_, news) = core.take_reread(list, false, at(10));
+    let (_, news) = core.take_reread(list, false, at(0), at(10));
     let mut other = core_of(vec![born(100)]);
     other.take_list_news(&news.unwrap(), false, at(12));
     assert_eq!(other.life_of("a").unwrap().born_ms, 200);
--- a/tests/relay/notices.rs
+++ b/tests/relay/notices.rs
@@ -140,7 +140,7 @@
         listed[0].is_leaving = true;
         let list =
             TargetList { records: listed, changed_at: revision(9), ..TargetList::new(revision(9)) };
-        let (change, news) = core.take_reread(list, false, at(20));
+        let (change, news) = core.take_reread(list, false, at(0), at(20));
         assert_eq!(change.leaving, [name("a")]);
         assert_eq!(news.unwrap().changes.len(), 1);
     }
--- a/tests/relay/restored_store.rs
+++ b/tests/relay/restored_store.rs
@@ -82,7 +82,7 @@
 }
 
 fn news(since: StoreRevision, mark: StoreRevision) -> ListNews {
-    ListNews { since, mark, changes: Vec::new() }
+    ListNews { since, mark, age_ms: 0, changes: Vec::new() }
 }
 
 fn share_at(mark: StoreRevision) -> ListShare {
@@ -126,13 +126,13 @@
         changed_at: before(90),
         ..TargetList::new(before(90))
     };
-    core.take_reread(both, false, at(0));
+    core.take_reread(both, false, at(0), at(0));
     let one = TargetList {
         records: vec![record("a", 1)],
         changed_at: after(60),
         ..TargetList::new(after(60))
     };
-    let (change, news) = core.take_reread(one, false, at(10));
+    let (change, news) = core.take_reread(one, false, at(0), at(10));
     assert_eq!(change.removed, [name("b")]);
     assert_eq!(news, None);
 }
@@ -240,18 +240,18 @@
 fn a_target_that_had_gone_before_the_copy_shows_it_is_left_alone() {
     let mut set = TargetSet::default();
     set.take_list(vec![listed("a", before(50))], false, at(0));
-    set.take_removal("a", false, at(1_000));
+    set.take_removal("a", None, at(1_000));
     set.take_list(vec![listed("a", after(50))], true, at(2_000));
     assert!(!set.get("a").unwrap().is_usable(at(5_900)));
     assert!(set.get("a").unwrap().is_usable(at(6_000)), "it is there after all");
     let mut set = TargetSet::default();
     set.take_list(vec![listed("a", before(50))], false, at(0));
-    set.take_removal("a", false, at(1_000));
+    set.take_removal("a", None, at(1_000));
     set.take_list(vec![listed("a", after(61))], true, at(2_000));
     assert!(set.get("a").unwrap().is_usable(at(2_000)), "it lists itself again");
     let mut set = TargetSet::default();
     set.take_list(vec![listed("a", before(50))], false, at(0));
-    set.take_removal("a", false, at(1_000));
+    set.take_removal("a", None, at(1_000));
     set.take_list(vec![listed("a", before(50))], true, at(2_000));
     assert!(set.get("a").unwrap().is_usable(at(2_000)), "the same store shows it again");
 }
--- a/tests/relay/targets.rs
+++ b/tests/relay/targets.rs
@@ -62,7 +62,7 @@
 #[test]
 fn what_does_not_come_back_gets_nothing_two_seconds_after_its_removal() {
     let mut core = ready_core();
-    core.targets.take_removal("a", true, at(1_000));
+    core.targets.take_removal("a", Some(at(1_000)), at(1_000));
     assert!(core.place("engines", Some(&need(5_000)), ANY, at(2_500)).is_some());
     assert!(core.place("engines", Some(&need(5_000)), ANY, at(2_800)).is_none());
 }
@@ -70,8 +70,8 @@
 #[test]
 fn a_removal_heard_after_an_outage_waits_as_well() {
     let mut set = listed(&[record("a", 1), record("b", 2)]);
-    set.take_removal("a", true, at(1_000));
-    set.take_removal("b", false, at(1_000));
+    set.take_removal("a", Some(at(1_000)), at(1_000));
+    set.take_removal("b", None, at(1_000));
     assert_eq!(usable(&set), ["a"]);
     set.expire(at(3_000));
     assert!(usable(&set).is_empty());
@@ -92,7 +92,7 @@
     let later = TargetRecord { listed_at: revision(9), ..record("b", 1) };
     let mut set = listed(&[record("a", 1), later]);
     assert_eq!(usable(&set), ["b"]);
-    set.take_removal("b", false, at(10));
+    set.take_removal("b", None, at(10));
     assert_eq!(usable(&set), ["a"]);
 }
 
@@ -115,7 +115,7 @@
     const HEARD_AFTER: u64 = 530;
     const BOUND: u64 = 2_000;
     let mut set = engines(2);
-    set.take_removal("e0", true, at(HEARD_AFTER));
+    set.take_removal("e0", Some(at(0)), at(HEARD_AFTER));
     set.expire(at(BOUND));
     let used = set.usable("engines", at(BOUND)).any(|target| &*target.record.incarnation == "e0");
     assert!(!used, "still sent requests 2 s after its removal");
