One agent gives what client accounts have beside the entries' whole shares

Change: an entry lets in its whole share only; what is left is given by one agent that all entries choose alike by the account (AccountGate), by a question on the link that is there. Where one of both limits leaves no whole share, the agent gives all of both. It gives nothing in its first second, in which entries tell it what its former life let in.

--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -11,12 +11,13 @@
 use super::predict::RatePredictor;
 use super::queue::FairShare;
 use super::run::{Run, RunState};
+use crate::account_gate::AccountGate;
 use crate::config::ConfigVersion;
 use crate::id::{AttemptId, AttemptKey, ProcessId, RequestId};
 use crate::invariant::InvariantCheck;
 use crate::mutant::{Mutant, is_on};
 use crate::time::{Tick, TimerService};
-use crate::wire::{Probe, ProbeAnswer, Refusal, ToAgent, ToEntry};
+use crate::wire::{AccountAsk, Probe, ProbeAnswer, Refusal, ToAgent, ToEntry};
 
 /// Counts of an agent's life.
 #[derive(Clone, Copy, Debug, Default)]
@@ -69,6 +70,8 @@
     pub(super) leaving: bool,
     pub(super) stopped: bool,
     pub(super) config_version: ConfigVersion,
+    /// What it gives of the limits of client accounts.
+    pub(super) gate: AccountGate<(ConnId, u64)>,
     pub(super) invariant: InvariantCheck,
     pub(super) counts: AgentCounts,
     pub(super) out: Vec<Effect>,
@@ -99,6 +102,7 @@
             leaving: false,
             stopped: false,
             config_version: ConfigVersion::default(),
+            gate: AccountGate::default(),
             invariant,
             counts: AgentCounts::default(),
             out: vec![Effect::Reset],
@@ -213,6 +217,7 @@
             self.on_run_orphaned(&id, now);
         }
         self.holders.retain(|_, holder| *holder != conn);
+        self.gate.retain(|(holder, _)| *holder != conn);
         self.claims.retain(|claim| claim.conn != conn);
     }
 
@@ -247,6 +252,8 @@
             ToAgent::ConfigVersion(version) => {
                 self.config_version = self.config_version.max(version);
             }
+            ToAgent::AskAccount(ask) => self.on_ask_account(conn, &ask, now),
+            ToAgent::ReleaseAccount(number) => self.gate.release(&(conn, number)),
         }
     }
 
@@ -269,6 +276,17 @@
         self.send(Some(conn), ToEntry::ProbeAnswer(answer));
     }
 
+    fn on_ask_account(&mut self, conn: ConnId, ask: &AccountAsk, now: Tick) {
+        let AccountAsk { number, account, rest, is_held } = ask;
+        let holder = (conn, *number);
+        if *is_held {
+            return self.gate.note_held(account, holder, now);
+        }
+        let wait = self.gate.ask(account, *rest, holder, now).err();
+        let wait_us = wait.map(|wait| wait.as_micros() as u64);
+        self.send(Some(conn), ToEntry::AccountAnswer { number: *number, wait_us });
+    }
+
     /// Time for which the target wants nothing more.
     pub(super) fn backoff(&self, now: Tick) -> Duration {
         self.backoff_until.since(now)
--- a/src/entry/account.rs
+++ b/src/entry/account.rs
@@ -7,12 +7,13 @@
 
 use sha2::{Digest, Sha256};
 
+use crate::account_gate::{AccountShare, ShareUsage};
 use crate::config::{AccountPolicy, Config, ServiceKind};
 use crate::hex::to_hex;
 use crate::time::Tick;
 
-/// Seconds of its rate that an account may save up.
-const BURST_SECONDS: f64 = 1.0;
+/// When to come back where an entry has no share and no agent is known.
+const NO_SHARE_RETRY: Duration = Duration::from_secs(1);
 
 /// Accounts by the hash of their keys.
 #[derive(Clone, Debug, Default)]
@@ -82,47 +83,75 @@
 #[derive(Debug)]
 struct AccountUsage {
     in_flight: u64,
-    credit: f64,
-    filled: Tick,
+    usage: ShareUsage,
 }
 
-/// What each account has in flight at this entry, and its rate.
+/// Why a request is not let in by this entry's own share.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitFault {
+    /// When the own share has room again.
+    pub retry: Duration,
+    /// What an agent may give of the limits beside the shares of all entries, none where the
+    /// shares are all.
+    pub rest: Option<AccountShare>,
+}
+
+/// The share of one entry of `entries`, and what is left of the limits beside all shares.
+///
+/// A share is whole, so that the sum of all is no more than the limits. Where one of the two
+/// limits leaves no whole share, an agent gives all of both.
+fn split(policy: &AccountPolicy, entries: usize) -> (AccountShare, AccountShare) {
+    let all =
+        AccountShare { per_second: policy.requests_per_second, concurrent: policy.concurrent };
+    let nothing = AccountShare { per_second: 0.0, concurrent: 0 };
+    if entries <= 1 {
+        return (all, nothing);
+    }
+    let own = AccountShare {
+        per_second: (all.per_second / entries as f64).floor(),
+        concurrent: all.concurrent / entries as u64,
+    };
+    if own.is_empty() {
+        return (nothing, all);
+    }
+    let rest = AccountShare {
+        per_second: all.per_second - own.per_second * entries as f64,
+        concurrent: all.concurrent - own.concurrent * entries as u64,
+    };
+    (own, rest)
+}
+
+/// What each account has in flight of this entry's share, and its rate.
 ///
-/// Limits hold over the fleet. Each entry lets in its equal part, since the
-/// platform's balancer spreads connections evenly and no entry asks another.
+/// Limits hold over the fleet. Each entry lets in its whole share by itself.
 #[derive(Debug, Default)]
 pub struct AccountLimits {
     usage: HashMap<Arc<str>, AccountUsage>,
 }
 
 impl AccountLimits {
-    /// Lets a request in, or says when to come back.
+    /// Lets a request in by the own share of an account.
     ///
     /// # Errors
     ///
-    /// The time after which the account has room again.
+    /// The time after which the share has room again, and what an agent may give.
     pub fn admit(
         &mut self,
         policy: &AccountPolicy,
         entries: usize,
         now: Tick,
-    ) -> Result<(), Duration> {
-        let rate = policy.requests_per_second / entries as f64;
-        let most = (policy.concurrent as f64 / entries as f64).ceil().max(1.0) as u64;
-        let burst = (rate * BURST_SECONDS).max(1.0);
-        let fresh = AccountUsage { in_flight: 0, credit: burst, filled: now };
-        let usage = self.usage.entry(policy.name.clone()).or_insert(fresh);
-        let earned = now.since(usage.filled).as_secs_f64() * rate;
-        usage.credit = (usage.credit + earned).min(burst);
-        usage.filled = now;
-        if usage.credit < 1.0 {
-            return Err(Duration::from_secs_f64((1.0 - usage.credit) / rate));
-        }
-        if usage.in_flight >= most {
-            return Err(Duration::from_secs(1));
+    ) -> Result<(), LimitFault> {
+        let (own, rest) = split(policy, entries);
+        let rest = (!rest.is_empty()).then_some(rest);
+        if own.is_empty() {
+            return Err(LimitFault { retry: NO_SHARE_RETRY, rest });
         }
-        usage.credit -= 1.0;
-        usage.in_flight += 1;
+        // What a former life of this entry let in is at most a second's share.
+        let fresh = || AccountUsage { in_flight: 0, usage: ShareUsage::full() };
+        let known = self.usage.entry(policy.name.clone()).or_insert_with(fresh);
+        let admitted = known.usage.admit(own, known.in_flight, now);
+        admitted.map_err(|retry| LimitFault { retry, rest })?;
+        known.in_flight += 1;
         Ok(())
     }
 
--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -98,6 +98,10 @@
             ToEntry::Held { attempt, engine } => self.on_held(target, attempt, engine, now),
             ToEntry::NotHeld(attempt) => self.on_not_held(target, attempt, now),
             ToEntry::TargetLost => self.on_target_lost(target, now),
+            ToEntry::AccountAnswer { number, wait_us } => {
+                let wait = wait_us.map(Duration::from_micros);
+                self.on_account_answer(target, number, wait, now);
+            }
             ToEntry::Leaving => self.table.close(target, now + super::asking::CLOSED_SPAN),
         }
     }
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -8,6 +8,7 @@
 use rand::rngs::StdRng;
 
 use super::account::AccountLimits;
+use super::admission::{AgentShare, PendingArrival};
 use super::direct::DirectMemory;
 use super::event::{Arrival, Effect, EntryTuning, Event, Failure, FailureCode, Reply};
 use super::request::{Phase, Request};
@@ -64,6 +65,7 @@
     Settle(u64),
     Renew(u64, u16),
     Claim(u64, u16),
+    Gate(u64),
 }
 
 /// The deciding part of an entry.
@@ -79,6 +81,8 @@
     pub(super) estimator: TokenEstimator,
     pub(super) links: HashMap<Arc<str>, Incarnation>,
     pub(super) requests: BTreeMap<u64, Request>,
+    /// Requests that wait for an agent to let them in.
+    pub(super) pending: BTreeMap<u64, PendingArrival>,
     pub(super) probes: HashMap<u64, u64>,
     pub(super) next_probe: u64,
     pub(super) timers: TimerService<Timer>,
@@ -111,6 +115,7 @@
             estimator: TokenEstimator::default(),
             links: HashMap::new(),
             requests: BTreeMap::new(),
+            pending: BTreeMap::new(),
             probes: HashMap::new(),
             next_probe: 0,
             timers: TimerService::new(),
@@ -168,7 +173,7 @@
     /// Requests without a final answer.
     #[must_use]
     pub fn open_requests(&self) -> usize {
-        self.requests.len()
+        self.requests.len() + self.pending.len()
     }
 
     /// How many invariants were broken.
@@ -246,18 +251,24 @@
             self.out.push(Effect::Reply(number, Reply::Failed(failure)));
             return;
         };
-        let entries = self.table.live_entries();
-        if let Err(retry) = self.limits.admit(&arrival.policy, entries, now) {
-            self.counts.limited += 1;
-            let text = "the client account is over its limit";
-            let failure = refused(FailureCode::LimitExceeded, text, retry);
-            self.out.push(Effect::Reply(number, Reply::Failed(failure)));
-            return;
-        }
+        self.admit(arrival, need, limit, now);
+    }
+
+    /// Begins the work on a request that its account may have.
+    pub(super) fn let_in(
+        &mut self,
+        arrival: Box<Arrival>,
+        need: TokenNeed,
+        limit: Duration,
+        agent_share: Option<AgentShare>,
+        now: Tick,
+    ) {
+        let number = arrival.number;
         self.counts.admitted += 1;
         self.budget.earn();
         let first = arrival.marks.peek_first();
         let mut request = Request::new(arrival, need, now, limit);
+        request.agent_share = agent_share;
         request.prefix = first.filter(|hash| self.memory.is_known_beginning(*hash));
         self.timers.subscribe(request.deadline, Timer::Deadline(number));
         self.requests.insert(number, request);
@@ -267,6 +278,11 @@
     }
 
     pub(super) fn on_caller_gone(&mut self, number: u64, now: Tick) {
+        if let Some(pending) = self.pending.remove(&number) {
+            self.counts.gone += 1;
+            let share = Some(pending.into_share());
+            return self.give_back(number, "", share);
+        }
         if !self.requests.contains_key(&number) {
             return;
         }
@@ -293,7 +309,8 @@
             return;
         };
         request.log.push(now, DecisionStep::Ended { outcome: outcome.to_owned() });
-        self.limits.release(&request.arrival.policy.name);
+        let share = request.agent_share.take();
+        self.give_back(number, &request.arrival.policy.name, share);
         self.forget_probes(&request.phase);
         self.why.insert(number, request.log);
     }
@@ -336,6 +353,7 @@
                 Timer::Settle(number) => self.on_settle_due(number, now),
                 Timer::Renew(number, attempt) => self.on_renew_due(number, attempt, now),
                 Timer::Claim(number, attempt) => self.on_claim_due(number, attempt, now),
+                Timer::Gate(number) => self.on_gate_due(number),
             }
         }
     }
@@ -364,13 +382,13 @@
     }
 
     pub(super) fn check_stopped(&mut self) {
-        if self.draining && self.requests.is_empty() && !self.stopped {
+        if self.draining && self.open_requests() == 0 && !self.stopped {
             self.stopped = true;
             self.out.push(Effect::Stopped);
         }
     }
 }
 
-fn refused(code: FailureCode, text: &str, retry: Duration) -> Failure {
+pub(super) fn refused(code: FailureCode, text: &str, retry: Duration) -> Failure {
     Failure { code, message: text.to_owned(), verdict: Verdict::NotRun, retry_after: Some(retry) }
 }
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -23,11 +23,13 @@
             let version = ToAgent::ConfigVersion(config.version);
             self.out.push(Effect::Send(target.clone(), version));
         }
+        self.tell_held(&target);
         self.links.insert(target, incarnation);
     }
 
     pub(super) fn on_agent_down(&mut self, target: &Arc<str>, now: Tick) {
         self.memory.forget(target);
+        self.on_gate_lost(target);
         let was_up = self.links.remove(target).is_some();
         if !was_up {
             self.table.suspect(target, now + self.tuning.suspicion);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod account;
 pub mod admin;
+mod admission;
 mod answers;
 pub mod ask;
 mod asking;
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::admission::AgentShare;
 use super::event::Arrival;
 use super::why::{DecisionLog, DecisionStep};
 use crate::id::{AttemptKey, Incarnation};
@@ -47,6 +48,8 @@
 pub(super) struct Request {
     pub(super) arrival: Box<Arrival>,
     pub(super) need: TokenNeed,
+    /// The agent that let it in, none where the own share did.
+    pub(super) agent_share: Option<AgentShare>,
     pub(super) deadline: Tick,
     pub(super) phase: Phase,
     /// Number of the live attempt.
@@ -83,6 +86,7 @@
         Request {
             arrival,
             need,
+            agent_share: None,
             deadline: now + limit,
             phase: Phase::Backoff { until: now },
             attempt: 0,
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -155,6 +155,16 @@
         targets.iter_mut().find(|target| &*target.name == name)
     }
 
+    /// The target whose agent gives what an account may have beside the entries' shares: the
+    /// same for all entries that know the same targets.
+    #[must_use]
+    pub fn home_of_account(&self, account: &str) -> Option<Arc<str>> {
+        let targets = self.services.values().flatten().filter(|target| !target.leaving);
+        let names = targets.map(|target| &target.name);
+        let seed = xxh3_64_with_seed(account.as_bytes(), 0);
+        names.max_by_key(|name| (xxh3_64_with_seed(name.as_bytes(), seed), *name)).cloned()
+    }
+
     /// Targets of a service that may be given work now.
     fn open(&self, query: &RouteQuery<'_>, now: Tick) -> Vec<&RouteTarget> {
         let Some(targets) = self.services.get(query.service) else {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -61,6 +61,7 @@
 //! the randomised runs of the workspace member `standins`. They check their
 //! invariants themselves ([`invariant`]).
 
+pub mod account_gate;
 pub mod agent;
 pub mod claim;
 pub mod claim_store;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -10,6 +10,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use crate::account_gate::AccountShare;
 use crate::config::{ConfigVersion, Urgency};
 use crate::error::{Error, ErrorCode, Result};
 use crate::id::{AttemptKey, Incarnation};
@@ -187,8 +188,25 @@
     pub is_renewal: bool,
 }
 
+/// Asks an agent to let a request of a client account in.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AccountAsk {
+    /// Number of the request at the entry.
+    #[serde(rename = "n")]
+    pub number: u64,
+    /// The account.
+    #[serde(rename = "a")]
+    pub account: Arc<str>,
+    /// What the account may have beside the shares of all entries.
+    #[serde(rename = "r")]
+    pub rest: AccountShare,
+    /// True where a former life of the agent let it in.
+    #[serde(rename = "h")]
+    pub is_held: bool,
+}
+
 /// From an entry to an agent.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ToAgent {
     /// Asks what the agent would do.
     #[serde(rename = "p")]
@@ -214,6 +232,12 @@
     /// Tells the configuration version in force at the entry.
     #[serde(rename = "v")]
     ConfigVersion(ConfigVersion),
+    /// Asks it to let a request in.
+    #[serde(rename = "g")]
+    AskAccount(AccountAsk),
+    /// Such a request has ended, or is not asked for any more.
+    #[serde(rename = "e")]
+    ReleaseAccount(u64),
 }
 
 /// Why an agent did not take an attempt. Each of these means it was not run.
@@ -273,6 +297,14 @@
 /// From an agent to an entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ToEntry {
+    /// Answers whether a request of a client account is let in.
+    #[serde(rename = "g")]
+    AccountAnswer {
+        /// Number of the request at the entry.
+        number: u64,
+        /// Time after which there may be room, in microseconds; none where it is let in.
+        wait_us: Option<u64>,
+    },
     /// Answers a probe.
     #[serde(rename = "p")]
     ProbeAnswer(ProbeAnswer),
