Tests for faults of the agents that give second attempts which none had caught

Two tests: what is given at once at a start, and two starts of the first agent together with the second one within a window.

--- a/tests/relay/budget.rs
+++ b/tests/relay/budget.rs
@@ -155,3 +155,32 @@
     assert_eq!(taken, 1);
     assert!(budget.take_alone(at(0) + ms(10_001)), "the window has passed");
 }
+
+/// Second attempts that an agent gives within `span` milliseconds of its life, asked all the
+/// time from its millisecond `from` on.
+fn given(is_second: bool, from: u64, span: u64) -> usize {
+    let mut gate = SlackGate::default();
+    let replies = (from..from + span).step_by(5).flat_map(|millis| {
+        let replies: Vec<_> = (0..40).map(|_| gate.on_ask(&ask(is_second), at(millis))).collect();
+        replies
+    });
+    replies.filter(|reply| matches!(reply, PermitReply::Granted { .. })).count()
+}
+
+/// What an agent gave before it started is not known.
+#[test]
+fn an_agent_that_has_just_started_gives_a_quarter_at_once() {
+    let at_once = given(false, 0, 5);
+    assert!(at_once as f64 <= BOUND.slack * 0.25, "{at_once} at once");
+}
+
+/// In one window the first agent starts twice, and entries turn to the second one as well.
+#[test]
+fn two_starts_of_the_first_agent_and_the_second_keep_the_bound_together() {
+    let window = BOUND.window.as_millis() as u64;
+    let long_lived = given(false, 100_000, window / 3);
+    let started = given(false, 0, window / 3);
+    let second = given(true, 100_000, window);
+    let all = long_lived + 2 * started + second;
+    assert!(all as f64 <= BOUND.slack, "{long_lived}, twice {started}, {second}");
+}
