--- a/src/relay/core/attempts.rs
+++ b/src/relay/core/attempts.rs
@@ -11,6 +11,7 @@
 };
 use crate::relay::decide::retry_budget::RetryBudget;
 use crate::relay::decide::return_time::until_usable;
+use crate::relay::decide::service_scope::{DomainSet, ServiceScope};
 use crate::relay::decide::stream_load::{StreamKey, StreamLoad};
 use crate::relay::decide::target_notice::TargetNotice;
 use crate::relay::decide::targets::{TargetFault, TargetLife};
@@ -30,10 +31,18 @@
 
     /// Returns true where a second attempt could be made now at a target that was not tried,
     /// and that has a turn for sure.
-    pub fn could_retry(&mut self, service: &Arc<str>, tried: &[Arc<str>], now: Tick) -> bool {
+    pub fn could_retry(
+        &mut self,
+        service: &Arc<str>,
+        domains: Option<&DomainSet>,
+        tried: &[Arc<str>],
+        now: Tick,
+    ) -> bool {
         let is_new = |name| !tried.contains(name);
-        let has_other = self.targets.usable(service, now).any(|target| {
-            target.is_used && target.rate.is_none() && is_new(&target.record.incarnation)
+        let scope = ServiceScope { service, domains };
+        let has_other = scope.targets(&self.targets).any(|target| {
+            let is_open = target.is_usable(now) && target.rate.is_none();
+            target.is_used && is_open && is_new(&target.record.incarnation)
         });
         let budget = self.budget(service);
         has_other && (budget.is_left(now) || budget.may_ask(now))
@@ -45,31 +54,31 @@
     }
 
     /// Chooses where a request goes, none where no target can take it.
-    pub fn place(
+    pub fn place<'a>(
         &mut self,
-        service: &str,
+        service: impl Into<ServiceScope<'a>>,
         need: Option<&PromptNeed>,
         scope: TargetScope<'_>,
         now: Tick,
     ) -> Option<Placement> {
-        self.place_at(service, need, scope, TurnPolicy::AtOnce, now)
+        self.place_at(service.into(), need, scope, TurnPolicy::AtOnce, now)
     }
 
     /// Chooses where a request goes that would wait for its turn, none where no target can
     /// take it.
-    pub fn place_for_turn(
+    pub fn place_for_turn<'a>(
         &mut self,
-        service: &str,
+        service: impl Into<ServiceScope<'a>>,
         need: Option<&PromptNeed>,
         scope: TargetScope<'_>,
         now: Tick,
     ) -> Option<Placement> {
-        self.place_at(service, need, scope, TurnPolicy::Waits, now)
+        self.place_at(service.into(), need, scope, TurnPolicy::Waits, now)
     }
 
     fn place_at(
         &mut self,
-        service: &str,
+        service: ServiceScope<'_>,
         need: Option<&PromptNeed>,
         scope: TargetScope<'_>,
         turn: TurnPolicy,
@@ -231,6 +240,8 @@
         if target.is_some_and(|target| target.take_notice(notice, now)) {
             // Of a large fleet, another one takes its place.
             self.choose_engines(now);
+        } else if notice.warmup.is_some() {
+            self.mark_rates(now);
         }
     }
 
@@ -254,7 +265,11 @@
     /// Time until a target of a service may be sent requests again, none where one may be now
     /// or none is known.
     #[must_use]
-    pub fn time_to_target(&self, service: &str, now: Tick) -> Option<Duration> {
+    pub fn time_to_target<'a>(
+        &self,
+        service: impl Into<ServiceScope<'a>>,
+        now: Tick,
+    ) -> Option<Duration> {
         until_usable(&self.targets, service, now)
     }
 
--- a/src/relay/core/configuration.rs
+++ b/src/relay/core/configuration.rs
@@ -107,8 +107,9 @@
         }
         self.set_config_revision(copy.revision);
         let is_new = self.take_version((*copy.config).clone(), now);
-        if let Some(proven_at) = self.proof_share.take_ahead(copy.revision) {
-            self.prove(proven_at);
+        if let Some(proof) = self.proof_share.take_ahead(copy.revision) {
+            self.take_evacuations(proof.evacuations, proof.proven_at, now);
+            self.prove(proof.proven_at);
         }
         is_new
     }
@@ -148,13 +149,15 @@
         }
         let age = self.lease.age(now).filter(|_| self.lease.is_held(now))?;
         let proof_age_ms = u32::try_from(age.as_millis()).ok()? + ROUNDING;
-        Some(LoadNote::TellProof { nonce, revision: self.config_revision, proof_age_ms })
+        let evacuated = self.evacuated().cloned().collect();
+        Some(LoadNote::TellProof { nonce, revision: self.config_revision, proof_age_ms, evacuated })
     }
 
     /// Takes another entry's answer, and renews the lease by it where it may.
-    pub fn take_proof(&mut self, proof: PeerProof) -> PeerVerdict {
+    pub fn take_proof(&mut self, proof: &PeerProof, now: Tick) -> PeerVerdict {
         let verdict = self.proof_share.take_answer(proof, self.config_revision);
         if let PeerVerdict::ProvenAt(at) = verdict {
+            self.take_evacuations(proof.to_evacuations(), at, now);
             self.prove(at);
         }
         verdict
--- a/src/relay/core/mod.rs
+++ b/src/relay/core/mod.rs
@@ -1,17 +1,20 @@
 //! What the relay of one entry knows and decides, without input or output.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::relay::decide::evacuation::EvacuationSet;
 use crate::relay::decide::policy::RelayPolicy;
 use crate::relay::decide::quarantine::QuarantineLedger;
 use crate::relay::decide::rate_book::{RateBook, RateTold};
 use crate::relay::decide::retry_budget::{RetryBound, RetryBudget};
+use crate::relay::decide::service_scope::DomainSet;
 use crate::relay::decide::stream_load::StreamKey;
 use crate::relay::decide::targets::{ListChange, TargetLife, TargetSet};
+use crate::relay::decide::warmup::WarmupBound;
 use crate::relay::discovery::freshness::{FreshnessLease, StalePolicy};
 use crate::relay::discovery::list_share::ListShare;
 use crate::relay::discovery::proof_share::ProofShare;
@@ -22,6 +25,7 @@
 
 mod attempts;
 mod configuration;
+mod evacuation;
 pub mod permits;
 mod quarantine;
 mod target_list;
@@ -38,8 +42,15 @@
 pub struct RelayLimits {
     /// Failure domain of this process.
     pub failure_domain: Arc<str>,
+    /// Region of each failure domain.
+    pub regions: BTreeMap<Arc<str>, Arc<str>>,
     /// Longest time between the removal of a key and its last use.
     pub revoke_bound: Duration,
+    /// Longest time in which the targets of a failure domain that is taken out of service may
+    /// still get requests, none where none is ever taken out.
+    pub evacuate_bound: Option<Duration>,
+    /// What cold targets may get.
+    pub warmup_bound: WarmupBound,
     /// What is done while the configuration can not be proven current.
     pub stale_policy: StalePolicy,
     /// Longest time in which a target that is leaving may still get requests.
@@ -52,6 +63,15 @@
     pub policy: RelayPolicy,
 }
 
+impl RelayLimits {
+    /// How old what is served by may be: the configuration, and which failure domains are out
+    /// of service.
+    #[must_use]
+    pub fn proof_bound(&self) -> Duration {
+        self.evacuate_bound.map_or(self.revoke_bound, |bound| bound.min(self.revoke_bound))
+    }
+}
+
 /// Why a request is refused before anything is done.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -104,6 +124,7 @@
     config: Option<Rc<RelayConfig>>,
     /// The targets.
     pub targets: TargetSet,
+    evacuations: EvacuationSet,
     /// Targets that were removed and not told of yet.
     expired: ListChange,
     budgets: HashMap<Arc<str>, RetryBudget>,
@@ -123,7 +144,7 @@
     #[must_use]
     pub fn new(limits: RelayLimits, entry: u64) -> Self {
         RelayCore {
-            lease: FreshnessLease::new(limits.revoke_bound, limits.stale_policy),
+            lease: FreshnessLease::new(limits.proof_bound(), limits.stale_policy),
             limits,
             entry,
             next_number: 0,
@@ -137,6 +158,7 @@
             store_epoch: None,
             config: None,
             targets: TargetSet::default(),
+            evacuations: EvacuationSet::default(),
             expired: ListChange::default(),
             budgets: HashMap::new(),
             entries: None,
@@ -150,7 +172,7 @@
 
     /// Takes changed limits. What was proven and spent before stays so.
     pub fn set_limits(&mut self, limits: RelayLimits) {
-        self.lease.set_bound(limits.revoke_bound, limits.stale_policy);
+        self.lease.set_bound(limits.proof_bound(), limits.stale_policy);
         for budget in self.budgets.values_mut() {
             budget.set_bound(limits.retry_bound);
         }
@@ -237,6 +259,17 @@
         }
     }
 
+    /// The failure domains whose targets may run a request, none where all may.
+    #[must_use]
+    pub fn home_domains(&self, access: &Access) -> Option<Rc<DomainSet>> {
+        if access.permits_all_regions() {
+            return None;
+        }
+        let regions = self.limits.regions.iter();
+        let homes = regions.filter(|(_, region)| access.permits_region(Some(region)));
+        Some(Rc::new(homes.map(|(domain, _)| domain.clone()).collect()))
+    }
+
     /// Returns true where a request of a route that was admitted may be served.
     #[must_use]
     pub fn may_serve(&self, route: &RouteRule, now: Tick) -> bool {
--- a/src/relay/core/permits.rs
+++ b/src/relay/core/permits.rs
@@ -5,19 +5,20 @@
 use std::time::Duration;
 
 use super::RelayCore;
-use crate::relay::decide::permit_desk::{PermitAsk, PermitReply};
+use crate::relay::decide::permit_desk::{PermitAsk, PermitReply, WarmupNews};
 use crate::relay::decide::placement::Placement;
 use crate::relay::decide::rate_book::RateNews;
-use crate::relay::decide::rate_limit::RateWord;
+use crate::relay::decide::rate_limit::{RateLimit, RateWord};
 use crate::relay::decide::retry_budget::RetryBound;
 use crate::relay::decide::return_time::until_turn;
+use crate::relay::decide::service_scope::ServiceScope;
 use crate::relay::decide::slack_gate::SlackAsk;
 use crate::relay::decide::target_state::{TargetLife, TargetState};
 use crate::time::Tick;
 
 /// Time after its turn within which a request is sent: one that is held up by a slow
 /// connection or a frozen host would join those of later turns.
-const TURN_SPAN: Duration = Duration::from_millis(300);
+pub(super) const TURN_SPAN: Duration = Duration::from_millis(300);
 
 /// Time for which an agent that did not answer is passed over for the second one.
 const PASSED_OVER_SPAN: Duration = Duration::from_secs(2);
@@ -78,7 +79,7 @@
             RateWord::Named(rate) => self.rates.note_named(life, rate, now),
         };
         if is_changed {
-            self.mark_rates();
+            self.mark_rates(now);
         }
     }
 
@@ -89,7 +90,7 @@
             is_changed |= self.rates.take(news, now);
         }
         if is_changed {
-            self.mark_rates();
+            self.mark_rates(now);
         }
     }
 
@@ -113,18 +114,16 @@
     /// Forgets rates of which nothing was heard for long.
     pub fn expire_rates(&mut self, now: Tick) {
         if self.rates.expire(self.spread(), now) {
-            self.mark_rates();
+            self.mark_rates(now);
         }
     }
 
-    /// Gives each target the rate that is known of it.
-    pub(super) fn mark_rates(&mut self) {
-        if self.rates.is_empty() {
-            self.targets.iter_mut().for_each(|target| target.rate = None);
-            return;
-        }
+    /// Gives each target the rate that binds it, by what is known of it or while it is cold.
+    pub(super) fn mark_rates(&mut self, now: Tick) {
         for target in self.targets.iter_mut() {
-            target.rate = self.rates.rate_of(&target.record.to_life());
+            let is_known = !self.rates.is_empty();
+            let named = is_known.then(|| self.rates.rate_of(&target.record.to_life())).flatten();
+            target.rate = RateLimit::lower(named, target.warmup(now).map(|(rate, _)| rate));
         }
     }
 
@@ -139,10 +138,21 @@
     ) -> Option<PermitQuery> {
         let target = self.targets.get(&placement.target)?;
         target.rate?;
-        let news = self.rates.to_news_of(&target.record.to_life(), now)?;
+        let life = target.record.to_life();
+        let warmup = target.warmup(now).map(|(rate, left)| WarmupNews {
+            rate,
+            left_ms: left.as_millis().try_into().unwrap_or(u32::MAX),
+        });
+        let news = match self.rates.to_news_of(&life, now) {
+            Some(news) => news,
+            None if warmup.is_none() => return None,
+            // That no rate is known of it is no news.
+            None => RateNews { life, rate: None, age_ms: u32::MAX },
+        };
         let is_second = target.unheard_at.is_some_and(|at| now.since(at) < PASSED_OVER_SPAN);
         let ask = PermitAsk {
             news,
+            warmup,
             most_wait_ms: most_wait.as_millis().try_into().unwrap_or(u32::MAX),
             is_second,
         };
@@ -152,7 +162,11 @@
     /// Time until there may be a turn at a target of a service that takes few requests and
     /// would take one now, none where there is no such target.
     #[must_use]
-    pub fn time_to_turn(&self, service: &str, now: Tick) -> Option<Duration> {
+    pub fn time_to_turn<'a>(
+        &self,
+        service: impl Into<ServiceScope<'a>>,
+        now: Tick,
+    ) -> Option<Duration> {
         until_turn(&self.targets, service, now)
     }
 
--- a/src/relay/core/target_list.rs
+++ b/src/relay/core/target_list.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
+use super::permits::TURN_SPAN;
 use super::{RelayCore, RelayLimits};
 use crate::relay::decide::engine_subset::{SubsetQuery, mark_used};
 use crate::relay::decide::targets::{ListChange, TargetRecord};
+use crate::relay::decide::warmup::WarmupLimit;
 use crate::relay::discovery::feed::{TargetChange, TargetList};
 use crate::relay::discovery::list_share::{ListNews, ListShare, NewsVerdict};
 use crate::relay::discovery::store_revision::StoreRevision;
@@ -82,7 +84,7 @@
 
     /// Chooses anew which engines this entry uses.
     pub fn choose_engines(&mut self, now: Tick) {
-        self.mark_rates();
+        self.mark_rates(now);
         let RelayLimits { failure_domain, policy, .. } = &self.limits;
         let query = SubsetQuery { entry: self.entry, failure_domain, most: policy.most_engines };
         let services: Vec<_> = self.engine_services().into_iter().collect();
@@ -97,8 +99,12 @@
             let change = self.targets.note_services(|name| rules.service(name).is_some());
             self.note_ends(&change, now);
         }
+        let bound = self.limits.warmup_bound;
         for target in self.targets.iter_mut() {
             let service = self.rules.service(&target.record.service);
+            let warmup = service.and_then(|service| service.warmup);
+            target.warmup_limit = warmup
+                .map(|rule| WarmupLimit { span: rule.span, rate: bound.to_rate(rule, TURN_SPAN) });
             if let Some(rates) = service.and_then(|service| service.engine.as_ref()) {
                 target.set_rates(rates, self.entry);
                 if let Some(model) = &mut target.model {
@@ -117,12 +123,7 @@
         change
     }
 
-    fn take_removal(
-        &mut self,
-        name: &str,
-        outage_removal: Option<Tick>,
-        now: Tick,
-    ) -> ListChange {
+    fn take_removal(&mut self, name: &str, outage_removal: Option<Tick>, now: Tick) -> ListChange {
         let change = self.targets.take_removal(name, outage_removal, now);
         self.note_ends(&change, now);
         change
--- a/src/relay/counts.rs
+++ b/src/relay/counts.rs
@@ -20,6 +20,7 @@
     ListRead,
     ListWatch,
     QuarantineWrite,
+    EvacuationRead,
 }
 
 impl StoreCall {
@@ -30,6 +31,7 @@
             StoreCall::ListRead => "list_read",
             StoreCall::ListWatch => "list_watch",
             StoreCall::QuarantineWrite => "quarantine_write",
+            StoreCall::EvacuationRead => "evacuation_read",
         }
     }
 }
--- a/src/relay/decide/mod.rs
+++ b/src/relay/decide/mod.rs
@@ -4,6 +4,9 @@
 //!   [`target_notice`]: what their answers say of them,
 //! - [`rate_limit`]: how many requests a second a target takes from all entries together,
 //!   [`rate_book`]: what is known of that, and [`permit_desk`]: who may send there,
+//! - [`warmup`]: what a target takes that has just come into use,
+//! - [`evacuation`]: failure domains that are out of service, and [`service_scope`]: those in
+//!   which a request may run,
 //! - [`engine_subset`]: which engines of a large fleet are used,
 //! - [`engine_rates`], [`stream_load`], [`pass_model`], [`pass_outlook`]: what a prompt
 //!   costs an engine and those who wait there,
@@ -21,6 +24,7 @@
 pub mod end_tracker;
 pub mod engine_rates;
 pub mod engine_subset;
+pub mod evacuation;
 pub mod group_search;
 pub mod hold_list;
 pub mod loss;
@@ -37,9 +41,11 @@
 pub mod retry_budget;
 pub mod return_time;
 pub mod send_count;
+pub mod service_scope;
 pub mod slack_gate;
 pub mod start_wait;
 pub mod stream_load;
 pub mod target_notice;
 pub mod target_state;
 pub mod targets;
+pub mod warmup;
--- a/src/relay/decide/permit_desk.rs
+++ b/src/relay/decide/permit_desk.rs
@@ -22,12 +22,22 @@
 /// either, and together they stay within one and a half times the rate.
 const SECOND_DIVISOR: u32 = 2;
 
+/// What both agents together give, in times the rate.
+pub(super) const SUM_PART: f64 = 1.0 + 1.0 / SECOND_DIVISOR as f64;
+
+/// Turns that both agents may give in any span beside that: one that was kept, and the one
+/// at the edge of the span, by each.
+pub(super) const LEAST_SPARE: f64 = 4.0;
+
 /// An entry's question for a permit.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PermitAsk {
     /// What the entry knows of the target's rate: the agent may have started since.
     #[serde(rename = "r")]
     pub news: RateNews,
+    /// What bounds the target while it is cold.
+    #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
+    pub warmup: Option<WarmupNews>,
     /// Longest time that the request would wait for its turn, in milliseconds.
     #[serde(rename = "w")]
     pub most_wait_ms: u32,
@@ -36,6 +46,17 @@
     pub is_second: bool,
 }
 
+/// What an entry knows of a target that is cold.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WarmupNews {
+    /// Requests a second that it takes from all entries together.
+    #[serde(rename = "r")]
+    pub rate: RateLimit,
+    /// For how long, in milliseconds.
+    #[serde(rename = "l")]
+    pub left_ms: u32,
+}
+
 /// The agent's answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PermitReply {
@@ -110,6 +131,14 @@
     book: RateBook,
     /// By target, and whether it is the second agent that is asked.
     gates: HashMap<(TargetLife, bool), PermitGate>,
+    /// Targets that entries know to be cold.
+    cold: HashMap<TargetLife, ColdTarget>,
+}
+
+#[derive(Debug)]
+struct ColdTarget {
+    rate: RateLimit,
+    until: Tick,
 }
 
 impl PermitDesk {
@@ -117,14 +146,17 @@
     pub fn on_ask(&mut self, ask: &PermitAsk, now: Tick) -> PermitReply {
         self.book.take(&ask.news, now);
         let life = &ask.news.life;
-        let Some(rate) = self.book.rate_of(life) else { return PermitReply::Open };
+        if let Some(warmup) = ask.warmup {
+            self.note_cold(life, warmup, now);
+        }
+        let Some(rate) = self.rate_of(life, now) else { return PermitReply::Open };
         let most_wait = Duration::from_millis(ask.most_wait_ms.into());
         self.gate(life, ask.is_second, rate, now).ask(most_wait, now)
     }
 
     /// Takes what an entry sent without a permit, since it had to: it counts as well.
     pub fn note_spent(&mut self, life: &TargetLife, now: Tick) {
-        if let Some(rate) = self.book.rate_of(life) {
+        if let Some(rate) = self.rate_of(life, now) {
             let gate = self.gate(life, false, rate, now);
             gate.next_at = gate.next_at.max(now - gate.step) + gate.step;
         }
@@ -153,8 +185,25 @@
         // Entries believe what is old for longer than agents tell of it.
         const SPREAD: f64 = 0.0;
         self.book.expire(SPREAD, now);
-        let book = &self.book;
-        self.gates.retain(|(life, _), _| book.rate_of(life).is_some());
+        self.cold.retain(|_, cold| now < cold.until);
+        let (book, cold) = (&self.book, &self.cold);
+        self.gates.retain(|(life, _), _| book.rate_of(life).is_some() || cold.contains_key(life));
+    }
+
+    /// The rate that a target takes, whether named or while it is cold.
+    fn rate_of(&self, life: &TargetLife, now: Tick) -> Option<RateLimit> {
+        let cold = self.cold.get(life).filter(|cold| now < cold.until);
+        RateLimit::lower(self.book.rate_of(life), cold.map(|cold| cold.rate))
+    }
+
+    /// Notes a cold target. It binds entries as well that do not know it to be cold.
+    fn note_cold(&mut self, life: &TargetLife, warmup: WarmupNews, now: Tick) {
+        if self.cold.len() >= MOST_GATES && !self.cold.contains_key(life) {
+            self.cold.retain(|_, cold| now < cold.until);
+        }
+        let until = now + Duration::from_millis(warmup.left_ms.into());
+        let cold = self.cold.entry(life.clone()).or_insert(ColdTarget { rate: warmup.rate, until });
+        *cold = ColdTarget { rate: warmup.rate, until: cold.until.max(until) };
     }
 
     fn gate(
--- a/src/relay/decide/placement.rs
+++ b/src/relay/decide/placement.rs
@@ -9,6 +9,7 @@
 
 use super::loss::first_event_loss;
 use super::policy::RelayPolicy;
+use super::service_scope::ServiceScope;
 use super::stream_load::StreamLoad;
 use super::targets::{TargetSet, TargetState};
 use crate::time::Tick;
@@ -144,8 +145,8 @@
 /// What a request may use, and where it comes from.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementQuery<'a> {
-    /// The service.
-    pub service: &'a str,
+    /// The service, and where its targets may be.
+    pub service: ServiceScope<'a>,
     /// Failure domain of this process.
     pub failure_domain: &'a str,
     /// Where it may go.
@@ -277,7 +278,7 @@
         TurnPolicy::AtOnce => target.is_usable(now),
         TurnPolicy::Waits => target.is_willing(now),
     };
-    let open = set.of_service(query.service).filter(is_open);
+    let open = query.service.targets(set).filter(is_open);
     let fresh: Vec<_> = open.filter(|target| query.scope.holds(target)).collect();
     let is_well = |target: &&TargetState| !(query.policy.ejects && target.is_ejected(now));
     let well: Vec<_> = fresh.iter().copied().filter(is_well).collect();
--- a/src/relay/decide/rate_limit.rs
+++ b/src/relay/decide/rate_limit.rs
@@ -12,7 +12,7 @@
 const HIGHEST: f64 = 1e6;
 
 /// Requests a second that a target takes from all entries together.
-#[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
 pub struct RateLimit(f64);
 
 impl RateLimit {
@@ -39,6 +39,15 @@
         self.0
     }
 
+    /// The lower of two rates, none where neither bounds anything.
+    #[must_use]
+    pub fn lower(one: Option<Self>, other: Option<Self>) -> Option<Self> {
+        match (one, other) {
+            (Some(one), Some(other)) => Some(RateLimit(one.0.min(other.0))),
+            (one, other) => one.or(other),
+        }
+    }
+
     /// Time between two requests.
     #[must_use]
     pub fn to_step(self) -> Duration {
--- a/src/relay/decide/return_time.rs
+++ b/src/relay/decide/return_time.rs
@@ -5,6 +5,7 @@
 use rand::Rng;
 
 use super::placement::{Placement, PromptNeed};
+use super::service_scope::ServiceScope;
 use super::targets::TargetSet;
 use crate::time::Tick;
 
@@ -25,6 +26,10 @@
 /// list themselves within about a second of their start.
 const REPLACED_AFTER: Duration = Duration::from_secs(1);
 
+/// Time to come back where all targets are in failure domains that are out of service: nobody
+/// knows when these are back, and entries hear of it within about that time.
+const RETURNED_AFTER: Duration = Duration::from_secs(2);
+
 /// How much later than the moment at which a target takes requests again, at random: callers
 /// that were refused together would fill it at once.
 const REOPENED_SPREAD: std::ops::Range<f64> = 1.0..1.1;
@@ -32,13 +37,21 @@
 /// Time until a target of a service takes requests again, none where one does now, or where
 /// none is listed.
 #[must_use]
-pub fn until_usable(set: &TargetSet, service: &str, now: Tick) -> Option<Duration> {
-    let mut shortest: Option<Duration> = None;
-    for target in set.of_service(service).filter(|target| target.is_current()) {
+pub fn until_usable<'a>(
+    set: &TargetSet,
+    service: impl Into<ServiceScope<'a>>,
+    now: Tick,
+) -> Option<Duration> {
+    let scope = service.into();
+    // Where a request may run in some domains only, others take none of it.
+    let mut shortest = scope.domains.map(|_| REPLACED_AFTER);
+    for target in scope.targets(set).filter(|target| target.is_current()) {
         if target.is_usable(now) {
             return None;
         }
-        let wait = if target.is_leaving() {
+        let wait = if target.is_evacuated() {
+            RETURNED_AFTER
+        } else if target.is_leaving() {
             REPLACED_AFTER
         } else {
             target.backoff(now).max(target.closed_for(now))
@@ -51,9 +64,14 @@
 /// Time until there may be a turn at a target that takes few requests and would take one now,
 /// zero where there may be one at once, none where there is no such target.
 #[must_use]
-pub fn until_turn(set: &TargetSet, service: &str, now: Tick) -> Option<Duration> {
+pub fn until_turn<'a>(
+    set: &TargetSet,
+    service: impl Into<ServiceScope<'a>>,
+    now: Tick,
+) -> Option<Duration> {
+    let scope = service.into();
     // Those that take any number are placed at without a turn, or were tried already.
-    let scarce = set.of_service(service).filter(|target| target.rate.is_some());
+    let scarce = scope.targets(set).filter(|target| target.rate.is_some());
     let willing = scarce.filter(|target| target.is_willing(now));
     willing.map(|target| target.closed_for(now)).min()
 }
--- a/src/relay/decide/target_notice.rs
+++ b/src/relay/decide/target_notice.rs
@@ -32,6 +32,8 @@
     pub backoff: Option<Duration>,
     /// The rate that it takes from all entries together.
     pub rate: RateWord,
+    /// For how long it is cold, zero where it says that it is warm.
+    pub warmup: Option<Duration>,
 }
 
 impl TargetNotice {
--- a/src/relay/decide/target_state.rs
+++ b/src/relay/decide/target_state.rs
@@ -11,6 +11,7 @@
 use super::pass_model::PassModel;
 use super::rate_limit::RateLimit;
 use super::target_notice::{KeptNotice, TargetNotice};
+use super::warmup::{WarmupLimit, WarmupState};
 use crate::relay::discovery::store_revision::StoreRevision;
 use crate::time::Tick;
 
@@ -80,6 +81,9 @@
     /// Revision of the store at which it was listed first.
     #[serde(rename = "t")]
     pub listed_at: StoreRevision,
+    /// For how long it is cold, in milliseconds; none where the list does not say.
+    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+    pub warmup_ms: Option<u32>,
 }
 
 impl TargetRecord {
@@ -88,6 +92,12 @@
     pub fn to_life(&self) -> TargetLife {
         TargetLife { incarnation: self.incarnation.clone(), born_ms: self.born_ms }
     }
+
+    /// For how long it is cold, where the list says so.
+    #[must_use]
+    pub fn warmup_left(&self) -> Option<Duration> {
+        self.warmup_ms.map(|left| Duration::from_millis(left.into()))
+    }
 }
 
 /// Why a target failed a request, as far as its health is concerned.
@@ -110,6 +120,7 @@
 }
 
 /// What is known of one target.
+#[expect(clippy::struct_excessive_bools, reason = "independent marks of a target")]
 #[derive(Debug)]
 pub struct TargetState {
     /// Its entry in the list.
@@ -135,6 +146,12 @@
     pub(super) said: KeptNotice,
     /// The rate that it takes from all entries together, where it is bounded.
     pub rate: Option<RateLimit>,
+    /// What bounds it while it is cold.
+    pub warmup_limit: Option<WarmupLimit>,
+    /// Whether it is cold.
+    pub(super) warmup: WarmupState,
+    /// Whether its failure domain is out of service.
+    pub(super) is_evacuated: bool,
     /// When there may be a permit to send there, where it has a rate.
     closed_until: Tick,
     /// When the agent that gives permits for it did not answer.
@@ -162,6 +179,9 @@
             ejected_until: Tick::default(),
             said: KeptNotice::default(),
             rate: None,
+            warmup_limit: None,
+            warmup: WarmupState::default(),
+            is_evacuated: false,
             closed_until: Tick::default(),
             unheard_at: None,
             gone_at: None,
@@ -187,7 +207,22 @@
     /// Returns true where it wants requests, whether there is a permit for one or not.
     #[must_use]
     pub fn is_willing(&self, now: Tick) -> bool {
-        self.is_current() && !self.is_leaving() && self.backoff(now).is_zero()
+        let is_in_service = self.is_current() && !self.is_evacuated && !self.is_leaving();
+        is_in_service && self.backoff(now).is_zero()
+    }
+
+    /// Returns true where its failure domain is out of service.
+    #[must_use]
+    pub fn is_evacuated(&self) -> bool {
+        self.is_evacuated
+    }
+
+    /// The rate that it takes while it is cold, and for how long, none where it is warm.
+    #[must_use]
+    pub fn warmup(&self, now: Tick) -> Option<(RateLimit, Duration)> {
+        let limit = self.warmup_limit?;
+        let left = self.warmup.left(limit.span, now);
+        (!left.is_zero()).then_some((limit.rate, left))
     }
 
     /// Time until there may be a permit to send there.
@@ -226,6 +261,9 @@
     pub fn take_notice(&mut self, notice: &TargetNotice, now: Tick) -> bool {
         let was_willing = self.is_willing(now);
         self.said.take(notice, now);
+        if let Some(left) = notice.warmup {
+            self.warmup.note_left(left, now);
+        }
         was_willing && !self.is_willing(now)
     }
 
--- a/src/relay/decide/targets.rs
+++ b/src/relay/decide/targets.rs
@@ -1,6 +1,6 @@
 //! The targets that this process knows.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,6 +24,8 @@
     has_list: bool,
     /// What targets said that are not listed any more.
     notices: NoticeMemory,
+    /// Failure domains that are out of service.
+    evacuated: BTreeSet<Arc<str>>,
 }
 
 /// What a list changed.
@@ -140,6 +142,19 @@
         change
     }
 
+    /// Takes the failure domains that are out of service. Targets of those that are back in
+    /// service may have turned cold meanwhile.
+    pub fn set_evacuated(&mut self, domains: BTreeSet<Arc<str>>, now: Tick) {
+        for target in self.targets.values_mut() {
+            let is_evacuated = domains.contains(&target.record.failure_domain);
+            if target.is_evacuated && !is_evacuated {
+                target.warmup.note_unsure(now);
+            }
+            target.is_evacuated = is_evacuated;
+        }
+        self.evacuated = domains;
+    }
+
     /// Takes a change of one target.
     pub fn take_change(&mut self, record: TargetRecord, now: Tick) -> ListChange {
         let mut change = ListChange::default();
@@ -183,16 +198,31 @@
             if record.is_leaving && !target.record.is_leaving {
                 change.leaving.push(name);
             }
-            target.gone_at = None;
+            let was_gone = target.gone_at.take().is_some();
+            match record.warmup_left() {
+                Some(left) if was_gone || record.warmup_ms != target.record.warmup_ms => {
+                    target.warmup.note_left(left, now);
+                }
+                None if was_gone => target.warmup.note_unsure(now),
+                _ => {}
+            }
             // A target that said it is leaving does not come back.
             let is_leaving = record.is_leaving || target.record.is_leaving;
             target.record = TargetRecord { is_leaving, ..record };
+            target.is_evacuated = self.evacuated.contains(&target.record.failure_domain);
             return;
         }
         // A new life knows nothing of what the last one was sent, and owes nothing of what it
         // said. One that was missing for a while does.
         let mut state = TargetState::new(record, now);
         state.said = self.notices.recall(&state.record, now);
+        state.is_evacuated = self.evacuated.contains(&state.record.failure_domain);
+        match state.record.warmup_left() {
+            Some(left) => state.warmup.note_left(left, now),
+            // It started while this process looked on.
+            None if self.has_list => state.warmup.note_unsure(now),
+            None => {}
+        }
         match self.targets.insert(name.clone(), state) {
             Some(former) => {
                 change.ended.extend(former.to_ended());
--- a/src/relay/discovery/feed.rs
+++ b/src/relay/discovery/feed.rs
@@ -1,6 +1,7 @@
 //! How the platform's store is read, which the adapter says. When and what for
 //! is decided in `follow`.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::future::LocalBoxFuture;
@@ -45,6 +46,15 @@
     Forgotten,
 }
 
+/// A read of the failure domains that are out of service.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EvacuationList {
+    /// Their names.
+    pub domains: Vec<Arc<str>>,
+    /// Epoch of the store that gave them out.
+    pub epoch: u64,
+}
+
 /// A read of the whole list of targets.
 #[derive(Debug, Default)]
 pub struct TargetList {
@@ -71,7 +81,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UnreadableEntry {
     /// Its name, where that can be read.
-    pub name: Option<std::sync::Arc<str>>,
+    pub name: Option<Arc<str>>,
     /// Why, in a few words.
     pub why: String,
 }
@@ -130,7 +140,7 @@
     Listed(TargetRecord),
     /// A target is no longer listed.
     #[serde(rename = "r")]
-    Removed(std::sync::Arc<str>),
+    Removed(Arc<str>),
 }
 
 /// What a watch brought.
@@ -149,6 +159,8 @@
     /// Reads the configuration linearizably; the argument is the revision that
     /// is known. None where there is no configuration yet.
     pub read_config: Box<dyn Fn(StoreRevision) -> Call<Option<ConfigRead>>>,
+    /// Reads linearizably which failure domains are out of service.
+    pub read_evacuations: Box<dyn Fn() -> Call<EvacuationList>>,
     /// Reads the whole list of targets linearizably.
     pub list_targets: Box<dyn Fn() -> Call<TargetList>>,
     /// Waits until the configuration has changed after a revision of the store,
--- a/src/relay/discovery/follow_config.rs
+++ b/src/relay/discovery/follow_config.rs
@@ -4,10 +4,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::feed::{ConfigWatch, PlatformFeed};
+use super::feed::{ConfigRead, ConfigWatch, PlatformFeed};
 use super::proof_share::{PeerVerdict, ProofShare};
 use super::store_revision::StoreRevision;
 use super::watch_pace::{NEWS_STEP, WatchEnd, rest_after};
+use crate::error::{Error, Result};
 use crate::relay::counts::StoreCall;
 use crate::relay::peers::config_copy::read_copy;
 use crate::relay::shared::RelayShared;
@@ -41,10 +42,7 @@
             continue;
         }
         let sent_at = shared.now();
-        let known = shared.core.borrow().config_revision();
-        let result = (feed.read_config)(known).await;
-        shared.counts.borrow().note_store_call(StoreCall::ConfigRead);
-        let read = match result {
+        let read = match read_proof(&shared, &feed).await {
             Ok(read) => read,
             Err(error) => {
                 note_lost(&shared, is_there, &error);
@@ -85,6 +83,31 @@
     }
 }
 
+/// Reads the configuration, and which failure domains are out of service: one proof holds for
+/// both. The domains are taken here, the configuration is returned.
+pub(super) async fn read_proof(
+    shared: &RelayShared,
+    feed: &PlatformFeed,
+) -> Result<Option<ConfigRead>> {
+    let sent_at = shared.now();
+    let known = shared.core.borrow().config_revision();
+    let reading = (feed.read_config)(known);
+    if shared.core.borrow().limits().evacuate_bound.is_none() {
+        let read = reading.await;
+        shared.counts.borrow().note_store_call(StoreCall::ConfigRead);
+        return read;
+    }
+    let (read, list) = tokio::join!(reading, (feed.read_evacuations)());
+    shared.counts.borrow().note_store_call(StoreCall::ConfigRead);
+    shared.counts.borrow().note_store_call(StoreCall::EvacuationRead);
+    let (read, list) = (read?, list?);
+    if read.as_ref().is_some_and(|read| read.store_revision.epoch != list.epoch) {
+        return Err(Error::from_answer(200, "the store came back from a copy meanwhile"));
+    }
+    shared.take_evacuations(list, sent_at);
+    Ok(read)
+}
+
 /// Waits until the store is to be asked again: by this entry for others, or since
 /// another one has reached it.
 async fn wait_for_store(shared: &RelayShared) {
--- a/src/relay/discovery/follow_quarantine.rs
+++ b/src/relay/discovery/follow_quarantine.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::feed::{PlatformFeed, WriteEnd};
+use super::follow_config::read_proof;
 use crate::relay::counts::StoreCall;
 use crate::relay::shared::RelayShared;
 use crate::time::Tick;
@@ -57,10 +58,7 @@
 /// Reads what has come to be there instead; what is still missing is written later.
 async fn read_again(shared: &RelayShared, feed: &PlatformFeed) {
     let sent_at = shared.now();
-    let known = shared.core.borrow().config_revision();
-    let result = (feed.read_config)(known).await;
-    shared.counts.borrow().note_store_call(StoreCall::ConfigRead);
-    match result {
+    match read_proof(shared, feed).await {
         Ok(Some(read)) => {
             shared.note_epoch(read.revision.epoch);
             shared.take_read(read, sent_at);
--- a/src/relay/discovery/proof_share.rs
+++ b/src/relay/discovery/proof_share.rs
@@ -17,8 +17,10 @@
 
 use std::net::SocketAddr;
 use std::ops::Range;
+use std::sync::Arc;
 use std::time::Duration;
 
+use super::feed::EvacuationList;
 use super::store_revision::StoreRevision;
 use crate::time::Tick;
 
@@ -36,7 +38,7 @@
 const PROBES: f64 = 16.0;
 
 /// What another entry says of its proof.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerProof {
     /// The question that it answers.
     pub nonce: u64,
@@ -44,6 +46,25 @@
     pub revision: StoreRevision,
     /// Age of its proof.
     pub age: Duration,
+    /// Failure domains that were out of service then.
+    pub evacuated: Vec<Arc<str>>,
+}
+
+impl PeerProof {
+    /// Failure domains that were out of service then.
+    #[must_use]
+    pub fn to_evacuations(&self) -> EvacuationList {
+        EvacuationList { domains: self.evacuated.clone(), epoch: self.revision.epoch }
+    }
+}
+
+/// What another entry has proven of a later configuration, by this one's clock.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TakenProof {
+    /// When.
+    pub proven_at: Tick,
+    /// Failure domains that were out of service then.
+    pub evacuations: EvacuationList,
 }
 
 /// What a proof of another entry is worth.
@@ -83,7 +104,7 @@
 #[derive(Debug)]
 struct AheadProof {
     revision: StoreRevision,
-    proven_at: Tick,
+    proof: TakenProof,
 }
 
 impl ProofShare {
@@ -118,7 +139,7 @@
     }
 
     /// Takes an answer. `revision` is that of the own configuration.
-    pub fn take_answer(&mut self, proof: PeerProof, revision: StoreRevision) -> PeerVerdict {
+    pub fn take_answer(&mut self, proof: &PeerProof, revision: StoreRevision) -> PeerVerdict {
         let question = self.question.take_if(|question| question.nonce == proof.nonce);
         let Some(question) = question else { return PeerVerdict::Useless };
         // Ticks count from the start of the process.
@@ -131,16 +152,18 @@
             return PeerVerdict::Useless;
         }
         if proof.revision > revision {
-            self.ahead = Some(AheadProof { revision: proof.revision, proven_at });
+            let evacuations = proof.to_evacuations();
+            let ahead = TakenProof { proven_at, evacuations };
+            self.ahead = Some(AheadProof { revision: proof.revision, proof: ahead });
             return PeerVerdict::Behind;
         }
         PeerVerdict::ProvenAt(proven_at)
     }
 
-    /// The moment at which a configuration of `revision`, which has come since, is
-    /// proven by an answer to an earlier question.
-    pub fn take_ahead(&mut self, revision: StoreRevision) -> Option<Tick> {
+    /// What proves a configuration of `revision`, which has come since, by an answer to an
+    /// earlier question.
+    pub fn take_ahead(&mut self, revision: StoreRevision) -> Option<TakenProof> {
         let ahead = self.ahead.take_if(|ahead| ahead.revision <= revision)?;
-        Some(ahead.proven_at)
+        Some(ahead.proof)
     }
 }
--- a/src/relay/discovery/rules.rs
+++ b/src/relay/discovery/rules.rs
@@ -10,6 +10,7 @@
 
 use crate::relay::decide::engine_rates::EngineRates;
 use crate::relay::decide::hold_list::QuarantineRecord;
+use crate::relay::decide::warmup::WarmupRule;
 
 /// Whether and how a request of a route may be sent again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -62,6 +63,9 @@
     pub max_targets: usize,
     /// True where no key is asked for.
     pub is_public: bool,
+    /// Regions in which its requests may run, empty for all.
+    #[serde(default)]
+    pub regions: Vec<Arc<str>>,
 }
 
 /// A service: targets that can stand in for one another.
@@ -71,6 +75,9 @@
     pub name: Arc<str>,
     /// How its engines work, none for a plain service.
     pub engine: Option<Rc<EngineRates>>,
+    /// What its targets take while they are cold, none where that is nothing special.
+    #[serde(default)]
+    pub warmup: Option<WarmupRule>,
 }
 
 /// A client account and the keys it may use.
@@ -80,6 +87,9 @@
     pub name: Arc<str>,
     /// Keys of its callers.
     pub keys: Vec<Arc<str>>,
+    /// Regions in which its requests may run, empty for all.
+    #[serde(default)]
+    pub regions: Vec<Arc<str>>,
 }
 
 /// Bounds on what a caller may send.
@@ -140,7 +150,26 @@
     /// Its route.
     pub route: Rc<RouteRule>,
     /// The account that its key belongs to, none on a public route.
-    pub account: Option<Arc<str>>,
+    pub account: Option<Rc<AccountRule>>,
+}
+
+impl Access {
+    /// Returns true where its targets may be in a region, none for one that is not known:
+    /// both the route and the account bind.
+    #[must_use]
+    pub fn permits_region(&self, region: Option<&str>) -> bool {
+        let account = self.account.as_ref().map_or(&[][..], |account| &account.regions);
+        [&self.route.regions[..], account].into_iter().all(|regions| {
+            regions.is_empty() || regions.iter().any(|allowed| Some(&**allowed) == region)
+        })
+    }
+
+    /// Returns true where its targets may be anywhere.
+    #[must_use]
+    pub fn permits_all_regions(&self) -> bool {
+        let account = self.account.as_ref().is_none_or(|account| account.regions.is_empty());
+        account && self.route.regions.is_empty()
+    }
 }
 
 /// Index of one configuration by host, path and key.
@@ -149,7 +178,7 @@
     version: u64,
     hosts: HashMap<Arc<str>, HashMap<Arc<str>, Rc<RouteRule>>>,
     services: HashMap<Arc<str>, ServiceRule>,
-    keys: HashMap<Arc<str>, Arc<str>>,
+    keys: HashMap<Arc<str>, Rc<AccountRule>>,
     has_accounts: bool,
     limits: CallerLimits,
 }
@@ -171,9 +200,9 @@
         for service in config.services {
             table.services.insert(service.name.clone(), service);
         }
-        for account in config.accounts {
-            for key in account.keys {
-                table.keys.insert(key, account.name.clone());
+        for account in config.accounts.into_iter().map(Rc::new) {
+            for key in &account.keys {
+                table.keys.insert(key.clone(), account.clone());
             }
         }
         table
--- a/src/relay/peers/load_note.rs
+++ b/src/relay/peers/load_note.rs
@@ -90,6 +90,9 @@
         revision: StoreRevision,
         /// Age of the proof that it is current, in milliseconds, rounded up.
         proof_age_ms: u32,
+        /// Failure domains that were out of service then.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        evacuated: Vec<Arc<str>>,
     },
     /// Rates that targets take, as far as the sender knows them. Entries and agents tell one
     /// another, beside subscriptions and their answers.
--- a/src/relay/peers/receive.rs
+++ b/src/relay/peers/receive.rs
@@ -7,7 +7,7 @@
 use super::load_note::{LoadNote, MAX_NOTE};
 use crate::relay::core::RelayCore;
 use crate::relay::discovery::list_share::ListNews;
-use crate::relay::discovery::proof_share::{PeerProof, PeerVerdict};
+use crate::relay::discovery::proof_share::PeerProof;
 use crate::relay::shared::RelayShared;
 use crate::time::Tick;
 
@@ -43,14 +43,9 @@
             LoadNote::Cleared(digest) => shared.core.borrow_mut().take_cleared(&digest),
             LoadNote::Rates(news) => shared.core.borrow_mut().take_rates(&news, now),
             LoadNote::TellPermit { nonce, reply } => shared.take_permit_reply(nonce, reply),
-            LoadNote::TellProof { nonce, revision, proof_age_ms } => {
+            LoadNote::TellProof { nonce, revision, proof_age_ms, evacuated } => {
                 let age = Duration::from_millis(proof_age_ms.into());
-                let verdict =
-                    shared.core.borrow_mut().take_proof(PeerProof { nonce, revision, age });
-                if verdict != PeerVerdict::Useless {
-                    shared.peer_verdict.set(verdict);
-                    shared.proof_told.notify_one();
-                }
+                shared.take_proof(&PeerProof { nonce, revision, age, evacuated });
             }
             note => {
                 let mut core = shared.core.borrow_mut();
--- a/src/relay/proxy/exchange.rs
+++ b/src/relay/proxy/exchange.rs
@@ -108,7 +108,9 @@
         let why = "the request names no attempt";
         return Err(RelayFault::bad(StatusCode::BAD_REQUEST, "no_attempt", why));
     }
+    let domains = shared.core.borrow().home_domains(&access);
     let Access { route, account } = access;
+    let account = account.map(|account| account.name.clone());
     let Some(service) = RelayCore::pick_service(&route, xxhash_rust::xxh3::xxh3_64(id.as_bytes()))
     else {
         return Err(RelayFault::refused("no_service", "the route has none", NO_ROOM_RETRY));
@@ -118,6 +120,7 @@
     let job = RelayJob {
         route,
         service,
+        domains,
         account,
         head,
         id,
--- a/src/relay/proxy/forward.rs
+++ b/src/relay/proxy/forward.rs
@@ -20,6 +20,7 @@
 use crate::relay::decide::placement::{Placement, PromptNeed};
 use crate::relay::decide::request_digest::RequestDigest;
 use crate::relay::decide::send_count::SendEnd;
+use crate::relay::decide::service_scope::{DomainSet, ServiceScope};
 use crate::relay::decide::targets::TargetFault;
 use crate::relay::discovery::rules::RouteRule;
 use crate::relay::shared::RelayShared;
@@ -49,6 +50,8 @@
 pub(crate) struct RelayJob {
     pub(crate) route: Rc<RouteRule>,
     pub(crate) service: Arc<str>,
+    /// Failure domains whose targets may run it, none for all.
+    pub(crate) domains: Option<Rc<DomainSet>>,
     pub(crate) account: Option<Arc<str>>,
     pub(crate) head: CallerHead,
     pub(crate) id: Arc<str>,
@@ -89,9 +92,14 @@
         core.quarantine().holds().held_for(&self.digest(), shared.now())
     }
 
+    /// The targets that may run it.
+    pub(crate) fn scope(&self) -> ServiceScope<'_> {
+        ServiceScope { service: &self.service, domains: self.domains.as_deref() }
+    }
+
     /// Time until a target of its service takes requests, none where one does now.
     pub(crate) fn time_to_target(&self, shared: &RelayShared) -> Option<Duration> {
-        shared.core.borrow().time_to_target(&self.service, shared.now())
+        shared.core.borrow().time_to_target(self.scope(), shared.now())
     }
 
     /// Notes that a target answered it.
--- a/src/relay/proxy/series.rs
+++ b/src/relay/proxy/series.rs
@@ -114,7 +114,12 @@
         tried.push(target.clone());
         job.route.repeat.is_repeatable()
             && self.sends.runs() + 1 < job.route.max_targets
-            && shared.core.borrow_mut().could_retry(&job.service, &tried, shared.now())
+            && shared.core.borrow_mut().could_retry(
+                &job.service,
+                job.domains.as_deref(),
+                &tried,
+                shared.now(),
+            )
     }
 
     /// Chooses the next target.
@@ -149,17 +154,17 @@
             // One that has ended since knows nothing of it, whoever is there now.
             let alive = self.ran_at.iter().filter(|life| core.may_live(life));
             let alive: Vec<_> = alive.map(|life| life.incarnation.clone()).collect();
-            return core.place(&job.service, need.as_ref(), TargetScope::Only(&alive), now);
+            return core.place(job.scope(), need.as_ref(), TargetScope::Only(&alive), now);
         }
         if job.is_suspect(core) {
             // Two suspects at one target could not be told apart where it ends.
             let apart: Vec<_> = self.tried.iter().cloned().chain(core.suspect_targets()).collect();
             let scope = TargetScope::Untried(&apart);
-            if let Some(placement) = core.place(&job.service, need.as_ref(), scope, now) {
+            if let Some(placement) = core.place(job.scope(), need.as_ref(), scope, now) {
                 return Some(placement);
             }
         }
-        core.place(&job.service, need.as_ref(), TargetScope::Untried(&self.tried), now)
+        core.place(job.scope(), need.as_ref(), TargetScope::Untried(&self.tried), now)
     }
 
     /// Chooses a target where it waits for its turn, where there may be one in time: once, the
@@ -170,14 +175,14 @@
         job: &RelayJob,
         now: Tick,
     ) -> Option<Placement> {
-        let wait = core.time_to_turn(&job.service, now)?;
+        let wait = core.time_to_turn(job.scope(), now)?;
         let is_bound = self.ran_at.len() >= job.route.max_targets;
         if is_bound || self.waits_for_turn || wait.is_zero() || wait > job.patience(now) {
             return None;
         }
         self.waits_for_turn = true;
         let scope = TargetScope::Untried(&self.tried);
-        core.place_for_turn(&job.service, job.need_at(now).as_ref(), scope, now)
+        core.place_for_turn(job.scope(), job.need_at(now).as_ref(), scope, now)
     }
 
     /// Time for which a request would wait for its turn: nothing while others may take it.
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -344,6 +344,19 @@
             "restarted" => change.restarted.join(","), "removed" => change.removed.join(","));
     }
 
+    /// Failure domains are taken out of service, or are back.
+    pub fn evacuations_changed<'a>(
+        &self,
+        known: &[Arc<str>],
+        domains: impl Iterator<Item = &'a Arc<str>>,
+    ) {
+        let domains: Vec<_> = domains.cloned().collect();
+        if known != domains {
+            warn!(self.logger, "failure domains out of service";
+                "before" => known.join(","), "now" => domains.join(","));
+        }
+    }
+
     /// Entries of the list of targets can not be read.
     pub fn entries_unreadable(&self, entries: &[UnreadableEntry], now: Tick) {
         for entry in entries {
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -143,7 +143,7 @@
         Ok(settings) if settings != *current.borrow() => {
             shared.core.borrow_mut().set_limits(settings.to_limits());
             slog::info!(shared.log.logger(), "settings reloaded";
-                "applied" => "revoke_ms, fail_closed, drain_ms, store_history_s, retry_ratio, retry_slack, retry_window_s");
+                "applied" => "regions, revoke_ms, evacuate_ms, warmup_overrun, warmup_slack, fail_closed, drain_ms, store_history_s, retry_ratio, retry_slack, retry_window_s");
             *current.borrow_mut() = settings;
         }
         Ok(_) if is_told => slog::info!(shared.log.logger(), "settings reloaded, none changed"),
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -1,5 +1,6 @@
 //! Settings files of the relay's programs: TOML, checked when read.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -11,6 +12,7 @@
 use super::core::RelayLimits;
 use super::decide::policy::RelayPolicy;
 use super::decide::retry_budget::RetryBound;
+use super::decide::warmup::WarmupBound;
 use super::discovery::freshness::StalePolicy;
 use crate::error::{Error, Result};
 
@@ -22,6 +24,9 @@
     pub name: Arc<str>,
     /// Failure domain of its host.
     pub failure_domain: Arc<str>,
+    /// Region of each failure domain.
+    #[serde(default)]
+    pub regions: BTreeMap<Arc<str>, Arc<str>>,
     /// Address for callers.
     pub listen: SocketAddr,
     /// Address for the balancer's questions.
@@ -34,6 +39,16 @@
     pub store: SocketAddr,
     /// Longest time between the removal of a key and its last use, in ms.
     pub revoke_ms: u64,
+    /// Longest time in which the targets of a failure domain that is taken out of service may
+    /// still get requests, in ms; left out where the platform takes none out.
+    #[serde(default)]
+    pub evacuate_ms: Option<u64>,
+    /// Factor to the rate that services declare for cold targets, over all entries.
+    #[serde(default = "declared")]
+    pub warmup_overrun: f64,
+    /// Requests that cold targets may get in each second beside that.
+    #[serde(default)]
+    pub warmup_slack: f64,
     /// True where nobody who needs a key is let in while the configuration can
     /// not be proven current; else the last proven one is served on with.
     pub fail_closed: bool,
@@ -55,6 +70,10 @@
     pub policy: RelayPolicy,
 }
 
+fn declared() -> f64 {
+    WarmupBound::default().overrun
+}
+
 /// Settings of an agent that advises entries.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -80,6 +99,9 @@
             && settings.retry_window_s > 0
             && settings.stop_s > 0.0
             && settings.revoke_ms > 0
+            && settings.evacuate_ms != Some(0)
+            && settings.warmup_overrun >= 0.0
+            && settings.warmup_slack >= 0.0
             && settings.drain_ms > 0
             && settings.store_history_s > 0.0;
         if has_order {
@@ -87,8 +109,8 @@
             return Ok(settings);
         }
         Err(Error::settings(
-            "retry_window_s, stop_s, revoke_ms, drain_ms and store_history_s must be above \
-             zero, retry_ratio and retry_slack not below",
+            "retry_window_s, stop_s, revoke_ms, evacuate_ms, drain_ms and store_history_s must be \
+             above zero, retry_ratio, retry_slack, warmup_overrun and warmup_slack not below",
         ))
     }
 
@@ -97,7 +119,10 @@
     pub fn to_limits(&self) -> RelayLimits {
         RelayLimits {
             failure_domain: self.failure_domain.clone(),
+            regions: self.regions.clone(),
             revoke_bound: self.revoke_bound(),
+            evacuate_bound: self.evacuate_ms.map(Duration::from_millis),
+            warmup_bound: WarmupBound { overrun: self.warmup_overrun, slack: self.warmup_slack },
             stale_policy: self.stale_policy(),
             policy: self.policy,
             drain_bound: Duration::from_millis(self.drain_ms),
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -14,8 +14,8 @@
 use super::decide::start_wait::{StartPhase, start_wait};
 use super::decide::target_notice::TargetNotice;
 use super::decide::targets::TargetLife;
-use super::discovery::feed::{ConfigNews, ConfigRead};
-use super::discovery::proof_share::PeerVerdict;
+use super::discovery::feed::{ConfigNews, ConfigRead, EvacuationList};
+use super::discovery::proof_share::{PeerProof, PeerVerdict};
 use super::discovery::watch_pace::watch_wait;
 use super::peers::load_link::LoadLink;
 use super::peers::load_note::LoadNote;
@@ -158,6 +158,27 @@
         }
     }
 
+    /// Takes the answer of another entry that was asked for its proof.
+    pub(crate) fn take_proof(&self, proof: &PeerProof) {
+        let now = self.now();
+        let mut core = self.core.borrow_mut();
+        let known: Vec<_> = core.evacuated().cloned().collect();
+        let verdict = core.take_proof(proof, now);
+        self.log.evacuations_changed(&known, core.evacuated());
+        if verdict != PeerVerdict::Useless {
+            self.peer_verdict.set(verdict);
+            self.proof_told.notify_one();
+        }
+    }
+
+    /// Takes a read of the failure domains that are out of service, sent at `sent_at`.
+    pub(crate) fn take_evacuations(&self, list: EvacuationList, sent_at: Tick) {
+        let mut core = self.core.borrow_mut();
+        let known: Vec<_> = core.evacuated().cloned().collect();
+        core.take_evacuations(list, sent_at, self.now());
+        self.log.evacuations_changed(&known, core.evacuated());
+    }
+
     /// A number that no other order of this process has.
     pub(crate) fn next_order(&self) -> u32 {
         let number = self.order_number.get();
--- a/standins/src/replay/world.rs
+++ b/standins/src/replay/world.rs
@@ -1,6 +1,6 @@
 //! Entries that decide with the product's core, and the engines that they use.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +14,7 @@
 use shalelane::relay::decide::retry_budget::RetryBound;
 use shalelane::relay::decide::return_time::after_overload;
 use shalelane::relay::decide::targets::TargetRecord;
+use shalelane::relay::decide::warmup::WarmupBound;
 use shalelane::relay::discovery::freshness::StalePolicy;
 use shalelane::relay::discovery::rules::{RelayConfig, ServiceRule};
 use shalelane::relay::discovery::store_revision::StoreRevision;
@@ -144,7 +145,10 @@
 fn new_entry(fleet: &ReplayFleet, rates: &Rc<EngineRates>, number: u64) -> RelayCore {
     let limits = RelayLimits {
         failure_domain: "here".into(),
+        regions: BTreeMap::new(),
         revoke_bound: Duration::from_secs(5),
+        evacuate_bound: None,
+        warmup_bound: WarmupBound::default(),
         stale_policy: StalePolicy::FailOpen,
         drain_bound: Duration::from_secs(3),
         store_history: Duration::from_secs(20),
@@ -152,7 +156,8 @@
         policy: fleet.policy,
     };
     let mut core = RelayCore::new(limits, number + 1);
-    let services = vec![ServiceRule { name: SERVICE.into(), engine: Some(rates.clone()) }];
+    let services =
+        vec![ServiceRule { name: SERVICE.into(), engine: Some(rates.clone()), warmup: None }];
     let config = RelayConfig { version: 1, services, ..RelayConfig::default() };
     core.take_config(Some(config), Tick::default());
     let records = (0..fleet.engines).map(|number| TargetRecord {
@@ -164,6 +169,7 @@
         capacity: rates.capacity,
         is_leaving: false,
         listed_at: StoreRevision { epoch: 0, number: number.into() },
+        warmup_ms: None,
     });
     core.take_list(records.collect(), false, Tick::default());
     core
--- a/tests/relay/crashes.rs
+++ b/tests/relay/crashes.rs
@@ -23,7 +23,7 @@
 fn entry(engines: u8) -> RelayCore {
     let mut core = RelayCore::new(limits(StalePolicy::FailClosed), 1);
     let engine = Some(rates());
-    let services = vec![ServiceRule { name: name("engines"), engine }];
+    let services = vec![ServiceRule { name: name("engines"), engine, warmup: None }];
     let config = RelayConfig { version: 1, services, ..RelayConfig::default() };
     core.take_config(Some(config), at(0));
     let records = (0..engines).map(|number| record(&format!("e{number}"), number)).collect();
--- /dev/null
+++ b/tests/relay/evacuations.rs
@@ -0,0 +1,185 @@
+//! Failure domains that are taken out of service: what that binds, and how it is proven.
+
+use shalelane::relay::core::{RelayCore, RelayLimits};
+use shalelane::relay::decide::evacuation::EvacuationSet;
+use shalelane::relay::decide::placement::{Placement, TargetScope};
+use shalelane::relay::decide::targets::TargetRecord;
+use shalelane::relay::discovery::feed::EvacuationList;
+use shalelane::relay::discovery::freshness::StalePolicy;
+use shalelane::relay::discovery::proof_share::{PeerProof, PeerVerdict};
+use shalelane::relay::discovery::rules::{RelayConfig, ServiceRule};
+use shalelane::relay::peers::load_note::{LoadNote, MAX_NOTE};
+use shalelane::time::Tick;
+
+use crate::fixture::{at, limits, ms, name, need, rates, record, revision};
+
+const ANY: TargetScope<'static> = TargetScope::Untried(&[]);
+
+fn evacuation(domains: &[&str]) -> EvacuationList {
+    EvacuationList { domains: domains.iter().map(|domain| name(domain)).collect(), epoch: 0 }
+}
+
+fn in_domain(target: &str, number: u8, domain: &str) -> TargetRecord {
+    TargetRecord { failure_domain: name(domain), ..record(target, number) }
+}
+
+/// An entry that knows one engine here and two in another failure domain.
+fn core(entry: u64) -> RelayCore {
+    let limits = RelayLimits { evacuate_bound: Some(ms(4_000)), ..limits(StalePolicy::FailClosed) };
+    let mut core = RelayCore::new(limits, entry);
+    let service = ServiceRule { name: name("engines"), engine: Some(rates()), warmup: None };
+    let config = RelayConfig { version: 1, services: vec![service], ..RelayConfig::default() };
+    core.take_config(Some(config), at(0));
+    core.set_config_revision(revision(1));
+    let others =
+        ["b", "c"].into_iter().zip(2..).map(|(name, number)| in_domain(name, number, "there"));
+    let records = std::iter::once(record("a", 1)).chain(others).collect();
+    core.take_list(records, false, at(0));
+    core
+}
+
+fn place(core: &mut RelayCore, prompt: u64, now: Tick) -> Option<Placement> {
+    core.place("engines", Some(&need(prompt)), ANY, now)
+}
+
+#[test]
+fn nothing_is_sent_to_a_domain_that_is_out_of_service() {
+    let mut core = core(1);
+    assert!(core.take_evacuations(evacuation(&["there"]), at(10), at(20)));
+    for prompt in [5_000, 40_000, 300_000] {
+        let placement = place(&mut core, prompt, at(30)).expect("one engine is left");
+        assert_eq!(&*placement.target, "a", "{prompt} tokens");
+        assert!(placement.helpers.is_empty(), "{prompt} tokens have helpers out of service");
+    }
+    let tried = [name("a")];
+    let second = core.place("engines", Some(&need(5_000)), TargetScope::Untried(&tried), at(40));
+    assert!(second.is_none(), "a second attempt went out of service");
+}
+
+/// What was placed before an entry heard of it is not sent after.
+#[test]
+fn what_was_placed_there_is_not_sent_any_more() {
+    let mut core = core(1);
+    let tried = [name("a")];
+    let scope = TargetScope::Untried(&tried);
+    let placement = core.place("engines", Some(&need(5_000)), scope, at(10)).unwrap();
+    let share = core.begin(&placement, Some(&need(5_000)), at(10));
+    assert!(core.may_send(&share, at(11)));
+    core.take_evacuations(evacuation(&["there"]), at(12), at(13));
+    assert!(!core.may_send(&share, at(14)));
+}
+
+#[test]
+fn a_joint_prompt_whose_helper_is_out_of_service_is_not_sent() {
+    let mut core = core(1);
+    let mut placement = place(&mut core, 5_000, at(10)).unwrap();
+    placement.target = name("a");
+    placement.helpers = vec![name("b")];
+    let share = core.begin(&placement, Some(&need(5_000)), at(10));
+    core.take_evacuations(evacuation(&["there"]), at(12), at(13));
+    assert!(!core.may_send(&share, at(14)));
+}
+
+#[test]
+fn targets_that_are_listed_later_are_bound_as_well() {
+    let mut core = core(1);
+    core.take_evacuations(evacuation(&["there"]), at(10), at(20));
+    core.take_change(in_domain("d", 4, "there"), at(30));
+    core.take_change(TargetRecord { born_ms: 9, ..in_domain("b", 2, "there") }, at(30));
+    for name in ["b", "c", "d"] {
+        assert!(!core.targets.get(name).unwrap().is_usable(at(40)), "{name}");
+    }
+}
+
+#[test]
+fn with_all_domains_out_of_service_callers_are_told_when_to_come_back() {
+    let mut core = core(1);
+    core.take_evacuations(evacuation(&["here", "there"]), at(10), at(20));
+    assert!(place(&mut core, 5_000, at(30)).is_none());
+    assert_eq!(core.time_to_target("engines", at(30)), Some(ms(2_000)));
+}
+
+#[test]
+fn it_ends_as_soon_as_a_proof_says_so() {
+    let mut core = core(1);
+    core.take_evacuations(evacuation(&["here", "there"]), at(10), at(20));
+    assert!(core.take_evacuations(evacuation(&["there"]), at(100), at(110)));
+    assert_eq!(&*place(&mut core, 5_000, at(120)).unwrap().target, "a");
+}
+
+#[test]
+fn an_older_proof_does_not_end_it() {
+    let mut core = core(1);
+    core.take_evacuations(evacuation(&["there"]), at(100), at(110));
+    assert!(!core.take_evacuations(evacuation(&[]), at(90), at(120)));
+    assert_eq!(core.evacuated().count(), 1);
+}
+
+/// No entry serves by older knowledge than the bound allows, whatever has become of its way to
+/// the store and to other entries.
+#[test]
+fn the_lease_is_no_longer_than_the_bound() {
+    let core = core(1);
+    assert!(core.lease().permits_keys(at(3_700)));
+    assert!(!core.lease().permits_keys(at(4_000)));
+}
+
+/// Asks `other` for its proof at `now`, and gives the answer to `core`.
+fn share_proof(core: &mut RelayCore, other: &RelayCore, now: Tick) -> PeerVerdict {
+    let proof_age_ms = other.lease().age(now).map(|age| age.as_millis() as u32);
+    let welcome = LoadNote::Welcome {
+        target: name("t"),
+        entries: 2,
+        pace_percent: 100,
+        proof_age_ms,
+        proof_from: Some(([10, 0, 1, 2], 7_000).into()),
+        watchers: 0,
+        list_mark: None,
+    };
+    core.take_note(welcome, now);
+    let Some((_, LoadNote::AskProof { nonce })) = core.ask_proof(now) else {
+        panic!("no question");
+    };
+    let answer = other.tell_proof(nonce, now).expect("a proof");
+    assert!(answer.to_bytes().unwrap().len() <= MAX_NOTE);
+    let LoadNote::TellProof { nonce, revision, proof_age_ms, evacuated } = answer else {
+        panic!("no proof");
+    };
+    core.take_proof(&PeerProof { nonce, revision, age: ms(proof_age_ms.into()), evacuated }, now)
+}
+
+#[test]
+fn another_entrys_proof_says_which_domains_are_out_of_service() {
+    let (mut reader, mut listener) = (core(1), core(2));
+    reader.take_evacuations(evacuation(&["there"]), at(2_000), at(2_010));
+    reader.take_config(None, at(2_000));
+    let verdict = share_proof(&mut listener, &reader, at(2_500));
+    assert!(matches!(verdict, PeerVerdict::ProvenAt(_)));
+    assert_eq!(listener.evacuated().collect::<Vec<_>>(), [&name("there")]);
+    assert!(!listener.targets.get("b").unwrap().is_usable(at(2_510)));
+}
+
+/// The proof of a later configuration holds together with that, which comes by another way.
+#[test]
+fn the_proof_of_a_later_configuration_says_so_too() {
+    let (mut reader, mut listener) = (core(1), core(2));
+    reader.take_evacuations(evacuation(&["there"]), at(2_000), at(2_010));
+    reader.take_config(Some(RelayConfig { version: 2, ..RelayConfig::default() }), at(2_000));
+    reader.set_config_revision(revision(5));
+    assert_eq!(share_proof(&mut listener, &reader, at(2_500)), PeerVerdict::Behind);
+    assert_eq!(listener.evacuated().count(), 0, "it proves nothing of the configuration here");
+    listener.take_copy(&reader.config_copy().unwrap(), at(2_520));
+    assert_eq!(listener.evacuated().count(), 1);
+}
+
+/// A store that is back from a copy may have lost what was written since.
+#[test]
+fn a_store_that_came_back_from_a_copy_ends_nothing_at_once() {
+    let mut set = EvacuationSet::default();
+    set.take([name("there")], 0, at(1_000), at(1_010));
+    assert!(!set.take([], 1, at(2_000), at(2_010)), "what is missing is written again");
+    assert!(set.take([name("here")], 1, at(3_000), at(3_010)), "what is there holds");
+    assert_eq!(set.domains().len(), 2);
+    assert!(set.take([], 1, at(7_100), at(7_110)));
+    assert!(!set.take([name("there")], 0, at(7_200), at(7_210)), "word of the last epoch");
+}
--- a/tests/relay/fixture.rs
+++ b/tests/relay/fixture.rs
@@ -1,5 +1,6 @@
 //! Targets and needs that the tests share.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use shalelane::relay::decide::retry_budget::RetryBound;
 use shalelane::relay::decide::stream_load::{StreamKey, StreamLoad};
 use shalelane::relay::decide::targets::{TargetRecord, TargetSet};
+use shalelane::relay::decide::warmup::WarmupBound;
 use shalelane::relay::discovery::feed::ConfigNews;
 use shalelane::relay::discovery::freshness::StalePolicy;
 use shalelane::relay::discovery::rules::RelayConfig;
@@ -32,7 +34,10 @@
 pub fn limits(stale_policy: StalePolicy) -> RelayLimits {
     RelayLimits {
         failure_domain: name("here"),
+        regions: BTreeMap::new(),
         revoke_bound: ms(5_000),
+        evacuate_bound: None,
+        warmup_bound: WarmupBound { overrun: 1.5, slack: 5.0 },
         stale_policy,
         drain_bound: ms(2_000),
         store_history: ms(20_000),
@@ -75,6 +80,7 @@
         capacity: 16,
         is_leaving: false,
         listed_at: revision(number.into()),
+        warmup_ms: None,
     }
 }
 
--- a/tests/relay/lives.rs
+++ b/tests/relay/lives.rs
@@ -17,7 +17,7 @@
 
 fn core_of(records: Vec<TargetRecord>) -> RelayCore {
     let mut core = RelayCore::new(limits(StalePolicy::FailClosed), 1);
-    let services = vec![ServiceRule { name: name("engines"), engine: Some(rates()) }];
+    let services = vec![ServiceRule { name: name("engines"), engine: Some(rates()), warmup: None }];
     let config = RelayConfig { version: 1, services, ..RelayConfig::default() };
     core.take_config(Some(config), at(0));
     core.take_list(records, false, at(0));
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -2,8 +2,10 @@
 
 mod budget;
 mod crashes;
+mod evacuations;
 mod events;
 mod fixture;
+mod homes;
 mod list_news;
 mod lives;
 mod notes;
@@ -20,4 +22,5 @@
 mod stop;
 mod subset;
 mod targets;
+mod warmups;
 mod watch_pace;
--- a/tests/relay/notices.rs
+++ b/tests/relay/notices.rs
@@ -17,7 +17,7 @@
 use crate::fixture::{at, limits, ms, name, need, rates, record, revision};
 
 const LEAVING: TargetNotice =
-    TargetNotice { is_leaving: true, backoff: None, rate: RateWord::Silent };
+    TargetNotice { is_leaving: true, backoff: None, rate: RateWord::Silent, warmup: None };
 
 fn backoff(millis: u64) -> TargetNotice {
     TargetNotice { backoff: Some(ms(millis)), ..TargetNotice::default() }
@@ -36,7 +36,7 @@
     let mut limits = limits(StalePolicy::FailClosed);
     limits.policy.most_engines = most_engines;
     let mut core = RelayCore::new(limits, 1);
-    let service = ServiceRule { name: name("engines"), engine: Some(rates()) };
+    let service = ServiceRule { name: name("engines"), engine: Some(rates()), warmup: None };
     let config = RelayConfig { version: 1, services: vec![service], ..RelayConfig::default() };
     core.take_config(Some(config), at(0));
     core.take_list(records(names), false, at(0));
--- a/tests/relay/places.rs
+++ b/tests/relay/places.rs
@@ -7,13 +7,14 @@
     Placement, PlacementAction, PlacementQuery, PromptNeed, TargetScope, TurnPolicy, place_call,
 };
 use shalelane::relay::decide::policy::RelayPolicy;
+use shalelane::relay::decide::service_scope::ServiceScope;
 use shalelane::relay::decide::stream_load::StreamLoad;
 use shalelane::relay::decide::targets::{TargetFault, TargetSet};
 
 use crate::fixture::{at, check, engines, helper_load, key, ms, name, need, part_load, short_load};
 
 pub const ANY_QUERY: PlacementQuery<'static> = PlacementQuery {
-    service: "engines",
+    service: ServiceScope::of("engines"),
     failure_domain: "here",
     scope: TargetScope::Untried(&[]),
     turn: TurnPolicy::AtOnce,
--- a/tests/relay/proofs.rs
+++ b/tests/relay/proofs.rs
@@ -50,10 +50,12 @@
 }
 
 fn answer(peer: &RelayCore, nonce: u64, now: Tick) -> Option<PeerProof> {
-    let LoadNote::TellProof { nonce, revision, proof_age_ms } = peer.tell_proof(nonce, now)? else {
+    let LoadNote::TellProof { nonce, revision, proof_age_ms, evacuated } =
+        peer.tell_proof(nonce, now)?
+    else {
         panic!("no answer")
     };
-    Some(PeerProof { nonce, revision, age: ms(proof_age_ms.into()) })
+    Some(PeerProof { nonce, revision, age: ms(proof_age_ms.into()), evacuated })
 }
 
 #[test]
@@ -63,7 +65,7 @@
     hear_of_peer(&mut core, 1_000, at(10_000));
     let nonce = question(&mut core, at(10_000));
     let proof = answer(&other, nonce, at(10_002)).unwrap();
-    assert_eq!(core.take_proof(proof), PeerVerdict::ProvenAt(at(10_000) - proof.age));
+    assert_eq!(core.take_proof(&proof, at(10_003)), PeerVerdict::ProvenAt(at(10_000) - proof.age));
     assert_eq!(core.lease().proven_at(), Some(at(8_997)));
 }
 
@@ -74,10 +76,14 @@
     hear_of_peer(&mut core, 1_000, at(10_000));
     let nonce = question(&mut core, at(10_000));
     let proof = answer(&other, nonce, at(10_002)).unwrap();
-    let forged = PeerProof { nonce: nonce ^ 1, age: Duration::ZERO, ..proof };
-    assert_eq!(core.take_proof(forged), PeerVerdict::Useless);
-    assert_ne!(core.take_proof(proof), PeerVerdict::Useless);
-    assert_eq!(core.take_proof(proof), PeerVerdict::Useless, "an answer that comes twice");
+    let forged = PeerProof { nonce: nonce ^ 1, age: Duration::ZERO, ..proof.clone() };
+    assert_eq!(core.take_proof(&forged, at(10_003)), PeerVerdict::Useless);
+    assert_ne!(core.take_proof(&proof, at(10_003)), PeerVerdict::Useless);
+    assert_eq!(
+        core.take_proof(&proof, at(10_003)),
+        PeerVerdict::Useless,
+        "an answer that comes twice"
+    );
 }
 
 #[test]
@@ -87,7 +93,7 @@
     hear_of_peer(&mut core, 1_000, at(10_000));
     let nonce = question(&mut core, at(10_000));
     let proof = answer(&other, nonce, at(10_002)).unwrap();
-    assert_eq!(core.take_proof(proof), PeerVerdict::Behind);
+    assert_eq!(core.take_proof(&proof, at(10_003)), PeerVerdict::Behind);
     assert_eq!(core.lease().proven_at(), Some(at(7_000)));
 }
 
@@ -98,7 +104,7 @@
     hear_of_peer(&mut core, 1_000, at(10_000));
     let nonce = question(&mut core, at(10_000));
     let proof = answer(&other, nonce, at(10_002)).unwrap();
-    assert!(matches!(core.take_proof(proof), PeerVerdict::ProvenAt(_)));
+    assert!(matches!(core.take_proof(&proof, at(10_003)), PeerVerdict::ProvenAt(_)));
 }
 
 #[test]
@@ -124,8 +130,8 @@
     share.note_source(peer(), at(900));
     let nonce = 7;
     share.ask(nonce, at(0), at(950)).unwrap();
-    let proof = PeerProof { nonce, revision: revision(5), age: ms(1_000) };
-    assert_eq!(share.take_answer(proof, revision(5)), PeerVerdict::Useless);
+    let proof = PeerProof { nonce, revision: revision(5), age: ms(1_000), evacuated: Vec::new() };
+    assert_eq!(share.take_answer(&proof, revision(5)), PeerVerdict::Useless);
 }
 
 /// Past failure: entries that the store turned away while keys were taken away refused
@@ -137,7 +143,7 @@
     hear_of_peer(&mut core, 1_000, at(9_700));
     let nonce = question(&mut core, at(9_700));
     let proof = answer(&other, nonce, at(9_702)).unwrap();
-    assert_eq!(core.take_proof(proof), PeerVerdict::Behind);
+    assert_eq!(core.take_proof(&proof, at(10_003)), PeerVerdict::Behind);
     let bytes = other.config_copy().unwrap().to_bytes().unwrap();
     assert!(core.take_copy(&ConfigCopy::from_bytes(&bytes).unwrap(), at(0)));
     assert_eq!((core.rules().version(), core.config_revision()), (6, revision(6)));
@@ -152,7 +158,7 @@
     let mut core = entry(1, 5, at(5_000));
     hear_of_peer(&mut core, 1_000, at(9_700));
     let nonce = question(&mut core, at(9_700));
-    core.take_proof(answer(&other, nonce, at(9_702)).unwrap());
+    core.take_proof(&answer(&other, nonce, at(9_702)).unwrap(), at(9_703));
     assert!(core.take_copy(&late.config_copy().unwrap(), at(0)), "it is a step forward");
     assert_eq!(core.lease().proven_at(), Some(at(5_000)));
     assert!(!core.take_copy(&entry(3, 6, at(9_000)).config_copy().unwrap(), at(0)), "a step back");
@@ -196,7 +202,7 @@
         let nonce = question(&mut core, asked_at);
         let Some(proof) = answer(&other, nonce, answered_at) else { return true };
         let _ = answered_at + ms(back.into());
-        match core.take_proof(proof) {
+        match core.take_proof(&proof, at(10_003)) {
             PeerVerdict::ProvenAt(proven_at) => proven_at <= read_at,
             _ => false,
         }
@@ -228,8 +234,9 @@
             if let Some((_, LoadNote::AskProof { nonce })) = cores[number].ask_proof(now)
                 && let Some(LoadNote::TellProof { revision, proof_age_ms, .. }) = proof
             {
-                let proof = PeerProof { nonce, revision, age: ms(proof_age_ms.into()) };
-                cores[number].take_proof(proof);
+                let age = ms(proof_age_ms.into());
+                let proof = PeerProof { nonce, revision, age, evacuated: Vec::new() };
+                cores[number].take_proof(&proof, now);
             } else {
                 reads += 1;
                 cores[number].take_config(None, now);
--- a/tests/relay/rules.rs
+++ b/tests/relay/rules.rs
@@ -24,6 +24,7 @@
         ],
         max_targets: 1,
         is_public,
+        regions: Vec::new(),
     }
 }
 
@@ -32,7 +33,7 @@
     RelayConfig {
         version,
         routes: vec![route("/a/", false), route("/a/b/", true)],
-        accounts: vec![AccountRule { name: name("acme"), keys }],
+        accounts: vec![AccountRule { name: name("acme"), keys, regions: Vec::new() }],
         ..RelayConfig::default()
     }
 }
--- a/tests/relay/targets.rs
+++ b/tests/relay/targets.rs
@@ -21,7 +21,7 @@
 }
 
 fn engine_config() -> RelayConfig {
-    let service = ServiceRule { name: name("engines"), engine: Some(rates()) };
+    let service = ServiceRule { name: name("engines"), engine: Some(rates()), warmup: None };
     RelayConfig { version: 1, services: vec![service], ..RelayConfig::default() }
 }
 
