--- a/src/relay/core/mod.rs
+++ b/src/relay/core/mod.rs
@@ -15,11 +15,13 @@
 use crate::relay::decide::stream_load::StreamKey;
 use crate::relay::decide::targets::{ListChange, TargetLife, TargetSet};
 use crate::relay::decide::warmup::WarmupBound;
+use crate::relay::discovery::config_share::ConfigShare;
 use crate::relay::discovery::freshness::{FreshnessLease, StalePolicy};
 use crate::relay::discovery::list_share::ListShare;
 use crate::relay::discovery::proof_share::ProofShare;
 use crate::relay::discovery::rules::{Access, AccessFault, RelayConfig, RouteRule, RuleTable};
 use crate::relay::discovery::store_revision::StoreRevision;
+use crate::relay::peers::config_copy::ConfigCopy;
 use crate::relay::peers::load_note::LoadNote;
 use crate::time::Tick;
 
@@ -28,7 +30,7 @@
 mod evacuation;
 pub mod permits;
 mod quarantine;
-mod target_list;
+pub mod target_list;
 
 /// Places among entries that write the same, by the random part of an incarnation.
 const PLACES: u64 = 1 << 10;
@@ -114,6 +116,13 @@
     list_share: ListShare,
     /// Revision of the configuration in the store.
     config_revision: StoreRevision,
+    config_share: ConfigShare,
+    /// Digest of the configuration in force.
+    config_digest: u64,
+    /// The newest one that the store itself has told this entry.
+    store_copy: Option<ConfigCopy>,
+    /// When the newest read was sent that showed no earlier configuration.
+    read_at: Tick,
     /// Whether what the store holds there is earlier than the configuration in force.
     is_store_behind: bool,
     /// Epoch of the store in which the configuration was proven last.
@@ -153,6 +162,10 @@
             proof_share: ProofShare::default(),
             list_share: ListShare::default(),
             config_revision: StoreRevision::default(),
+            config_share: ConfigShare::default(),
+            config_digest: 0,
+            store_copy: None,
+            read_at: Tick::default(),
             is_store_behind: false,
             proven_epoch: 0,
             store_epoch: None,
@@ -318,8 +331,12 @@
                 proof_from,
                 watchers,
                 list_mark,
+                config_mark,
             } => {
                 self.list_share.note_agent(watchers, list_mark, now);
+                if let Some(mark) = config_mark {
+                    self.config_share.note_told(mark, self.config_revision, now);
+                }
                 self.entries = Some(self.entries.unwrap_or(0).max(entries as usize));
                 if let Some(target) = self.targets.get_mut(&target) {
                     target.subscribers = entries as usize;
--- a/src/relay/core/target_list.rs
+++ b/src/relay/core/target_list.rs
@@ -12,6 +12,19 @@
 use crate::relay::discovery::store_revision::StoreRevision;
 use crate::time::Tick;
 
+/// What one answer of a watch of the list brings.
+#[derive(Clone, Debug)]
+pub struct WatchedChanges {
+    /// The changes, and their revisions.
+    pub changes: Vec<(StoreRevision, TargetChange)>,
+    /// The revision of the last change before them.
+    pub since: StoreRevision,
+    /// The revision to which they lead.
+    pub mark: StoreRevision,
+    /// The store took them after that.
+    pub known_at: Tick,
+}
+
 /// An age on the wire, rounded up.
 fn to_age_ms(age: Duration) -> u32 {
     age.as_micros().div_ceil(1_000).try_into().unwrap_or(u32::MAX)
@@ -141,24 +154,39 @@
         self.list_share.note_list(revision, changed_at);
     }
 
-    /// Takes changes that the own watch brought, up to `revision`, and that the store took
-    /// after `known_at`. Returns what others are to be told, none where they changed nothing.
+    /// Takes changes that the own watch brought. Returns what others are to be told, none where
+    /// all of it was known: another entry has told it.
     pub fn take_watched(
         &mut self,
-        changes: Vec<TargetChange>,
-        revision: StoreRevision,
+        watched: WatchedChanges,
         is_after_outage: bool,
-        known_at: Tick,
         now: Tick,
     ) -> (ListChange, Option<ListNews>) {
+        let WatchedChanges { changes, mark, known_at, .. } = watched;
         if changes.is_empty() {
             return (ListChange::default(), None);
         }
+        let known = self.list_share.known();
+        // Of two that come one after the other the earlier one is the safer beginning.
+        let since = if known > watched.since { self.list_share.mark() } else { watched.since };
+        let is_new = |revision: StoreRevision| revision > known || revision.number == 0;
+        let is_told = |(revision, change): &&(StoreRevision, TargetChange)| {
+            // Whether a removal names its own revision is for the store to say.
+            is_new(*revision) || matches!(change, TargetChange::Removed(_))
+        };
+        let told = changes.iter().filter(is_told).map(|(_, change)| change.clone()).collect();
+        let changes: Vec<_> = changes.into_iter().map(|(_, change)| change).collect();
         let change = self.take_changes(&changes, is_after_outage.then_some(known_at), now);
-        let since = self.list_share.note_watched(revision);
+        self.list_share.note_watched(mark);
         let age_ms = to_age_ms(now.since(known_at));
-        let news = ListNews { since, mark: self.list_share.mark(), age_ms, changes };
-        (change, Some(news))
+        let news = (mark > known).then_some(ListNews { since, mark, age_ms, changes: told });
+        (change, news)
+    }
+
+    /// Notes that the store has no changes of the list that are not known here, up to a
+    /// revision.
+    pub fn note_caught_up(&mut self, revision: StoreRevision) {
+        self.list_share.note_caught_up(revision);
     }
 
     /// Takes changes that another entry tells. Whether the store was away is for each
@@ -197,6 +225,9 @@
     /// Decides from time to time whether this entry watches the list. Returns true
     /// where that changed.
     pub fn decide_watching(&mut self, now: Tick) -> bool {
+        if self.list_share.begin(self.targets.iter().count(), rand::random(), now) {
+            return true;
+        }
         let engines = || self.targets.iter().filter(|target| target.model.is_some());
         let used = engines().filter(|target| target.is_used).count();
         let part = used as f64 / engines().count().max(1) as f64;
--- a/src/relay/decide/engine_rates.rs
+++ b/src/relay/decide/engine_rates.rs
@@ -8,7 +8,7 @@
 ///
 /// A pass covers all that waits: it reads new prompts, and where some request
 /// is writing, it plays `stride` token steps for all of them.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EngineRates {
     /// Requests that run at the same time.
     pub capacity: usize,
--- /dev/null
+++ b/src/relay/discovery/config_delta.rs
@@ -0,0 +1,111 @@
+//! What changed from one configuration to another, as entries tell one another.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::rules::{AccountRule, CallerLimits, RelayConfig, RouteRule, ServiceRule};
+use super::store_revision::StoreRevision;
+use crate::relay::decide::hold_list::QuarantineRecord;
+
+/// Host and path prefix of a route.
+type RouteKey = (Arc<str>, Arc<str>);
+
+/// Changes of items that have a key each. They say what holds after them, so they lead there
+/// from each state on their way.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct ItemChanges<K, T> {
+    /// Items that are new or changed.
+    #[serde(rename = "p")]
+    put: Vec<T>,
+    /// Keys of items that are gone.
+    #[serde(rename = "r")]
+    removed: Vec<K>,
+}
+
+impl<K: Ord, T: Clone + PartialEq> ItemChanges<K, T> {
+    fn between(old: &[T], new: &[T], key: fn(&T) -> K) -> Self {
+        let mut rest: BTreeMap<K, &T> = old.iter().map(|item| (key(item), item)).collect();
+        let is_changed = |item: &&T| rest.remove(&key(item)) != Some(*item);
+        let put = new.iter().filter(is_changed).cloned().collect();
+        ItemChanges { put, removed: rest.into_keys().collect() }
+    }
+
+    fn apply(&self, items: &[T], key: fn(&T) -> K) -> Vec<T> {
+        let mut items: BTreeMap<K, &T> = items.iter().map(|item| (key(item), item)).collect();
+        items.retain(|key, _| !self.removed.contains(key));
+        items.extend(self.put.iter().map(|item| (key(item), item)));
+        items.into_values().cloned().collect()
+    }
+}
+
+fn route_key(route: &RouteRule) -> RouteKey {
+    (route.host.clone(), route.path_prefix.clone())
+}
+
+fn service_key(service: &ServiceRule) -> Arc<str> {
+    service.name.clone()
+}
+
+fn account_key(account: &AccountRule) -> Arc<str> {
+    account.name.clone()
+}
+
+/// What changed from one revision of the configuration to another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ConfigDelta {
+    /// It leads on from this revision, and from each later one.
+    #[serde(rename = "s")]
+    pub since: StoreRevision,
+    /// It leads to this revision.
+    #[serde(rename = "m")]
+    pub mark: StoreRevision,
+    #[serde(rename = "v")]
+    version: u64,
+    #[serde(rename = "r")]
+    routes: ItemChanges<RouteKey, RouteRule>,
+    #[serde(rename = "b")]
+    services: ItemChanges<Arc<str>, ServiceRule>,
+    #[serde(rename = "a")]
+    accounts: ItemChanges<Arc<str>, AccountRule>,
+    #[serde(rename = "l")]
+    limits: CallerLimits,
+    #[serde(rename = "q")]
+    quarantine: Vec<QuarantineRecord>,
+}
+
+impl ConfigDelta {
+    /// What changed from `old`, of revision `since`, to `new`, of revision `mark`.
+    #[must_use]
+    pub fn between(
+        old: &RelayConfig,
+        since: StoreRevision,
+        new: &RelayConfig,
+        mark: StoreRevision,
+    ) -> Self {
+        ConfigDelta {
+            since,
+            mark,
+            version: new.version,
+            routes: ItemChanges::between(&old.routes, &new.routes, route_key),
+            services: ItemChanges::between(&old.services, &new.services, service_key),
+            accounts: ItemChanges::between(&old.accounts, &new.accounts, account_key),
+            limits: new.limits,
+            quarantine: new.quarantine.clone(),
+        }
+    }
+
+    /// The configuration that it leads to from `base`.
+    #[must_use]
+    pub fn apply(&self, base: &RelayConfig) -> RelayConfig {
+        RelayConfig {
+            version: self.version,
+            routes: self.routes.apply(&base.routes, route_key),
+            services: self.services.apply(&base.services, service_key),
+            accounts: self.accounts.apply(&base.accounts, account_key),
+            limits: self.limits,
+            quarantine: self.quarantine.clone(),
+        }
+    }
+}
--- a/src/relay/discovery/feed.rs
+++ b/src/relay/discovery/feed.rs
@@ -89,8 +89,8 @@
 /// What a watch of the list told.
 #[derive(Debug)]
 pub struct TargetNews {
-    /// What happened, in order.
-    pub events: Vec<TargetEvent>,
+    /// What happened, in order, and at which revision.
+    pub events: Vec<(StoreRevision, TargetEvent)>,
     /// Revision to go on from.
     pub revision: StoreRevision,
 }
@@ -105,16 +105,17 @@
 }
 
 impl TargetNews {
-    /// Splits it into what it changes and the entries that can not be read. Such an entry
-    /// lists no target, so one that was listed under its name is gone.
+    /// Splits it into what it changes, and at which revision, and the entries that can not be
+    /// read. Such an entry lists no target, so one that was listed under its name is gone.
     #[must_use]
-    pub fn into_changes(self) -> (Vec<TargetChange>, Vec<UnreadableEntry>) {
+    pub fn into_changes(self) -> (Vec<(StoreRevision, TargetChange)>, Vec<UnreadableEntry>) {
         let (mut changes, mut unreadable) = (Vec::new(), Vec::new());
-        for event in self.events {
+        for (revision, event) in self.events {
             match event {
-                TargetEvent::Changed(change) => changes.push(change),
+                TargetEvent::Changed(change) => changes.push((revision, change)),
                 TargetEvent::Unreadable(entry) => {
-                    changes.extend(entry.name.clone().map(TargetChange::Removed));
+                    let removed = entry.name.clone().map(TargetChange::Removed);
+                    changes.extend(removed.map(|change| (revision, change)));
                     unreadable.push(entry);
                 }
             }
--- a/src/relay/discovery/follow_config.rs
+++ b/src/relay/discovery/follow_config.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use super::feed::{ConfigRead, ConfigWatch, PlatformFeed};
+use super::list_share::NewsTeller;
 use super::proof_share::{PeerVerdict, ProofShare};
 use super::store_revision::StoreRevision;
 use super::watch_pace::{NEWS_STEP, WatchEnd, rest_after};
 use crate::error::{Error, Result};
 use crate::relay::counts::StoreCall;
 use crate::relay::peers::config_copy::read_copy;
+use crate::relay::peers::load_note::LoadNote;
 use crate::relay::shared::RelayShared;
 use crate::time::Tick;
 
@@ -34,9 +36,11 @@
     loop {
         // A watch that has ended, or is one of the store before it came back from a copy,
         // begins anew with a read.
-        watching = watching.filter(|watch| watch.is_open(&shared));
-        let is_watching = watching.is_some();
-        if is_there && is_watching && ask_peers(&shared).await == PeerEnd::Proven {
+        let is_watcher = shared.core.borrow().list_share().is_watching();
+        watching = watching.filter(|watch| is_watcher && watch.is_open(&shared));
+        let is_heard = watching.is_some() || !is_watcher;
+        let may_share = is_there && is_heard && shared.knows_config(shared.now());
+        if may_share && ask_peers(&shared).await == PeerEnd::Proven {
             let due = next_refresh(&shared);
             take_news_until(&shared, due).await;
             continue;
@@ -72,10 +76,13 @@
             // A watch that did not tell of a change may be deaf.
             let is_deaf = read.config.is_some();
             shared.take_read(read, sent_at);
+            tell_change(&shared);
             shared.tell_suspects();
             shared.note_started();
             watching = watching.filter(|watch| watch.is_open(&shared) && !is_deaf);
-            watching.get_or_insert_with(|| ConfigWatcher::start(&shared, &feed, begins_at));
+            if shared.core.borrow().list_share().is_watching() {
+                watching.get_or_insert_with(|| ConfigWatcher::start(&shared, &feed, begins_at));
+            }
         }
         // Others need not read what has just been read here.
         shared.link.announce(&shared.core.borrow(), shared.now());
@@ -90,7 +97,11 @@
     feed: &PlatformFeed,
 ) -> Result<Option<ConfigRead>> {
     let sent_at = shared.now();
-    let known = shared.core.borrow().config_revision();
+    let known = {
+        let core = shared.core.borrow();
+        // What another entry told is to be compared with the store's.
+        if core.is_config_confirmed() { core.config_revision() } else { StoreRevision::default() }
+    };
     let reading = (feed.read_config)(known);
     if shared.core.borrow().limits().evacuate_bound.is_none() {
         let read = reading.await;
@@ -204,10 +215,24 @@
             shared.log.config_changed(core.rules().version());
         }
         drop(core);
+        tell_change(shared);
         shared.tell_suspects();
     }
 }
 
+/// Tells others what the store has told this entry, where it is one of those who watch for
+/// them.
+fn tell_change(shared: &RelayShared) {
+    let delta = shared.core.borrow_mut().take_config_change();
+    let core = shared.core.borrow();
+    let share = core.list_share();
+    let is_told = share.is_watching() && share.tells(rand::random());
+    let Some(delta) = delta.filter(|_| is_told) else { return };
+    if !shared.link.tell_others(&core, &LoadNote::ConfigChanged(delta), NewsTeller::Joint) {
+        slog::debug!(shared.log.logger(), "change of the configuration too long to be told");
+    }
+}
+
 /// A watch of the configuration, which ends when this is dropped.
 struct ConfigWatcher {
     task: tokio::task::JoinHandle<()>,
--- a/src/relay/discovery/follow_targets.rs
+++ b/src/relay/discovery/follow_targets.rs
@@ -6,10 +6,12 @@
 use tokio::sync::watch;
 
 use super::feed::{PlatformFeed, TargetWatch};
-use super::list_share::ListNews;
+use super::list_share::{ListNews, NewsTeller};
 use super::store_revision::StoreRevision;
 use super::watch_pace::{LONGEST_WAIT, list_rest};
+use crate::relay::core::target_list::WatchedChanges;
 use crate::relay::counts::StoreCall;
+use crate::relay::peers::load_note::LoadNote;
 use crate::relay::shared::RelayShared;
 use crate::time::Tick;
 
@@ -20,6 +22,9 @@
 /// Time without an answer after which entries of the list may have lapsed.
 const OUTAGE: Duration = Duration::from_millis(1_500);
 
+/// Longest wait for changes that were missed: they are there already.
+const CATCH_UP_WAIT: Duration = Duration::from_millis(20);
+
 /// Longest time in which the store tells a watch that waits of a change.
 const TELL_SPAN: Duration = Duration::from_millis(100);
 
@@ -28,6 +33,9 @@
 struct ListPosition {
     /// Revision to watch from.
     revision: StoreRevision,
+    /// An earlier one, after which the list did not change until then: news lead on from
+    /// there, so that who knows no later revision takes them as well.
+    mark: StoreRevision,
     /// When the store was heard of last to have nothing later: what comes next was taken
     /// after that.
     known_at: Tick,
@@ -84,15 +92,38 @@
     tokio::select! {
         next = watching => next,
         () = shared.list_due.notified() => {
-            let core = shared.core.borrow();
+            let is_behind = shared.core.borrow().list_share().is_behind(shared.now());
             // All up to the mark is known.
-            let revision = position.revision.max(core.list_share().mark());
-            let next = ListPosition { revision, ..position };
-            (!core.list_share().is_behind(shared.now())).then_some(next)
+            let next = {
+                let core = shared.core.borrow();
+                let revision = position.revision.max(core.list_share().known());
+                let mark = position.mark.max(core.list_share().mark());
+                ListPosition { revision, mark, ..position }
+            };
+            match (is_behind, is_watching) {
+                (false, _) => Some(next),
+                // The own watch is silent.
+                (true, true) => None,
+                (true, false) => catch_up(shared, feed, next).await,
+            }
         }
     }
 }
 
+/// Asks the store once for what this entry has missed: one call, where the whole list takes one
+/// for each page. Returns the next position, none where the list has to be read anew.
+async fn catch_up(
+    shared: &RelayShared,
+    feed: &PlatformFeed,
+    position: ListPosition,
+) -> Option<ListPosition> {
+    let next = watch_for(shared, feed, position, CATCH_UP_WAIT).await?;
+    // What had happened before would have been told at once.
+    shared.core.borrow_mut().note_caught_up(next.revision);
+    let is_behind = shared.core.borrow().list_share().is_behind(shared.now());
+    (!is_behind).then_some(next)
+}
+
 /// Reads the whole list. Returns up to where it is known, none where that failed.
 async fn read_list(
     shared: &RelayShared,
@@ -120,9 +151,9 @@
             shared.log.targets_changed(&change);
             shared.note_started();
             if let Some(news) = news {
-                tell_others(shared, news);
+                tell_others(shared, news, NewsTeller::Alone);
             }
-            Some(ListPosition { revision, known_at: sent_at })
+            Some(ListPosition { revision, mark: revision, known_at: sent_at })
         }
         Err(error) => {
             shared.away_at.set(Some(now));
@@ -141,9 +172,18 @@
     feed: &PlatformFeed,
     position: ListPosition,
 ) -> Option<ListPosition> {
-    let ListPosition { revision, known_at } = position;
+    watch_for(shared, feed, position, shared.watch_wait()).await
+}
+
+async fn watch_for(
+    shared: &RelayShared,
+    feed: &PlatformFeed,
+    position: ListPosition,
+    wait: Duration,
+) -> Option<ListPosition> {
+    let ListPosition { revision, mark, known_at } = position;
     let begun = shared.now();
-    let result = (feed.watch_targets)(revision, shared.watch_wait()).await;
+    let result = (feed.watch_targets)(revision, wait).await;
     shared.counts.borrow().note_store_call(StoreCall::ListWatch);
     match result {
         Ok(TargetWatch::Changes(news)) if news.revision.epoch != revision.epoch => {
@@ -159,14 +199,22 @@
             // What is told at once may be older than the watch.
             let is_late = now.since(begun) > TELL_SPAN;
             let known_at = if is_late { now - TELL_SPAN } else { known_at };
-            let (change, news) =
-                shared.core.borrow_mut().take_watched(changes, next, away, known_at, now);
+            let is_changed = !changes.is_empty();
+            let watched = WatchedChanges { changes, since: mark, mark: next, known_at };
+            let (change, news) = shared.core.borrow_mut().take_watched(watched, away, now);
             shared.log.targets_changed(&change);
+            // Most entries of a large fleet watch no more once they know its targets.
+            follow_list_share(shared, now);
             if let Some(news) = news {
-                tell_others(shared, news);
+                // Who rested hears of what was there already: others may hear of it later.
+                let teller = if is_late { NewsTeller::Joint } else { NewsTeller::Alone };
+                tell_others(shared, news, teller);
+            }
+            if is_changed {
                 tokio::time::sleep(watch_step(shared, now)).await;
             }
-            Some(ListPosition { revision: next, known_at: now })
+            let mark = if is_changed { next } else { mark };
+            Some(ListPosition { revision: next, mark, known_at: now })
         }
         Ok(TargetWatch::Forgotten) => None,
         Err(error) => {
@@ -177,11 +225,15 @@
 }
 
 /// Tells others of changes, where this entry is one of those who watch for them.
-fn tell_others(shared: &RelayShared, news: ListNews) {
+fn tell_others(shared: &RelayShared, news: ListNews, teller: NewsTeller) {
     let core = shared.core.borrow();
     let share = core.list_share();
-    if share.is_watching() && share.tells(rand::random()) {
-        shared.link.tell_list(&core, news);
+    if !share.is_watching() || !share.tells(rand::random()) {
+        return;
+    }
+    let count = news.changes.len();
+    if !shared.link.tell_others(&core, &LoadNote::ListChanged(news), teller) {
+        slog::debug!(shared.log.logger(), "changes of the list too many to be told"; "changes" => count);
     }
 }
 
@@ -190,3 +242,19 @@
     // Ticks count from the start of the process.
     list_rest(now.since(Tick::default()), shared.core.borrow().limits().drain_bound)
 }
+
+/// Decides whether this entry watches for others, and tells the tasks that follow the store
+/// what they have to do differently.
+pub(crate) fn follow_list_share(shared: &RelayShared, now: Tick) {
+    let mut core = shared.core.borrow_mut();
+    let is_changed = core.decide_watching(now);
+    if is_changed {
+        shared.log.watching_changed(core.list_share().is_watching());
+    }
+    if is_changed || core.list_share().is_behind(now) {
+        shared.list_due.notify_one();
+    }
+    if is_changed || core.is_config_behind(now) {
+        shared.config_changed.notify_one();
+    }
+}
--- a/src/relay/discovery/list_share.rs
+++ b/src/relay/discovery/list_share.rs
@@ -10,9 +10,11 @@
 //! An entry that hears of no watcher watches, so a small fleet, a fleet that has just
 //! started and an entry that its peers can not reach all do so.
 //!
-//! A *mark* is a revision of the store up to which all changes of the list are known.
-//! News say from which mark to which they lead, so one that is lost is seen: by the
-//! next news, or by the marks of watchers that agents tell. Then the list is read.
+//! A *mark* is the revision of the last change of the list that is known. News say from
+//! which revision to which they lead, so one that is lost is seen: by the next news, or by
+//! the marks of watchers that agents tell. Then the store is asked for what was missed.
+//! Other changes of the store raise its revision as well, so up to where the list is known
+//! is kept apart from the mark: told as one, it would have all others ask for nothing.
 
 use std::time::Duration;
 
@@ -33,6 +35,11 @@
 /// each agent happens to see does not make entries go to and fro.
 const MOST_WATCHERS: f64 = 13.0;
 
+/// Entries that watch from their start, before they have heard of any other: about so many of
+/// a fleet that has about as many entries as targets. A process that starts alone mostly
+/// listens to those who watch.
+const FIRST_WATCHERS: f64 = 24.0;
+
 /// Time between two decisions on that: agents are heard of about as often.
 const DECISION_STEP: Duration = Duration::from_secs(1);
 
@@ -44,6 +51,39 @@
 /// two answers of its watch. From then on its connection is taken to be silent.
 const SILENT_WATCH: Duration = Duration::from_millis(2_500);
 
+/// Copies of a change that the middle entry is told: with six, one of 400 hears of none.
+const COPIES: f64 = 6.0;
+
+/// Part of them that each of those tells who hear of a change at the same moment: half of
+/// them are enough, where others rest between two answers of their watches.
+const JOINT_PART: f64 = 2.0 / WATCHERS;
+
+/// Fewest agents that pass on what one entry tells, for those who hear of few watchers.
+const FEWEST_TELLERS: usize = 6;
+
+/// Who hears of a change beside the one that tells of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NewsTeller {
+    /// All that watch, at the same moment.
+    Joint,
+    /// This one alone: others rest, or have not watched.
+    Alone,
+}
+
+impl NewsTeller {
+    /// Agents that pass on what it tells, where an entry uses `used` of all `engines`. An agent
+    /// reaches the entries that use its engine: the larger the fleet, the smaller a part of it.
+    #[must_use]
+    pub fn agents(self, used: usize, engines: usize) -> usize {
+        let reach = used.max(1) as f64 / engines.max(1) as f64;
+        let copies = match self {
+            NewsTeller::Joint => COPIES * JOINT_PART,
+            NewsTeller::Alone => COPIES,
+        };
+        ((copies / reach).ceil() as usize).max(FEWEST_TELLERS)
+    }
+}
+
 /// Changes of the list that one entry tells others.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ListNews {
@@ -76,7 +116,11 @@
 #[derive(Debug)]
 pub struct ListShare {
     is_watching: bool,
+    /// Whether it was decided who watches at the start of a large fleet.
+    has_begun: bool,
     mark: StoreRevision,
+    /// Up to where all changes are known.
+    known: StoreRevision,
     /// Revision of the last list that was read.
     read_at: StoreRevision,
     /// Newest mark that is known to exist.
@@ -95,7 +139,9 @@
     fn default() -> Self {
         ListShare {
             is_watching: true,
+            has_begun: false,
             mark: StoreRevision::default(),
+            known: StoreRevision::default(),
             read_at: StoreRevision::default(),
             told: StoreRevision::default(),
             behind_since: None,
@@ -114,43 +160,71 @@
         self.is_watching
     }
 
-    /// The revision up to which all changes are known here.
+    /// The revision of the last change that is known here.
     #[must_use]
     pub fn mark(&self) -> StoreRevision {
         self.mark
     }
 
+    /// The revision up to which all changes are known here.
+    #[must_use]
+    pub fn known(&self) -> StoreRevision {
+        self.known
+    }
+
     /// Notes a list that was read and is true at `revision`; its targets changed last
     /// at `changed_at`.
     pub fn note_list(&mut self, revision: StoreRevision, changed_at: StoreRevision) {
         // What others tell of is in the list, unless it is later than that.
         let told = if self.told <= revision { self.told } else { StoreRevision::default() };
         self.read_at = revision;
-        self.set_mark(self.mark.max(changed_at).max(told));
+        self.mark = self.mark.max(changed_at).max(told);
+        self.note_caught_up(revision);
     }
 
     /// Notes that the last list that was read showed a change. A target that is gone
     /// leaves no revision in the list, so the mark has to say so to others.
     pub fn note_difference(&mut self) {
-        self.set_mark(self.mark.max(self.read_at));
+        self.set_mark(self.read_at);
+    }
+
+    /// Begins once many targets are listed: of a large fleet a few entries watch, by a throw
+    /// from 0 to 1, until others have been heard of. A fleet that starts lists its targets one
+    /// by one. Returns true where this entry watches no more.
+    pub fn begin(&mut self, targets: usize, throw: f64, now: Tick) -> bool {
+        let is_large = targets as f64 > FIRST_WATCHERS;
+        if !is_large || self.has_begun {
+            return false;
+        }
+        self.has_begun = true;
+        self.decided_at = now;
+        (self.watchers, self.agents) = (0, 0);
+        // Of so many, each tells.
+        self.others = Some(WATCHERS - 1.0);
+        self.is_watching = throw * (targets as f64) < FIRST_WATCHERS;
+        !self.is_watching
+    }
+
+    /// Notes that all changes up to `revision` are known, by the own watch.
+    pub fn note_watched(&mut self, revision: StoreRevision) {
+        self.set_mark(revision);
     }
 
-    /// Notes changes that the own watch brought, up to `revision`. Returns the mark
-    /// from which they lead there.
-    pub fn note_watched(&mut self, revision: StoreRevision) -> StoreRevision {
-        let since = self.mark;
-        self.set_mark(self.mark.max(revision));
-        since
+    /// Notes that the store has told all changes up to `revision`. What others tell of later
+    /// ones may be on its way.
+    pub fn note_caught_up(&mut self, revision: StoreRevision) {
+        self.known = self.known.max(revision).max(self.mark);
+        self.behind_since = None;
     }
 
     /// Weighs news, and takes their mark where they are the next ones.
     pub fn take_news(&mut self, news: &ListNews, now: Tick) -> NewsVerdict {
-        if news.mark <= self.mark {
+        if news.mark <= self.known {
             return NewsVerdict::Known;
         }
         // What is told over the return of the store from a copy leaves out what was lost.
-        let is_of_epoch = [news.since.epoch, news.mark.epoch] == [self.mark.epoch; 2];
-        if news.since > self.mark || !is_of_epoch {
+        let is_of_epoch = [news.since.epoch, news.mark.epoch] == [self.known.epoch; 2];
+        if news.since > self.known || !is_of_epoch {
             self.note_told(news.mark, now);
             return NewsVerdict::Gap;
         }
@@ -211,14 +285,15 @@
 
     fn note_told(&mut self, mark: StoreRevision, now: Tick) {
         self.told = self.told.max(mark);
-        if self.told > self.mark {
+        if self.told > self.known {
             self.behind_since.get_or_insert(now);
         }
     }
 
     fn set_mark(&mut self, mark: StoreRevision) {
-        self.mark = mark;
-        if self.told <= self.mark {
+        self.mark = self.mark.max(mark);
+        self.known = self.known.max(self.mark);
+        if self.told <= self.known {
             self.behind_since = None;
         }
     }
--- a/src/relay/discovery/mod.rs
+++ b/src/relay/discovery/mod.rs
@@ -6,8 +6,10 @@
 //! - [`watch_pace`]: how long its watches wait,
 //! - [`rules`]: what a configuration allows, and to whom,
 //! - [`freshness`]: whether that is known to be current,
-//! - [`proof_share`], [`list_share`]: how entries learn from one another.
+//! - [`proof_share`], [`list_share`], [`config_share`], [`config_delta`]: how entries learn from one another.
 
+pub mod config_delta;
+pub mod config_share;
 pub mod feed;
 pub(crate) mod follow_config;
 pub(crate) mod follow_quarantine;
--- a/src/relay/discovery/proof_share.rs
+++ b/src/relay/discovery/proof_share.rs
@@ -44,6 +44,8 @@
     pub nonce: u64,
     /// Revision of its configuration.
     pub revision: StoreRevision,
+    /// Digest of its configuration.
+    pub config_digest: u64,
     /// Age of its proof.
     pub age: Duration,
     /// Failure domains that were out of service then.
@@ -63,6 +65,8 @@
 pub struct TakenProof {
     /// When.
     pub proven_at: Tick,
+    /// Digest of that configuration.
+    pub config_digest: u64,
     /// Failure domains that were out of service then.
     pub evacuations: EvacuationList,
 }
@@ -153,7 +157,8 @@
         }
         if proof.revision > revision {
             let evacuations = proof.to_evacuations();
-            let ahead = TakenProof { proven_at, evacuations };
+            let config_digest = proof.config_digest;
+            let ahead = TakenProof { proven_at, config_digest, evacuations };
             self.ahead = Some(AheadProof { revision: proof.revision, proof: ahead });
             return PeerVerdict::Behind;
         }
--- a/src/relay/discovery/rules.rs
+++ b/src/relay/discovery/rules.rs
@@ -32,7 +32,7 @@
 }
 
 /// A service and its share of a route's requests.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WeightedService {
     /// Name of the service.
     pub service: Arc<str>,
@@ -41,7 +41,7 @@
 }
 
 /// A route: which requests it takes and what they may do.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RouteRule {
     /// Host name of the request.
     pub host: Arc<str>,
@@ -69,7 +69,7 @@
 }
 
 /// A service: targets that can stand in for one another.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServiceRule {
     /// Name of the service.
     pub name: Arc<str>,
@@ -81,7 +81,7 @@
 }
 
 /// A client account and the keys it may use.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AccountRule {
     /// Name of the account.
     pub name: Arc<str>,
@@ -93,7 +93,7 @@
 }
 
 /// Bounds on what a caller may send.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Largest head of a request, in bytes.
     pub max_head: usize,
@@ -118,7 +118,7 @@
 }
 
 /// A whole configuration as the relay reads it.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RelayConfig {
     /// Version, which only grows.
     pub version: u64,
@@ -135,6 +135,26 @@
     pub quarantine: Vec<QuarantineRecord>,
 }
 
+impl RelayConfig {
+    /// A number that two configurations share only where they hold the same, in any order.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let routes = self.routes.iter().map(hash_of);
+        let services = self.services.iter().map(hash_of);
+        let accounts = self.accounts.iter().map(hash_of);
+        let rest = hash_of(&(self.version, self.limits, &self.quarantine));
+        routes.chain(services).chain(accounts).fold(rest, u64::wrapping_add)
+    }
+}
+
+fn hash_of(item: &impl Serialize) -> u64 {
+    let mut bytes = Vec::new();
+    // What an adapter decodes can be encoded; an item that could not would be left out alike
+    // at all entries.
+    drop(ciborium::into_writer(item, &mut bytes));
+    xxhash_rust::xxh3::xxh3_64(&bytes)
+}
+
 /// Why a request is not let in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AccessFault {
--- a/src/relay/peers/load_link.rs
+++ b/src/relay/peers/load_link.rs
@@ -8,19 +8,16 @@
 use tokio::net::UdpSocket;
 
 use super::load_note::{LoadNote, MAX_NOTE};
+use super::note_parts::NotePart;
 use crate::Result;
 use crate::relay::core::RelayCore;
 use crate::relay::decide::request_digest::RequestDigest;
-use crate::relay::discovery::list_share::ListNews;
+use crate::relay::discovery::list_share::NewsTeller;
 use crate::time::Tick;
 
 /// Time between two subscriptions; an agent forgets an entry after a few.
 const SUBSCRIBE_STEP: Duration = Duration::from_millis(750);
 
-/// Agents that pass on changes of the list: where each entry uses a third of the
-/// engines, nine in ten hear of it from one watcher, and all from eight.
-const TELLING_AGENTS: usize = 6;
-
 /// Agents that are asked for the newest proof: each knows those of the entries that
 /// use its engine, and an entry that reads the store tells its agents at once.
 const ASKED_AGENTS: usize = 3;
@@ -75,12 +72,31 @@
         self.send_to(SocketAddr::new(target.ip(), self.address.port()), note);
     }
 
-    /// Has a few agents tell the other entries of changes of the list.
-    pub(crate) fn tell_list(&self, core: &RelayCore, news: ListNews) {
-        let note = LoadNote::ListChanged(news);
-        for address in used_engines(core).choose_multiple(&mut rand::rng(), TELLING_AGENTS) {
-            self.send_beside(address, &note);
+    /// Has a few agents tell the other entries of something, in as many datagrams as it
+    /// takes. Returns false where it is too long for that.
+    pub(crate) fn tell_others(
+        &self,
+        core: &RelayCore,
+        note: &LoadNote,
+        teller: NewsTeller,
+    ) -> bool {
+        let Ok(bytes) = note.to_bytes() else { return false };
+        let engines = || core.targets.iter().filter(|target| target.model.is_some());
+        let count = teller.agents(used_engines(core).count(), engines().count());
+        // Any agent passes on what it is told, also one whose engine this entry does not use.
+        let addresses = engines().map(|target| target.record.address);
+        let agents = addresses.choose_multiple(&mut rand::rng(), count);
+        if bytes.len() <= MAX_NOTE {
+            agents.into_iter().for_each(|address| self.send_beside(address, note));
+            return true;
+        }
+        let Some(parts) = NotePart::split(&bytes.into(), rand::random()) else { return false };
+        for part in parts.into_iter().map(LoadNote::Part) {
+            for address in &agents {
+                self.send_beside(*address, &part);
+            }
         }
+        true
     }
 
     /// Asks the agent beside a target to look whether it is down.
@@ -142,11 +158,15 @@
 }
 
 fn to_subscription(core: &RelayCore, now: Tick) -> LoadNote {
-    let age = core.lease().age(now);
+    // What is not confirmed proves nothing to others.
+    let age = core.lease().age(now).filter(|_| core.is_config_confirmed());
     let proof_age_ms = age.and_then(|age| u32::try_from(age.as_millis()).ok());
+    let revision = core.config_revision();
+    let is_told = core.is_config_confirmed() && !revision.is_unknown();
+    let config_mark = is_told.then_some(revision);
     let share = core.list_share();
     let list_mark = share.is_watching().then_some(share.mark());
-    LoadNote::Subscribe { entry: core.entry(), proof_age_ms, list_mark }
+    LoadNote::Subscribe { entry: core.entry(), proof_age_ms, list_mark, config_mark }
 }
 
 /// Addresses of the engines that this entry uses.
--- a/src/relay/peers/load_note.rs
+++ b/src/relay/peers/load_note.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::note_parts::NotePart;
 use crate::relay::decide::permit_desk::{PermitAsk, PermitReply};
 use crate::relay::decide::quarantine::SuspectNews;
 use crate::relay::decide::rate_book::RateNews;
@@ -16,6 +17,7 @@
 use crate::relay::decide::slack_gate::SlackAsk;
 use crate::relay::decide::stream_load::{StreamKey, StreamLoad};
 use crate::relay::decide::target_state::TargetLife;
+use crate::relay::discovery::config_delta::ConfigDelta;
 use crate::relay::discovery::list_share::ListNews;
 use crate::relay::discovery::store_revision::StoreRevision;
 
@@ -34,6 +36,8 @@
         proof_age_ms: Option<u32>,
         /// Up to where it knows the list of targets, where it watches that.
         list_mark: Option<StoreRevision>,
+        /// Revision of its configuration, where that is confirmed.
+        config_mark: Option<StoreRevision>,
     },
     /// The agent's answer.
     #[serde(rename = "w")]
@@ -52,10 +56,18 @@
         watchers: u32,
         /// Newest mark of the list that one of these has.
         list_mark: Option<StoreRevision>,
+        /// Newest revision of the configuration that another entry has.
+        config_mark: Option<StoreRevision>,
     },
     /// The list of targets changed. Passed on by the agent to the others.
     #[serde(rename = "c")]
     ListChanged(ListNews),
+    /// The configuration changed. Passed on by the agent to the others.
+    #[serde(rename = "v")]
+    ConfigChanged(ConfigDelta),
+    /// A part of a note that is longer than a datagram. Passed on by the agent to the others.
+    #[serde(rename = "t")]
+    Part(NotePart),
     /// An entry has reason to think that the engine is down. The agent looks.
     #[serde(rename = "s")]
     Suspect,
@@ -88,6 +100,8 @@
         nonce: u64,
         /// Revision of the configuration there.
         revision: StoreRevision,
+        /// Digest of it.
+        config_digest: u64,
         /// Age of the proof that it is current, in milliseconds, rounded up.
         proof_age_ms: u32,
         /// Failure domains that were out of service then.
--- a/src/relay/peers/mod.rs
+++ b/src/relay/peers/mod.rs
@@ -10,5 +10,6 @@
 pub mod engine_watch;
 pub(crate) mod load_link;
 pub mod load_note;
+pub mod note_parts;
 pub(crate) mod receive;
 pub mod subscriber_set;
--- a/src/relay/peers/subscriber_set.rs
+++ b/src/relay/peers/subscriber_set.rs
@@ -48,6 +48,8 @@
     proven_at: Option<Tick>,
     /// Up to where it knows the list of targets, where it watches that.
     list_mark: Option<StoreRevision>,
+    /// Revision of its configuration.
+    config_mark: Option<StoreRevision>,
 }
 
 /// A datagram to be sent.
@@ -69,11 +71,12 @@
         now: Tick,
     ) -> Vec<NoteOut> {
         match note {
-            LoadNote::Subscribe { entry, proof_age_ms, list_mark } => {
+            LoadNote::Subscribe { entry, proof_age_ms, list_mark, config_mark } => {
                 let proof_age = proof_age_ms.map(|age| Duration::from_millis(age.into()));
                 let proven_at = proof_age.map(|age| now - age);
-                let (entry, list_mark) = (*entry, *list_mark);
-                let subscriber = Subscriber { entry, heard_at: now, proven_at, list_mark };
+                let (entry, list_mark, config_mark) = (*entry, *list_mark, *config_mark);
+                let heard_at = now;
+                let subscriber = Subscriber { entry, heard_at, proven_at, list_mark, config_mark };
                 self.on_subscribe(subscriber, from, pace_percent)
             }
             LoadNote::Placed { key, target, .. } => {
@@ -85,7 +88,9 @@
                 self.streams.remove(key);
                 self.to_others(from, note)
             }
-            LoadNote::ListChanged(_) => self.to_others(from, note),
+            LoadNote::ListChanged(_) | LoadNote::ConfigChanged(_) | LoadNote::Part(_) => {
+                self.to_others(from, note)
+            }
             LoadNote::Suspected(news) => self.join_suspect(news, now),
             LoadNote::Cleared(digest) => {
                 let was_told = self.suspects.told_of(*digest).is_some();
@@ -132,6 +137,8 @@
         let proof_age_ms = proof_age.and_then(|age| u32::try_from(age.as_millis()).ok());
         let proof_from = newest.map(|(address, _)| address);
         let entries = self.subscribers.len() as u32;
+        let others = self.subscribers.iter().filter(|(other, _)| **other != from);
+        let config_mark = others.filter_map(|(_, other)| other.config_mark).max();
         let marks: Vec<StoreRevision> = self.watcher_marks(from, now).collect();
         let welcome = LoadNote::Welcome {
             target: "".into(),
@@ -141,6 +148,7 @@
             proof_from,
             watchers: marks.len() as u32,
             list_mark: marks.iter().max().copied(),
+            config_mark,
         };
         let mut out = vec![NoteOut { to: from, note: welcome }];
         let is_new = known.as_ref().is_none_or(|known| known.entry != entry);
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -20,7 +20,7 @@
 use super::discovery::feed::PlatformFeed;
 use super::discovery::follow_config::follow_config;
 use super::discovery::follow_quarantine::follow_quarantine;
-use super::discovery::follow_targets::follow_targets;
+use super::discovery::follow_targets::{follow_list_share, follow_targets};
 use super::discovery::proof_share::PeerVerdict;
 use super::peers::config_copy::answer_copy;
 use super::peers::load_link::LoadLink;
@@ -293,18 +293,6 @@
     }
 }
 
-/// Tells the task that follows the list what it has to do differently.
-fn follow_list_share(shared: &RelayShared, now: Tick) {
-    let mut core = shared.core.borrow_mut();
-    let is_changed = core.decide_watching(now);
-    if is_changed {
-        shared.log.watching_changed(core.list_share().is_watching());
-    }
-    if is_changed || core.list_share().is_behind(now) {
-        shared.list_due.notify_one();
-    }
-}
-
 /// Says where the proof of the configuration lapsed or is back. Returns whether
 /// it is held.
 fn log_proof(shared: &RelayShared, was_held: bool, now: Tick) -> bool {
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -179,6 +179,12 @@
         self.log.evacuations_changed(&known, core.evacuated());
     }
 
+    /// Returns true where a configuration is known and no change of it was missed.
+    pub(crate) fn knows_config(&self, now: Tick) -> bool {
+        let core = self.core.borrow();
+        !core.config_revision().is_unknown() && !core.is_config_behind(now)
+    }
+
     /// A number that no other order of this process has.
     pub(crate) fn next_order(&self) -> u32 {
         let number = self.order_number.get();
--- a/tests/relay/crashes.rs
+++ b/tests/relay/crashes.rs
@@ -196,5 +196,6 @@
         proof_from,
         watchers: 0,
         list_mark: None,
+        config_mark: None,
     }
 }
--- a/tests/relay/evacuations.rs
+++ b/tests/relay/evacuations.rs
@@ -135,6 +135,7 @@
         proof_from: Some(([10, 0, 1, 2], 7_000).into()),
         watchers: 0,
         list_mark: None,
+        config_mark: None,
     };
     core.take_note(welcome, now);
     let Some((_, LoadNote::AskProof { nonce })) = core.ask_proof(now) else {
@@ -142,10 +143,14 @@
     };
     let answer = other.tell_proof(nonce, now).expect("a proof");
     assert!(answer.to_bytes().unwrap().len() <= MAX_NOTE);
-    let LoadNote::TellProof { nonce, revision, proof_age_ms, evacuated } = answer else {
+    let LoadNote::TellProof { nonce, revision, config_digest, proof_age_ms, evacuated } = answer
+    else {
         panic!("no proof");
     };
-    core.take_proof(&PeerProof { nonce, revision, age: ms(proof_age_ms.into()), evacuated }, now)
+    core.take_proof(
+        &PeerProof { nonce, revision, config_digest, age: ms(proof_age_ms.into()), evacuated },
+        now,
+    )
 }
 
 #[test]
--- a/tests/relay/list_news.rs
+++ b/tests/relay/list_news.rs
@@ -1,11 +1,13 @@
 //! How entries pass on changes of the list of targets.
 
 use shalelane::relay::core::RelayCore;
+use shalelane::relay::core::target_list::WatchedChanges;
 use shalelane::relay::decide::targets::TargetRecord;
 use shalelane::relay::discovery::feed::{TargetChange, TargetList};
 use shalelane::relay::discovery::freshness::StalePolicy;
 use shalelane::relay::discovery::list_share::{ListNews, ListShare, NewsVerdict};
 use shalelane::relay::peers::load_note::{LoadNote, MAX_NOTE};
+use shalelane::time::Tick;
 
 use crate::fixture::{at, check, limits, name, record, revision};
 
@@ -42,6 +44,88 @@
     core
 }
 
+/// What a watch from revision `since` on brings.
+fn watched(changes: Vec<TargetChange>, since: u64, mark: u64, known_at: Tick) -> WatchedChanges {
+    let changes = changes.into_iter().map(|change| (revision(mark), change)).collect();
+    WatchedChanges { changes, since: revision(since), mark: revision(mark), known_at }
+}
+
+/// Past failure: who heard of changes from another entry before its own watch brought them told
+/// them again as if they led on from there, and 402 entries that had missed the first news read the
+/// list again, five times each on a quiet day. Each change is told once, by the first to hear.
+#[test]
+fn who_has_heard_from_another_tells_what_is_new() {
+    let (mut first, mut second, mut other) = (core_of_two(), core_of_two(), core_of_two());
+    let removed = vec![TargetChange::Removed(name("b"))];
+    let (_, news) = first.take_watched(watched(removed, 5, 9, at(90)), false, at(100));
+    let news = news.unwrap();
+    second.take_list_news(&news, false, at(101));
+    let again = vec![TargetChange::Removed(name("b"))];
+    let (_, again) = second.take_watched(watched(again, 5, 9, at(90)), false, at(102));
+    assert_eq!(again, None, "the other one has told it");
+    let listed = vec![TargetChange::Listed(record("c", 3))];
+    let (_, later) = second.take_watched(watched(listed, 9, 12, at(190)), false, at(200));
+    let later = later.expect("what its own watch brought");
+    assert_eq!((later.since, later.mark), (revision(9), revision(12)));
+    assert!(other.take_list_news(&later, false, at(201)).is_empty(), "it missed the first news");
+    other.take_list_news(&news, false, at(202));
+    assert_eq!(other.take_list_news(&later, false, at(203)).added, [name("c")]);
+}
+
+/// Who rested between two answers of its watch hears what another has told and more: it tells
+/// what is more, and each removal, which may name an earlier revision.
+#[test]
+fn what_another_told_during_a_rest_is_left_out() {
+    let (mut first, mut second) = (core_of_two(), core_of_two());
+    let leaving = TargetRecord { is_leaving: true, ..record("a", 1) };
+    let changes = vec![TargetChange::Listed(leaving.clone())];
+    let (_, news) = first.take_watched(watched(changes, 5, 8, at(90)), false, at(100));
+    second.take_list_news(&news.unwrap(), false, at(101));
+    let changes = vec![
+        (revision(8), TargetChange::Listed(leaving)),
+        (revision(8), TargetChange::Removed(name("b"))),
+        (revision(11), TargetChange::Listed(record("c", 3))),
+    ];
+    let (since, mark) = (revision(5), revision(11));
+    let all = WatchedChanges { changes, since, mark, known_at: at(90) };
+    let news = second.take_watched(all, false, at(2_000)).1.expect("it is more than was told");
+    assert_eq!((news.since, news.mark), (revision(8), revision(11)));
+    let told = [TargetChange::Removed(name("b")), TargetChange::Listed(record("c", 3))];
+    assert_eq!(news.changes, told);
+}
+
+/// Past failure: an entry that had asked for what it missed, and then began to watch, told the
+/// revision of the whole store as its mark, and all others asked for changes that there were not.
+#[test]
+fn what_an_entry_asked_for_itself_is_no_change_for_others() {
+    let mut share = listener(10);
+    share.note_agent(3, Some(revision(11)), at(2_000));
+    share.note_caught_up(revision(40));
+    assert!(!share.is_behind(at(9_000)));
+    assert_eq!((share.mark(), share.known()), (revision(10), revision(40)));
+    assert_eq!(share.take_news(&news(10, 12), at(9_000)), NewsVerdict::Known);
+    assert_eq!(share.take_news(&news(12, 41), at(9_000)), NewsVerdict::Next, "it leads on");
+}
+
+/// Of any number of entries that start together, and know nothing of one another, about as
+/// many watch as of a fleet of a hundred; a small fleet watches whole.
+#[test]
+fn the_first_watchers_are_as_few_at_twice_the_size() {
+    let watching = |entries: usize, targets: usize| {
+        let share = |number: usize| {
+            let mut share = ListShare::default();
+            assert!(!share.begin(0, 0.0, at(0)), "nothing is listed yet");
+            share.begin(targets, (number as f64 + 0.5) / entries as f64, at(300));
+            share.is_watching()
+        };
+        (0..entries).filter(|number| share(*number)).count()
+    };
+    assert_eq!(watching(5, 21), 5);
+    for size in [100, 402, 804, 2_400] {
+        assert_eq!(watching(size, size), 24, "{size} entries");
+    }
+}
+
 #[test]
 fn news_are_taken_in_order_and_once() {
     let mut share = share(10);
@@ -148,7 +232,7 @@
     let (mut watcher, mut other) = (core_of_two(), core_of_two());
     let leaving = TargetRecord { is_leaving: true, ..record("a", 1) };
     let changes = vec![TargetChange::Listed(leaving), TargetChange::Removed(name("b"))];
-    let (change, news) = watcher.take_watched(changes, revision(9), false, at(90), at(100));
+    let (change, news) = watcher.take_watched(watched(changes, 5, 9, at(90)), false, at(100));
     assert_eq!(other.take_list_news(&news.clone().unwrap(), false, at(102)), change);
     assert!(!other.targets.get("a").unwrap().is_usable(at(103)));
     assert!(other.targets.get("b").is_none());
@@ -163,7 +247,7 @@
     let (mut turned_away, mut other) = (core_of_two(), core_of_two());
     let changes = vec![TargetChange::Removed(name("b"))];
     let (change, news) =
-        turned_away.take_watched(changes, revision(9), true, at(13_000), at(13_070));
+        turned_away.take_watched(watched(changes, 5, 9, at(13_000)), true, at(13_070));
     assert_eq!(change.removed, [], "it may come back");
     let change = other.take_list_news(&news.unwrap(), false, at(13_072));
     assert_eq!(change.removed, [name("b")]);
@@ -175,7 +259,7 @@
 fn the_grace_of_a_removal_counts_from_the_list_at_all_entries() {
     let (mut watcher, mut other) = (core_of_two(), core_of_two());
     let changes = vec![TargetChange::Removed(name("b"))];
-    let (_, news) = watcher.take_watched(changes, revision(9), true, at(12_500), at(13_000));
+    let (_, news) = watcher.take_watched(watched(changes, 5, 9, at(12_500)), true, at(13_000));
     let news = news.expect("a target is gone");
     assert_eq!(news.age_ms, 500);
     assert!(other.take_list_news(&news, true, at(13_100)).is_empty(), "it may come back");
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -1,6 +1,7 @@
 //! The deciding parts of the relay, without sockets.
 
 mod budget;
+mod config_news;
 mod crashes;
 mod evacuations;
 mod events;
@@ -8,6 +9,7 @@
 mod homes;
 mod list_news;
 mod lives;
+mod note_parts;
 mod notes;
 mod notices;
 mod passes;
--- a/tests/relay/notes.rs
+++ b/tests/relay/notes.rs
@@ -18,8 +18,12 @@
 }
 
 fn subscribe(set: &mut SubscriberSet, number: u8, millis: u64) -> Vec<NoteOut> {
-    let note =
-        LoadNote::Subscribe { entry: u64::from(number), proof_age_ms: None, list_mark: None };
+    let note = LoadNote::Subscribe {
+        entry: u64::from(number),
+        proof_age_ms: None,
+        list_mark: None,
+        config_mark: None,
+    };
     set.on_note(&note, entry(number), 100, at(millis))
 }
 
@@ -52,7 +56,8 @@
     subscribe(&mut set, 1, 0);
     subscribe(&mut set, 2, 0);
     set.on_note(&placed(1, 7), entry(1), 100, at(1));
-    let note = LoadNote::Subscribe { entry: 9, proof_age_ms: None, list_mark: None };
+    let note =
+        LoadNote::Subscribe { entry: 9, proof_age_ms: None, list_mark: None, config_mark: None };
     let out = set.on_note(&note, entry(1), 100, at(10));
     let gone = LoadNote::EntryGone { target: name("t"), entry: 1 };
     assert!(out.contains(&NoteOut { to: entry(2), note: gone }));
@@ -81,7 +86,12 @@
 #[test]
 fn an_entry_is_told_of_the_newest_proof_of_the_others() {
     let mut set = SubscriberSet::default();
-    let proof = |entry, proof_age_ms| LoadNote::Subscribe { entry, proof_age_ms, list_mark: None };
+    let proof = |entry, proof_age_ms| LoadNote::Subscribe {
+        entry,
+        proof_age_ms,
+        list_mark: None,
+        config_mark: None,
+    };
     set.on_note(&proof(1, Some(300)), entry(1), 100, at(1_000));
     set.on_note(&proof(2, None), entry(2), 100, at(1_000));
     let out = set.on_note(&proof(3, Some(10)), entry(3), 100, at(1_200));
--- a/tests/relay/proofs.rs
+++ b/tests/relay/proofs.rs
@@ -38,6 +38,7 @@
         proof_from: Some(peer()),
         watchers: 0,
         list_mark: None,
+        config_mark: None,
     };
     core.take_note(note, now);
 }
@@ -50,12 +51,12 @@
 }
 
 fn answer(peer: &RelayCore, nonce: u64, now: Tick) -> Option<PeerProof> {
-    let LoadNote::TellProof { nonce, revision, proof_age_ms, evacuated } =
+    let LoadNote::TellProof { nonce, revision, config_digest, proof_age_ms, evacuated } =
         peer.tell_proof(nonce, now)?
     else {
         panic!("no answer")
     };
-    Some(PeerProof { nonce, revision, age: ms(proof_age_ms.into()), evacuated })
+    Some(PeerProof { nonce, revision, config_digest, age: ms(proof_age_ms.into()), evacuated })
 }
 
 #[test]
@@ -130,7 +131,13 @@
     share.note_source(peer(), at(900));
     let nonce = 7;
     share.ask(nonce, at(0), at(950)).unwrap();
-    let proof = PeerProof { nonce, revision: revision(5), age: ms(1_000), evacuated: Vec::new() };
+    let proof = PeerProof {
+        nonce,
+        revision: revision(5),
+        config_digest: 0,
+        age: ms(1_000),
+        evacuated: Vec::new(),
+    };
     assert_eq!(share.take_answer(&proof, revision(5)), PeerVerdict::Useless);
 }
 
@@ -232,10 +239,12 @@
             let proof = newest.tell_proof(0, now);
             hear_of_peer(&mut cores[number], newest_age.as_millis() as u32, now);
             if let Some((_, LoadNote::AskProof { nonce })) = cores[number].ask_proof(now)
-                && let Some(LoadNote::TellProof { revision, proof_age_ms, .. }) = proof
+                && let Some(LoadNote::TellProof { revision, config_digest, proof_age_ms, .. }) =
+                    proof
             {
                 let age = ms(proof_age_ms.into());
-                let proof = PeerProof { nonce, revision, age, evacuated: Vec::new() };
+                let proof =
+                    PeerProof { nonce, revision, config_digest, age, evacuated: Vec::new() };
                 cores[number].take_proof(&proof, now);
             } else {
                 reads += 1;
--- a/tests/relay/quarantine.rs
+++ b/tests/relay/quarantine.rs
@@ -174,8 +174,12 @@
     let entries: Vec<SocketAddr> =
         (1..4).map(|number| ([10, 1, 0, number], 7_000).into()).collect();
     for (number, entry) in entries.iter().enumerate() {
-        let note =
-            LoadNote::Subscribe { entry: number as u64, proof_age_ms: None, list_mark: None };
+        let note = LoadNote::Subscribe {
+            entry: number as u64,
+            proof_age_ms: None,
+            list_mark: None,
+            config_mark: None,
+        };
         set.on_note(&note, *entry, 100, at(0));
     }
     let told = |lives: &[u64]| {
@@ -186,7 +190,8 @@
     let out = set.on_note(&told(&[2]), entries[1], 100, at(20));
     assert_eq!(out.len(), entries.len(), "also who told");
     assert!(out.iter().all(|out| out.note == told(&[1, 2])));
-    let start = LoadNote::Subscribe { entry: 9, proof_age_ms: None, list_mark: None };
+    let start =
+        LoadNote::Subscribe { entry: 9, proof_age_ms: None, list_mark: None, config_mark: None };
     let out = set.on_note(&start, entries[2], 100, at(30));
     assert!(out.iter().any(|out| out.note == told(&[1, 2])), "one that started again");
     let out = set.on_note(&LoadNote::Cleared(digest("a")), entries[0], 100, at(40));
--- a/tests/relay/restored_store.rs
+++ b/tests/relay/restored_store.rs
@@ -45,7 +45,13 @@
     let mut share = ProofShare::default();
     share.note_source(([10, 0, 0, 1], 80).into(), at(9_000));
     share.ask(7, at(1_000), at(9_500)).unwrap();
-    let proof = PeerProof { nonce: 7, revision: told, age: ms(100), evacuated: Vec::new() };
+    let proof = PeerProof {
+        nonce: 7,
+        revision: told,
+        config_digest: 0,
+        age: ms(100),
+        evacuated: Vec::new(),
+    };
     share.take_answer(&proof, own)
 }
 
--- a/tests/relay/rules.rs
+++ b/tests/relay/rules.rs
@@ -57,6 +57,7 @@
         proof_age_ms,
         watchers: 0,
         list_mark: None,
+        config_mark: None,
     }
 }
 
