A model of what entries cost the store by the size of the fleet

standins -- control plays start, a release of a twenty-fifth of the engines and changes of the configuration through the product's own shares and agents, in virtual time, at 30 to 2,400 entries.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod caller;
 pub mod chaos;
 pub mod compare;
+pub mod control;
 pub mod demo;
 pub mod engine_model;
 pub mod engine_server;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -13,7 +13,7 @@
 use standins::fleet::{ADMIN_KEY, Fleet};
 use standins::replay::experiment;
 use standins::slopes;
-use standins::{compare, lanes, overload};
+use standins::{compare, control, lanes, overload};
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
 
 #[derive(Debug, Options)]
@@ -42,6 +42,8 @@
     Lanes(DemoArguments),
     #[options(help = "play loads in virtual time under two settings of the relay")]
     Replay(ReplayArguments),
+    #[options(help = "count calls to the platform's store by the size of the fleet")]
+    Control(ControlArguments),
 }
 
 #[derive(Debug, Options)]
@@ -56,6 +58,18 @@
     seeds: Option<String>,
 }
 
+#[derive(Debug, Options)]
+struct ControlArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "print JSON", no_short)]
+    json: bool,
+    #[options(help = "seed of what is by chance [1]", no_short, meta = "N")]
+    seed: Option<u64>,
+    #[options(help = "entries of the largest fleet [2400]", no_short, meta = "N")]
+    most: Option<usize>,
+}
+
 #[derive(Debug, Options)]
 struct SlopesArguments {
     #[options(help = "print this help")]
@@ -135,6 +149,13 @@
             print_figures(arguments.json, &figures, &lanes::to_table(&figures))
         }
         Some(Command::Replay(arguments)) => run_replay(&arguments),
+        Some(Command::Control(arguments)) => {
+            let most = arguments.most.unwrap_or(2_400);
+            let sizes = [30, 100, 201, 402, 804, 1_000, 2_400];
+            let sizes: Vec<usize> = sizes.into_iter().filter(|size| *size <= most).collect();
+            let figures = control::measure(&sizes, arguments.seed.unwrap_or(1));
+            print_figures(arguments.json, &figures, &control::to_table(&figures))
+        }
         None => {
             println!("{}", Arguments::usage());
             println!("{}", Arguments::command_list().unwrap_or_default());
