--- a/src/relay/discovery/follow_config.rs
+++ b/src/relay/discovery/follow_config.rs
@@ -228,7 +228,8 @@
     let share = core.list_share();
     let is_told = share.is_watching() && share.tells(rand::random());
     let Some(delta) = delta.filter(|_| is_told) else { return };
-    if !shared.link.tell_others(&core, &LoadNote::ConfigChanged(delta), NewsTeller::Joint) {
+    if !shared.link.tell_others(&core, &LoadNote::ConfigChanged(Box::new(delta)), NewsTeller::Joint)
+    {
         slog::debug!(shared.log.logger(), "change of the configuration too long to be told");
     }
 }
--- a/src/relay/peers/load_link.rs
+++ b/src/relay/peers/load_link.rs
@@ -87,7 +87,9 @@
         let addresses = engines().map(|target| target.record.address);
         let agents = addresses.choose_multiple(&mut rand::rng(), count);
         if bytes.len() <= MAX_NOTE {
-            agents.into_iter().for_each(|address| self.send_beside(address, note));
+            for address in agents {
+                self.send_beside(address, note);
+            }
             return true;
         }
         let Some(parts) = NotePart::split(&bytes.into(), rand::random()) else { return false };
--- a/src/relay/peers/load_note.rs
+++ b/src/relay/peers/load_note.rs
@@ -64,7 +64,7 @@
     ListChanged(ListNews),
     /// The configuration changed. Passed on by the agent to the others.
     #[serde(rename = "v")]
-    ConfigChanged(ConfigDelta),
+    ConfigChanged(Box<ConfigDelta>),
     /// A part of a note that is longer than a datagram. Passed on by the agent to the others.
     #[serde(rename = "t")]
     Part(NotePart),
--- a/standins/src/control.rs
+++ b/standins/src/control.rs
@@ -6,6 +6,7 @@
 //! watches; proofs are left out.
 
 use std::collections::HashMap;
+use std::fmt::Write;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -208,7 +209,7 @@
             let after = (all * (step + 1 - from) as f64 / (to - from) as f64) as u64;
             self.list_revision += after - before;
         }
-        let is_storm = (22 * SECOND..24 * SECOND).contains(&step) && step % 7 == 0;
+        let is_storm = (22 * SECOND..24 * SECOND).contains(&step) && step.is_multiple_of(7);
         if step == 12 * SECOND || step == 16 * SECOND || is_storm {
             self.config_revision += 1;
             self.written.push((self.config_revision, self.now));
@@ -463,9 +464,11 @@
         let ControlFigures { entries, start_calls, list_watches, catch_ups, .. } = row;
         let ControlFigures { config_watches, config_reads, kilo_datagrams, .. } = row;
         let ControlFigures { middle_ms, last_ms, .. } = row;
-        table += &format!(
+        // A text takes all that is written to it.
+        let _ = writeln!(
+            table,
             "| {entries} | {start_calls} | {list_watches} | {catch_ups} | {config_watches} | \
-             {config_reads} | {kilo_datagrams} | {middle_ms} | {last_ms} |\n"
+             {config_reads} | {kilo_datagrams} | {middle_ms} | {last_ms} |"
         );
     }
     table
--- a/tests/account_limits.rs
+++ b/tests/account_limits.rs
@@ -134,7 +134,9 @@
             }
             let ended: Vec<u64> =
                 world.open.keys().copied().filter(|_| random.random_bool(0.02)).collect();
-            ended.into_iter().for_each(|number| world.end(number));
+            for number in ended {
+                world.end(number);
+            }
         }
         let most = most_in_a_second(&world.admitted);
         // A second's rate beside a second's savings, and one at each edge.
--- a/tests/relay/config_news.rs
+++ b/tests/relay/config_news.rs
@@ -86,7 +86,7 @@
     watch(&mut watcher, 6, large.clone(), at(1_400));
     let mut changed = RelayConfig { version: 2, ..large };
     changed.routes[7].time_limit = ms(700);
-    let note = LoadNote::ConfigChanged(watch(&mut watcher, 7, changed, at(1_500)));
+    let note = LoadNote::ConfigChanged(watch(&mut watcher, 7, changed, at(1_500)).into());
     let bytes = note.to_bytes().unwrap();
     assert!(bytes.len() < 700, "{} bytes", bytes.len());
     assert_eq!(LoadNote::from_bytes(&bytes).unwrap(), note);
@@ -274,7 +274,6 @@
         config.accounts = keys.iter().map(account).collect();
         config
     }
-    #[expect(clippy::needless_pass_by_value, reason = "what quickcheck gives")]
     fn property(first: Vec<u8>, between: Vec<u8>, last: Vec<u8>) -> bool {
         if first.is_empty() || between.is_empty() || last.is_empty() {
             return true;
--- a/tests/relay/note_parts.rs
+++ b/tests/relay/note_parts.rs
@@ -44,6 +44,7 @@
 
 #[test]
 fn parts_in_any_order_and_twice_make_one_note() {
+    #[expect(clippy::needless_pass_by_value, reason = "what quickcheck gives")]
     fn property(order: Vec<u8>) -> bool {
         let (note, other) = (release(40), release(25));
         let parts: Vec<_> = split(&note, 7).into_iter().chain(split(&other, 8)).collect();
