An entry names a mark of the list only once others were told

And a change that one entry heard of alone was told in a quarter of the copies, as if all heard of it together: a fifth of the entries missed it. Change: the mark that is named is the one up to which others were told, by this entry or another; changes of the list are always told in all copies.

--- a/src/relay/core/target_list.rs
+++ b/src/relay/core/target_list.rs
@@ -183,6 +183,11 @@
         (change, news)
     }
 
+    /// Notes that others were told of all changes of the list up to a mark.
+    pub fn note_list_announced(&mut self, mark: StoreRevision) {
+        self.list_share.note_announced(mark);
+    }
+
     /// Notes that the store has no changes of the list that are not known here, up to a
     /// revision.
     pub fn note_caught_up(&mut self, revision: StoreRevision) {
--- a/src/relay/discovery/follow_targets.rs
+++ b/src/relay/discovery/follow_targets.rs
@@ -151,7 +151,7 @@
             shared.log.targets_changed(&change);
             shared.note_started();
             if let Some(news) = news {
-                tell_others(shared, news, NewsTeller::Alone);
+                tell_others(shared, news);
             }
             Some(ListPosition { revision, mark: revision, known_at: sent_at })
         }
@@ -206,9 +206,7 @@
             // Most entries of a large fleet watch no more once they know its targets.
             follow_list_share(shared, now);
             if let Some(news) = news {
-                // Who rested hears of what was there already: others may hear of it later.
-                let teller = if is_late { NewsTeller::Joint } else { NewsTeller::Alone };
-                tell_others(shared, news, teller);
+                tell_others(shared, news);
             }
             if is_changed {
                 tokio::time::sleep(watch_step(shared, now)).await;
@@ -225,16 +223,18 @@
 }
 
 /// Tells others of changes, where this entry is one of those who watch for them.
-fn tell_others(shared: &RelayShared, news: ListNews, teller: NewsTeller) {
-    let core = shared.core.borrow();
+fn tell_others(shared: &RelayShared, news: ListNews) {
+    let mut core = shared.core.borrow_mut();
     let share = core.list_share();
     if !share.is_watching() || !share.tells(rand::random()) {
         return;
     }
-    let count = news.changes.len();
-    if !shared.link.tell_others(&core, &LoadNote::ListChanged(news), teller) {
+    let (count, mark) = (news.changes.len(), news.mark);
+    // Others may rest, and hear of it later.
+    if !shared.link.tell_others(&core, &LoadNote::ListChanged(news), NewsTeller::Alone) {
         slog::debug!(shared.log.logger(), "changes of the list too many to be told"; "changes" => count);
     }
+    core.note_list_announced(mark);
 }
 
 /// Time until the next answer of the watch is asked for.
--- a/src/relay/discovery/list_share.rs
+++ b/src/relay/discovery/list_share.rs
@@ -54,9 +54,8 @@
 /// Copies of a change that the middle entry is told: with six, one of 400 hears of none.
 const COPIES: f64 = 6.0;
 
-/// Part of them that each of those tells who hear of a change at the same moment: half of
-/// them are enough, where others rest between two answers of their watches.
-const JOINT_PART: f64 = 2.0 / WATCHERS;
+/// Part of them that each of those tells who hear of a change at the same moment.
+const JOINT_PART: f64 = 4.0 / WATCHERS;
 
 /// Fewest agents that pass on what one entry tells, for those who hear of few watchers.
 const FEWEST_TELLERS: usize = 6;
@@ -121,6 +120,8 @@
     mark: StoreRevision,
     /// Up to where all changes are known.
     known: StoreRevision,
+    /// Mark up to which others were told, by this entry or another.
+    announced: StoreRevision,
     /// Revision of the last list that was read.
     read_at: StoreRevision,
     /// Newest mark that is known to exist.
@@ -142,6 +143,7 @@
             has_begun: false,
             mark: StoreRevision::default(),
             known: StoreRevision::default(),
+            announced: StoreRevision::default(),
             read_at: StoreRevision::default(),
             told: StoreRevision::default(),
             behind_since: None,
@@ -166,6 +168,18 @@
         self.mark
     }
 
+    /// The mark up to which others were told. A later one is not named to them: all would ask
+    /// the store for what the next one who hears of it tells.
+    #[must_use]
+    pub fn announced(&self) -> StoreRevision {
+        self.announced
+    }
+
+    /// Notes that others were told of all changes up to a mark.
+    pub fn note_announced(&mut self, mark: StoreRevision) {
+        self.announced = self.announced.max(mark);
+    }
+
     /// The revision up to which all changes are known here.
     #[must_use]
     pub fn known(&self) -> StoreRevision {
@@ -179,6 +193,7 @@
         let told = if self.told <= revision { self.told } else { StoreRevision::default() };
         self.read_at = revision;
         self.mark = self.mark.max(changed_at).max(told);
+        self.note_announced(self.mark);
         self.note_caught_up(revision);
     }
 
@@ -186,6 +201,7 @@
     /// leaves no revision in the list, so the mark has to say so to others.
     pub fn note_difference(&mut self) {
         self.set_mark(self.read_at);
+        self.note_announced(self.read_at);
     }
 
     /// Begins once many targets are listed: of a large fleet a few entries watch, by a throw
@@ -229,6 +245,7 @@
             return NewsVerdict::Gap;
         }
         self.set_mark(news.mark);
+        self.note_announced(news.mark);
         NewsVerdict::Next
     }
 
--- a/src/relay/peers/load_link.rs
+++ b/src/relay/peers/load_link.rs
@@ -167,7 +167,7 @@
     let is_told = core.is_config_confirmed() && !revision.is_unknown();
     let config_mark = is_told.then_some(revision);
     let share = core.list_share();
-    let list_mark = share.is_watching().then_some(share.mark());
+    let list_mark = share.is_watching().then_some(share.announced());
     LoadNote::Subscribe { entry: core.entry(), proof_age_ms, list_mark, config_mark }
 }
 
--- a/standins/src/control.rs
+++ b/standins/src/control.rs
@@ -260,7 +260,7 @@
 
     fn subscribe(&mut self, number: usize) {
         let entry = &self.entries[number];
-        let list_mark = entry.list.is_watching().then_some(entry.list.mark());
+        let list_mark = entry.list.is_watching().then_some(entry.list.announced());
         let config_mark = Some(revision(entry.config_revision));
         let entry_id = number as u64;
         let note =
@@ -357,16 +357,16 @@
             age_ms: 0,
             changes: Vec::new(),
         };
-        let has_rested = self.now < entry.list_rests_until + 2 * STEP;
-        let teller = if has_rested { NewsTeller::Alone } else { NewsTeller::Joint };
-        self.tell(number, &LoadNote::ListChanged(news), changes * CHANGE_BYTES, teller);
+        let mark = news.mark;
+        self.tell(number, &LoadNote::ListChanged(news), changes * CHANGE_BYTES);
+        self.entries[number].list.note_announced(mark);
     }
 
     /// Has a few agents tell the others something of so many bytes.
-    fn tell(&mut self, number: usize, note: &LoadNote, bytes: usize, teller: NewsTeller) {
+    fn tell(&mut self, number: usize, note: &LoadNote, bytes: usize) {
         let datagrams = bytes.div_ceil(MAX_NOTE).max(1);
         let from = self.entries[number].address;
-        for agent in self.tellers(teller) {
+        for agent in self.tellers(NewsTeller::Alone) {
             for out in self.agents[agent].on_note(note, from, 100, self.now) {
                 self.deliver(out.to, &out.note, datagrams);
             }
--- a/tests/relay/list_news.rs
+++ b/tests/relay/list_news.rs
@@ -107,6 +107,19 @@
     assert_eq!(share.take_news(&news(12, 41), at(9_000)), NewsVerdict::Next, "it leads on");
 }
 
+/// Past failure: an entry that had just started watched, and did not tell yet, but named its mark:
+/// all others asked the store for what those would tell who rested.
+#[test]
+fn a_mark_that_was_told_to_nobody_is_not_named() {
+    let mut core = core_of_two();
+    let removed = vec![TargetChange::Removed(name("b"))];
+    core.take_watched(watched(removed, 5, 9, at(90)), false, at(100));
+    assert_eq!(core.list_share().mark(), revision(9));
+    assert_eq!(core.list_share().announced(), revision(5));
+    core.note_list_announced(revision(9));
+    assert_eq!(core.list_share().announced(), revision(9));
+}
+
 /// Of any number of entries that start together, and know nothing of one another, about as
 /// many watch as of a fleet of a hundred; a small fleet watches whole.
 #[test]
