--- a/tests/relay/fixture.rs
+++ b/tests/relay/fixture.rs
@@ -16,7 +16,7 @@
 use shalelane::relay::decide::warmup::WarmupBound;
 use shalelane::relay::discovery::feed::ConfigNews;
 use shalelane::relay::discovery::freshness::StalePolicy;
-use shalelane::relay::discovery::rules::RelayConfig;
+use shalelane::relay::discovery::rules::{RelayConfig, RepeatRule, RouteRule, WeightedService};
 use shalelane::relay::discovery::store_revision::StoreRevision;
 use shalelane::time::Tick;
 
@@ -65,6 +65,23 @@
     StoreRevision { epoch: 0, number }
 }
 
+/// A route of service `a` whose requests may run once.
+pub fn route(path: &str) -> RouteRule {
+    RouteRule {
+        host: name("h"),
+        path_prefix: name(path),
+        repeat: RepeatRule::Once,
+        is_stream: false,
+        time_limit: ms(1_000),
+        objective: ms(300),
+        longest_pause: ms(300),
+        services: vec![WeightedService { service: name("a"), weight: 1 }],
+        max_targets: 1,
+        is_public: false,
+        regions: Vec::new(),
+    }
+}
+
 /// News of a configuration whose notes can all be read.
 pub fn config_news(revision: StoreRevision, config: RelayConfig) -> ConfigNews {
     ConfigNews { revision, config, unreadable: Vec::new() }
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -24,5 +24,6 @@
 mod stop;
 mod subset;
 mod targets;
+mod turns;
 mod warmups;
 mod watch_pace;
