--- a/src/relay/counts.rs
+++ b/src/relay/counts.rs
@@ -8,7 +8,7 @@
 use super::decide::permit_issuer::PermitReply;
 use super::decide::rate_limit::RateNotice;
 use super::decide::target_notice::TargetNotice;
-use super::record::RequestEnd;
+use super::record::{RequestEnd, RetryOutcome};
 use crate::metrics::{MetricsRegistry, MirroredCounter, length_class};
 use crate::time::Tick;
 
@@ -55,6 +55,7 @@
     store_calls: IntCounterVec,
     notices: IntCounterVec,
     permits: IntCounterVec,
+    retries: IntCounterVec,
     first_event: HistogramVec,
     faults: IntCounterVec,
     config_version: IntGauge,
@@ -109,6 +110,11 @@
                 "questions whether a target that takes few requests takes one, by answer",
                 "answer",
             ),
+            retries: registry.add_counter_vec(
+                "shalelane_relay_retries_total",
+                "retries that requests needed, by what paid for them or refused them",
+                "outcome",
+            ),
             store_failures: 0,
             shared_proofs: 0,
             answered: 0,
@@ -186,6 +192,11 @@
         self.permits.with_label_values(&[kind]).inc();
     }
 
+    /// Counts a retry that a request needed.
+    pub(crate) fn record_retry(&self, outcome: RetryOutcome) {
+        self.retries.with_label_values(&[&outcome.to_string()]).inc();
+    }
+
     /// Counts a failure answered by the relay itself. `code` is one of a small, fixed set.
     pub(crate) fn record_fault(&self, code: &'static str) {
         self.faults.with_label_values(&[code]).inc();
--- a/src/relay/proxy/permit.rs
+++ b/src/relay/proxy/permit.rs
@@ -14,6 +14,7 @@
 use crate::relay::decide::permit_issuer::PermitReply;
 use crate::relay::decide::placement::Placement;
 use crate::relay::peers::peer_message::PeerMessage;
+use crate::relay::record::RetryOutcome;
 use crate::relay::shared::RelayShared;
 
 /// Timeout of a reply: some round trips between failure domains, and a slow host.
@@ -51,22 +52,41 @@
 /// Takes one retry for a service from the entry's own budget or, if that is spent, from the shared
 /// retry budget. Returns `false` if neither grants one.
 pub(crate) async fn acquire_retry(shared: &RelayShared, service: &Arc<str>) -> bool {
+    let (outcome, agent) = request_retry(shared, service).await;
+    shared.counts.borrow().record_retry(outcome);
+    shared.log.retry_acquired(service, outcome, agent, shared.now());
+    matches!(outcome, RetryOutcome::OwnShare | RetryOutcome::Granted | RetryOutcome::Ungranted)
+}
+
+/// Returns the outcome and a target on the host of the last agent that was asked.
+async fn request_retry(
+    shared: &RelayShared,
+    service: &Arc<str>,
+) -> (RetryOutcome, Option<SocketAddr>) {
     if shared.core.borrow_mut().take_retry(service, shared.now()) {
-        return true;
+        return (RetryOutcome::OwnShare, None);
     }
     let Some(queries) = shared.core.borrow_mut().retry_grant_queries(service, shared.now()) else {
-        return false;
+        return (RetryOutcome::Refused, None);
     };
-    let mut reply = None;
+    let (mut reply, mut agent) = (None, None);
     for query in queries {
         let message =
             |nonce| PeerMessage::RequestRetryGrant { nonce, request: query.request.clone() };
+        agent = Some(query.agent_host);
         reply = call_agent(shared, query.agent_host, message).await;
         if reply.is_some() {
             break;
         }
     }
-    shared.core.borrow_mut().apply_retry_grant(service, reply, shared.now())
+    let is_granted = shared.core.borrow_mut().apply_retry_grant(service, reply, shared.now());
+    let outcome = match (reply.is_some(), is_granted) {
+        (true, true) => RetryOutcome::Granted,
+        (true, false) => RetryOutcome::Refused,
+        (false, true) => RetryOutcome::Ungranted,
+        (false, false) => RetryOutcome::Unanswered,
+    };
+    (outcome, agent)
 }
 
 /// A request to an agent that awaits its reply. Dropping it unregisters it, also if the caller
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -7,6 +7,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -116,6 +117,26 @@
     Quarantined,
 }
 
+/// Outcome of a request for a retry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum RetryOutcome {
+    /// The entry's own share paid for it.
+    #[display("own_share")]
+    OwnShare,
+    /// An agent granted it from the shared retry budget.
+    #[display("granted")]
+    Granted,
+    /// It was made without a grant, since no agent answered.
+    #[display("ungranted")]
+    Ungranted,
+    /// The agents refused it.
+    #[display("refused")]
+    Refused,
+    /// No agent answered.
+    #[display("unanswered")]
+    Unanswered,
+}
+
 /// Timing of the events of a stream.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StreamPace {
@@ -298,6 +319,21 @@
             "why" => line.reason, "verdict" => %line.verdict, "left_out" => left_out);
     }
 
+    /// Logs who paid for a retry or refused it. `agent` is a target on the host of the last agent
+    /// that was asked.
+    pub fn retry_acquired(
+        &self,
+        service: &str,
+        outcome: RetryOutcome,
+        agent: Option<SocketAddr>,
+        now: Tick,
+    ) {
+        let Some(left_out) = self.take_from_budget("retry", now) else { return };
+        info!(self.logger, "retry";
+            "service" => service, "outcome" => %outcome,
+            "agent" => agent.map(|address| address.ip().to_string()), "left_out" => left_out);
+    }
+
     /// Logs what an answer states about its target.
     pub fn notice_received(&self, target: &str, notice: &TargetNotice, now: Tick) {
         let Some(left_out) = self.take_from_budget("noted", now) else { return };
