--- a/src/relay/decide/mod.rs
+++ b/src/relay/decide/mod.rs
@@ -17,7 +17,8 @@
 //! - [`placement`]: the target of a request, and whether it is sent, delayed or refused.
 //! - [`retry_delay`]: the delay after which refused callers may retry.
 //! - [`start_wait`]: how long callers wait for a process that has just started.
-//! - [`send_count`], [`retry_budget`], [`shared_retry_budget`]: limits of retries.
+//! - [`send_count`], [`retry_budget`], [`shared_retry_budget`], [`expiring_credit`]: limits of
+//!   retries.
 //! - [`request_digest`]: recognizes repeated sends of one request.
 //! - [`quarantine`]: requests that crash the targets that run them, [`crash_tracker`]: crashes of
 //!   targets, and [`quarantine_list`]: for how long a request is quarantined.
@@ -27,6 +28,7 @@
 pub mod engine_snapshot;
 pub mod engine_subset;
 pub mod evacuation;
+pub mod expiring_credit;
 pub mod group_search;
 pub mod loss;
 pub mod pass_model;
--- a/src/relay/decide/retry_budget.rs
+++ b/src/relay/decide/retry_budget.rs
@@ -1,19 +1,32 @@
 //! Bounds the retries of this process.
 //!
 //! All entries together may retry a ratio of a service's requests, plus a fixed number in each
-//! window. Each entry applies the ratio to its own requests: the sum holds for any number of
-//! entries, as long as none rounds its share up. The fixed number is granted by one agent for
-//! all entries ([`super::shared_retry_budget`]): if it were divided among entries, each entry's
-//! part would depend on their number, and on what restarted entries had spent before.
+//! window. Each request brings its entry a part of a retry. The fixed number is granted by one agent
+//! for all entries ([`super::shared_retry_budget`]).
+//!
+//! A retry arrives at its target at most [`MAX_ARRIVAL_DELAY`] after it was paid, with credit no
+//! older than [`RetryBound::credit_lifetime`]. The retries that arrive in a window were therefore
+//! paid with credit of a span that is longer than the window by these two, and
+//! [`RetryBound::credit_share`] of what a window allows is handed out in each window's length.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
+use super::expiring_credit::ExpiringCredit;
+use crate::silence::UNACKED_TIMEOUT;
 use crate::time::Tick;
 
-/// Part of the ratio that an entry uses, as entries do not count their windows at the same
-/// moment.
-const USED_SHARE: f64 = 0.7;
+/// Time after which an acquired retry that has not been sent lapses. Its request acquires another.
+pub const RETRY_SEND_WINDOW: Duration = Duration::from_millis(300);
+
+/// Longest time from the acquisition of a retry to its arrival: a network that loses packets holds
+/// it until the connection is closed.
+pub const MAX_ARRIVAL_DELAY: Duration = RETRY_SEND_WINDOW.saturating_add(UNACKED_TIMEOUT);
+
+/// Fraction of the window that credit lasts at least, in windows not much longer than the delay.
+const MIN_LIFETIME_FRACTION: u32 = 4;
+
+/// Credit units of one retry.
+const RETRY_COST: u64 = 1_000_000;
 
 /// The bound on the retries of all entries.
 #[derive(Clone, Copy, Debug)]
@@ -26,26 +39,40 @@
     pub window: Duration,
 }
 
-/// Counts the requests and retries of one service.
+impl RetryBound {
+    /// Returns the time for which credit can be spent.
+    #[must_use]
+    pub fn credit_lifetime(&self) -> Duration {
+        let lifetime = self.window.saturating_sub(MAX_ARRIVAL_DELAY);
+        lifetime.max(self.window / MIN_LIFETIME_FRACTION)
+    }
+
+    /// Returns the share of a window's retries for which credit is handed out in that time.
+    #[must_use]
+    pub fn credit_share(&self) -> f64 {
+        let span = self.window + MAX_ARRIVAL_DELAY + self.credit_lifetime();
+        self.window.as_secs_f64() / span.as_secs_f64()
+    }
+}
+
+/// The retries of one service that this entry pays itself.
 #[derive(Debug)]
 pub struct RetryBudget {
     bound: RetryBound,
-    requests: VecDeque<Tick>,
-    retries: VecDeque<Tick>,
+    credit: ExpiringCredit,
     /// When the last retry was made without a grant because no agent answered.
     ungranted_at: Option<Tick>,
-    /// When an agent may be asked for a grant again.
+    /// When agents may be asked for a grant again.
     request_at: Tick,
 }
 
 impl RetryBudget {
-    /// Creates a budget of which nothing is spent.
+    /// Creates a budget without credit.
     #[must_use]
     pub fn new(bound: RetryBound) -> Self {
         RetryBudget {
             bound,
-            requests: VecDeque::new(),
-            retries: VecDeque::new(),
+            credit: ExpiringCredit::default(),
             ungranted_at: None,
             request_at: Tick::default(),
         }
@@ -62,29 +89,23 @@
         self.bound
     }
 
-    /// Counts a request of a caller.
+    /// Adds the credit of a caller's request.
     pub fn record_request(&mut self, now: Tick) {
-        self.expire(now);
-        self.requests.push_back(now);
+        let retries = self.bound.ratio * self.bound.credit_share();
+        self.credit.add((retries * RETRY_COST as f64) as u64, now);
     }
 
-    /// Returns `true` if this entry's ratio leaves a retry.
+    /// Returns `true` if this entry's credit pays for a retry.
     pub fn has_retry(&mut self, now: Tick) -> bool {
-        self.expire(now);
-        let allowed = self.bound.ratio * self.requests.len() as f64 * USED_SHARE;
-        (self.retries.len() + 1) as f64 <= allowed
+        self.credit.balance(self.bound.credit_lifetime(), now) >= RETRY_COST
     }
 
-    /// Spends a retry of this entry's ratio; returns `false` if none is left.
+    /// Pays for a retry; returns `false` if the credit does not suffice.
     pub fn take(&mut self, now: Tick) -> bool {
-        let has_retry = self.has_retry(now);
-        if has_retry {
-            self.retries.push_back(now);
-        }
-        has_retry
+        self.credit.take(RETRY_COST, self.bound.credit_lifetime(), now)
     }
 
-    /// Returns `true` if an agent may be asked for a grant.
+    /// Returns `true` if agents may be asked for a grant.
     #[must_use]
     pub fn may_request(&self, now: Tick) -> bool {
         now >= self.request_at
@@ -104,12 +125,4 @@
         }
         has_retry
     }
-
-    fn expire(&mut self, now: Tick) {
-        for times in [&mut self.requests, &mut self.retries] {
-            while times.front().is_some_and(|at| now.since(*at) > self.bound.window) {
-                times.pop_front();
-            }
-        }
-    }
 }
--- a/src/silence.rs
+++ b/src/silence.rs
@@ -24,7 +24,7 @@
 const KEEPALIVE_RETRIES: u32 = 2;
 
 /// Time for which sent bytes may stay unacknowledged before the connection counts as broken.
-const UNACKED_TIMEOUT: Duration = Duration::from_secs(2);
+pub const UNACKED_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Closes a connection if sent data is not acknowledged in time.
 ///
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -20,6 +20,7 @@
 mod regions;
 mod restored_store;
 mod retry_delay;
+mod retry_fleet;
 mod rules;
 mod start_wait;
 mod stop;
