--- a/src/relay/core/attempts.rs
+++ b/src/relay/core/attempts.rs
@@ -9,9 +9,8 @@
 use crate::relay::decide::placement::{
     PermitPolicy, Placement, PlacementQuery, PromptNeed, TargetScope, place_call,
 };
-use crate::relay::decide::retry_budget::RetryBudget;
 use crate::relay::decide::retry_delay::until_usable;
-use crate::relay::decide::service_scope::{DomainSet, ServiceScope};
+use crate::relay::decide::service_scope::ServiceScope;
 use crate::relay::decide::stream_load::{StreamKey, StreamLoad};
 use crate::relay::decide::target_notice::TargetNotice;
 use crate::relay::decide::targets::{TargetFault, TargetInstance};
@@ -19,40 +18,6 @@
 use crate::time::Tick;
 
 impl RelayCore {
-    /// Counts a caller's request towards the retry budget of its service.
-    pub fn record_request(&mut self, service: &Arc<str>, now: Tick) {
-        self.budget(service).record_request(now);
-    }
-
-    /// Takes a retry from this entry's own budget, `false` if none is left.
-    pub fn take_retry(&mut self, service: &Arc<str>, now: Tick) -> bool {
-        self.budget(service).take(now)
-    }
-
-    /// Returns `true` if a retry could be made now at a target that has not been tried.
-    /// Rate-limited targets do not count, since a permit for them may be refused.
-    pub fn could_retry(
-        &mut self,
-        service: &Arc<str>,
-        domains: Option<&DomainSet>,
-        tried: &[Arc<str>],
-        now: Tick,
-    ) -> bool {
-        let is_untried = |name| !tried.contains(name);
-        let scope = ServiceScope { service, domains };
-        let has_other = scope.targets(&self.targets).any(|target| {
-            let is_unlimited = target.is_usable(now) && target.rate.is_none();
-            target.is_used && is_unlimited && is_untried(&target.record.incarnation)
-        });
-        let budget = self.budget(service);
-        has_other && (budget.has_retry(now) || budget.may_request(now))
-    }
-
-    pub(super) fn budget(&mut self, service: &Arc<str>) -> &mut RetryBudget {
-        let bound = self.limits.retry_bound;
-        self.budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(bound))
-    }
-
     /// Chooses the targets of a request, `None` if no target can take it.
     pub fn place<'a>(
         &mut self,
--- a/src/relay/core/mod.rs
+++ b/src/relay/core/mod.rs
@@ -12,6 +12,7 @@
 use crate::relay::decide::rate_table::{AnnouncedRates, RateTable};
 use crate::relay::decide::retry_budget::{RetryBound, RetryBudget};
 use crate::relay::decide::service_scope::DomainSet;
+use crate::relay::decide::slack_share::SlackShare;
 use crate::relay::decide::stream_load::StreamKey;
 use crate::relay::decide::targets::{ListChange, TargetInstance, TargetSet};
 use crate::relay::decide::warmup::WarmupBound;
@@ -30,6 +31,7 @@
 mod evacuation;
 pub mod permits;
 mod quarantine;
+pub mod retries;
 pub mod target_list;
 
 /// Number of distinct jitter values, which are taken from the random part of an incarnation.
@@ -139,6 +141,10 @@
     /// [`RelayCore::expire_targets`] yet.
     expired: ListChange,
     budgets: HashMap<Arc<str>, RetryBudget>,
+    slack_share: SlackShare,
+    /// Counters by which deposits and requests for retries go to one agent after the other.
+    next_deposit_agent: usize,
+    next_retry_agent: usize,
     /// Largest number of subscribed entries that any agent has reported.
     max_subscribers: Option<usize>,
     outbox: Vec<PeerMessage>,
@@ -176,6 +182,9 @@
             evacuations: EvacuationSet::default(),
             expired: ListChange::default(),
             budgets: HashMap::new(),
+            slack_share: SlackShare::default(),
+            next_deposit_agent: 0,
+            next_retry_agent: 0,
             max_subscribers: None,
             outbox: Vec::new(),
             quarantine: QuarantineLedger::new(jitter_of(entry)),
@@ -345,6 +354,10 @@
                     Some(self.max_subscribers.unwrap_or(0).max(entries as usize));
                 if let Some(target) = self.targets.get_mut(&target) {
                     target.subscribers = entries as usize;
+                    target.acknowledged_at = Some(now);
+                }
+                if let Some(entries) = self.fleet_entries() {
+                    self.slack_share.record_entries(entries, now);
                 }
                 if let Some(age) = proof_age_ms {
                     let proven_at = now - Duration::from_millis(age.into());
--- a/src/relay/core/permits.rs
+++ b/src/relay/core/permits.rs
@@ -1,7 +1,6 @@
 //! Rate limits of targets, and permits to send to rate-limited targets.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use super::RelayCore;
@@ -9,10 +8,8 @@
 use crate::relay::decide::placement::Placement;
 use crate::relay::decide::rate_limit::{RateLimit, RateNotice};
 use crate::relay::decide::rate_table::RateUpdate;
-use crate::relay::decide::retry_budget::RetryBound;
 use crate::relay::decide::retry_delay::until_permit;
 use crate::relay::decide::service_scope::ServiceScope;
-use crate::relay::decide::shared_retry_budget::RetryGrantRequest;
 use crate::relay::decide::target_state::{TargetInstance, TargetState};
 use crate::time::Tick;
 
@@ -23,8 +20,7 @@
 /// Time for which the second agent is asked in place of a first one that did not answer.
 const FALLBACK_DURATION: Duration = Duration::from_secs(2);
 
-/// Time without requests to a target if no agent answers for it, and time until the next request
-/// for a retry if no agent answers that.
+/// Time without requests to a target if no agent answers for it.
 const NO_ANSWER_DELAY: Duration = Duration::from_millis(500);
 
 /// Maximum number of agents that are sent the rates of targets for which they issue permits, at
@@ -42,15 +38,6 @@
     pub agent_host: Option<SocketAddr>,
 }
 
-/// A request for a retry from the shared budget, and the agent to send it to.
-#[derive(Clone, Debug, PartialEq)]
-pub struct RetryGrantQuery {
-    /// The request.
-    pub request: RetryGrantRequest,
-    /// A target on the host of the agent to send it to.
-    pub agent_host: SocketAddr,
-}
-
 /// Outcome of a request for a permit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PermitVerdict {
@@ -180,52 +167,6 @@
         until_permit(&self.targets, service, now)
     }
 
-    /// Returns the requests for a retry from the shared budget, to be sent to one agent after the
-    /// other. `None` if the agents would refuse.
-    pub fn retry_grant_queries(
-        &mut self,
-        service: &Arc<str>,
-        now: Tick,
-    ) -> Option<Vec<RetryGrantQuery>> {
-        const MAX_AGENTS: usize = 2;
-        if !self.budget(service).may_request(now) {
-            return None;
-        }
-        let RetryBound { slack, window, .. } = self.budget(service).bound();
-        let window_ms = window.as_millis().try_into().unwrap_or(u32::MAX);
-        let seed = xxhash_rust::xxh3::xxh3_64(service.as_bytes());
-        let hosts =
-            self.ranked_hosts(|host| xxhash_rust::xxh3::xxh3_64_with_seed(host.as_bytes(), seed));
-        let agents = [false, true].into_iter().zip(hosts.into_iter().take(MAX_AGENTS));
-        let to_query = |(is_second, agent_host)| RetryGrantQuery {
-            request: RetryGrantRequest { service: service.clone(), slack, window_ms, is_second },
-            agent_host,
-        };
-        Some(agents.map(to_query).collect())
-    }
-
-    /// Applies the last answer to these requests, `None` if no agent answered. Returns `true` if a
-    /// retry may be made.
-    pub fn apply_retry_grant(
-        &mut self,
-        service: &Arc<str>,
-        reply: Option<PermitReply>,
-        now: Tick,
-    ) -> bool {
-        let budget = self.budget(service);
-        match reply {
-            Some(PermitReply::Granted { .. } | PermitReply::Open) => true,
-            Some(PermitReply::Refused { wait_ms }) => {
-                budget.record_refusal(now + Duration::from_millis(wait_ms.into()));
-                false
-            }
-            None => {
-                budget.record_refusal(now + NO_ANSWER_DELAY);
-                budget.take_without_agent(now)
-            }
-        }
-    }
-
     /// Returns a target on the host of the agent that issues permits for a target. All entries
     /// ask the same agent, whichever targets they use.
     fn issuer_of(&self, target: &TargetState, is_second: bool) -> Option<SocketAddr> {
--- a/src/relay/decide/expiring_credit.rs
+++ b/src/relay/decide/expiring_credit.rs
@@ -48,20 +48,35 @@
     /// Spends an amount of the oldest deposits that are younger than `lifetime`. Returns `false`
     /// and spends nothing if less is left.
     pub fn take(&mut self, amount: u64, lifetime: Duration, now: Tick) -> bool {
-        if self.balance(lifetime, now) < amount {
-            return false;
+        let is_enough = self.balance(lifetime, now) >= amount;
+        if is_enough {
+            drop(self.withdraw(amount, lifetime, now));
         }
-        let mut left = amount;
+        is_enough
+    }
+
+    /// Removes up to an amount of the oldest deposits that are younger than `lifetime`.
+    #[must_use]
+    pub fn withdraw(&mut self, amount: u64, lifetime: Duration, now: Tick) -> ExpiringCredit {
+        let mut left = amount.min(self.balance(lifetime, now));
+        let mut withdrawn = ExpiringCredit::default();
         while left > 0
             && let Some(first) = self.deposits.front_mut()
         {
-            let spent = left.min(first.amount);
-            first.amount -= spent;
-            left -= spent;
+            let part = left.min(first.amount);
+            withdrawn.deposits.push_back(CreditDeposit { at: first.at, amount: part });
+            first.amount -= part;
+            left -= part;
             if first.amount == 0 {
                 self.deposits.pop_front();
             }
         }
-        true
+        withdrawn
+    }
+
+    /// Returns withdrawn deposits, which expire as if they had stayed.
+    pub fn put_back(&mut self, withdrawn: ExpiringCredit) {
+        self.deposits.extend(withdrawn.deposits);
+        self.deposits.make_contiguous().sort_by_key(|deposit| deposit.at);
     }
 }
--- a/src/relay/decide/mod.rs
+++ b/src/relay/decide/mod.rs
@@ -17,8 +17,8 @@
 //! - [`placement`]: the target of a request, and whether it is sent, delayed or refused.
 //! - [`retry_delay`]: the delay after which refused callers may retry.
 //! - [`start_wait`]: how long callers wait for a process that has just started.
-//! - [`send_count`], [`retry_budget`], [`shared_retry_budget`], [`expiring_credit`]: limits of
-//!   retries.
+//! - [`send_count`], [`retry_budget`], [`slack_share`], [`shared_retry_budget`],
+//!   [`expiring_credit`]: limits of retries.
 //! - [`request_digest`]: recognizes repeated sends of one request.
 //! - [`quarantine`]: requests that crash the targets that run them, [`crash_tracker`]: crashes of
 //!   targets, and [`quarantine_list`]: for how long a request is quarantined.
@@ -46,6 +46,7 @@
 pub mod send_count;
 pub mod service_scope;
 pub mod shared_retry_budget;
+pub mod slack_share;
 pub mod start_wait;
 pub mod stream_load;
 pub mod target_notice;
--- a/src/relay/decide/retry_budget.rs
+++ b/src/relay/decide/retry_budget.rs
@@ -1,8 +1,10 @@
 //! Bounds the retries of this process.
 //!
 //! All entries together may retry a ratio of a service's requests, plus a fixed number in each
-//! window. Each request brings its entry a part of a retry. The fixed number is granted by one agent
-//! for all entries ([`super::shared_retry_budget`]).
+//! window, the slack. Both are paid with credit that comes into being at the entries: each request
+//! brings a part of a retry, and each entry has an equal part of the slack, which it deposits with
+//! agents ([`super::slack_share`], [`super::shared_retry_budget`]). Nobody else creates credit, so
+//! it does not matter which agent grants a retry, how often processes restart, or what is cut off.
 //!
 //! A retry arrives at its target at most [`MAX_ARRIVAL_DELAY`] after it was paid, with credit no
 //! older than [`RetryBound::credit_lifetime`]. The retries that arrive in a window were therefore
@@ -26,7 +28,7 @@
 const MIN_LIFETIME_FRACTION: u32 = 4;
 
 /// Credit units of one retry.
-const RETRY_COST: u64 = 1_000_000;
+pub const RETRY_COST: u64 = 1_000_000;
 
 /// The bound on the retries of all entries.
 #[derive(Clone, Copy, Debug)]
@@ -60,8 +62,6 @@
 pub struct RetryBudget {
     bound: RetryBound,
     credit: ExpiringCredit,
-    /// When the last retry was made without a grant because no agent answered.
-    ungranted_at: Option<Tick>,
     /// When agents may be asked for a grant again.
     request_at: Tick,
 }
@@ -70,12 +70,7 @@
     /// Creates a budget without credit.
     #[must_use]
     pub fn new(bound: RetryBound) -> Self {
-        RetryBudget {
-            bound,
-            credit: ExpiringCredit::default(),
-            ungranted_at: None,
-            request_at: Tick::default(),
-        }
+        RetryBudget { bound, credit: ExpiringCredit::default(), request_at: Tick::default() }
     }
 
     /// Sets the bound, when the configuration changes.
@@ -105,6 +100,17 @@
         self.credit.take(RETRY_COST, self.bound.credit_lifetime(), now)
     }
 
+    /// Removes the credit that this entry adds to a grant, so that parts of retries are not lost.
+    #[must_use]
+    pub fn withdraw(&mut self, now: Tick) -> ExpiringCredit {
+        self.credit.withdraw(RETRY_COST, self.bound.credit_lifetime(), now)
+    }
+
+    /// Returns the credit for a grant that was refused.
+    pub fn put_back(&mut self, withdrawn: ExpiringCredit) {
+        self.credit.put_back(withdrawn);
+    }
+
     /// Returns `true` if agents may be asked for a grant.
     #[must_use]
     pub fn may_request(&self, now: Tick) -> bool {
@@ -115,14 +121,4 @@
     pub fn record_refusal(&mut self, until: Tick) {
         self.request_at = until;
     }
-
-    /// Spends a retry if no agent answers: one in each window, so that a fleet without agents
-    /// can retry at all. Returns `false` if none is left.
-    pub fn take_without_agent(&mut self, now: Tick) -> bool {
-        let has_retry = self.ungranted_at.is_none_or(|at| now.since(at) > self.bound.window);
-        if has_retry {
-            self.ungranted_at = Some(now);
-        }
-        has_retry
-    }
 }
--- a/src/relay/decide/target_state.rs
+++ b/src/relay/decide/target_state.rs
@@ -132,6 +132,8 @@
     pub is_used: bool,
     /// Number of subscribed entries that its agent last reported; zero if it reported none.
     pub subscribers: usize,
+    /// When its agent last acknowledged a subscription.
+    pub acknowledged_at: Option<Tick>,
     /// Number of requests of this process on the target.
     pub in_flight: usize,
     /// When the target last sent anything.
@@ -171,6 +173,7 @@
             model: None,
             is_used: true,
             subscribers: 0,
+            acknowledged_at: None,
             in_flight: 0,
             received_at: now,
             waiting_since: None,
--- a/src/relay/peers/peer_link.rs
+++ b/src/relay/peers/peer_link.rs
@@ -11,6 +11,7 @@
 use super::peer_message::{MAX_DATAGRAM_BYTES, PeerMessage};
 use crate::Result;
 use crate::relay::core::RelayCore;
+use crate::relay::core::retries::DepositOrder;
 use crate::relay::decide::request_digest::RequestDigest;
 use crate::relay::discovery::target_list_sync::UpdateAnnouncer;
 use crate::time::Tick;
@@ -128,6 +129,13 @@
         self.send_rates(core, now);
     }
 
+    /// Sends the deposit for retries that is due to an agent.
+    pub(crate) fn deposit(&self, core: &mut RelayCore, now: Tick) {
+        if let Some(DepositOrder { deposit, agent_host }) = core.take_retry_deposit(now) {
+            self.send_beside(agent_host, &PeerMessage::RetryDeposit(deposit));
+        }
+    }
+
     /// Sends the known rates to the agents, if there are any.
     fn send_rates(&self, core: &mut RelayCore, now: Tick) {
         for (agent_host, update) in core.to_issuer_rates(now) {
--- a/src/relay/peers/peer_message.rs
+++ b/src/relay/peers/peer_message.rs
@@ -13,7 +13,7 @@
 use crate::relay::decide::quarantine::SuspectReport;
 use crate::relay::decide::rate_table::RateUpdate;
 use crate::relay::decide::request_digest::RequestDigest;
-use crate::relay::decide::shared_retry_budget::RetryGrantRequest;
+use crate::relay::decide::shared_retry_budget::{RetryDeposit, RetryGrantRequest};
 use crate::relay::decide::stream_load::{StreamKey, StreamLoad};
 use crate::relay::decide::target_state::TargetInstance;
 use crate::relay::discovery::config_delta::ConfigDelta;
@@ -45,7 +45,7 @@
     SubscriptionAck {
         /// The target instance beside the agent, if it knows one.
         target: Arc<str>,
-        /// Number of entries that use the engine.
+        /// Largest number of entries that used the engine lately.
         entries: u32,
         /// How much slower than declared the engine works, in hundredths.
         pace_percent: u32,
@@ -125,6 +125,9 @@
         #[serde(rename = "ask")]
         request: PermitRequest,
     },
+    /// An entry deposits its share of the retries that all entries may make beyond their ratio.
+    #[serde(rename = "y")]
+    RetryDeposit(RetryDeposit),
     /// An entry asks for a retry from the shared retry budget, beyond its own budget.
     #[serde(rename = "b")]
     RequestRetryGrant {
--- a/src/relay/peers/subscriber_set.rs
+++ b/src/relay/peers/subscriber_set.rs
@@ -23,10 +23,15 @@
 /// may be late.
 const WATCHER_TTL: Duration = Duration::from_millis(1_200);
 
+/// Time for which an agent reports the largest number of entries that it has known. An entry that
+/// restarts while others are disconnected must not take itself for the only one.
+const PEAK_TTL: Duration = Duration::from_secs(60);
+
 /// The entries that an agent knows, and what their streams cost its engine.
 #[derive(Debug, Default)]
 pub struct SubscriberSet {
     subscribers: HashMap<SocketAddr, Subscriber>,
+    peak: SubscriberPeak,
     streams: HashMap<StreamKey, PeerMessage>,
     /// What entries reported about requests that crash targets.
     suspects: QuarantineLedger,
@@ -52,6 +57,22 @@
     confirmed_revision: Option<StoreRevision>,
 }
 
+/// Largest number of entries that an agent knew within [`PEAK_TTL`].
+#[derive(Debug, Default)]
+struct SubscriberPeak {
+    count: usize,
+    seen_at: Tick,
+}
+
+impl SubscriberPeak {
+    fn record(&mut self, count: usize, now: Tick) -> usize {
+        if count >= self.count || now.since(self.seen_at) >= PEAK_TTL {
+            *self = SubscriberPeak { count, seen_at: now };
+        }
+        self.count
+    }
+}
+
 /// A datagram to be sent.
 #[derive(Debug, PartialEq)]
 pub struct OutboundMessage {
@@ -120,6 +141,10 @@
                     message: PeerMessage::AnswerPermit { nonce: *nonce, reply },
                 }]
             }
+            PeerMessage::RetryDeposit(deposit) => {
+                self.retry_budget.on_deposit(deposit, now);
+                Vec::new()
+            }
             PeerMessage::RequestRetryGrant { nonce, request } => {
                 let reply = self.retry_budget.on_request(request, now);
                 vec![OutboundMessage {
@@ -154,7 +179,7 @@
         let proof_age = newest.map(|(_, at)| now.since(at));
         let proof_age_ms = proof_age.and_then(|age| u32::try_from(age.as_millis()).ok());
         let proof_from = newest.map(|(address, _)| address);
-        let entries = self.subscribers.len() as u32;
+        let entries = self.peak.record(self.subscribers.len(), now) as u32;
         let others = self.subscribers.iter().filter(|(other, _)| **other != from);
         let confirmed_revision = others.filter_map(|(_, other)| other.confirmed_revision).max();
         let revisions: Vec<StoreRevision> = self.watcher_revisions(from, now).collect();
@@ -217,6 +242,7 @@
     /// Drops entries whose subscription has expired, and returns the messages to be sent.
     pub fn expire(&mut self, now: Tick) -> Vec<OutboundMessage> {
         self.permits.expire(now);
+        self.retry_budget.expire(now);
         let expired: Vec<u64> = self
             .subscribers
             .values()
--- a/src/relay/proxy/permit.rs
+++ b/src/relay/proxy/permit.rs
@@ -11,11 +11,14 @@
 use super::forward::RelayJob;
 use super::series::AttemptSeries;
 use crate::relay::core::permits::PermitVerdict;
+use crate::relay::core::retries::RetryGrantQuery;
 use crate::relay::decide::permit_issuer::PermitReply;
 use crate::relay::decide::placement::Placement;
+use crate::relay::decide::retry_budget::RETRY_SEND_WINDOW;
 use crate::relay::peers::peer_message::PeerMessage;
 use crate::relay::record::RetryOutcome;
 use crate::relay::shared::RelayShared;
+use crate::time::Tick;
 
 /// Timeout of a reply: some round trips between failure domains, and a slow host.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(80);
@@ -49,44 +52,54 @@
     }
 }
 
-/// Takes one retry for a service from the entry's own budget or, if that is spent, from the shared
-/// retry budget. Returns `false` if neither grants one.
-pub(crate) async fn acquire_retry(shared: &RelayShared, service: &Arc<str>) -> bool {
-    let (outcome, agent) = request_retry(shared, service).await;
+/// Acquires one retry for a service from the entry's own budget or, if that is spent, from the
+/// shared retry budget. Returns the time before which it has to be sent, `None` if neither pays.
+pub(crate) async fn acquire_retry(shared: &RelayShared, service: &Arc<str>) -> Option<Tick> {
+    let now = shared.now();
+    let is_paid = shared.core.borrow_mut().take_retry(service, now);
+    let (outcome, send_before) = if is_paid {
+        (RetryOutcome::OwnShare, Some(now + RETRY_SEND_WINDOW))
+    } else {
+        request_retry(shared, service).await
+    };
     shared.counts.borrow().record_retry(outcome);
-    shared.log.retry_acquired(service, outcome, agent, shared.now());
-    matches!(outcome, RetryOutcome::OwnShare | RetryOutcome::Granted | RetryOutcome::Ungranted)
+    send_before
 }
 
-/// Returns the outcome and a target on the host of the last agent that was asked.
-async fn request_retry(
-    shared: &RelayShared,
-    service: &Arc<str>,
-) -> (RetryOutcome, Option<SocketAddr>) {
-    if shared.core.borrow_mut().take_retry(service, shared.now()) {
-        return (RetryOutcome::OwnShare, None);
-    }
-    let Some(queries) = shared.core.borrow_mut().retry_grant_queries(service, shared.now()) else {
+/// Asks agents for a retry, one after the other.
+async fn request_retry(shared: &RelayShared, service: &Arc<str>) -> (RetryOutcome, Option<Tick>) {
+    let query = shared.core.borrow_mut().retry_grant_query(service, shared.now());
+    let Some(RetryGrantQuery { request, own_credit, agent_hosts }) = query else {
         return (RetryOutcome::Refused, None);
     };
-    let (mut reply, mut agent) = (None, None);
-    for query in queries {
-        let message =
-            |nonce| PeerMessage::RequestRetryGrant { nonce, request: query.request.clone() };
-        agent = Some(query.agent_host);
-        reply = call_agent(shared, query.agent_host, message).await;
-        if reply.is_some() {
-            break;
+    let mut shortest_wait_ms = None;
+    for agent_host in agent_hosts {
+        let asked_at = shared.now();
+        // It may not have answered another request meanwhile.
+        if !shared.core.borrow().may_ask(agent_host, asked_at) {
+            continue;
+        }
+        let message = |nonce| PeerMessage::RequestRetryGrant { nonce, request: request.clone() };
+        let reply = call_agent(shared, agent_host, message).await;
+        shared.log.retry_answered(service, agent_host, reply, shared.now());
+        match reply {
+            Some(PermitReply::Granted { .. } | PermitReply::Open) => {
+                return (RetryOutcome::Granted, Some(asked_at + RETRY_SEND_WINDOW));
+            }
+            Some(PermitReply::Refused { wait_ms }) => {
+                shortest_wait_ms = Some(shortest_wait_ms.unwrap_or(u32::MAX).min(wait_ms));
+            }
+            None => shared.core.borrow_mut().record_agent_silence(agent_host),
         }
     }
-    let is_granted = shared.core.borrow_mut().apply_retry_grant(service, reply, shared.now());
-    let outcome = match (reply.is_some(), is_granted) {
-        (true, true) => RetryOutcome::Granted,
-        (true, false) => RetryOutcome::Refused,
-        (false, true) => RetryOutcome::Ungranted,
-        (false, false) => RetryOutcome::Unanswered,
-    };
-    (outcome, agent)
+    shared.core.borrow_mut().record_retry_refusal(
+        service,
+        own_credit,
+        shortest_wait_ms,
+        shared.now(),
+    );
+    let is_answered = shortest_wait_ms.is_some();
+    (if is_answered { RetryOutcome::Refused } else { RetryOutcome::Unanswered }, None)
 }
 
 /// A request to an agent that awaits its reply. Dropping it unregisters it, also if the caller
--- a/src/relay/proxy/series.rs
+++ b/src/relay/proxy/series.rs
@@ -276,7 +276,7 @@
         if !self.sends.allows(allowed_runs) {
             return Err(RetryStop::MaxSends);
         }
-        if is_sent && !acquire_retry(shared, &job.service).await {
+        if is_sent && acquire_retry(shared, &job.service).await.is_none() {
             return Err(RetryStop::NoBudget);
         }
         Ok(())
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -14,6 +14,7 @@
 
 use slog::{Drain, Logger, Never, OwnedKVList, Record, info, o, warn};
 
+use super::decide::permit_issuer::PermitReply;
 use super::decide::rate_limit::RateNotice;
 use super::decide::request_digest::RequestDigest;
 use super::decide::target_notice::TargetNotice;
@@ -126,9 +127,6 @@
     /// An agent granted it from the shared retry budget.
     #[display("granted")]
     Granted,
-    /// It was made without a grant, since no agent answered.
-    #[display("ungranted")]
-    Ungranted,
     /// The agents refused it.
     #[display("refused")]
     Refused,
@@ -319,19 +317,24 @@
             "why" => line.reason, "verdict" => %line.verdict, "left_out" => left_out);
     }
 
-    /// Logs who paid for a retry or refused it. `agent` is a target on the host of the last agent
-    /// that was asked.
-    pub fn retry_acquired(
+    /// Logs an agent's answer to a request for a retry, `None` if no answer came. `agent_host` is a
+    /// target on its host.
+    pub fn retry_answered(
         &self,
         service: &str,
-        outcome: RetryOutcome,
-        agent: Option<SocketAddr>,
+        agent_host: SocketAddr,
+        reply: Option<PermitReply>,
         now: Tick,
     ) {
         let Some(left_out) = self.take_from_budget("retry", now) else { return };
+        let answer = match reply {
+            Some(PermitReply::Granted { .. } | PermitReply::Open) => RetryOutcome::Granted,
+            Some(PermitReply::Refused { .. }) => RetryOutcome::Refused,
+            None => RetryOutcome::Unanswered,
+        };
         info!(self.logger, "retry";
-            "service" => service, "outcome" => %outcome,
-            "agent" => agent.map(|address| address.ip().to_string()), "left_out" => left_out);
+            "service" => service, "agent" => %agent_host.ip(), "answer" => %answer,
+            "left_out" => left_out);
     }
 
     /// Logs what an answer states about its target.
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -289,6 +289,7 @@
         update_watching(&shared, now);
         shared.core.borrow_mut().expire_rates(now);
         shared.link.subscribe(&mut shared.core.borrow_mut(), now);
+        shared.link.deposit(&mut shared.core.borrow_mut(), now);
         was_held = log_proof(&shared, was_held, now);
     }
 }
--- a/tests/relay/budget.rs
+++ b/tests/relay/budget.rs
@@ -1,141 +1,100 @@
-//! Retries of all entries together.
+//! Budgets of retries: the own one of an entry, and the shared one that agents grant from.
 
 use std::time::Duration;
 
-use rand::rngs::StdRng;
-use rand::{Rng, SeedableRng};
+use shalelane::relay::core::RelayCore;
 use shalelane::relay::decide::permit_issuer::PermitReply;
 use shalelane::relay::decide::retry_budget::{RetryBound, RetryBudget};
 use shalelane::relay::decide::shared_retry_budget::{RetryGrantRequest, SharedRetryBudget};
+use shalelane::relay::decide::slack_share::SlackShare;
+use shalelane::relay::discovery::freshness::StalePolicy;
+use shalelane::relay::discovery::rules::{RelayConfig, ServiceRule};
+use shalelane::relay::peers::peer_message::PeerMessage;
+use shalelane::relay::peers::subscriber_set::SubscriberSet;
+use shalelane::time::Tick;
 
-use crate::fixture::{at, check, ms, name};
+use crate::fixture::{at, limits, ms, name, rates, record};
 
 const BOUND: RetryBound = RetryBound { ratio: 0.2, slack: 100.0, window: Duration::from_secs(10) };
 
-fn request(is_second: bool) -> RetryGrantRequest {
-    let window_ms = BOUND.window.as_millis() as u32;
-    RetryGrantRequest { service: name("plain"), slack: BOUND.slack, window_ms, is_second }
-}
-
-/// Spends a retry of an entry, of its own ratio or by a grant of the agent.
-fn take(budget: &mut RetryBudget, shared: &mut SharedRetryBudget, millis: u64) -> bool {
-    let now = at(millis);
-    budget.take(now)
-        || matches!(shared.on_request(&request(false), now), PermitReply::Granted { .. })
-}
+/// Interval of deposits, in milliseconds.
+const DEPOSIT_INTERVAL: u64 = 500;
 
-/// Times of the requests and retries of a fleet, in milliseconds.
-#[derive(Default)]
-struct FleetCount {
-    requests: Vec<u64>,
-    retries: Vec<u64>,
-}
-
-impl FleetCount {
-    fn is_within(&self) -> bool {
-        let count = |times: &[u64], end: u64| {
-            times.iter().filter(|time| **time <= end && **time + 10_000 > end).count() as f64
-        };
-        let allowed = |end| BOUND.ratio * count(&self.requests, end) + BOUND.slack;
-        self.retries.iter().all(|end| count(&self.retries, *end) <= allowed(*end))
-    }
+fn request() -> RetryGrantRequest {
+    let window_ms = BOUND.window.as_millis() as u32;
+    RetryGrantRequest { service: name("plain"), slack: BOUND.slack, window_ms, paid: 0 }
 }
 
-#[test]
-fn all_entries_together_stay_within_the_bound() {
-    fn property(steps: Vec<(u8, u8, bool)>) -> bool {
-        const ENTRIES: usize = 5;
-        let mut budgets: Vec<_> = (0..ENTRIES).map(|_| RetryBudget::new(BOUND)).collect();
-        let mut shared = SharedRetryBudget::default();
-        let (mut now, mut count) = (100_000, FleetCount::default());
-        for (entry, wait, is_request) in steps {
-            now += u64::from(wait);
-            let budget = &mut budgets[usize::from(entry) % ENTRIES];
-            if is_request {
-                budget.record_request(at(now));
-                count.requests.push(now);
-            } else if take(budget, &mut shared, now) {
-                count.retries.push(now);
-            }
-        }
-        count.is_within()
-    }
-    check(property as fn(Vec<(u8, u8, bool)>) -> bool);
+fn is_granted(reply: PermitReply) -> bool {
+    matches!(reply, PermitReply::Granted { .. })
 }
 
-/// Idle entries retry at the same moment, and both the entries and the agent restart.
-#[test]
-fn any_number_of_entries_that_restart_stays_within_the_bound() {
-    for entries in [1, 3, 30, 400] {
-        let mut random = StdRng::seed_from_u64(entries);
-        let new = || RetryBudget::new(BOUND);
-        let mut budgets: Vec<_> = (0..entries).map(|_| new()).collect();
-        let mut shared = SharedRetryBudget::default();
-        let mut started_at = 0;
-        let mut count = FleetCount::default();
-        for step in 0..300 {
-            let now = 100_000 + step * 100;
-            if step % 70 == 69 {
-                (shared, started_at) = (SharedRetryBudget::default(), now);
-            }
-            if step % 50 == 25 {
-                budgets = (0..entries).map(|_| new()).collect();
-            }
-            for budget in &mut budgets {
-                if random.random_bool(0.1) {
-                    budget.record_request(at(now));
-                    count.requests.push(now);
-                }
-                let is_own = budget.take(at(now));
-                // The agent's clock starts with its process.
-                let reply = shared.on_request(&request(false), at(now - started_at));
-                if is_own || matches!(reply, PermitReply::Granted { .. }) {
-                    count.retries.push(now);
-                }
-            }
-        }
-        assert!(count.is_within(), "{entries} entries");
-        assert!(!count.retries.is_empty(), "{entries} entries");
-    }
+/// An entry that knows two engines.
+fn core() -> RelayCore {
+    let mut core = RelayCore::new(limits(StalePolicy::FailClosed), 1);
+    let services = vec![ServiceRule { name: name("engines"), engine: Some(rates()), warmup: None }];
+    let config = RelayConfig { version: 1, services, ..RelayConfig::default() };
+    core.apply_config(Some(config), at(0));
+    core.apply_list(vec![record("a", 1), record("b", 2)], false, at(0));
+    core
 }
 
-#[test]
-fn both_agents_together_stay_within_the_shared_budget() {
-    let mut shared = SharedRetryBudget::default();
-    let mut granted = 0;
-    for step in 0..100 {
-        for _ in 0..20 {
-            for is_second in [false, true] {
-                let reply = shared.on_request(&request(is_second), at(100_000 + step * 100));
-                granted += usize::from(matches!(reply, PermitReply::Granted { .. }));
-            }
+/// An agent to which one entry made all deposits.
+fn agent_with_deposits(seconds: u64) -> (SharedRetryBudget, u64) {
+    let (mut shared, mut share) = (SharedRetryBudget::default(), SlackShare::default());
+    let mut now = 100_000;
+    for _ in 0..seconds * 1_000 / DEPOSIT_INTERVAL {
+        share.record_entries(1, at(now));
+        if let Some(deposit) = share.take_deposit(1, at(now)) {
+            shared.on_deposit(&deposit, at(now));
         }
+        now += DEPOSIT_INTERVAL;
     }
-    assert!((40..=100).contains(&granted), "{granted}");
+    (shared, now)
 }
 
 #[test]
 fn a_refusal_states_when_the_next_retry_is_available() {
-    let mut shared = SharedRetryBudget::default();
-    let replies = (0..80).map(|_| shared.on_request(&request(false), at(100_000)));
-    let last = replies.last().unwrap();
-    let PermitReply::Refused { wait_ms } = last else { panic!("{last:?}") };
-    let later = at(100_000) + ms(u64::from(wait_ms) + 1);
-    assert_eq!(shared.on_request(&request(false), later), PermitReply::Granted { after_ms: 0 });
+    let (mut shared, now) = agent_with_deposits(20);
+    let replies: Vec<_> = (0..80).map(|_| shared.on_request(&request(), at(now))).collect();
+    let refused: Vec<u64> = replies
+        .iter()
+        .filter_map(|reply| match reply {
+            PermitReply::Refused { wait_ms } => Some(u64::from(*wait_ms)),
+            _ => None,
+        })
+        .collect();
+    assert!(refused.len() > 20, "{refused:?}");
+    assert!(refused[0] <= 250 && refused[1] > refused[0], "each waits for its own: {refused:?}");
+    assert!(refused.iter().all(|wait_ms| *wait_ms <= 1_000), "{refused:?}");
 }
 
 #[test]
 fn a_bound_that_is_not_positive_and_finite_grants_nothing() {
     for slack in [0.0, -5.0, f64::NAN, f64::INFINITY] {
-        let mut shared = SharedRetryBudget::default();
+        let (mut shared, now) = agent_with_deposits(20);
         for window_ms in [0, 10_000] {
-            let request = RetryGrantRequest { slack, window_ms, ..request(false) };
-            let reply = shared.on_request(&request, at(100_000));
+            let request = RetryGrantRequest { slack, window_ms, ..request() };
+            let reply = shared.on_request(&request, at(now));
             assert!(matches!(reply, PermitReply::Refused { .. }), "{slack}: {reply:?}");
         }
     }
 }
 
+/// A vanishing slack, or no deposits, must not overflow.
+#[test]
+fn extreme_bounds_are_refused_without_overflow() {
+    for slack in [1e-300, 1e-9] {
+        for window_ms in [1, 10_000, u32::MAX] {
+            let (mut shared, now) = agent_with_deposits(5);
+            let request = RetryGrantRequest { slack, window_ms, ..request() };
+            assert!(!is_granted(shared.on_request(&request, at(now))));
+            let mut empty = SharedRetryBudget::default();
+            assert!(!is_granted(empty.on_request(&request, at(now))));
+        }
+    }
+}
+
 /// The ratio is not rounded up: else 400 entries with one request each would make 400 retries.
 #[test]
 fn an_entry_without_enough_requests_has_no_retry() {
@@ -149,40 +108,137 @@
     assert!(!budget.take(at(0)));
 }
 
+/// What an agent granted before its start is not known, so nothing but deposits pays for retries.
+#[test]
+fn an_agent_without_deposits_grants_nothing() {
+    let mut shared = SharedRetryBudget::default();
+    for millis in (0..60_000).step_by(100) {
+        assert!(!is_granted(shared.on_request(&request(), at(millis))), "after {millis} ms");
+    }
+}
+
 #[test]
-fn an_entry_without_an_answering_agent_has_one_retry_in_each_window() {
+fn deposits_that_arrive_twice_or_late_add_nothing() {
+    let granted = |late: Option<Duration>, copies: usize| {
+        let (mut shared, mut share) = (SharedRetryBudget::default(), SlackShare::default());
+        for step in 0..20 {
+            let now = at(100_000) + ms(step * DEPOSIT_INTERVAL);
+            share.record_entries(1, now);
+            let Some(deposit) = share.take_deposit(1, now) else { continue };
+            let delay = late.filter(|_| step > 10).unwrap_or_default();
+            for _ in 0..copies {
+                shared.on_deposit(&deposit, now + delay);
+            }
+        }
+        let now = at(100_000) + ms(20 * DEPOSIT_INTERVAL) + late.unwrap_or_default();
+        (0..200).filter(|_| is_granted(shared.on_request(&request(), now))).count()
+    };
+    let once = granted(None, 1);
+    assert!(once > 20, "{once}");
+    assert_eq!(granted(None, 3), once, "three copies");
+    assert_eq!(granted(Some(ms(6_000)), 1), 0, "late");
+}
+
+/// What an entry has not spent for a time shorter than the window is lost.
+#[test]
+fn unspent_credit_expires() {
     let mut budget = RetryBudget::new(BOUND);
-    let taken = (0..200).filter(|_| budget.take_without_agent(at(0))).count();
-    assert_eq!(taken, 1);
-    assert!(budget.take_without_agent(at(0) + ms(10_001)), "the window has passed");
+    for _ in 0..100 {
+        budget.record_request(at(0));
+    }
+    assert!(budget.has_retry(at(7_000)));
+    assert!(!budget.has_retry(at(7_700)));
+    let (mut shared, now) = agent_with_deposits(20);
+    assert!(!is_granted(shared.on_request(&request(), at(now + 7_700))));
 }
 
-/// Counts the retries that an agent grants within `span` milliseconds, asked all the time from
-/// the millisecond `from` after its start.
-fn granted(is_second: bool, from: u64, span: u64) -> usize {
-    let mut shared = SharedRetryBudget::default();
-    let replies = (from..from + span).step_by(5).flat_map(|millis| {
-        let replies: Vec<_> =
-            (0..40).map(|_| shared.on_request(&request(is_second), at(millis))).collect();
-        replies
-    });
-    replies.filter(|reply| matches!(reply, PermitReply::Granted { .. })).count()
+/// An entry without a reachable agent has its own budget only, and ends no attempt for a retry that
+/// it cannot make.
+#[test]
+fn an_entry_without_a_reachable_agent_asks_for_no_retry() {
+    let mut core = core();
+    let service = name("engines");
+    assert!(core.retry_grant_query(&service, at(0)).is_none());
+    assert!(!core.could_retry(&service, None, &[name("b")], at(0)));
+    acknowledge(&mut core, "a", 3, at(10));
+    let query = core.retry_grant_query(&service, at(20)).unwrap();
+    assert_eq!(query.agent_hosts.len(), 1);
+    assert!(core.could_retry(&service, None, &[name("b")], at(20)));
+    core.record_agent_silence(query.agent_hosts[0]);
+    assert!(core.retry_grant_query(&service, at(20)).is_none(), "silent");
+    acknowledge(&mut core, "a", 3, at(30));
+    assert!(core.retry_grant_query(&service, at(1_700)).is_none(), "not heard of for long");
+}
+
+/// An entry deposits its share of the time in which it has run, beginning when it has settled.
+#[test]
+fn deposits_are_an_equal_share_of_the_time() {
+    let mut core = core();
+    let mut deposited_us = 0;
+    for step in 0..=20 {
+        let now = at(10 + step * DEPOSIT_INTERVAL);
+        acknowledge(&mut core, "a", 3, now);
+        let order = core.take_retry_deposit(now);
+        assert_eq!(order.is_some(), step >= 2, "step {step}");
+        deposited_us += order.map_or(0, |order| u64::from(order.deposit.share_us));
+    }
+    let time_us = 20 * DEPOSIT_INTERVAL * 1_000;
+    assert!(deposited_us <= time_us / 3, "{deposited_us} of {time_us}");
+    assert!(deposited_us >= time_us * 9 / 30, "{deposited_us} of {time_us}");
 }
 
-/// The grants of an agent before its start are not known.
+/// The largest number of entries that any agent reports counts, also when a later one is smaller.
 #[test]
-fn an_agent_that_has_just_started_grants_a_quarter_at_once() {
-    let at_once = granted(false, 0, 5);
-    assert!(at_once as f64 <= BOUND.slack * 0.25, "{at_once} at once");
+fn an_entry_divides_by_the_largest_number_of_entries() {
+    let mut share = SlackShare::default();
+    let mut deposit_after = |entries, millis| {
+        share.record_entries(entries, at(millis));
+        share.take_deposit(1, at(millis)).map(|deposit| deposit.share_us)
+    };
+    assert_eq!(deposit_after(1, 0), None);
+    assert_eq!(deposit_after(10, 1_000), Some(95_000));
+    assert_eq!(deposit_after(30, 1_300), None, "none is due");
+    assert_eq!(deposit_after(10, 1_600), Some(19_000));
 }
 
-/// In one window the first agent starts twice, and entries ask the second agent as well.
+/// Disconnected entries still count at an agent, so that one that restarts meanwhile does not take
+/// their part.
 #[test]
-fn two_starts_of_the_first_agent_and_the_second_keep_the_bound_together() {
-    let window = BOUND.window.as_millis() as u64;
-    let long_lived = granted(false, 100_000, window / 3);
-    let started = granted(false, 0, window / 3);
-    let second = granted(true, 100_000, window);
-    let all = long_lived + 2 * started + second;
-    assert!(all as f64 <= BOUND.slack, "{long_lived}, twice {started}, {second}");
+fn an_agent_reports_disconnected_entries_for_a_minute() {
+    let mut set = SubscriberSet::default();
+    let subscribe = |set: &mut SubscriberSet, entry: u64, now| {
+        let message = PeerMessage::Subscribe {
+            entry,
+            proof_age_ms: None,
+            watched_revision: None,
+            confirmed_revision: None,
+        };
+        let from = ([10, 0, 1, entry as u8], 80).into();
+        let out = set.on_message(&message, from, 100, now);
+        let PeerMessage::SubscriptionAck { entries, .. } = &out[0].message else {
+            panic!("{:?}", out[0]);
+        };
+        *entries
+    };
+    for entry in 1..=5 {
+        subscribe(&mut set, entry, at(0));
+    }
+    set.expire(at(10_000));
+    assert_eq!(subscribe(&mut set, 1, at(10_000)), 5);
+    set.expire(at(70_000));
+    assert_eq!(subscribe(&mut set, 1, at(70_000)), 1);
+}
+
+fn acknowledge(core: &mut RelayCore, target: &str, entries: u32, now: Tick) {
+    let message = PeerMessage::SubscriptionAck {
+        target: name(target),
+        entries,
+        pace_percent: 100,
+        proof_age_ms: None,
+        proof_from: None,
+        watchers: 0,
+        watched_revision: None,
+        confirmed_revision: None,
+    };
+    core.apply_message(message, now);
 }
--- a/tests/relay/rates.rs
+++ b/tests/relay/rates.rs
@@ -437,6 +437,9 @@
 fn a_rate_limited_target_is_no_reason_to_end_an_attempt() {
     let mut core = core_of(1, &["a", "b"]);
     let service = name("engines");
+    for _ in 0..10 {
+        core.record_request(&service, at(0));
+    }
     assert!(core.could_retry(&service, None, &[name("b")], at(0)));
     core.apply_rate(&instance("a"), RateNotice::Limit(rate(2.0)), Some(at(0)), at(10));
     assert!(!core.could_retry(&service, None, &[name("b")], at(20)));
--- a/tests/relay/regions.rs
+++ b/tests/relay/regions.rs
@@ -109,6 +109,9 @@
     let untried = TargetScope::Untried(&tried);
     assert!(core.place(scope, Some(&need(5_000)), untried, at(20)).is_none());
     let service = name("engines");
+    for _ in 0..10 {
+        core.record_request(&service, at(20));
+    }
     assert!(
         !core.could_retry(&service, domains.as_deref(), &tried, at(20)),
         "no other target in the region"
