--- a/src/relay/proxy/call.rs
+++ b/src/relay/proxy/call.rs
@@ -8,7 +8,7 @@
 use hyper::header::CONTENT_LENGTH;
 
 use super::answer::{RelayAnswer, RelayBody, RelayFault};
-use super::forward::{AttemptFault, OpenAnswer, RelayJob, start_attempt};
+use super::forward::{AttemptFault, OpenAnswer, RelayJob, SendTerms, start_attempt};
 use super::ledger::RequestLedger;
 use super::permit::acquire_permit;
 use super::series::AttemptSeries;
@@ -41,9 +41,13 @@
         if !acquire_permit(shared, job, &series, &mut placement).await {
             continue;
         }
+        if let Err(stop) = series.renew_retry(shared, job).await {
+            ledger.retry_stop = Some(stop);
+            return series.final_answer(shared, job, false);
+        }
         ledger.record_send(&placement.target);
-        let may_hedge = series.may_hedge(shared, job, &placement.target);
-        let result = call_once(shared, job, &placement, may_hedge).await;
+        let terms = series.send_terms(shared, job, &placement.target);
+        let result = call_once(shared, job, &placement, terms).await;
         match result {
             Ok(answer) => return Ok(answer.map(|body| RelayBody::Buffered(Full::new(body)))),
             Err(fault) => {
@@ -52,10 +56,7 @@
                 if let Err(stop) = series.record_fault(shared, job, &placement.target, fault).await
                 {
                     ledger.retry_stop = Some(stop);
-                    if let Some(answer) = series.answer.take() {
-                        return Ok(answer.map(|body| RelayBody::Buffered(Full::new(body))));
-                    }
-                    return Err(series.final_fault(shared, job, is_timeout));
+                    return series.final_answer(shared, job, is_timeout);
                 }
                 series.wait_after_refusal(shared, job).await;
             }
@@ -68,10 +69,10 @@
     shared: &Rc<RelayShared>,
     job: &RelayJob,
     placement: &Placement,
-    may_hedge: bool,
+    terms: SendTerms,
 ) -> Result<Response<Bytes>, AttemptFault> {
     let OpenAnswer { mut guard, mut parts, body, head } =
-        start_attempt(shared, job, placement, None, may_hedge).await?;
+        start_attempt(shared, job, placement, None, terms).await?;
     let time_left = job.deadline.since(shared.now());
     let complete_body =
         read_body(body, MAX_ANSWER_BYTES, time_left).await.map_err(|fault| match fault {
--- a/src/relay/proxy/forward.rs
+++ b/src/relay/proxy/forward.rs
@@ -178,6 +178,11 @@
         AttemptFault { is_stale: true, ..AttemptFault::not_sent(reason) }
     }
 
+    /// The retry was not sent in time, for example because this process was frozen.
+    fn lapsed() -> Self {
+        AttemptFault { is_stale: true, ..AttemptFault::not_sent("the retry was not sent in time") }
+    }
+
     /// Returns `true` if the connection broke after the request was sent, as it does when the
     /// target crashes.
     pub(crate) fn is_disconnect(&self) -> bool {
@@ -222,6 +227,15 @@
     }
 }
 
+/// Conditions of an attempt that depend on earlier attempts.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SendTerms {
+    /// Whether another target may be tried if this one is silent.
+    pub(crate) may_hedge: bool,
+    /// Time before which the request has to be sent.
+    pub(crate) send_before: Tick,
+}
+
 /// Resources of a running attempt. Dropping the guard releases all of them and closes the
 /// connection unless it was returned to the pool.
 pub(crate) struct AttemptGuard {
@@ -265,7 +279,7 @@
     job: &RelayJob,
     placement: &Placement,
     resume_after: Option<u64>,
-    may_hedge: bool,
+    terms: SendTerms,
 ) -> Result<OpenAnswer, AttemptFault> {
     let Some(address) = shared.address_of(&placement.target) else {
         return Err(AttemptFault::not_sent("the target is gone"));
@@ -294,11 +308,14 @@
     if !shared.core.borrow().may_send(attempt, shared.now()) {
         return Err(AttemptFault::superseded());
     }
+    if shared.now() >= terms.send_before {
+        return Err(AttemptFault::lapsed());
+    }
     let connection = guard.connection.insert(connection);
     let request = to_request(shared, job, placement, &helpers, resume_after);
     let sent_at = shared.now();
     let sending = connection.sender.send_request(request);
-    let timeout = wait_for_timeout(shared, job, placement, attempt, may_hedge);
+    let timeout = wait_for_timeout(shared, job, placement, attempt, terms.may_hedge);
     let response = tokio::select! {
         response = sending => response,
         fault = timeout => return Err(fault),
--- a/src/relay/proxy/series.rs
+++ b/src/relay/proxy/series.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http_body_util::Full;
 use hyper::{Response, StatusCode};
 
-use super::answer::RelayFault;
+use super::answer::{RelayAnswer, RelayBody, RelayFault};
 use super::crash_check::check_crash;
-use super::forward::{AttemptFault, RelayJob};
+use super::forward::{AttemptFault, RelayJob, SendTerms};
 use super::permit::acquire_retry;
 use crate::relay::core::RelayCore;
 use crate::relay::decide::placement::{Placement, TargetScope};
@@ -75,8 +76,10 @@
     /// Whether the request was placed at a target whose permit it has to wait for.
     waits_for_permit: bool,
     sends: SendCount,
+    /// Time before which the next attempt has to be sent. The first one has no such time.
+    send_before: Tick,
     worst_verdict: Verdict,
-    pub(crate) answer: Option<Box<Response<Bytes>>>,
+    answer: Option<Box<Response<Bytes>>>,
     pub(crate) reason: String,
 }
 
@@ -89,6 +92,7 @@
             was_refused: false,
             waits_for_permit: false,
             sends: SendCount::default(),
+            send_before: Tick::NEVER,
             worst_verdict: Verdict::NotRun,
             answer: None,
             reason: String::new(),
@@ -102,12 +106,7 @@
 
     /// Returns `true` if another target could be tried after this one has been silent. Without
     /// another target, silence is no reason to abort an answer.
-    pub(crate) fn may_hedge(
-        &self,
-        shared: &RelayShared,
-        job: &RelayJob,
-        target: &Arc<str>,
-    ) -> bool {
+    fn may_hedge(&self, shared: &RelayShared, job: &RelayJob, target: &Arc<str>) -> bool {
         if !shared.core.borrow().limits().policy.hedges {
             return false;
         }
@@ -263,7 +262,7 @@
 
     /// Takes one more send from the budgets of the request and of the service.
     async fn acquire_send(
-        &self,
+        &mut self,
         shared: &RelayShared,
         job: &RelayJob,
         is_sent: bool,
@@ -276,12 +275,36 @@
         if !self.sends.allows(allowed_runs) {
             return Err(RetryStop::MaxSends);
         }
-        if is_sent && acquire_retry(shared, &job.service).await.is_none() {
-            return Err(RetryStop::NoBudget);
+        if is_sent {
+            self.send_before = Tick::default();
+        }
+        self.renew_retry(shared, job).await
+    }
+
+    /// Acquires a retry if the last one was sent or has lapsed.
+    pub(crate) async fn renew_retry(
+        &mut self,
+        shared: &RelayShared,
+        job: &RelayJob,
+    ) -> Result<(), RetryStop> {
+        if shared.now() >= self.send_before {
+            let acquired = acquire_retry(shared, &job.service).await;
+            self.send_before = acquired.ok_or(RetryStop::NoBudget)?;
         }
         Ok(())
     }
 
+    /// Returns the conditions of the next attempt.
+    pub(crate) fn send_terms(
+        &self,
+        shared: &RelayShared,
+        job: &RelayJob,
+        target: &Arc<str>,
+    ) -> SendTerms {
+        let may_hedge = self.may_hedge(shared, job, target);
+        SendTerms { may_hedge, send_before: self.send_before }
+    }
+
     /// Records what a failed attempt indicates about a crash of its target, and about the request.
     fn record_target_crash(
         &self,
@@ -301,6 +324,20 @@
         shared.report_suspects();
     }
 
+    /// Returns the answer of a call that is not sent again: the failure of its target, if that gave
+    /// one.
+    pub(crate) fn final_answer(
+        &mut self,
+        shared: &RelayShared,
+        job: &RelayJob,
+        is_timeout: bool,
+    ) -> Result<RelayAnswer, RelayFault> {
+        match self.answer.take() {
+            Some(answer) => Ok(answer.map(|body| RelayBody::Buffered(Full::new(body)))),
+            None => Err(self.final_fault(shared, job, is_timeout)),
+        }
+    }
+
     /// Builds the final failure of the request.
     pub(crate) fn final_fault(
         &self,
--- a/src/relay/proxy/stream.rs
+++ b/src/relay/proxy/stream.rs
@@ -14,7 +14,7 @@
 use super::answer::{BrokenAnswer, RelayAnswer, RelayBody, RelayFault};
 use super::call::MAX_ANSWER_BYTES;
 use super::event_stream::EventSplitter;
-use super::forward::{AttemptFault, OpenAnswer, RelayJob, start_attempt};
+use super::forward::{AttemptFault, OpenAnswer, RelayJob, SendTerms, start_attempt};
 use super::ledger::RequestLedger;
 use super::permit::acquire_permit;
 use super::series::AttemptSeries;
@@ -150,12 +150,17 @@
         if !acquire_permit(shared, job, &series, &mut placement).await {
             continue;
         }
+        if let Err(stop) = series.renew_retry(shared, job).await {
+            ledger.retry_stop = Some(stop);
+            let fault = series.final_fault(shared, job, false);
+            return fail_stream(progress.output, &series, fault, ledger).await;
+        }
         ledger.record_send(&placement.target);
         progress.splitter.clear_partial_event();
         progress.first_event_at = None;
-        let may_hedge = series.may_hedge(shared, job, &placement.target);
+        let terms = series.send_terms(shared, job, &placement.target);
         let pace = &mut ledger.pace;
-        let result = stream_once(shared, job, &placement, &mut progress, pace, may_hedge).await;
+        let result = stream_once(shared, job, &placement, &mut progress, pace, terms).await;
         match result {
             Ok(status) => return ledger.end(RequestEnd::Answered, status, ""),
             Err(fault) => {
@@ -209,14 +214,14 @@
     placement: &Placement,
     progress: &mut StreamProgress<'_>,
     pace: &mut StreamPace,
-    may_hedge: bool,
+    terms: SendTerms,
 ) -> Result<StatusCode, AttemptFault> {
     let resume_after = progress.splitter.last_id().or(job.head.resume_after);
-    let answer = start_attempt(shared, job, placement, resume_after, may_hedge).await?;
+    let answer = start_attempt(shared, job, placement, resume_after, terms).await?;
     if !answer.parts.status.is_success() {
         return handle_failure(shared, job, answer.parts, answer.body, progress.output).await;
     }
-    let result = forward_events(shared, job, answer, progress, pace, may_hedge).await;
+    let result = forward_events(shared, job, answer, progress, pace, terms.may_hedge).await;
     result.map_err(|fault| {
         let streamed_for =
             progress.first_event_at.map_or(Duration::ZERO, |at| shared.now().since(at));
