--- a/src/relay/decide/retry_delay.rs
+++ b/src/relay/decide/retry_delay.rs
@@ -22,6 +22,10 @@
 /// together.
 const RETRY_JITTER: std::ops::Range<f64> = 0.6..1.0;
 
+/// Minimum delay until a target accepts requests again. Callers that were refused just before it
+/// does would otherwise return at once.
+const MIN_REOPENING_DELAY: Duration = Duration::from_millis(50);
+
 /// Delay if all targets of a service are leaving. Their replacements are listed within about a
 /// second of their start.
 const REPLACEMENT_DELAY: Duration = Duration::from_secs(1);
@@ -79,7 +83,7 @@
 /// Delay for a caller that is refused until a target accepts requests again in `wait`.
 #[must_use]
 pub fn after_reopening(wait: Duration, random: &mut impl Rng) -> Duration {
-    wait.mul_f64(random.random_range(REOPENING_JITTER))
+    wait.max(MIN_REOPENING_DELAY).mul_f64(random.random_range(REOPENING_JITTER))
 }
 
 /// Delay for a prompt that the engines are too busy for. It is at least the predicted time to
