--- a/src/relay/peers/subscriber_set.rs
+++ b/src/relay/peers/subscriber_set.rs
@@ -1,7 +1,7 @@
 //! The agent's table of the entries that use its engine. Each entry receives messages about the
 //! load that the others place on the engine.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,9 +30,10 @@
 /// The entries that an agent knows, and what their streams cost its engine.
 #[derive(Debug, Default)]
 pub struct SubscriberSet {
-    subscribers: HashMap<SocketAddr, Subscriber>,
+    // Ordered, so that a run of a model with a seed repeats.
+    subscribers: BTreeMap<SocketAddr, Subscriber>,
     peak: SubscriberPeak,
-    streams: HashMap<StreamKey, PeerMessage>,
+    streams: BTreeMap<StreamKey, PeerMessage>,
     /// What entries reported about requests that crash targets.
     suspects: QuarantineLedger,
     /// Accepted rates of targets, and permits to send to them.
@@ -42,7 +43,7 @@
     /// Name of the engine beside this agent, as entries call it.
     beside: Option<Arc<str>>,
     /// Rates that were sent to each subscriber.
-    sent_rates: HashMap<SocketAddr, AnnouncedRates>,
+    sent_rates: BTreeMap<SocketAddr, AnnouncedRates>,
 }
 
 #[derive(Debug)]
