--- a/src/relay/decide/retry_budget.rs
+++ b/src/relay/decide/retry_budget.rs
@@ -17,8 +17,9 @@
 use crate::silence::UNACKED_TIMEOUT;
 use crate::time::Tick;
 
-/// Time after which an acquired retry that has not been sent lapses. Its request acquires another.
-pub const RETRY_SEND_WINDOW: Duration = Duration::from_millis(300);
+/// Time after its payment begins after which a retry that has not been sent lapses. Its request
+/// acquires another.
+pub const RETRY_SEND_WINDOW: Duration = Duration::from_millis(500);
 
 /// Longest time from the acquisition of a retry to its arrival: a network that loses packets holds
 /// it until the connection is closed.
--- a/src/relay/proxy/permit.rs
+++ b/src/relay/proxy/permit.rs
@@ -57,35 +57,30 @@
 pub(crate) async fn acquire_retry(shared: &RelayShared, service: &Arc<str>) -> Option<Tick> {
     let now = shared.now();
     let is_paid = shared.core.borrow_mut().take_retry(service, now);
-    let (outcome, send_before) = if is_paid {
-        (RetryOutcome::OwnShare, Some(now + RETRY_SEND_WINDOW))
-    } else {
-        request_retry(shared, service).await
-    };
+    let outcome =
+        if is_paid { RetryOutcome::OwnShare } else { request_retry(shared, service).await };
     shared.counts.borrow().record_retry(outcome);
-    send_before
+    let is_acquired = matches!(outcome, RetryOutcome::OwnShare | RetryOutcome::Granted);
+    is_acquired.then_some(now + RETRY_SEND_WINDOW)
 }
 
 /// Asks agents for a retry, one after the other.
-async fn request_retry(shared: &RelayShared, service: &Arc<str>) -> (RetryOutcome, Option<Tick>) {
+async fn request_retry(shared: &RelayShared, service: &Arc<str>) -> RetryOutcome {
     let query = shared.core.borrow_mut().retry_grant_query(service, shared.now());
     let Some(RetryGrantQuery { request, own_credit, agent_hosts }) = query else {
-        return (RetryOutcome::Refused, None);
+        return RetryOutcome::Refused;
     };
     let mut shortest_wait_ms = None;
     for agent_host in agent_hosts {
-        let asked_at = shared.now();
         // It may not have answered another request meanwhile.
-        if !shared.core.borrow().may_ask(agent_host, asked_at) {
+        if !shared.core.borrow().may_ask(agent_host, shared.now()) {
             continue;
         }
         let message = |nonce| PeerMessage::RequestRetryGrant { nonce, request: request.clone() };
         let reply = call_agent(shared, agent_host, message).await;
         shared.log.retry_answered(service, agent_host, reply, shared.now());
         match reply {
-            Some(PermitReply::Granted { .. } | PermitReply::Open) => {
-                return (RetryOutcome::Granted, Some(asked_at + RETRY_SEND_WINDOW));
-            }
+            Some(PermitReply::Granted { .. } | PermitReply::Open) => return RetryOutcome::Granted,
             Some(PermitReply::Refused { wait_ms }) => {
                 shortest_wait_ms = Some(shortest_wait_ms.unwrap_or(u32::MAX).min(wait_ms));
             }
@@ -98,8 +93,7 @@
         shortest_wait_ms,
         shared.now(),
     );
-    let is_answered = shortest_wait_ms.is_some();
-    (if is_answered { RetryOutcome::Refused } else { RetryOutcome::Unanswered }, None)
+    if shortest_wait_ms.is_some() { RetryOutcome::Refused } else { RetryOutcome::Unanswered }
 }
 
 /// A request to an agent that awaits its reply. Dropping it unregisters it, also if the caller
--- a/src/relay/proxy/series.rs
+++ b/src/relay/proxy/series.rs
@@ -276,6 +276,7 @@
             return Err(RetryStop::MaxSends);
         }
         if is_sent {
+            // The acquired retry, if any, is spent.
             self.send_before = Tick::default();
         }
         self.renew_retry(shared, job).await
