--- a/tests/relay/budget.rs
+++ b/tests/relay/budget.rs
@@ -5,7 +5,9 @@
 use shalelane::relay::core::RelayCore;
 use shalelane::relay::decide::permit_issuer::PermitReply;
 use shalelane::relay::decide::retry_budget::{RetryBound, RetryBudget};
-use shalelane::relay::decide::shared_retry_budget::{RetryGrantRequest, SharedRetryBudget};
+use shalelane::relay::decide::shared_retry_budget::{
+    RetryDeposit, RetryGrantRequest, SharedRetryBudget,
+};
 use shalelane::relay::decide::slack_share::SlackShare;
 use shalelane::relay::discovery::freshness::StalePolicy;
 use shalelane::relay::discovery::rules::{RelayConfig, ServiceRule};
@@ -67,6 +69,11 @@
     assert!(refused.len() > 20, "{refused:?}");
     assert!(refused[0] <= 250 && refused[1] > refused[0], "each waits for its own: {refused:?}");
     assert!(refused.iter().all(|wait_ms| *wait_ms <= 1_000), "{refused:?}");
+    // Deposits go on meanwhile; the next one comes half a second later.
+    let later = at(now + DEPOSIT_INTERVAL.max(refused[0] + 1));
+    let share_us = (DEPOSIT_INTERVAL * 950) as u32;
+    shared.on_deposit(&RetryDeposit { entry: 1, sent_at: later, share_us }, later);
+    assert_eq!(shared.on_request(&request(), later), PermitReply::Granted { after_ms: 0 });
 }
 
 #[test]
