Entries have random numbers

Cause: the number of an entry was its start in microseconds and ten random bits. Entries that start within one microsecond share a number with a noticeable probability, and with it the names of their memory reservations, streams and deposits.

Change: all 64 bits are random. The test fails with the number from the clock (trial on a scratch copy).

--- a/src/relay/core/mod.rs
+++ b/src/relay/core/mod.rs
@@ -34,7 +34,16 @@
 pub mod retries;
 pub mod target_list;
 
-/// Number of distinct jitter values, which are taken from the random part of an incarnation.
+/// Draws the number that tells one run of an entry apart from all other runs of all entries.
+///
+/// All of it is random: the entries of a fleet may start within the same microsecond, so that a
+/// time and a few random bits are not unique.
+#[must_use]
+pub fn draw_entry_number() -> u64 {
+    rand::random()
+}
+
+/// Number of distinct jitter values, which are taken from the low bits of an entry's number.
 const JITTER_STEPS: u64 = 1 << 10;
 
 fn jitter_of(entry: u64) -> f64 {
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -15,7 +15,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::task::LocalSet;
 
-use super::core::RelayCore;
+use super::core::{RelayCore, draw_entry_number};
 use super::decide::start_wait::StartPhase;
 use super::discovery::follow_config::follow_config;
 use super::discovery::follow_quarantine::follow_quarantine;
@@ -32,7 +32,7 @@
 use super::stop::{StopPhase, StopPlan};
 use crate::Result;
 use crate::client::HttpClient;
-use crate::clock::{ProcessClock, SuspensionWatch, new_incarnation, wall_micros};
+use crate::clock::{ProcessClock, SuspensionWatch, wall_micros};
 use crate::program::on_reload_signal;
 use crate::time::Tick;
 use crate::web::accept_next;
@@ -87,9 +87,11 @@
     let link = PeerLink::bind(settings.load_listen).await?;
     let config_copies = TcpListener::bind(link.address()).await?;
     let limits = settings.to_limits();
-    slog::info!(log.logger, "start"; "listen" => %settings.listen, "version" => env!("CARGO_PKG_VERSION"));
+    let entry = draw_entry_number();
+    slog::info!(log.logger, "start"; "listen" => %settings.listen, "entry" => format!("{entry:016x}"),
+        "version" => env!("CARGO_PKG_VERSION"));
     let shared = Rc::new(RelayShared {
-        core: RefCell::new(RelayCore::new(limits, new_incarnation().0)),
+        core: RefCell::new(RelayCore::new(limits, entry)),
         pool: RefCell::default(),
         caller_protocol: adapter.caller_protocol,
         target_protocol: adapter.target_protocol,
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -18,6 +18,7 @@
 mod quarantine;
 mod rates;
 mod regions;
+mod reservations;
 mod restored_store;
 mod retry_delay;
 mod retry_fleet;
