A reservation's calls are decided in one place

Cause: renewals ran beside releases (an aborted renewal could be carried out after the release), went on after a refusal, and a host that had stood still sent a request with memory that had lapsed.

Change: ReservationState makes one call at a time, releases after the renewal before, renews nothing that may have lapsed, and says whether memory is surely held when the request is sent. Each reservation has a task of its own, which goes on when the caller leaves.

--- a/src/relay/decide/mod.rs
+++ b/src/relay/decide/mod.rs
@@ -15,6 +15,7 @@
 //! - [`policy`]: weights and switches of the decisions.
 //! - [`group_search`]: the engines that prefill a prompt, and the one that decodes its answer.
 //! - [`placement`]: the target of a request, and whether it is sent, delayed or refused.
+//! - [`reservation`]: the calls that reserve, renew and release engine memory for an attempt.
 //! - [`retry_delay`]: the delay after which refused callers may retry.
 //! - [`start_wait`]: how long callers wait for a process that has just started.
 //! - [`send_count`], [`retry_budget`], [`slack_share`], [`shared_retry_budget`],
@@ -41,6 +42,7 @@
 pub mod rate_limit;
 pub mod rate_table;
 pub mod request_digest;
+pub mod reservation;
 pub mod retry_budget;
 pub mod retry_delay;
 pub mod send_count;
--- a/src/relay/proxy/forward.rs
+++ b/src/relay/proxy/forward.rs
@@ -311,6 +311,9 @@
     if shared.now() >= terms.send_before {
         return Err(AttemptFault::lapsed());
     }
+    if guard.memory.as_ref().is_some_and(|memory| !memory.is_held(shared.now())) {
+        return Err(AttemptFault::not_sent("a reservation of memory has expired"));
+    }
     let connection = guard.connection.insert(connection);
     let request = to_request(shared, job, placement, &helpers, resume_after);
     let sent_at = shared.now();
--- a/src/relay/proxy/memory_hold.rs
+++ b/src/relay/proxy/memory_hold.rs
@@ -1,52 +1,54 @@
 //! Memory reservations at several engines for one prompt.
 //!
 //! Either all memory is reserved or none: engines are called in the order of their addresses, and
-//! if one refuses, the earlier reservations are released. A reservation is short and is renewed
-//! while its request lives. It thus expires soon after its owner has crashed, and a renewal that is
-//! processed late holds memory only briefly.
+//! if one refuses, the earlier reservations are released. Each reservation has a task of its own
+//! that makes the calls which [`ReservationState`] decides on, until the memory is released.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, StatusCode};
-use tokio::task::AbortHandle;
+use tokio::sync::{Notify, oneshot};
 
 use super::protocol::{HelperReservation, Reservation, ReserveReply, TargetCall};
 use crate::Result;
 use crate::client::full;
 use crate::relay::decide::placement::Placement;
+use crate::relay::decide::reservation::{
+    CallOutcome, RESERVATION_TTL, ReservationCall, ReservationState,
+};
 use crate::relay::decide::targets::{TargetInstance, TargetState};
 use crate::relay::peers::peer_message::PeerMessage;
 use crate::relay::shared::RelayShared;
-
-/// Time after which a reservation expires unless it is renewed: less than two seconds, after which
-/// unused reserved memory is counted against its owner.
-const RESERVATION_TTL: Duration = Duration::from_millis(1_900);
-
-/// Interval between renewals; two renewals in a row may be lost.
-const RENEW_INTERVAL: Duration = Duration::from_millis(600);
+use crate::time::Tick;
 
 /// Timeout of a reservation call: a few round trips between failure domains.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Number of attempts to release a reservation; after that it expires by itself.
-const MAX_RELEASE_ATTEMPTS: usize = 2;
-
-#[derive(Clone)]
+/// A reservation at one engine.
 struct HeldReservation {
     address: SocketAddr,
     /// Instance that was asked for memory; `None` if the target is no longer listed.
     instance: Option<TargetInstance>,
     reservation: Reservation,
+    state: RefCell<ReservationState>,
+    /// Notified when the owner has ended.
+    ended: Notify,
+}
+
+impl HeldReservation {
+    fn end(&self) {
+        self.state.borrow_mut().end();
+        self.ended.notify_one();
+    }
 }
 
 /// Reservations of one attempt. Dropping it releases them.
 pub(crate) struct MemoryHold {
-    shared: Rc<RelayShared>,
-    reservations: Vec<HeldReservation>,
-    renewal_task: Option<AbortHandle>,
+    reservations: Vec<Rc<HeldReservation>>,
 }
 
 impl MemoryHold {
@@ -61,74 +63,113 @@
         placement: &Placement,
         helpers: &mut [HelperReservation],
     ) -> std::result::Result<Self, String> {
-        let mut hold =
-            MemoryHold { shared: shared.clone(), reservations: Vec::new(), renewal_task: None };
+        let mut hold = MemoryHold { reservations: Vec::new() };
         let mut wanted: Vec<_> = helpers.iter_mut().zip(&placement.reservations).collect();
         wanted.sort_by_key(|(helper, _)| helper.address);
         for (helper, memory) in wanted {
-            let id = format!(
-                "{:016x}{:08x}",
-                shared.core.borrow().entry(),
-                shared.next_reservation_number()
-            );
+            let id = shared.reservation_names.borrow_mut().next_name();
             // A waiting reservation blocks other requests at the engine, and may succeed too late.
             let may_wait = false;
             let tokens = memory.tokens;
-            let reservation = Reservation { id: id.into(), tokens, ttl: RESERVATION_TTL, may_wait };
+            let reservation = Reservation { id, tokens, ttl: RESERVATION_TTL, may_wait };
             helper.reservation = Some(reservation.id.clone());
-            // Recorded before the call: a call without an answer may have taken effect and must be
-            // released.
-            let instance = shared.core.borrow().instance_of(&memory.target);
-            let reserved = HeldReservation { address: helper.address, instance, reservation };
-            hold.reservations.push(reserved.clone());
-            match send_reserve(shared, &reserved).await {
-                Ok(ReserveReply::Held) => {}
-                Ok(ReserveReply::Waiting | ReserveReply::Refused) => {
-                    return Err(format!("no memory at {}", memory.target));
+            let held = Rc::new(HeldReservation {
+                address: helper.address,
+                instance: shared.core.borrow().instance_of(&memory.target),
+                reservation,
+                state: RefCell::default(),
+                ended: Notify::new(),
+            });
+            hold.reservations.push(held.clone());
+            let (answered, answer) = oneshot::channel();
+            // The call goes on if the caller leaves, so that its reservation is released.
+            tokio::task::spawn_local(maintain(shared.clone(), held, answered));
+            match answer.await {
+                Ok(CallOutcome::Done) => {}
+                Ok(CallOutcome::Refused) => return Err(format!("no memory at {}", memory.target)),
+                Ok(CallOutcome::Unanswered) | Err(_) => {
+                    return Err(format!("no answer to a reservation at {}", memory.target));
                 }
-                Err(error) => return Err(format!("no reservation at {}: {error}", memory.target)),
             }
         }
-        let task = tokio::task::spawn_local(renew_all(shared.clone(), hold.reservations.clone()));
-        hold.renewal_task = Some(task.abort_handle());
         Ok(hold)
     }
+
+    /// Returns `true` if all engines hold the memory at `now`, unless one has restarted.
+    pub(crate) fn is_held(&self, now: Tick) -> bool {
+        self.reservations.iter().all(|held| held.state.borrow().is_held(now))
+    }
 }
 
 impl Drop for MemoryHold {
     fn drop(&mut self) {
-        if let Some(renewal_task) = self.renewal_task.take() {
-            renewal_task.abort();
-        }
-        for reserved in std::mem::take(&mut self.reservations) {
-            tokio::task::spawn_local(release(self.shared.clone(), reserved));
+        for held in &self.reservations {
+            held.end();
         }
     }
 }
 
-async fn renew_all(shared: Rc<RelayShared>, reservations: Vec<HeldReservation>) {
-    loop {
-        tokio::time::sleep(RENEW_INTERVAL).await;
-        for reserved in &reservations {
-            let result = send_reserve(&shared, reserved).await;
-            if !matches!(result, Ok(ReserveReply::Held)) {
-                slog::warn!(shared.log.logger(), "reservation not renewed";
-                    "id" => &*reserved.reservation.id, "address" => %reserved.address,
-                    "reply" => ?result);
+/// Makes the calls of a reservation until its memory is released, and reports how the first one
+/// has ended.
+async fn maintain(
+    shared: Rc<RelayShared>,
+    held: Rc<HeldReservation>,
+    answered: oneshot::Sender<CallOutcome>,
+) {
+    let mut answered = Some(answered);
+    while !held.state.borrow().is_finished() {
+        let call = held.state.borrow_mut().begin_call(shared.now());
+        let Some(call) = call else {
+            let left = held.state.borrow().next_due().since(shared.now());
+            tokio::select! {
+                () = tokio::time::sleep(left) => {}
+                () = held.ended.notified() => {}
             }
+            continue;
+        };
+        let outcome = send_reservation_call(&shared, &held, call).await;
+        held.state.borrow_mut().end_call(outcome);
+        if let Some(answered) = answered.take() {
+            // If the caller has left, nobody waits for the answer.
+            answered.send(outcome).ok();
         }
     }
 }
 
-async fn release(shared: Rc<RelayShared>, reserved: HeldReservation) {
-    for _ in 0..MAX_RELEASE_ATTEMPTS {
-        let call = (shared.target_protocol.to_release)(&reserved.reservation.id);
-        match send_call(&shared, &reserved, call).await {
-            Ok(_) => return,
-            Err(error) => slog::warn!(shared.log.logger(), "reservation not released";
-                "id" => &*reserved.reservation.id, "address" => %reserved.address,
-                "error" => %error),
+/// Sends a call to an engine and logs it unless the engine did as it was asked.
+async fn send_reservation_call(
+    shared: &RelayShared,
+    held: &HeldReservation,
+    call: ReservationCall,
+) -> CallOutcome {
+    let result = match call {
+        ReservationCall::Reserve | ReservationCall::Renew => {
+            send_reserve(shared, held).await.map(to_outcome)
         }
+        ReservationCall::Release => {
+            let call = (shared.target_protocol.to_release)(&held.reservation.id);
+            send_call(shared, held, call).await.map(|_| CallOutcome::Done)
+        }
+    };
+    let (outcome, error) = match result {
+        Ok(outcome) => (outcome, String::new()),
+        Err(error) => (CallOutcome::Unanswered, error.to_string()),
+    };
+    // A refusal to reserve is logged with the attempt.
+    if outcome != CallOutcome::Done && call != ReservationCall::Reserve {
+        slog::warn!(shared.log.logger(), "reservation call failed";
+            "call" => ?call, "outcome" => ?outcome, "error" => error,
+            "id" => &*held.reservation.id, "address" => %held.address);
+    }
+    outcome
+}
+
+fn to_outcome(reply: ReserveReply) -> CallOutcome {
+    match reply {
+        ReserveReply::Held => CallOutcome::Done,
+        ReserveReply::Refused => CallOutcome::Refused,
+        // The engine may still reserve the memory later.
+        ReserveReply::Waiting => CallOutcome::Unanswered,
     }
 }
 
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -16,6 +16,7 @@
 use tokio::task::LocalSet;
 
 use super::core::{RelayCore, draw_entry_number};
+use super::decide::reservation::ReservationNames;
 use super::decide::start_wait::StartPhase;
 use super::discovery::follow_config::follow_config;
 use super::discovery::follow_quarantine::follow_quarantine;
@@ -112,7 +113,7 @@
         quarantine_write_due: Notify::new(),
         link,
         http_client: HttpClient::new(1),
-        next_reservation: Cell::new(0),
+        reservation_names: RefCell::new(ReservationNames::new(entry)),
         pending_permits: RefCell::default(),
         clock: ProcessClock::new(),
         open_requests: Cell::new(0),
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -11,6 +11,7 @@
 use super::core::RelayCore;
 use super::counts::RelayCounts;
 use super::decide::permit_issuer::PermitReply;
+use super::decide::reservation::ReservationNames;
 use super::decide::start_wait::{StartPhase, start_wait};
 use super::decide::target_notice::TargetNotice;
 use super::decide::targets::TargetInstance;
@@ -67,8 +68,8 @@
     pub(crate) link: PeerLink,
     /// Client for memory reservations and for copies of other entries' configurations.
     pub(crate) http_client: HttpClient,
-    /// Number of the next memory reservation.
-    pub(crate) next_reservation: Cell<u32>,
+    /// Names of this entry's memory reservations.
+    pub(crate) reservation_names: RefCell<ReservationNames>,
     /// Requests for permits that wait for an answer, by their nonce.
     pub(crate) pending_permits: RefCell<HashMap<u64, oneshot::Sender<PermitReply>>>,
     pub(crate) clock: ProcessClock,
@@ -197,13 +198,6 @@
         !core.config_revision().is_unknown() && !core.is_config_behind(now)
     }
 
-    /// Returns a number that is unique among the memory reservations of this process.
-    pub(crate) fn next_reservation_number(&self) -> u32 {
-        let number = self.next_reservation.get();
-        self.next_reservation.set(number.wrapping_add(1));
-        number
-    }
-
     /// Sends the messages that the core has for agents.
     pub(crate) fn send_messages(&self) {
         let mut core = self.core.borrow_mut();
