--- a/tests/relay/budget.rs
+++ b/tests/relay/budget.rs
@@ -249,3 +249,16 @@
     };
     core.apply_message(message, now);
 }
+
+/// Guards against an entry that was frozen and deposits the share of all that time at once.
+#[test]
+fn an_entry_that_was_frozen_does_not_make_up_for_it() {
+    let mut share = SlackShare::default();
+    for millis in (0..4_000).step_by(500) {
+        share.record_entries(1, at(millis));
+        share.take_deposit(1, at(millis));
+    }
+    let deposit = share.take_deposit(1, at(14_000)).expect("a deposit is due");
+    assert!(ms(u64::from(deposit.share_us) / 1_000) <= ms(1_500), "{deposit:?}");
+    assert!(share.take_deposit(1, at(14_001)).is_none(), "what was lost was deposited later");
+}
