Urgency: ranks of routes and accounts weigh requests and go to targets

Cause: the rank that operators give to routes and accounts was decoded nowhere, played no part in any decision and was not passed on to targets, which order requests by it.

Change: ranks are compared by account, then by route (decide/urgency.rs). Where the requests of a service differ, each carries the number of more urgent ranks to its target, and a request of a less urgent rank has half the value of the next one, at least a quarter, in all decisions in which one costs another something, and in the loads that entries announce.

Log field rank of request; metric shalelane_relay_ranked_ends_total.

--- a/src/relay/counts.rs
+++ b/src/relay/counts.rs
@@ -58,6 +58,8 @@
     retries: IntCounterVec,
     first_event: HistogramVec,
     faults: IntCounterVec,
+    /// Ends of requests where ranks differ, by the number of more urgent ranks and the outcome.
+    ranked_ends: IntCounterVec,
     config_version: IntGauge,
     proof_age: IntGauge,
     serves_unproven: IntGauge,
@@ -145,6 +147,12 @@
                 "requests that the relay answered with a failure of its own, by its code",
                 "code",
             ),
+            ranked_ends: registry.add_counter_vec(
+                "shalelane_relay_ranked_ends_total",
+                "ends of requests of services whose requests differ in urgency, by the number of \
+                 more urgent ranks and the outcome",
+                "rank_and_end",
+            ),
             mirrors,
             registry,
         }
@@ -164,6 +172,13 @@
         *count += 1;
     }
 
+    /// Counts the outcome of a request of a service whose requests differ in urgency. Targets know
+    /// ten ranks, so that the number of label values is small.
+    pub(crate) fn record_ranked_end(&self, more_urgent: u8, outcome: RequestEnd) {
+        let label = format!("{}_{outcome}", more_urgent.min(9));
+        self.ranked_ends.with_label_values(&[&label]).inc();
+    }
+
     /// Counts a finished call to the store.
     pub(crate) fn record_store_call(&self, call: StoreCall) {
         self.store_calls.with_label_values(&[call.as_str()]).inc();
--- a/src/relay/decide/mod.rs
+++ b/src/relay/decide/mod.rs
@@ -5,6 +5,7 @@
 //! - [`rate_limit`]: the rate of requests that a target accepts from all entries together,
 //!   [`rate_table`]: the known rates, and [`permit_issuer`]: permits to send to a rate-limited
 //!   target.
+//! - [`urgency`]: the ranks of requests, and what each is worth beside the others.
 //! - [`warmup`]: the rate limit of a target that has just come into use.
 //! - [`evacuation`]: failure domains that are out of service, and [`service_scope`]: the
 //!   failure domains in which a request may run.
@@ -54,4 +55,5 @@
 pub mod target_notice;
 pub mod target_state;
 pub mod targets;
+pub mod urgency;
 pub mod warmup;
--- a/src/relay/decide/placement.rs
+++ b/src/relay/decide/placement.rs
@@ -37,13 +37,15 @@
     pub longest_pause: Duration,
     /// Whether the prompt was admitted by an earlier decision and has waited since.
     pub is_admitted: bool,
+    /// Factor on the value of the request by its urgency, see [`super::urgency`].
+    pub value_factor: f32,
 }
 
 impl PromptNeed {
-    /// Value of the request, in short requests.
+    /// Value of the request, in short requests of the most urgent rank.
     #[must_use]
     pub fn value(&self) -> f32 {
-        1.0 + self.prompt_tokens as f32 / TOKENS_PER_VALUE
+        self.value_factor * (1.0 + self.prompt_tokens as f32 / TOKENS_PER_VALUE)
     }
 
     /// Loss of the request if its first event comes after `first`.
--- a/src/relay/decide/reservation.rs
+++ b/src/relay/decide/reservation.rs
@@ -78,11 +78,10 @@
     renew_at: Tick,
     /// Whether the engine refused a call, or may have dropped the reservation.
     is_lost: bool,
-    /// Whether a call that reserves memory may still be carried out or be in force.
+    /// Whether memory was asked for and is not known to be released.
     may_hold: bool,
     /// Whether the owner has ended.
     is_ended: bool,
-    was_requested: bool,
     releases: usize,
 }
 
@@ -97,7 +96,6 @@
             is_lost: false,
             may_hold: false,
             is_ended: false,
-            was_requested: false,
             releases: 0,
         }
     }
@@ -110,7 +108,7 @@
         }
         let call = self.due_call(now)?;
         match call {
-            ReservationCall::Reserve => (self.was_requested, self.may_hold) = (true, true),
+            ReservationCall::Reserve => self.may_hold = true,
             ReservationCall::Renew => self.renew_at = now + RENEW_INTERVAL,
             ReservationCall::Release => self.releases += 1,
         }
@@ -123,7 +121,7 @@
             let is_due = self.may_hold && self.releases < MAX_RELEASES;
             return is_due.then_some(ReservationCall::Release);
         }
-        if !self.was_requested {
+        if !self.may_hold {
             return Some(ReservationCall::Reserve);
         }
         if now < self.renew_at || self.is_lost {
@@ -137,14 +135,13 @@
     pub fn end_call(&mut self, outcome: CallOutcome) {
         let Some((call, sent_at)) = self.in_flight.take() else { return };
         match (call, outcome) {
-            (ReservationCall::Release, CallOutcome::Unanswered) => {}
+            (ReservationCall::Release | ReservationCall::Renew, CallOutcome::Unanswered) => {}
             (ReservationCall::Release, _) => self.may_hold = false,
             // It is released all the same: an earlier call without an answer may still be carried
             // out.
             (_, CallOutcome::Refused) | (ReservationCall::Reserve, CallOutcome::Unanswered) => {
                 self.is_lost = true;
             }
-            (ReservationCall::Renew, CallOutcome::Unanswered) => {}
             (_, CallOutcome::Done) => {
                 self.held_until = sent_at + RESERVATION_TTL;
                 self.renew_at = sent_at + RENEW_INTERVAL;
--- /dev/null
+++ b/src/relay/decide/urgency.rs
@@ -0,0 +1,67 @@
+//! Urgency: the ranks that operators give to accounts and routes.
+//!
+//! Zero is the most urgent. The rank of an account goes before that of a route: routes decide among
+//! requests of accounts of one rank. Where the requests of a service differ in urgency, each
+//! carries to its target the number of more urgent ranks of the service, and the target admits the
+//! more urgent ones first. Where all are alike, none carries any, and targets serve them in order
+//! of arrival.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+
+use crate::relay::discovery::rules::RelayConfig;
+
+/// Factor on the value of a request for each more urgent rank of its service. All decisions in
+/// which one request costs another something weigh them by their value: a caller is set back only
+/// if that helps more urgent callers of half the value.
+const RANK_FACTOR: f32 = 0.5;
+
+/// Smallest factor. The least urgent must be served at least a quarter as often as all.
+const MIN_FACTOR: f32 = 0.25;
+
+/// Urgency of a request. Ranks are compared by the account first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct UrgencyRank {
+    /// Rank of the account; zero on a public route.
+    pub account: u8,
+    /// Rank of the route.
+    pub route: u8,
+}
+
+/// The ranks of the requests of each service.
+#[derive(Debug, Default)]
+pub struct RankTable(HashMap<Arc<str>, BTreeSet<UrgencyRank>>);
+
+impl RankTable {
+    /// Collects the ranks of a configuration. Any account may use any route.
+    #[must_use]
+    pub fn from_config(config: &RelayConfig) -> Self {
+        let accounts: BTreeSet<u8> = config.accounts.iter().map(|account| account.rank).collect();
+        let mut table = RankTable::default();
+        for route in &config.routes {
+            let is_open = route.is_public || accounts.is_empty();
+            let public = is_open.then_some(0);
+            for service in &route.services {
+                let ranks = table.0.entry(service.service.clone()).or_default();
+                let accounts = accounts.iter().copied().chain(public);
+                ranks.extend(accounts.map(|account| UrgencyRank { account, route: route.rank }));
+            }
+        }
+        table
+    }
+
+    /// Returns the number of more urgent ranks of a service, `None` if all its requests are
+    /// equally urgent.
+    #[must_use]
+    pub fn more_urgent(&self, service: &str, rank: UrgencyRank) -> Option<u8> {
+        let ranks = self.0.get(service).filter(|ranks| ranks.len() > 1)?;
+        Some(ranks.range(..rank).count().try_into().unwrap_or(u8::MAX))
+    }
+
+    /// Returns the factor on the value of a request: one for the most urgent rank of its service.
+    #[must_use]
+    pub fn value_factor(&self, service: &str, rank: UrgencyRank) -> f32 {
+        let more_urgent = self.more_urgent(service, rank).unwrap_or(0);
+        RANK_FACTOR.powi(more_urgent.into()).max(MIN_FACTOR)
+    }
+}
--- a/src/relay/discovery/rules.rs
+++ b/src/relay/discovery/rules.rs
@@ -9,6 +9,7 @@
 
 use crate::relay::decide::engine_rates::EngineRates;
 use crate::relay::decide::quarantine_list::QuarantineRecord;
+use crate::relay::decide::urgency::{RankTable, UrgencyRank};
 use crate::relay::decide::warmup::WarmupRule;
 
 /// Whether and how a request of a route may be sent again.
@@ -65,6 +66,14 @@
     /// Regions in which its requests may run, empty for all.
     #[serde(default)]
     pub regions: Vec<Arc<str>>,
+    /// Urgency of its requests; zero is the most urgent.
+    #[serde(default, skip_serializing_if = "is_most_urgent")]
+    pub rank: u8,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "the signature that serde calls")]
+fn is_most_urgent(rank: &u8) -> bool {
+    *rank == 0
 }
 
 /// A service: interchangeable targets.
@@ -89,6 +98,9 @@
     /// Regions in which its requests may run, empty for all.
     #[serde(default)]
     pub regions: Vec<Arc<str>>,
+    /// Urgency of its requests, which goes before that of their routes; zero is the most urgent.
+    #[serde(default, skip_serializing_if = "is_most_urgent")]
+    pub rank: u8,
 }
 
 /// Limits on what a caller may send.
@@ -184,6 +196,13 @@
         })
     }
 
+    /// Returns the urgency of the request.
+    #[must_use]
+    pub fn rank(&self) -> UrgencyRank {
+        let account = self.account.as_ref().map_or(0, |account| account.rank);
+        UrgencyRank { account, route: self.route.rank }
+    }
+
     /// Returns `true` if its targets may be in any region.
     #[must_use]
     pub fn permits_all_regions(&self) -> bool {
@@ -201,6 +220,7 @@
     keys: HashMap<Arc<str>, Rc<AccountRule>>,
     has_accounts: bool,
     limits: CallerLimits,
+    ranks: RankTable,
 }
 
 impl RuleTable {
@@ -211,6 +231,7 @@
             version: config.version,
             has_accounts: !config.accounts.is_empty(),
             limits: config.limits,
+            ranks: RankTable::from_config(&config),
             ..RuleTable::default()
         };
         for route in config.routes {
@@ -240,6 +261,12 @@
         self.limits
     }
 
+    /// Returns the ranks of the requests of each service.
+    #[must_use]
+    pub fn ranks(&self) -> &RankTable {
+        &self.ranks
+    }
+
     /// Returns the service of this name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&ServiceRule> {
--- a/src/relay/proxy/exchange.rs
+++ b/src/relay/proxy/exchange.rs
@@ -18,6 +18,7 @@
 use super::stream::serve_stream;
 use crate::relay::core::{Refusal, RelayCore};
 use crate::relay::decide::placement::PromptNeed;
+use crate::relay::decide::urgency::UrgencyRank;
 use crate::relay::discovery::rules::{Access, RouteRule};
 use crate::relay::record::RequestEnd;
 use crate::relay::shared::RelayShared;
@@ -39,7 +40,9 @@
     let head = (shared.caller_protocol.parse_head)(request.headers());
     let id: Arc<str> = head.attempt.clone().unwrap_or_else(|| "-".into());
     let mut ledger = RequestLedger::new(&shared, id.clone(), arrived);
-    let answer = match admit(&shared, request, head, id.clone(), arrived).await {
+    let admitted = admit(&shared, request, head, id.clone(), arrived).await;
+    ledger.more_urgent = admitted.as_ref().ok().and_then(|job| job.more_urgent);
+    let answer = match admitted {
         Ok(job) if job.route.is_stream => serve_stream(&shared, Rc::new(job), ledger).await,
         Ok(job) => {
             let answer = serve_call(&shared, &job, &mut ledger).await;
@@ -113,19 +116,22 @@
         return Err(RelayFault::invalid(StatusCode::BAD_REQUEST, "no_attempt", message));
     }
     let domains = shared.core.borrow().allowed_domains(&access);
+    let rank = access.rank();
     let Access { route, account } = access;
     let account = account.map(|account| account.name.clone());
     let Some(service) = RelayCore::pick_service(&route, xxhash_rust::xxh3::xxh3_64(id.as_bytes()))
     else {
         return Err(RelayFault::refused("no_service", "the route has none", NO_ROOM_RETRY_DELAY));
     };
-    let need = to_prompt_need(shared, &route, &service, &head);
+    let need = to_prompt_need(shared, &route, &service, rank, &head);
+    let more_urgent = shared.core.borrow().rules().ranks().more_urgent(&service, rank);
     let need = need.map(|need| PromptNeed { time_left: time_limit, ..need });
     let job = RelayJob {
         route,
         service,
         domains,
         account,
+        more_urgent,
         head,
         id,
         method: parts.method,
@@ -148,6 +154,7 @@
     shared: &RelayShared,
     route: &RouteRule,
     service: &str,
+    rank: UrgencyRank,
     head: &CallerHead,
 ) -> Option<PromptNeed> {
     let rules = shared.core.borrow().rules();
@@ -161,6 +168,7 @@
         time_left: route.time_limit,
         longest_pause: route.longest_pause,
         is_admitted: false,
+        value_factor: rules.ranks().value_factor(service, rank),
     })
 }
 
--- a/src/relay/proxy/forward.rs
+++ b/src/relay/proxy/forward.rs
@@ -52,6 +52,8 @@
     /// Failure domains whose targets may run the request; `None` for all.
     pub(crate) domains: Option<Rc<DomainSet>>,
     pub(crate) account: Option<Arc<str>>,
+    /// Number of more urgent ranks of the service; `None` where all are alike.
+    pub(crate) more_urgent: Option<u8>,
     pub(crate) head: CallerHead,
     pub(crate) id: Arc<str>,
     pub(crate) method: Method,
@@ -398,6 +400,7 @@
 ) -> Request<Full<Bytes>> {
     let mut headers = job.headers.clone();
     let head = TargetHead {
+        more_urgent: job.more_urgent,
         incarnation: &placement.target,
         account: job.account.as_deref(),
         time_left: job.deadline.since(shared.now()),
--- a/src/relay/proxy/ledger.rs
+++ b/src/relay/proxy/ledger.rs
@@ -21,6 +21,8 @@
     sends: usize,
     /// Digest of the request; set once an attempt has failed.
     pub(crate) digest: Option<RequestDigest>,
+    /// Number of more urgent ranks of the service; `None` where all are alike.
+    pub(crate) more_urgent: Option<u8>,
     /// Reason why the request was not sent again after a failure.
     pub(crate) retry_stop: Option<RetryStop>,
     pub(crate) pace: StreamPace,
@@ -38,6 +40,7 @@
             targets: Vec::new(),
             sends: 0,
             digest: None,
+            more_urgent: None,
             retry_stop: None,
             pace: StreamPace::default(),
             is_ended: false,
@@ -58,6 +61,9 @@
         let shared = &self.shared;
         let now = shared.now();
         shared.counts.borrow_mut().record_end(outcome);
+        if let Some(more_urgent) = self.more_urgent {
+            shared.counts.borrow().record_ranked_end(more_urgent, outcome);
+        }
         let core = shared.core.borrow();
         let line = RequestLine {
             id: &self.id,
@@ -67,6 +73,7 @@
             targets: &self.targets.join(","),
             sends: self.sends,
             digest: self.digest,
+            more_urgent: self.more_urgent,
             retry_stop: self.retry_stop,
             elapsed: now.since(self.arrived),
             pace: self.pace,
--- a/src/relay/proxy/memory_hold.rs
+++ b/src/relay/proxy/memory_hold.rs
@@ -73,17 +73,17 @@
             let tokens = memory.tokens;
             let reservation = Reservation { id, tokens, ttl: RESERVATION_TTL, may_wait };
             helper.reservation = Some(reservation.id.clone());
-            let held = Rc::new(HeldReservation {
+            let reserved = Rc::new(HeldReservation {
                 address: helper.address,
                 instance: shared.core.borrow().instance_of(&memory.target),
                 reservation,
                 state: RefCell::default(),
                 ended: Notify::new(),
             });
-            hold.reservations.push(held.clone());
+            hold.reservations.push(reserved.clone());
             let (answered, answer) = oneshot::channel();
             // The call goes on if the caller leaves, so that its reservation is released.
-            tokio::task::spawn_local(maintain(shared.clone(), held, answered));
+            tokio::task::spawn_local(maintain(shared.clone(), reserved, answered));
             match answer.await {
                 Ok(CallOutcome::Done) => {}
                 Ok(CallOutcome::Refused) => return Err(format!("no memory at {}", memory.target)),
--- a/src/relay/proxy/protocol.rs
+++ b/src/relay/proxy/protocol.rs
@@ -45,6 +45,9 @@
     pub incarnation: &'a str,
     /// Account that the caller's key belongs to.
     pub account: Option<&'a str>,
+    /// Number of ranks of its service that are more urgent; `None` if all requests of the service
+    /// are equally urgent.
+    pub more_urgent: Option<u8>,
     /// Time that is left for the request.
     pub time_left: Duration,
     /// Id of the last event that the caller has received.
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -173,6 +173,8 @@
     pub sends: usize,
     /// Digest of the request, `Some` if an attempt of it failed.
     pub digest: Option<RequestDigest>,
+    /// Number of more urgent ranks of the service; `None` where all are alike.
+    pub more_urgent: Option<u8>,
     /// Reason for which the request was not retried after a failure.
     pub retry_stop: Option<RetryStop>,
     /// Time since the arrival of the request.
@@ -289,7 +291,7 @@
         info!(self.logger, "request";
             "id" => line.id, "end" => %line.outcome, "status" => line.status, "why" => line.reason,
             "targets" => line.targets, "sends" => line.sends,
-            "digest" => line.digest.map(|digest| digest.to_string()),
+            "digest" => line.digest.map(|digest| digest.to_string()), "rank" => line.more_urgent,
             "not_sent_again" => line.retry_stop.map(|stop| stop.to_string()), "took_ms" => line.elapsed.as_millis() as u64,
             "first_ms" => line.pace.time_to_first.map(|duration| duration.as_millis() as u64),
             "longest_pause_ms" => line.pace.longest_pause.as_millis() as u64,
--- a/standins/src/replay/world.rs
+++ b/standins/src/replay/world.rs
@@ -261,6 +261,7 @@
         let since = self.now.since(Tick::default() + request.load.at);
         let waited = self.now.since(request.arrived);
         PromptNeed {
+            value_factor: 1.0,
             prompt_tokens: request.load.prompt,
             answer_tokens: u64::from(kind.events) * u64::from(self.rates.stride),
             first_event_limit: kind.max_first_event,
--- a/tests/relay/config_updates.rs
+++ b/tests/relay/config_updates.rs
@@ -21,7 +21,7 @@
         version,
         routes: vec![route("/a/")],
         services: vec![ServiceRule { name: name("a"), engine: None, warmup: None }],
-        accounts: vec![AccountRule { name: name("acme"), keys, regions: Vec::new() }],
+        accounts: vec![AccountRule { name: name("acme"), keys, regions: Vec::new(), rank: 0 }],
         ..RelayConfig::default()
     }
 }
@@ -267,6 +267,7 @@
             name: name(&format!("a{key}")),
             keys: vec![name(&format!("k{key}-{}", picks[0]))],
             regions: Vec::new(),
+            rank: 0,
         };
         config.accounts = keys.iter().map(account).collect();
         config
--- a/tests/relay/fixture.rs
+++ b/tests/relay/fixture.rs
@@ -79,6 +79,7 @@
         max_targets: 1,
         is_public: false,
         regions: Vec::new(),
+        rank: 0,
     }
 }
 
@@ -156,6 +157,7 @@
         time_left: ms(10_000),
         longest_pause,
         is_admitted: false,
+        value_factor: 1.0,
     }
 }
 
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -27,5 +27,6 @@
 mod stop;
 mod target_list_updates;
 mod targets;
+mod urgency;
 mod warmups;
 mod watch_timing;
--- a/tests/relay/regions.rs
+++ b/tests/relay/regions.rs
@@ -23,7 +23,7 @@
 
 fn account(key: &str, regions: &[&str]) -> AccountRule {
     let regions = regions.iter().map(|region| name(region)).collect();
-    AccountRule { name: name(key), keys: vec![name(key)], regions }
+    AccountRule { name: name(key), keys: vec![name(key)], regions, rank: 0 }
 }
 
 /// An entry in region north that knows an engine there and three in two domains of region
--- a/tests/relay/reservations.rs
+++ b/tests/relay/reservations.rs
@@ -207,6 +207,7 @@
 /// held when they may have lapsed, or never released.
 #[test]
 fn in_any_order_of_events_a_reservation_has_one_owner_and_ends_with_it() {
+    #[expect(clippy::needless_pass_by_value, reason = "what quickcheck gives")]
     fn property(bytes: Vec<u8>) -> bool {
         if bytes.is_empty() {
             return true;
--- a/tests/relay/rules.rs
+++ b/tests/relay/rules.rs
@@ -20,7 +20,7 @@
     RelayConfig {
         version,
         routes: vec![split_route("/a/", false), split_route("/a/b/", true)],
-        accounts: vec![AccountRule { name: name("acme"), keys, regions: Vec::new() }],
+        accounts: vec![AccountRule { name: name("acme"), keys, regions: Vec::new(), rank: 0 }],
         ..RelayConfig::default()
     }
 }
