Less urgent prompts leave a margin to the pauses of more urgent answers

Cause: entries place prompts at the same moment, each within the longest pause of the answers at an engine, and several in one pass exceed it together.

Change: for a request with less urgent ones below it, a pass counts as a risk from 0.4 of its longest pause on, and that goes with the loads that entries announce. Nothing changes where all ranks of a service are alike; the field is then left out of messages.

--- a/src/relay/decide/engine_snapshot.rs
+++ b/src/relay/decide/engine_snapshot.rs
@@ -68,6 +68,8 @@
     value: f32,
     /// Longest pause between the events of the stream that is in time.
     pause_limit: Duration,
+    /// Fraction of that limit from which a pass counts as a risk.
+    pause_risk_from: f32,
     /// Longest pass that the stream waits for.
     longest_pause: Duration,
 }
@@ -80,6 +82,7 @@
             context: load.context,
             value: load.value,
             pause_limit: Duration::from_micros(load.longest_pause_us),
+            pause_risk_from: load.pause_risk_from,
             longest_pause,
         }
     }
@@ -270,8 +273,11 @@
     /// Adds the loss of the decoding streams by the longest pass that each waits for.
     fn add_pause_losses(&mut self) {
         let others = self.streams.iter().filter(|stream| !stream.is_candidate);
-        let losses =
-            others.map(|stream| pause_loss(stream.value, stream.longest_pause, stream.pause_limit));
+        let losses = others.map(|stream| {
+            let SimulatedStream { value, longest_pause, pause_limit, pause_risk_from, .. } =
+                *stream;
+            pause_loss(value, longest_pause, pause_limit, pause_risk_from)
+        });
         self.loss += losses.sum::<f32>();
     }
 }
--- a/src/relay/decide/group_search.rs
+++ b/src/relay/decide/group_search.rs
@@ -256,7 +256,8 @@
         let record = &decoder.target.record;
         let &PassForecast { active, steady_pass, longest_pause, .. } = &decoder.forecast;
         let capacity = record.capacity;
-        let mut cost = pause_loss(need.value(), longest_pause, need.longest_pause);
+        let mut cost =
+            pause_loss(need.value(), longest_pause, need.longest_pause, need.pause_risk_from);
         cost += permit_cost(decoder.target, policy);
         if steady_pass.as_secs_f64() > need.longest_pause.as_secs_f64() * FIRST_EVENT_FRACTION {
             cost += need.value() * LATE_LOSS;
--- a/src/relay/decide/loss.rs
+++ b/src/relay/decide/loss.rs
@@ -20,7 +20,12 @@
 
 /// Fraction of the longest pause from which a pass counts as a risk. A pass that is predicted
 /// slightly shorter than the limit may turn out slightly longer.
-const PAUSE_RISK_FROM: f64 = 0.82;
+pub const PAUSE_RISK_FROM: f32 = 0.82;
+
+/// The same for a request that less urgent ones must not delay. Entries place prompts at the same
+/// moment without knowing of one another's, and several in one pass exceed the limit together,
+/// though each alone keeps it.
+pub const URGENT_PAUSE_RISK_FROM: f32 = 0.4;
 
 /// Loss of a request of this value if its first event comes `first` after its arrival.
 #[must_use]
@@ -31,10 +36,11 @@
     value * (late + TIME_LOSS * (fraction * fraction).min(MAX_SQUARED_FRACTION))
 }
 
-/// Loss of an answer of this value that pauses for a whole pass.
+/// Loss of an answer of this value that pauses for a whole pass. It rises from the fraction
+/// `risk_from` of the longest pause.
 #[must_use]
-pub fn pause_loss(value: f32, pass: Duration, longest_pause: Duration) -> f32 {
-    let fraction = pass.as_secs_f64() / longest_pause.as_secs_f64().max(1e-6);
-    let risk = ((fraction - PAUSE_RISK_FROM) / (1.0 - PAUSE_RISK_FROM)).clamp(0.0, 1.0);
-    value * LATE_LOSS * risk as f32
+pub fn pause_loss(value: f32, pass: Duration, longest_pause: Duration, risk_from: f32) -> f32 {
+    let fraction = (pass.as_secs_f64() / longest_pause.as_secs_f64().max(1e-6)) as f32;
+    let risk = ((fraction - risk_from) / (1.0 - risk_from)).clamp(0.0, 1.0);
+    value * LATE_LOSS * risk
 }
--- a/src/relay/decide/placement.rs
+++ b/src/relay/decide/placement.rs
@@ -39,6 +39,8 @@
     pub is_admitted: bool,
     /// Factor on the value of the request by its urgency, see [`super::urgency`].
     pub value_factor: f32,
+    /// Fraction of its longest pause from which a pass counts as a risk, see [`super::urgency`].
+    pub pause_risk_from: f32,
 }
 
 impl PromptNeed {
@@ -76,6 +78,7 @@
             passes,
             longest_pause_us: self.longest_pause.as_micros() as u64,
             value: self.value(),
+            pause_risk_from: self.pause_risk_from,
         }
     }
 
--- a/src/relay/decide/stream_load.rs
+++ b/src/relay/decide/stream_load.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::loss::PAUSE_RISK_FROM;
+
 /// Key of a stream, unique over all entries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct StreamKey {
@@ -50,6 +52,22 @@
     /// Value of the request, in short requests.
     #[serde(rename = "v")]
     pub value: f32,
+    /// Fraction of its longest pause from which a pass counts as a risk.
+    #[serde(
+        rename = "k",
+        default = "default_pause_risk",
+        skip_serializing_if = "is_default_pause_risk"
+    )]
+    pub pause_risk_from: f32,
+}
+
+fn default_pause_risk() -> f32 {
+    PAUSE_RISK_FROM
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "the signature that serde calls")]
+fn is_default_pause_risk(risk_from: &f32) -> bool {
+    *risk_from == PAUSE_RISK_FROM
 }
 
 impl StreamLoad {
--- a/src/relay/decide/urgency.rs
+++ b/src/relay/decide/urgency.rs
@@ -9,6 +9,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
+use super::loss::{PAUSE_RISK_FROM, URGENT_PAUSE_RISK_FROM};
 use crate::relay::discovery::rules::RelayConfig;
 
 /// Factor on the value of a request for each more urgent rank of its service. All decisions in
@@ -64,4 +65,13 @@
         let more_urgent = self.more_urgent(service, rank).unwrap_or(0);
         RANK_FACTOR.powi(more_urgent.into()).max(MIN_FACTOR)
     }
+
+    /// Returns the fraction of its longest pause from which a pass counts as a risk for a request:
+    /// less urgent prompts leave a margin to those that are more urgent.
+    #[must_use]
+    pub fn pause_risk_from(&self, service: &str, rank: UrgencyRank) -> f32 {
+        let least = self.0.get(service).and_then(BTreeSet::last);
+        let has_less_urgent = least.is_some_and(|least| *least > rank);
+        if has_less_urgent { URGENT_PAUSE_RISK_FROM } else { PAUSE_RISK_FROM }
+    }
 }
--- a/src/relay/proxy/exchange.rs
+++ b/src/relay/proxy/exchange.rs
@@ -169,6 +169,7 @@
         longest_pause: route.longest_pause,
         is_admitted: false,
         value_factor: rules.ranks().value_factor(service, rank),
+        pause_risk_from: rules.ranks().pause_risk_from(service, rank),
     })
 }
 
--- a/standins/src/replay/world.rs
+++ b/standins/src/replay/world.rs
@@ -9,6 +9,7 @@
 use rand::rngs::StdRng;
 use shalelane::relay::core::{PlacedAttempt, RelayCore, RelayLimits};
 use shalelane::relay::decide::engine_rates::EngineRates;
+use shalelane::relay::decide::loss::PAUSE_RISK_FROM;
 use shalelane::relay::decide::placement::{Placement, PlacementAction, PromptNeed, TargetScope};
 use shalelane::relay::decide::policy::RelayPolicy;
 use shalelane::relay::decide::retry_budget::RetryBound;
@@ -262,6 +263,7 @@
         let waited = self.now.since(request.arrived);
         PromptNeed {
             value_factor: 1.0,
+            pause_risk_from: PAUSE_RISK_FROM,
             prompt_tokens: request.load.prompt,
             answer_tokens: u64::from(kind.events) * u64::from(self.rates.stride),
             first_event_limit: kind.max_first_event,
--- a/tests/relay/fixture.rs
+++ b/tests/relay/fixture.rs
@@ -8,6 +8,7 @@
 use quickcheck::{Gen, QuickCheck, Testable};
 use shalelane::relay::core::RelayLimits;
 use shalelane::relay::decide::engine_rates::EngineRates;
+use shalelane::relay::decide::loss::PAUSE_RISK_FROM;
 use shalelane::relay::decide::placement::PromptNeed;
 use shalelane::relay::decide::policy::RelayPolicy;
 use shalelane::relay::decide::retry_budget::RetryBound;
@@ -129,6 +130,7 @@
         first_event_limit_us: 300_000,
         longest_pause_us: 200_000,
         value: 1.5,
+        pause_risk_from: PAUSE_RISK_FROM,
     }
 }
 
@@ -158,6 +160,7 @@
         longest_pause,
         is_admitted: false,
         value_factor: 1.0,
+        pause_risk_from: PAUSE_RISK_FROM,
     }
 }
 
--- a/tests/relay/urgency.rs
+++ b/tests/relay/urgency.rs
@@ -1,15 +1,17 @@
 //! Urgency of requests: ranks of accounts and routes.
 
 use shalelane::relay::decide::group_search::place_prompt;
+use shalelane::relay::decide::loss::{PAUSE_RISK_FROM, URGENT_PAUSE_RISK_FROM, pause_loss};
 use shalelane::relay::decide::placement::{PermitPolicy, PlacementQuery, TargetScope};
 use shalelane::relay::decide::placement::{Placement, PlacementAction, PromptNeed};
 use shalelane::relay::decide::policy::RelayPolicy;
 use shalelane::relay::decide::service_scope::ServiceScope;
+use shalelane::relay::decide::stream_load::StreamLoad;
 use shalelane::relay::decide::targets::TargetSet;
 use shalelane::relay::decide::urgency::{RankTable, UrgencyRank};
 use shalelane::relay::discovery::rules::{AccountRule, RelayConfig, RouteRule};
 
-use crate::fixture::{at, engines, ms, name, need, route};
+use crate::fixture::{at, engines, key, ms, name, need, route, short_load};
 
 fn rank(account: u8, route: u8) -> UrgencyRank {
     UrgencyRank { account, route }
@@ -86,7 +88,7 @@
     let target = set.iter_mut().next().expect("a target");
     let model = target.model.as_mut().expect("a model");
     for number in 0..3 {
-        model.add(crate::fixture::key(number), crate::fixture::short_load(), at(0));
+        model.add(key(number), short_load(), at(0));
     }
     model.advance(at(0));
     let action = |value_factor: f32| {
@@ -97,3 +99,55 @@
     assert_ne!(urgent, PlacementAction::Refuse);
     assert_eq!(least, PlacementAction::Refuse);
 }
+
+/// Guards against ranks that change what a pass may last where all requests are alike.
+#[test]
+fn only_requests_with_less_urgent_ones_below_them_ask_for_a_margin() {
+    let ranks = table(&[0, 1, 2], &[1]);
+    let has_margin = |table: &RankTable, rank| table.pause_risk_from("a", rank) < PAUSE_RISK_FROM;
+    let margins: Vec<_> = (0..3).map(|route| has_margin(&ranks, rank(1, route))).collect();
+    assert_eq!(margins, [true, true, false]);
+    assert!(!has_margin(&table(&[1, 1], &[1]), rank(1, 1)));
+}
+
+/// Load: entries place prompts at an engine at the same moment. Each alone leaves the pauses of
+/// the answers there within their limit, and all together do not. The limits of the callers are
+/// what counts, so a prompt is delayed or refused for the sake of more urgent answers before the
+/// limit is reached.
+#[test]
+fn a_less_urgent_prompt_leaves_a_margin_to_more_urgent_answers() {
+    // A pass that lasts 0.7 of the longest pause: below the limit, and above the margin.
+    let loss = |risk_from| pause_loss(1.5, ms(140), ms(200), risk_from);
+    assert!(loss(PAUSE_RISK_FROM).abs() < f32::EPSILON);
+    assert!(loss(URGENT_PAUSE_RISK_FROM) > 0.5, "{}", loss(URGENT_PAUSE_RISK_FROM));
+    let delay_cost = |pause_risk_from: f32| {
+        let mut set = engines(1);
+        let target = set.iter_mut().next().expect("a target");
+        let model = target.model.as_mut().expect("a model");
+        for number in 0..3 {
+            model.add(key(number), StreamLoad { pause_risk_from, ..short_load() }, at(0));
+        }
+        model.advance(at(300));
+        let need = PromptNeed { value_factor: 0.5, ..need(25_000) };
+        place(&set, &need).delay_cost
+    };
+    let (alike, urgent) = (delay_cost(PAUSE_RISK_FROM), delay_cost(URGENT_PAUSE_RISK_FROM));
+    assert!(urgent > alike + 0.5, "{urgent} and {alike}");
+}
+
+/// Guards against processes of the version before that cannot read a load, or lose the margin.
+#[test]
+fn loads_without_a_margin_are_read_and_written_as_before() {
+    let to_bytes = |load: &StreamLoad| {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(load, &mut bytes).expect("a load");
+        bytes
+    };
+    let (plain, urgent) =
+        (short_load(), StreamLoad { pause_risk_from: URGENT_PAUSE_RISK_FROM, ..short_load() });
+    assert!(to_bytes(&plain).len() < to_bytes(&urgent).len(), "the default is written");
+    for load in [plain, urgent] {
+        let read: StreamLoad = ciborium::from_reader(&to_bytes(&load)[..]).expect("a load");
+        assert_eq!(read, load);
+    }
+}
