Urgency: a request without an account is no more urgent than others

Cause: requests of public routes counted as of account rank zero, so that on all deployments ranks differed wherever an operator adds a public route, and the margin was in force there.

Change: such a request counts as of the least urgent account.

--- a/src/relay/decide/urgency.rs
+++ b/src/relay/decide/urgency.rs
@@ -23,7 +23,7 @@
 /// Urgency of a request. Ranks are compared by the account first.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct UrgencyRank {
-    /// Rank of the account; zero on a public route.
+    /// Rank of the account; on a public route that of the least urgent account.
     pub account: u8,
     /// Rank of the route.
     pub route: u8,
@@ -31,31 +31,43 @@
 
 /// The ranks of the requests of each service.
 #[derive(Debug, Default)]
-pub struct RankTable(HashMap<Arc<str>, BTreeSet<UrgencyRank>>);
+pub struct RankTable {
+    services: HashMap<Arc<str>, BTreeSet<UrgencyRank>>,
+    /// Rank of the least urgent account, zero if there is none.
+    least_urgent_account: u8,
+}
 
 impl RankTable {
     /// Collects the ranks of a configuration. Any account may use any route.
     #[must_use]
     pub fn from_config(config: &RelayConfig) -> Self {
-        let accounts: BTreeSet<u8> = config.accounts.iter().map(|account| account.rank).collect();
-        let mut table = RankTable::default();
+        let mut accounts: BTreeSet<u8> =
+            config.accounts.iter().map(|account| account.rank).collect();
+        let least_urgent_account = accounts.last().copied().unwrap_or_default();
+        accounts.insert(least_urgent_account);
+        let mut table = RankTable { least_urgent_account, ..RankTable::default() };
         for route in &config.routes {
-            let is_open = route.is_public || accounts.is_empty();
-            let public = is_open.then_some(0);
             for service in &route.services {
-                let ranks = table.0.entry(service.service.clone()).or_default();
-                let accounts = accounts.iter().copied().chain(public);
-                ranks.extend(accounts.map(|account| UrgencyRank { account, route: route.rank }));
+                let ranks = table.services.entry(service.service.clone()).or_default();
+                let accounts = accounts.iter();
+                ranks.extend(accounts.map(|&account| UrgencyRank { account, route: route.rank }));
             }
         }
         table
     }
 
+    /// Returns the rank of a request. A request without an account is no more urgent than that of
+    /// any account.
+    #[must_use]
+    pub fn rank_of(&self, route: u8, account: Option<u8>) -> UrgencyRank {
+        UrgencyRank { account: account.unwrap_or(self.least_urgent_account), route }
+    }
+
     /// Returns the number of more urgent ranks of a service, `None` if all its requests are
     /// equally urgent.
     #[must_use]
     pub fn more_urgent(&self, service: &str, rank: UrgencyRank) -> Option<u8> {
-        let ranks = self.0.get(service).filter(|ranks| ranks.len() > 1)?;
+        let ranks = self.services.get(service).filter(|ranks| ranks.len() > 1)?;
         Some(ranks.range(..rank).count().try_into().unwrap_or(u8::MAX))
     }
 
@@ -70,7 +82,7 @@
     /// less urgent prompts leave a margin to those that are more urgent.
     #[must_use]
     pub fn pause_risk_from(&self, service: &str, rank: UrgencyRank) -> f32 {
-        let least = self.0.get(service).and_then(BTreeSet::last);
+        let least = self.services.get(service).and_then(BTreeSet::last);
         let has_less_urgent = least.is_some_and(|least| *least > rank);
         if has_less_urgent { URGENT_PAUSE_RISK_FROM } else { PAUSE_RISK_FROM }
     }
--- a/src/relay/discovery/rules.rs
+++ b/src/relay/discovery/rules.rs
@@ -196,13 +196,6 @@
         })
     }
 
-    /// Returns the urgency of the request.
-    #[must_use]
-    pub fn rank(&self) -> UrgencyRank {
-        let account = self.account.as_ref().map_or(0, |account| account.rank);
-        UrgencyRank { account, route: self.route.rank }
-    }
-
     /// Returns `true` if its targets may be in any region.
     #[must_use]
     pub fn permits_all_regions(&self) -> bool {
@@ -261,6 +254,13 @@
         self.limits
     }
 
+    /// Returns the urgency of an admitted request.
+    #[must_use]
+    pub fn rank_of(&self, access: &Access) -> UrgencyRank {
+        let account = access.account.as_ref().map(|account| account.rank);
+        self.ranks.rank_of(access.route.rank, account)
+    }
+
     /// Returns the ranks of the requests of each service.
     #[must_use]
     pub fn ranks(&self) -> &RankTable {
--- a/src/relay/proxy/exchange.rs
+++ b/src/relay/proxy/exchange.rs
@@ -116,7 +116,7 @@
         return Err(RelayFault::invalid(StatusCode::BAD_REQUEST, "no_attempt", message));
     }
     let domains = shared.core.borrow().allowed_domains(&access);
-    let rank = access.rank();
+    let rank = shared.core.borrow().rules().rank_of(&access);
     let Access { route, account } = access;
     let account = account.map(|account| account.name.clone());
     let Some(service) = RelayCore::pick_service(&route, xxhash_rust::xxh3::xxh3_64(id.as_bytes()))
--- a/tests/relay/urgency.rs
+++ b/tests/relay/urgency.rs
@@ -44,6 +44,16 @@
     assert_eq!(table(&[0, 1], &[0]).more_urgent("other", rank(0, 1)), None);
 }
 
+/// Guards against a public route that makes all requests of its service differ in urgency.
+#[test]
+fn a_request_without_an_account_is_no_more_urgent_than_others() {
+    let ranks = table(&[1, 1], &[1, 1]);
+    assert_eq!(ranks.rank_of(1, None), ranks.rank_of(1, Some(1)));
+    assert_eq!(ranks.more_urgent("a", ranks.rank_of(1, None)), None);
+    let ranks = table(&[1], &[0, 2]);
+    assert_eq!(ranks.more_urgent("a", ranks.rank_of(1, None)), Some(1));
+}
+
 #[test]
 fn the_rank_of_an_account_goes_before_that_of_a_route() {
     let ranks = table(&[0, 1], &[0, 1]);
