Urgency: only ranks of routes weigh requests at entries

Cause: one account of a higher rank halved the value of all other requests of a service, and asked for a margin from them, on deployments whose routes are alike.

Change: the rank of an account goes to the target only.

--- a/src/relay/decide/urgency.rs
+++ b/src/relay/decide/urgency.rs
@@ -71,19 +71,28 @@
         Some(ranks.range(..rank).count().try_into().unwrap_or(u8::MAX))
     }
 
-    /// Returns the factor on the value of a request: one for the most urgent rank of its service.
+    /// Returns the ranks of the routes of a service; none if they are alike.
+    fn route_ranks(&self, service: &str) -> BTreeSet<u8> {
+        let ranks = self.services.get(service).into_iter().flatten();
+        let ranks: BTreeSet<u8> = ranks.map(|rank| rank.route).collect();
+        if ranks.len() > 1 { ranks } else { BTreeSet::new() }
+    }
+
+    /// Returns the factor on the value of a request: one for the most urgent routes of its
+    /// service. The rank of its account decides at the target only: one account of a higher rank
+    /// would otherwise set all others back.
     #[must_use]
     pub fn value_factor(&self, service: &str, rank: UrgencyRank) -> f32 {
-        let more_urgent = self.more_urgent(service, rank).unwrap_or(0);
-        RANK_FACTOR.powi(more_urgent.into()).max(MIN_FACTOR)
+        let more_urgent = self.route_ranks(service).range(..rank.route).count();
+        RANK_FACTOR.powi(more_urgent as i32).max(MIN_FACTOR)
     }
 
     /// Returns the fraction of its longest pause from which a pass counts as a risk for a request:
-    /// less urgent prompts leave a margin to those that are more urgent.
+    /// prompts of less urgent routes leave a margin to those that are more urgent.
     #[must_use]
     pub fn pause_risk_from(&self, service: &str, rank: UrgencyRank) -> f32 {
-        let least = self.services.get(service).and_then(BTreeSet::last);
-        let has_less_urgent = least.is_some_and(|least| *least > rank);
+        let has_less_urgent =
+            self.route_ranks(service).last().is_some_and(|last| *last > rank.route);
         if has_less_urgent { URGENT_PAUSE_RISK_FROM } else { PAUSE_RISK_FROM }
     }
 }
--- a/tests/relay/urgency.rs
+++ b/tests/relay/urgency.rs
@@ -71,6 +71,15 @@
     assert!(factors[0] > factors[1] && factors[1] > factors[2], "{factors:?}");
 }
 
+/// Guards against one account of a higher rank that sets all others back.
+#[test]
+fn the_rank_of_an_account_weighs_nothing_here() {
+    let ranks = table(&[1], &[0, 1]);
+    assert_eq!(ranks.more_urgent("a", rank(1, 1)), Some(1));
+    assert!((ranks.value_factor("a", rank(1, 1)) - 1.0).abs() < f32::EPSILON);
+    assert!(ranks.pause_risk_from("a", rank(0, 1)) >= PAUSE_RISK_FROM);
+}
+
 /// Guards against a rank that counts for nothing.
 #[test]
 fn no_rank_counts_for_less_than_a_quarter() {
