--- a/src/relay/core/mod.rs
+++ b/src/relay/core/mod.rs
@@ -34,7 +34,7 @@
 pub mod retries;
 pub mod target_list;
 
-/// Draws the number that tells one run of an entry apart from all other runs of all entries.
+/// Draws the number that identifies one run of an entry among all runs of all entries.
 ///
 /// All of it is random: the entries of a fleet may start within the same microsecond, so that a
 /// time and a few random bits are not unique.
--- a/src/relay/decide/pass_model.rs
+++ b/src/relay/decide/pass_model.rs
@@ -1,7 +1,6 @@
 //! Model of the scheduling passes of one engine, built from the requests sent to it.
 //!
-//! Behaviour of the engines, measured with one request after the other
-//! (`docs/design/platform.md`):
+//! Behaviour of the engines (`docs/design/platform.md`):
 //!
 //! - Without decoding streams, an engine prefills one chunk after the other and picks the head
 //!   of its prefill queue again for each chunk.
--- a/src/relay/decide/reservation.rs
+++ b/src/relay/decide/reservation.rs
@@ -31,7 +31,7 @@
 }
 
 impl ReservationNames {
-    /// Creates the names of an entry, from the number that tells it apart from all others.
+    /// Creates the names of an entry from the number that identifies its run.
     #[must_use]
     pub fn new(entry: u64) -> Self {
         ReservationNames { entry, next: 0 }
--- a/src/relay/proxy/memory_hold.rs
+++ b/src/relay/proxy/memory_hold.rs
@@ -130,7 +130,7 @@
         let outcome = send_reservation_call(&shared, &held, call).await;
         held.state.borrow_mut().end_call(outcome);
         if let Some(answered) = answered.take() {
-            // If the caller has left, nobody waits for the answer.
+            // The receiver is dropped if the caller has disconnected.
             answered.send(outcome).ok();
         }
     }
