Log lines of failed attempts name the shared parts of the prompt

Cause: the lines of a failed attempt name a digest, which differs for each request; nothing tells whether the requests under which engines crash have a part in common.

--- a/src/relay/decide/mod.rs
+++ b/src/relay/decide/mod.rs
@@ -21,7 +21,8 @@
 //! - [`start_wait`]: how long callers wait for a process that has just started.
 //! - [`send_count`], [`retry_budget`], [`slack_share`], [`shared_retry_budget`],
 //!   [`expiring_credit`]: limits of retries.
-//! - [`request_digest`]: recognizes repeated sends of one request.
+//! - [`request_digest`]: recognizes repeated sends of one request, [`prompt_part`]: parts that
+//!   prompts share.
 //! - [`quarantine`]: requests that crash the targets that run them, [`crash_tracker`]: crashes of
 //!   targets, and [`quarantine_list`]: for how long a request is quarantined.
 
@@ -38,6 +39,7 @@
 pub mod permit_issuer;
 pub mod placement;
 pub mod policy;
+pub mod prompt_part;
 pub mod quarantine;
 pub mod quarantine_list;
 pub mod rate_limit;
--- a/src/relay/proxy/protocol.rs
+++ b/src/relay/proxy/protocol.rs
@@ -8,6 +8,7 @@
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
 
+use crate::relay::decide::prompt_part::PromptPart;
 use crate::relay::decide::target_notice::TargetNotice;
 
 /// Contents of the headers of a caller's request.
@@ -21,6 +22,8 @@
     pub time_limit: Option<Duration>,
     /// Id of the last event of this stream that the caller has received.
     pub resume_after: Option<u64>,
+    /// Parts of the prompt that other prompts may share, each once, sorted by name.
+    pub shared_parts: Arc<[PromptPart]>,
     /// Number of tokens in the prompt.
     pub prompt_tokens: Option<u64>,
     /// Maximum number of tokens in the answer.
--- a/src/relay/proxy/series.rs
+++ b/src/relay/proxy/series.rs
@@ -229,6 +229,8 @@
         let line = FailedAttemptLine {
             id: &job.id,
             digest: job.digest(),
+            parts: &job.head.shared_parts,
+            streamed_for: fault.streamed_for,
             target,
             reason: &fault.reason,
             verdict: fault.verdict,
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -15,6 +15,7 @@
 use slog::{Drain, Logger, Never, OwnedKVList, Record, info, o, warn};
 
 use super::decide::permit_issuer::PermitReply;
+use super::decide::prompt_part::PromptPart;
 use super::decide::rate_limit::RateNotice;
 use super::decide::request_digest::RequestDigest;
 use super::decide::target_notice::TargetNotice;
@@ -194,6 +195,10 @@
     pub id: &'a str,
     /// Digest of the request.
     pub digest: RequestDigest,
+    /// Parts of the prompt that other prompts may share.
+    pub parts: &'a [PromptPart],
+    /// Time for which the attempt had received events.
+    pub streamed_for: Duration,
     /// Name of the target.
     pub target: &'a str,
     /// Short reason for the failure.
@@ -315,7 +320,8 @@
     pub fn attempt_failed(&self, line: &FailedAttemptLine<'_>, now: Tick) {
         let Some(left_out) = self.take_from_budget("attempt_failed", now) else { return };
         warn!(self.logger, "attempt failed";
-            "id" => line.id, "digest" => %line.digest, "target" => line.target,
+            "id" => line.id, "digest" => %line.digest, "parts" => join_parts(line.parts),
+            "streamed_ms" => line.streamed_for.as_millis() as u64, "target" => line.target,
             "why" => line.reason, "verdict" => %line.verdict, "left_out" => left_out);
     }
 
@@ -458,3 +464,8 @@
         }
     }
 }
+
+/// Joins the names of parts, separated by commas.
+fn join_parts(parts: &[PromptPart]) -> String {
+    parts.iter().map(PromptPart::as_str).collect::<Vec<_>>().join(",")
+}
