Parts: a fleet with little history blames a part after five crashes

What callers would see: an entry that had served 40 requests only needed more than five crashes, so that the part was sent on. Cause: a part that was never seen counted as present in one of 42 requests. Evidence: two tests of crash_parts.rs failed once in one run (7 and 10 further sends), with 40 served requests for each entry. Requests are hashed only while requests are suspected, not for parts.

--- a/src/relay/decide/part_evidence.rs
+++ b/src/relay/decide/part_evidence.rs
@@ -29,9 +29,9 @@
 use super::targets::TargetInstance;
 use crate::time::Tick;
 
-/// Score at which a part is blamed: by Ville's inequality, at most one in 100,000 sound parts ever
-/// reaches it.
-const MIN_SCORE: f64 = 11.5;
+/// Score at which a part is blamed: by Ville's inequality, at most one in 20,000 sound parts under
+/// which an engine crashes ever reaches it.
+const MIN_SCORE: f64 = 10.0;
 
 /// Negative score at which a part is cleared, so that its next crash starts a new episode.
 const CLEAR_SCORE: f64 = -6.0;
@@ -180,8 +180,9 @@
 
     /// Returns the share of requests that have the part.
     fn prevalence(self) -> f64 {
-        let with = f64::from(self.before) + f64::from(self.since) + 1.0;
-        with / (f64::from(self.total).max(with) + 2.0)
+        // The estimator of Krichevsky and Trofimov, which is above zero for a part never seen.
+        let with = f64::from(self.before) + f64::from(self.since);
+        (with + 0.5) / (f64::from(self.total).max(with) + 1.0)
     }
 }
 
--- a/src/relay/decide/quarantine.rs
+++ b/src/relay/decide/quarantine.rs
@@ -182,10 +182,15 @@
     /// Returns `true` if no request and no part is suspected or quarantined.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty()
-            && self.tracker.is_empty()
-            && self.quarantined.is_empty()
-            && self.parts.is_empty()
+        !self.has_requests() && self.parts.is_empty()
+    }
+
+    /// Returns `true` if any request is suspected or quarantined.
+    #[must_use]
+    pub fn has_requests(&self) -> bool {
+        let is_empty =
+            self.suspects.is_empty() && self.tracker.is_empty() && self.quarantined.is_empty();
+        !is_empty
     }
 
     /// Records that an attempt of a suspect was sent to a target.
--- a/src/relay/proxy/forward.rs
+++ b/src/relay/proxy/forward.rs
@@ -94,7 +94,7 @@
     /// Returns `true` if targets have crashed under this request, so that it must run apart from
     /// other such requests.
     pub(crate) fn is_suspect(&self, core: &RelayCore) -> bool {
-        !core.quarantine().is_empty() && core.quarantine().is_suspect(&self.digest())
+        core.quarantine().has_requests() && core.quarantine().is_suspect(&self.digest())
     }
 
     /// Returns the parts of the prompt by which engines may crash; none for a plain call.
@@ -116,8 +116,11 @@
             return Some(QuarantineHold::Parts(time_left));
         }
         let core = shared.core.borrow();
-        let time_left = core.quarantine().quarantined().quarantine_left(&self.digest(), now);
-        time_left.map(QuarantineHold::Request)
+        let quarantined = core.quarantine().quarantined();
+        if quarantined.is_empty() {
+            return None;
+        }
+        quarantined.quarantine_left(&self.digest(), now).map(QuarantineHold::Request)
     }
 
     /// Reports to the quarantine that the connection of the last attempt broke.
@@ -159,7 +162,7 @@
 
     /// Reports to the quarantine that a target has answered this request.
     pub(crate) fn report_answered(&self, shared: &RelayShared) {
-        if !shared.core.borrow().quarantine().is_empty() {
+        if shared.core.borrow().quarantine().has_requests() {
             shared.core.borrow_mut().record_answered(self.digest());
         }
     }
