An entry closes connections unread that it cannot serve in time

What callers would see: while most new connections come to one entry, it accepts them all and reads some after their callers gave up, or has no descriptors left and accepts none for as long. Cause: nothing bounds the connections of an entry, and it does not know that its loop is late. Metric shalelane_relay_closed_unread_total.

--- a/src/relay/counts.rs
+++ b/src/relay/counts.rs
@@ -45,13 +45,15 @@
     pub(crate) ejections: u64,
     pub(crate) store_failures: u64,
     pub(crate) shared_proofs: u64,
+    /// Connections of callers that were closed unread.
+    pub(crate) closed_unread: u64,
     answered: u64,
     refused: u64,
     failed: u64,
     broken: u64,
     caller_left: u64,
     registry: MetricsRegistry,
-    mirrors: [MirroredCounter; 12],
+    mirrors: [MirroredCounter; 13],
     store_calls: IntCounterVec,
     notices: IntCounterVec,
     permits: IntCounterVec,
@@ -89,6 +91,10 @@
             registry.add_counter("shalelane_relay_broken_total", "answers that broke off"),
             registry.add_counter("shalelane_relay_caller_left_total", "callers that left"),
             registry.add_counter("shalelane_relay_lost_lines_total", "log lines that nobody took"),
+            registry.add_counter(
+                "shalelane_relay_closed_unread_total",
+                "connections of callers that were closed unread for lack of capacity",
+            ),
         ];
         let first_event = registry.add_first_token_histogram(
             "shalelane_relay_first_event_seconds",
@@ -121,6 +127,7 @@
             ),
             store_failures: 0,
             shared_proofs: 0,
+            closed_unread: 0,
             answered: 0,
             refused: 0,
             failed: 0,
@@ -248,6 +255,7 @@
             self.broken,
             self.caller_left,
             lost_lines,
+            self.closed_unread,
         ];
         for (mirror, count) in self.mirrors.iter().zip(counts) {
             mirror.advance_to(count);
--- a/src/relay/decide/mod.rs
+++ b/src/relay/decide/mod.rs
@@ -5,6 +5,7 @@
 //! - [`rate_limit`]: the rate of requests that a target accepts from all entries together,
 //!   [`rate_table`]: the known rates, and [`permit_issuer`]: permits to send to a rate-limited
 //!   target.
+//! - [`connection_gate`]: whether an overloaded entry takes new connections.
 //! - [`urgency`]: the ranks of requests, and what each is worth beside the others.
 //! - [`warmup`]: the rate limit of a target that has just come into use.
 //! - [`evacuation`]: failure domains that are out of service, and [`service_scope`]: the
@@ -28,6 +29,7 @@
 //! - [`part_evidence`]: which parts of prompts crash engines, [`part_ledger`]: their
 //!   quarantine, and [`part_board`]: what agents relay about them.
 
+pub mod connection_gate;
 pub mod crash_tracker;
 pub mod engine_rates;
 pub mod engine_snapshot;
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -16,6 +16,7 @@
 use tokio::task::LocalSet;
 
 use super::core::{RelayCore, draw_entry_number};
+use super::decide::connection_gate::ConnectionGate;
 use super::decide::reservation::ReservationNames;
 use super::decide::start_wait::StartPhase;
 use super::discovery::follow_config::follow_config;
@@ -29,7 +30,7 @@
 use super::proxy::protocol::{CallerProtocol, TargetProtocol};
 use super::record::{DecisionLog, StdoutLog};
 use super::settings::{RelaySettings, SettingsFile};
-use super::shared::RelayShared;
+use super::shared::{OpenConnection, RelayShared};
 use super::stop::{StopPhase, StopPlan};
 use crate::Result;
 use crate::client::HttpClient;
@@ -43,6 +44,9 @@
 /// Interval at which kept connections and missing targets are checked for expiry.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Interval at which the delay of the event loop is measured.
+const DELAY_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Interval at which the settings file is read again.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -117,6 +121,8 @@
         pending_permits: RefCell::default(),
         clock: ProcessClock::new(),
         open_requests: Cell::new(0),
+        gate: RefCell::new(ConnectionGate::new(settings.max_descriptors)),
+        open_connections: Cell::new(0),
     });
     shared.core.borrow_mut().set_unix_origin(wall_micros() / MICROS_PER_MS);
     let source = Rc::new(adapter.source);
@@ -129,6 +135,7 @@
     tokio::task::spawn_local(serve_paths(shared.clone(), metrics, answer_status));
     tokio::task::spawn_local(serve_paths(shared.clone(), config_copies, serve_copy));
     tokio::task::spawn_local(sweep(shared.clone()));
+    tokio::task::spawn_local(measure_delay(shared.clone()));
     tokio::task::spawn_local(super::peers::receive::receive(shared.clone()));
     let stop_limit = settings.stop_limit();
     tokio::task::spawn_local(reload_settings(shared.clone(), file, settings));
@@ -192,6 +199,11 @@
 ) {
     loop {
         let stream = accept_next(&listener).await;
+        if !shared.gate.borrow().admits(shared.open_connections.get()) {
+            // The caller tries another entry at once, as its request was not read.
+            shared.counts.borrow_mut().closed_unread += 1;
+            continue;
+        }
         tokio::task::spawn_local(serve_caller(shared.clone(), stream, closing.clone()));
     }
 }
@@ -205,6 +217,7 @@
     if let Err(error) = stream.set_nodelay(true) {
         slog::debug!(shared.log.logger(), "TCP_NODELAY not set"; "error" => %error);
     }
+    let _open_connection = OpenConnection::new(&shared);
     let limits = shared.core.borrow().rules().limits();
     let service_shared = shared.clone();
     let service = service_fn(move |request| {
@@ -274,6 +287,15 @@
     response
 }
 
+/// Measures by how much the event loop is late.
+async fn measure_delay(shared: Rc<RelayShared>) {
+    loop {
+        let due = shared.now() + DELAY_INTERVAL;
+        tokio::time::sleep(DELAY_INTERVAL).await;
+        shared.gate.borrow_mut().record_delay(shared.now().since(due));
+    }
+}
+
 /// Closes connections that were idle for too long, and removes targets that did not come back.
 async fn sweep(shared: Rc<RelayShared>) {
     let mut was_held = false;
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -65,6 +65,9 @@
     pub retry_window_s: u64,
     /// Longest planned stop, in seconds.
     pub stop_s: f64,
+    /// Number of file descriptors that the process may use. Omitted if it is not limited.
+    #[serde(default)]
+    pub max_descriptors: Option<usize>,
     /// Settings of the placement of requests that differ from the defaults.
     #[serde(default)]
     pub policy: RelayPolicy,
@@ -103,14 +106,15 @@
             && settings.warmup_overrun >= 0.0
             && settings.warmup_slack >= 0.0
             && settings.drain_ms > 0
+            && settings.max_descriptors != Some(0)
             && settings.store_history_s > 0.0;
         if is_valid {
             settings.policy.check()?;
             return Ok(settings);
         }
         Err(Error::settings(
-            "retry_window_s, stop_s, revoke_ms, evacuate_ms, drain_ms and store_history_s must be \
-             above zero; retry_ratio, retry_slack, warmup_overrun and warmup_slack must not be negative",
+            "retry_window_s, stop_s, revoke_ms, evacuate_ms, drain_ms, store_history_s and \
+             max_descriptors must be above zero; retry_ratio, retry_slack, warmup_overrun and warmup_slack must not be negative",
         ))
     }
 
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -10,6 +10,7 @@
 
 use super::core::RelayCore;
 use super::counts::RelayCounts;
+use super::decide::connection_gate::ConnectionGate;
 use super::decide::permit_issuer::PermitReply;
 use super::decide::reservation::ReservationNames;
 use super::decide::start_wait::{StartPhase, start_wait};
@@ -75,6 +76,10 @@
     pub(crate) clock: ProcessClock,
     /// Number of requests whose answers are not complete.
     pub(crate) open_requests: Cell<usize>,
+    /// Whether new connections of callers are taken.
+    pub(crate) gate: RefCell<ConnectionGate>,
+    /// Number of open connections of callers.
+    pub(crate) open_connections: Cell<usize>,
 }
 
 impl RelayShared {
@@ -271,6 +276,22 @@
     }
 }
 
+/// Counts a connection of a caller as open.
+pub(crate) struct OpenConnection(Rc<RelayShared>);
+
+impl OpenConnection {
+    pub(crate) fn new(shared: &Rc<RelayShared>) -> Self {
+        shared.open_connections.set(shared.open_connections.get() + 1);
+        OpenConnection(shared.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.open_connections.set(self.0.open_connections.get() - 1);
+    }
+}
+
 /// Counts a request as open until its answer is complete.
 pub(crate) struct OpenRequest(Rc<RelayShared>);
 
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod config_updates;
+mod connection_gate;
 mod crashes;
 mod engine_subset;
 mod evacuations;
