--- a/src/relay/decide/part_board.rs
+++ b/src/relay/decide/part_board.rs
@@ -16,8 +16,8 @@
 /// Time for which reports are kept.
 const REPORT_TTL: Duration = Duration::from_secs(600);
 
-/// Maximum number of crash reports relayed in a second. It suffices for 16 requests at each of
-/// twelve engines that crash at the same moment; entries decide by a few reports.
+/// Maximum number of crash reports relayed in a second, and of served requests. It suffices for 16
+/// requests at each of twelve engines that crash at the same moment; entries decide by a few.
 const MAX_RELAYED_PER_SECOND: u32 = 200;
 
 /// Maximum number of suspected parts, and of quarantines.
@@ -53,14 +53,32 @@
     }
 }
 
+/// Counts the messages of one kind that are relayed in a second.
+#[derive(Debug, Default)]
+struct RelayBudget {
+    since: Tick,
+    relayed: u32,
+}
+
+impl RelayBudget {
+    /// Takes one message from the budget. Returns `false` if it is spent.
+    fn take(&mut self, now: Tick) -> bool {
+        if now.since(self.since) >= Duration::from_secs(1) {
+            *self = RelayBudget { since: now, relayed: 0 };
+        }
+        self.relayed += 1;
+        self.relayed <= MAX_RELAYED_PER_SECOND
+    }
+}
+
 /// Reports on parts that entries sent to an agent.
 #[derive(Debug, Default)]
 pub struct PartBoard {
     reports: VecDeque<(PartCrashReport, Tick)>,
     served: BTreeMap<PromptPart, ServedSum>,
     notices: BTreeMap<PartSet, (PartNotice, Tick)>,
-    relayed_since: Tick,
-    relayed: u32,
+    crash_budget: RelayBudget,
+    served_budget: RelayBudget,
 }
 
 impl PartBoard {
@@ -74,7 +92,7 @@
                 let sum = served.record(report.reporter, report.served)?;
                 let (part, reporter) = (report.part, AGENT_REPORTER);
                 let report = PartServedReport { part, reporter, served: sum };
-                Some(PartMessage::Served(report))
+                self.served_budget.take(now).then_some(PartMessage::Served(report))
             }
             PartMessage::Cleared(part) => {
                 self.served.remove(&part)?;
@@ -114,11 +132,7 @@
         if self.reports.len() > MAX_REPORTS {
             self.reports.pop_front();
         }
-        if now.since(self.relayed_since) >= Duration::from_secs(1) {
-            (self.relayed_since, self.relayed) = (now, 0);
-        }
-        self.relayed += 1;
-        (self.relayed <= MAX_RELAYED_PER_SECOND).then_some(PartMessage::Crashed(report))
+        self.crash_budget.take(now).then_some(PartMessage::Crashed(report))
     }
 
     /// Returns the messages for an entry that has just started.
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -11,6 +11,7 @@
 mod instances;
 mod message_fragments;
 mod notices;
+mod part_bounds;
 mod part_fleet;
 mod parts;
 mod pass_model;
