--- a/src/relay/decide/mod.rs
+++ b/src/relay/decide/mod.rs
@@ -27,7 +27,7 @@
 //! - [`quarantine`]: requests that crash the targets that run them, [`crash_tracker`]: crashes of
 //!   targets, and [`quarantine_list`]: for how long something is quarantined.
 //! - [`part_evidence`]: which parts of prompts crash engines, [`part_ledger`]: their
-//!   quarantine, and [`part_board`]: what agents relay about them.
+//!   quarantine, [`part_probe`]: its end, and [`part_board`]: what agents relay about them.
 
 pub mod connection_gate;
 pub mod crash_tracker;
@@ -42,6 +42,7 @@
 pub mod part_evidence;
 pub mod part_ledger;
 pub mod part_message;
+pub mod part_probe;
 pub mod pass_model;
 mod pending_prefill;
 pub mod permit_issuer;
--- a/src/relay/decide/part_ledger.rs
+++ b/src/relay/decide/part_ledger.rs
@@ -11,6 +11,7 @@
 use super::crash_tracker::CrashTracker;
 use super::part_evidence::{CrashBatches, PartCrash, PartEvidence, PartSet, find_causes};
 use super::part_message::{PartCrashReport, PartMessage, PartNotice, PartServedReport};
+use super::part_probe::ProbeTable;
 use super::prompt_part::PromptPart;
 use super::quarantine::JOIN_WINDOW;
 use super::quarantine_list::{CrashSource, QuarantineList, QuarantineRecord};
@@ -73,26 +74,15 @@
     Quarantined(Duration),
 }
 
-/// State of the probe of parts whose quarantine has expired.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ProbeState {
-    /// The renewed record, with this number of renewals, is being written to the store.
-    Claiming(u32),
-    /// This process has written it and may send one request.
-    Granted,
-    /// That request was sent.
-    Sent,
-}
-
 /// A part under which engines crashed.
 #[derive(Debug)]
-struct PartSuspect {
+struct SuspectState {
     evidence: PartEvidence,
     /// Number of requests that this process had served shortly before the first crash.
     served_from: u64,
 }
 
-impl PartSuspect {
+impl SuspectState {
     fn update_total(&mut self, served_total: u64) {
         let total = served_total - self.served_from;
         self.evidence.set_total(u32::try_from(total).unwrap_or(u32::MAX));
@@ -106,19 +96,24 @@
     /// Whether this process receives what other entries report.
     is_informed: bool,
     tracker: CrashTracker<PartAttempt>,
-    suspects: BTreeMap<PromptPart, PartSuspect>,
+    suspects: BTreeMap<PromptPart, SuspectState>,
     /// Number of requests with shared parts that this process has served.
     served_total: u64,
     batches: CrashBatches,
     /// Shared parts of the requests that were served lately.
     served: VecDeque<(PartSet, Tick)>,
     quarantined: QuarantineList<PartSet>,
-    probes: BTreeMap<PartSet, ProbeState>,
+    probes: ProbeTable,
     outbox: Vec<PartMessage>,
     /// When the crashes recorded so far are next evaluated.
     decide_at: Option<Tick>,
 }
 
+/// Returns `true` if sorted parts include all parts of a set.
+fn has_all(parts: &[PromptPart], set: &PartSet) -> bool {
+    set.iter().all(|part| parts.binary_search(part).is_ok())
+}
+
 fn to_ms(tick: Tick) -> i64 {
     (tick.0 / 1_000) as i64
 }
@@ -244,7 +239,7 @@
         let recent = self.served.iter().filter(is_recent);
         let has_part = |(parts, _): &&(PartSet, Tick)| parts.binary_search(part).is_ok();
         let before = recent.clone().filter(has_part).count() as u32;
-        let suspect = PartSuspect {
+        let suspect = SuspectState {
             evidence: PartEvidence::new(before),
             served_from: self.served_total - recent.count() as u64,
         };
@@ -312,18 +307,17 @@
 
     /// Returns whether a request with these shared parts may be sent.
     pub fn verdict(&mut self, parts: &[PromptPart], now: Tick) -> PartVerdict {
-        let has_all = |set: &PartSet| set.iter().all(|part| parts.binary_search(part).is_ok());
-        let matching = self.quarantined.unlifted(now).filter(|(set, _)| has_all(set));
+        let matching = self.quarantined.unlifted(now).filter(|(set, _)| has_all(parts, set));
         let matching: Vec<_> = matching.map(|(set, left)| (set.clone(), left)).collect();
         let mut verdict = PartVerdict::Open;
         for (set, left) in matching {
-            match self.probes.get(&set) {
-                Some(ProbeState::Granted) => verdict = PartVerdict::Probe,
-                _ if left.is_zero() => {
-                    self.claim_probe(set, now);
-                    return PartVerdict::Quarantined(PROBE_DELAY);
-                }
-                _ => return PartVerdict::Quarantined(left),
+            if self.probes.is_granted(&set) {
+                verdict = PartVerdict::Probe;
+            } else if left.is_zero() {
+                self.claim_probe(set, now);
+                return PartVerdict::Quarantined(PROBE_DELAY);
+            } else {
+                return PartVerdict::Quarantined(left);
             }
         }
         verdict
@@ -331,27 +325,18 @@
 
     /// Records that the probe of these parts was sent.
     pub fn record_probe(&mut self, parts: &[PromptPart]) {
-        let is_in = |set: &PartSet| set.iter().all(|part| parts.binary_search(part).is_ok());
-        for (_, state) in self.probes.iter_mut().filter(|(set, _)| is_in(set)) {
-            if *state == ProbeState::Granted {
-                *state = ProbeState::Sent;
-            }
-        }
+        self.probes.record_sent(|set| has_all(parts, set));
     }
 
     /// Renews an expired quarantine. The entry whose write succeeds may send a probe.
     fn claim_probe(&mut self, set: PartSet, now: Tick) {
         if let Some(renewals) = self.quarantined.renew_expired(&set, now) {
-            self.probes.insert(set, ProbeState::Claiming(renewals));
+            self.probes.claim(set, renewals);
         }
     }
 
     fn lift_probed(&mut self, parts: &[PromptPart], now: Tick) {
-        let is_served = |set: &PartSet| set.iter().all(|part| parts.binary_search(part).is_ok());
-        let served =
-            self.probes.iter().filter(|(set, state)| **state == ProbeState::Sent && is_served(set));
-        let served: Vec<_> = served.map(|(set, _)| set.clone()).collect();
-        for set in served {
+        for set in self.probes.sent(|set| has_all(parts, set)) {
             self.lift(&set, now);
         }
     }
@@ -382,7 +367,7 @@
     /// request is no cause by itself.
     #[must_use]
     pub fn outranks(&self, instances: &[&TargetInstance]) -> bool {
-        self.suspects.values().any(|PartSuspect { evidence, .. }| {
+        self.suspects.values().any(|SuspectState { evidence, .. }| {
             let covers = |instance: &&TargetInstance| {
                 evidence.crashes().any(|crash| crash.instance == **instance)
             };
@@ -407,9 +392,8 @@
         let causes = find_causes(evidence, &self.batches, JOIN_WINDOW, now);
         let mut has_new = false;
         for cause in causes {
-            let is_active = |set: &PartSet, left: Duration| {
-                !left.is_zero() && set.iter().all(|part| cause.parts.binary_search(part).is_ok())
-            };
+            let is_active =
+                |set: &PartSet, left: Duration| !left.is_zero() && has_all(&cause.parts, set);
             // A quarantine of some of the parts covers that of all of them.
             if self.quarantined.unlifted(now).any(|(set, left)| is_active(set, left)) {
                 continue;
@@ -442,26 +426,12 @@
             self.forget_lifted(record);
         }
         self.quarantined.apply_records(records, unix_ms, now, |_| Vec::new());
-        // Another process has renewed these quarantines.
-        let is_open = |set: &PartSet, state: &ProbeState| match state {
-            ProbeState::Claiming(renewals) => {
-                !records.iter().any(|record| record.subject == *set && record.renewals >= *renewals)
-            }
-            ProbeState::Granted | ProbeState::Sent => true,
-        };
-        self.probes.retain(|set, state| is_open(set, state));
+        self.probes.apply_records(records);
     }
 
     /// Records that this process has written these records to the store.
     pub fn record_written(&mut self, records: &[PartRecord]) {
-        for (set, state) in &mut self.probes {
-            let is_written = |renewals: u32| {
-                records.iter().any(|record| record.subject == *set && record.renewals == renewals)
-            };
-            if matches!(*state, ProbeState::Claiming(renewals) if is_written(renewals)) {
-                *state = ProbeState::Granted;
-            }
-        }
+        self.probes.record_written(records);
     }
 
     /// Returns the records to write to the store, if a write is due.
@@ -485,14 +455,14 @@
 
     /// Removes outdated evidence and quarantines.
     fn expire(&mut self, now: Tick) {
-        let is_recent = |suspect: &PartSuspect| {
+        let is_recent = |suspect: &SuspectState| {
             let at = suspect.evidence.recorded_at();
             at.is_some_and(|at| now.since(at) <= EVIDENCE_TTL)
         };
         self.suspects.retain(|_, suspect| is_recent(suspect));
         if self.batches.len() > MAX_BATCHES {
             let suspects = &self.suspects;
-            let has_crashed = |suspect: &PartSuspect, instance: &TargetInstance| {
+            let has_crashed = |suspect: &SuspectState, instance: &TargetInstance| {
                 suspect.evidence.crashes().any(|crash| crash.instance == *instance)
             };
             self.batches
@@ -501,6 +471,6 @@
         let known = &mut self.quarantined;
         known.expire(now);
         let sets: BTreeSet<_> = known.unlifted(now).map(|(set, _)| set.clone()).collect();
-        self.probes.retain(|set, _| sets.contains(set));
+        self.probes.retain(&sets);
     }
 }
--- a/tests/relay/part_bounds.rs
+++ b/tests/relay/part_bounds.rs
@@ -74,7 +74,7 @@
 #[test]
 fn an_answer_that_began_and_then_broke_counts_if_it_broke_soon() {
     let mut ledger = served_ledger();
-    crash(&mut ledger, 5, MAX_TIME_TO_CRASH - ms(1));
+    crash(&mut ledger, 5, ms(399));
     assert!(!is_open(&mut ledger, &["bad"], at(3_000)));
     let mut ledger = served_ledger();
     crash(&mut ledger, 9, MAX_TIME_TO_CRASH);
