--- a/src/relay/decide/part_evidence.rs
+++ b/src/relay/decide/part_evidence.rs
@@ -11,7 +11,7 @@
 //! - A request that was served after the first crash subtracts `ln(2)`.
 //!
 //! Crashes at one moment count once, however many engines a failure domain loses. A part is blamed
-//! from a score of [`MIN_SCORE`] on, so that one in `e^MIN_SCORE` sound parts at most is blamed, and
+//! from a score of `MIN_SCORE` on, so that one in `e^MIN_SCORE` sound parts at most is blamed, and
 //! only after three crashes in series: the request of each was sent after the crash before.
 //!
 //! Parts are examined by their score, and a crash that is explained by one part counts against no
