--- a/src/relay/decide/prompt_part.rs
+++ b/src/relay/decide/prompt_part.rs
@@ -29,8 +29,8 @@
         PromptPart(to_hex(&Sha256::digest(name)).into())
     }
 
-    /// Creates the shared parts of a prompt from the names of all its parts, in their order. The
-    /// last part belongs to one request or session only.
+    /// Creates the shared parts of a prompt, each once and sorted, from the names of all its parts
+    /// in their order. The last part belongs to one request or session only.
     ///
     /// # Example
     ///
@@ -38,7 +38,7 @@
     /// use shalelane::relay::decide::prompt_part::PromptPart;
     ///
     /// let shared = PromptPart::shared_of(["system", "manual", "question"]);
-    /// assert_eq!(*shared, [PromptPart::from_name("system"), PromptPart::from_name("manual")]);
+    /// assert_eq!(*shared, [PromptPart::from_name("manual"), PromptPart::from_name("system")]);
     /// ```
     #[must_use]
     pub fn shared_of<'a>(names: impl IntoIterator<Item = &'a str>) -> Arc<[PromptPart]> {
