--- a/src/relay/core/part_quarantine.rs
+++ b/src/relay/core/part_quarantine.rs
@@ -17,7 +17,7 @@
 
 impl RelayCore {
     /// Chooses the agents that relay the reports about parts: the same for all entries and parts,
-    /// so that whoever receives some of the reports receives all of them.
+    /// so that an entry receives either all reports or none.
     pub fn choose_part_holders(&mut self) {
         let rank = |host: &str| xxhash_rust::xxh3::xxh3_64_with_seed(host.as_bytes(), HOLDER_SEED);
         self.part_holders = self.ranked_hosts(rank);
--- a/src/relay/decide/connection_gate.rs
+++ b/src/relay/decide/connection_gate.rs
@@ -13,8 +13,8 @@
 /// Delay of the event loop below which new connections are taken again.
 const REOPEN_DELAY: Duration = Duration::from_millis(150);
 
-/// Share of the descriptors that connections of callers may use. The rest is for targets, the
-/// store, and the balancer.
+/// Share of the descriptors that connections of callers may use, beside those to targets, to the
+/// store, and of the balancer.
 const CALLER_SHARE: f64 = 0.6;
 
 /// State of the entry that decides about new connections.
--- a/src/relay/decide/part_ledger.rs
+++ b/src/relay/decide/part_ledger.rs
@@ -1,4 +1,4 @@
-//! Quarantines parts of prompts that crash engines, and lets requests with them in again.
+//! Quarantines parts of prompts that crash engines, and admits requests with them again.
 //!
 //! The evidence is in [`part_evidence`](super::part_evidence). A part is quarantined for ten
 //! minutes. After that, one entry renews the quarantine in the store for twice as long; the
--- a/src/relay/decide/part_message.rs
+++ b/src/relay/decide/part_message.rs
@@ -1,4 +1,4 @@
-//! What entries and agents tell one another about parts of prompts.
+//! Messages between entries and agents about parts of prompts.
 
 use serde::{Deserialize, Serialize};
 
@@ -66,7 +66,7 @@
     }
 }
 
-/// What a process has to tell others about parts.
+/// A message about parts.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PartMessage {
     /// An engine crashed under an attempt.
--- a/src/relay/proxy/call.rs
+++ b/src/relay/proxy/call.rs
@@ -8,7 +8,8 @@
 use hyper::header::CONTENT_LENGTH;
 
 use super::answer::{RelayAnswer, RelayBody, RelayFault};
-use super::forward::{AttemptFault, OpenAnswer, RelayJob, SendTerms, start_attempt};
+use super::forward::{AttemptFault, OpenAnswer, SendTerms, start_attempt};
+use super::job::RelayJob;
 use super::ledger::RequestLedger;
 use super::permit::acquire_permit;
 use super::series::AttemptSeries;
--- a/src/relay/proxy/exchange.rs
+++ b/src/relay/proxy/exchange.rs
@@ -11,7 +11,7 @@
 
 use super::answer::{RelayAnswer, RelayFault};
 use super::call::serve_call;
-use super::forward::RelayJob;
+use super::job::RelayJob;
 use super::ledger::RequestLedger;
 use super::protocol::CallerHead;
 use super::series::{NO_ROOM_RETRY_DELAY, quarantine_fault};
--- a/src/relay/proxy/mod.rs
+++ b/src/relay/proxy/mod.rs
@@ -1,6 +1,6 @@
 //! Handling of a request in an entry, from the caller to a target and back.
 //!
-//! `exchange` accepts the request; `call` or `stream` serves it. `series` decides whether another
+//! `exchange` accepts the request as a `job`; `call` or `stream` serves it. `series` decides whether another
 //! attempt is made, `permit` requests a permit if the target is rate-limited, and `forward` sends
 //! one attempt. `crash_check` probes whether a plain target has crashed, and `answer` builds the
 //! caller's response. `connections` pools the connections to targets, `memory_hold` reserves memory
@@ -14,6 +14,7 @@
 pub mod event_stream;
 pub(crate) mod exchange;
 pub(crate) mod forward;
+pub(crate) mod job;
 pub(crate) mod ledger;
 pub(crate) mod memory_hold;
 pub(crate) mod permit;
--- a/src/relay/proxy/permit.rs
+++ b/src/relay/proxy/permit.rs
@@ -8,7 +8,7 @@
 
 use tokio::sync::oneshot;
 
-use super::forward::RelayJob;
+use super::job::RelayJob;
 use super::series::AttemptSeries;
 use crate::relay::core::permits::PermitVerdict;
 use crate::relay::core::retries::RetryGrantQuery;
--- a/src/relay/proxy/series.rs
+++ b/src/relay/proxy/series.rs
@@ -10,7 +10,8 @@
 
 use super::answer::{RelayAnswer, RelayBody, RelayFault};
 use super::crash_check::check_crash;
-use super::forward::{AttemptFault, QuarantineHold, RelayJob, SendTerms};
+use super::forward::{AttemptFault, SendTerms};
+use super::job::{QuarantineHold, RelayJob};
 use super::permit::acquire_retry;
 use crate::relay::core::RelayCore;
 use crate::relay::decide::placement::{Placement, TargetScope};
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -44,7 +44,7 @@
 /// Interval at which kept connections and missing targets are checked for expiry.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Interval at which the delay of the event loop is measured.
+/// Interval at which the delay of the event loop is checked.
 const DELAY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Interval at which the settings file is read again.
@@ -135,7 +135,7 @@
     tokio::task::spawn_local(serve_paths(shared.clone(), metrics, answer_status));
     tokio::task::spawn_local(serve_paths(shared.clone(), config_copies, serve_copy));
     tokio::task::spawn_local(sweep(shared.clone()));
-    tokio::task::spawn_local(measure_delay(shared.clone()));
+    tokio::task::spawn_local(record_loop_delay(shared.clone()));
     tokio::task::spawn_local(super::peers::receive::receive(shared.clone()));
     let stop_limit = settings.stop_limit();
     tokio::task::spawn_local(reload_settings(shared.clone(), file, settings));
@@ -287,8 +287,8 @@
     response
 }
 
-/// Measures by how much the event loop is late.
-async fn measure_delay(shared: Rc<RelayShared>) {
+/// Records by how much the event loop is late.
+async fn record_loop_delay(shared: Rc<RelayShared>) {
     loop {
         let due = shared.now() + DELAY_INTERVAL;
         tokio::time::sleep(DELAY_INTERVAL).await;
