Listeners hold the connections that arrive while a process stalls

What callers saw: at an entry that stands still for a tenth of a second, which is how a share of a core is given, connections beyond 128 did not come up; the system drops their first packet, and they connect again after a second. Cause: the runtime listens with a queue of 128. Change: bind_listener, with a queue of 4,096 (the system's limit holds), for all listeners of entries and agents: many entries connect to one agent in the same way.

--- a/src/agent/daemon.rs
+++ b/src/agent/daemon.rs
@@ -27,7 +27,7 @@
 use crate::settings::AgentSettings;
 use crate::time::Tick;
 use crate::timeline::EventTimeline;
-use crate::web::accept_next;
+use crate::web::{accept_next, bind_listener};
 use crate::wire::{Framed, ToAgent};
 
 /// Maximum number of events kept in the timeline.
@@ -83,9 +83,9 @@
     /// # Errors
     ///
     /// Returns an error if an address cannot be bound.
-    pub async fn bind(settings: AgentSettings) -> Result<Self> {
-        let listener = TcpListener::bind(settings.listen).await?;
-        let metrics = TcpListener::bind(settings.metrics_listen).await?;
+    pub fn bind(settings: AgentSettings) -> Result<Self> {
+        let listener = bind_listener(settings.listen)?;
+        let metrics = bind_listener(settings.metrics_listen)?;
         Ok(AgentDaemon { settings, listener, metrics })
     }
 
--- a/src/bin/shalelane-agent.rs
+++ b/src/bin/shalelane-agent.rs
@@ -12,7 +12,7 @@
 }
 
 async fn serve(settings: AgentSettings) -> Result<()> {
-    let daemon = AgentDaemon::bind(settings).await?;
+    let daemon = AgentDaemon::bind(settings)?;
     let (entries, metrics) = daemon.addresses()?;
     println!("ready entries={entries} metrics={metrics}");
     daemon.run(wait_for_stop()).await.map(drop)
--- a/src/bin/shalelane-entry.rs
+++ b/src/bin/shalelane-entry.rs
@@ -12,7 +12,7 @@
 }
 
 async fn serve(settings: EntrySettings) -> Result<()> {
-    let daemon = EntryDaemon::bind(settings).await?;
+    let daemon = EntryDaemon::bind(settings)?;
     let (callers, admin) = daemon.addresses()?;
     println!("ready callers={callers} admin={admin}");
     daemon.run(wait_for_stop()).await.map(drop)
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -33,6 +33,7 @@
 use crate::store::StoreClient;
 use crate::time::Tick;
 use crate::timeline::EventTimeline;
+use crate::web::bind_listener;
 
 /// Maximum number of events in the timeline.
 const TIMELINE_CAPACITY: usize = 8_192;
@@ -126,9 +127,9 @@
     /// # Errors
     ///
     /// An address cannot be bound.
-    pub async fn bind(settings: EntrySettings) -> Result<Self> {
-        let callers = TcpListener::bind(settings.listen).await?;
-        let admin = TcpListener::bind(settings.admin_listen).await?;
+    pub fn bind(settings: EntrySettings) -> Result<Self> {
+        let callers = bind_listener(settings.listen)?;
+        let admin = bind_listener(settings.admin_listen)?;
         let tuning = EntryTuning::default();
         Ok(EntryDaemon { settings, tuning, callers, admin })
     }
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -37,7 +37,7 @@
 use crate::clock::{ProcessClock, SuspensionWatch, wall_micros};
 use crate::program::on_reload_signal;
 use crate::time::Tick;
-use crate::web::accept_next;
+use crate::web::{accept_next, bind_listener};
 
 const MICROS_PER_MS: u64 = 1_000;
 
@@ -86,11 +86,11 @@
     stop: impl Future<Output = ()>,
 ) -> Result<()> {
     let log = StdoutLog::new(&settings.name);
-    let callers = TcpListener::bind(settings.listen).await?;
-    let readiness = TcpListener::bind(settings.readiness_listen).await?;
-    let metrics = TcpListener::bind(settings.metrics_listen).await?;
+    let callers = bind_listener(settings.listen)?;
+    let readiness = bind_listener(settings.readiness_listen)?;
+    let metrics = bind_listener(settings.metrics_listen)?;
     let link = PeerLink::bind(settings.load_listen).await?;
-    let config_copies = TcpListener::bind(link.address()).await?;
+    let config_copies = bind_listener(link.address())?;
     let limits = settings.to_limits();
     let entry = draw_entry_number();
     slog::info!(log.logger, "start"; "listen" => %settings.listen, "entry" => format!("{entry:016x}"),
--- a/src/web.rs
+++ b/src/web.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -14,7 +15,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc;
 
 use crate::verdict::Verdict;
@@ -28,6 +29,10 @@
 /// Timeout for the header section of a request to arrive.
 const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Maximum number of connections that wait to be accepted. The system drops those beyond it, and
+/// their callers connect again after a second.
+const MAX_WAITING_CONNECTIONS: u32 = 4_096;
+
 /// Delay after a failed accept of a connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -194,6 +199,18 @@
     tokio::time::timeout(timeout, read).await.unwrap_or(Err(BodyError::TimedOut))
 }
 
+/// Listens on an address, with a queue for the connections that arrive while the process stalls.
+///
+/// # Errors
+///
+/// The address is in use or not one of this host.
+pub(crate) fn bind_listener(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(MAX_WAITING_CONNECTIONS)
+}
+
 /// Accepts the next connection. Retries after a failure, since causes such as a lack of file
 /// descriptors are temporary.
 pub(crate) async fn accept_next(listener: &TcpListener) -> TcpStream {
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -169,7 +169,7 @@
         drain_timeout: Duration::from_secs(60),
     };
     let (daemon, address) = DaemonThread::spawn(name, move |sender, stop| async move {
-        let daemon = EntryDaemon::bind(settings).await.expect("ports");
+        let daemon = EntryDaemon::bind(settings).expect("ports");
         let daemon = daemon.with_tuning(EntryTuning { policy, ..EntryTuning::default() });
         sender.send(daemon.addresses().expect("addresses")).expect("starter");
         daemon.run(stop_requested(stop)).await.expect("entry")
@@ -203,7 +203,7 @@
         drain_timeout: Duration::from_secs(60),
     };
     let (daemon, address) = DaemonThread::spawn(name, move |sender, stop| async move {
-        let daemon = AgentDaemon::bind(settings).await.expect("port");
+        let daemon = AgentDaemon::bind(settings).expect("port");
         sender.send(daemon.addresses().expect("addresses").0).expect("starter");
         daemon.run(stop_requested(stop)).await.expect("agent")
     });
