An entry takes as many new connections as its event loop serves in time

What callers saw: while most new connections come to one slow entry, half or less as many as before were served within their objective, and the gate closed none. Cause: connections waited in the queue of the listener, which is emptied by 128 in a turn of the event loop, so that the loop's delay did not show them; and once it did, all were closed or all taken, and several times what a turn can serve. Change: all waiting connections are taken at once; of those, a quota between two measurements of the delay, which is halved while the loop is 250 ms late and grows while it is less than 125 ms late; a connection to which the loop comes after 400 ms is closed unread. Connections count as open from when they are taken; before, up to 128 more were taken than descriptors allow.

--- a/src/relay/decide/connection_gate.rs
+++ b/src/relay/decide/connection_gate.rs
@@ -1,27 +1,45 @@
-//! Decides whether an entry takes new connections of callers.
+//! Decides which new connections of callers an entry takes.
 //!
 //! For some seconds a balancer may hand most new connections to one entry. What that entry cannot
 //! read in time is better read by another one: a caller whose connection is closed unread tries
 //! again at once, while one that waits gives up only after a second.
+//!
+//! The gate bounds how many connections are taken between two measurements of the event loop's
+//! delay. The bound shrinks while the loop is late and grows while it is in time, so that no turn of
+//! the loop takes long. Connections that were taken before the loop turned out to be late are closed
+//! when it comes to them.
 
 use std::time::Duration;
 
-/// Delay of the event loop from which new connections are closed. Reading a request takes two turns
-/// of the loop, and callers wait for one second.
-const CLOSE_DELAY: Duration = Duration::from_millis(400);
+/// Delay of the event loop from which fewer connections are taken. A request takes some four turns
+/// of the loop.
+const LATE_DELAY: Duration = Duration::from_millis(250);
+
+/// Delay of the event loop below which more connections are taken. A process with a small share of a
+/// core may be late by a tenth of a second while it has little to do.
+const PROMPT_DELAY: Duration = Duration::from_millis(125);
+
+/// Smallest number of connections to take between two measurements.
+const MIN_QUOTA: usize = 4;
 
-/// Delay of the event loop below which new connections are taken again.
-const REOPEN_DELAY: Duration = Duration::from_millis(150);
+/// Largest number of connections to take between two measurements.
+const MAX_QUOTA: usize = 512;
+
+/// Time from taking a connection to serving it after which it is closed.
+const MAX_UNREAD_AGE: Duration = Duration::from_millis(400);
 
 /// Share of the descriptors that connections of callers may use, beside those to targets, to the
 /// store, and of the balancer.
 const CALLER_SHARE: f64 = 0.6;
 
 /// State of the entry that decides about new connections.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ConnectionGate {
     max_open: Option<usize>,
-    is_delayed: bool,
+    /// Number of connections to take between two measurements.
+    quota: usize,
+    /// Number of connections taken since the last measurement.
+    taken: usize,
 }
 
 impl ConnectionGate {
@@ -29,17 +47,29 @@
     #[must_use]
     pub fn new(max_descriptors: Option<usize>) -> Self {
         let max_open = max_descriptors.map(|max| (max as f64 * CALLER_SHARE) as usize);
-        ConnectionGate { max_open, is_delayed: false }
+        ConnectionGate { max_open, quota: MAX_QUOTA, taken: 0 }
     }
 
     /// Records by how much the event loop is late.
     pub fn record_delay(&mut self, delay: Duration) {
-        self.is_delayed = delay >= if self.is_delayed { REOPEN_DELAY } else { CLOSE_DELAY };
+        if delay >= LATE_DELAY {
+            self.quota = (self.taken / 2).max(MIN_QUOTA);
+        } else if delay < PROMPT_DELAY {
+            self.quota = (self.quota + self.quota / 8 + 1).min(MAX_QUOTA);
+        }
+        self.taken = 0;
+    }
+
+    /// Returns `true` if a new connection is taken beside `open` others.
+    pub fn admit(&mut self, open: usize) -> bool {
+        let is_admitted = self.taken < self.quota && self.max_open.is_none_or(|max| open < max);
+        self.taken += usize::from(is_admitted);
+        is_admitted
     }
 
-    /// Returns `true` if a connection is taken beside `open` others.
+    /// Returns `true` if a connection that was taken this long ago is still to be read.
     #[must_use]
-    pub fn admits(&self, open: usize) -> bool {
-        !self.is_delayed && self.max_open.is_none_or(|max| open < max)
+    pub fn is_timely(age: Duration) -> bool {
+        age <= MAX_UNREAD_AGE
     }
 }
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -14,6 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
 use tokio::task::LocalSet;
+use tokio::task::coop::unconstrained;
 
 use super::core::{RelayCore, draw_entry_number};
 use super::decide::connection_gate::ConnectionGate;
@@ -198,26 +199,38 @@
     closing: watch::Receiver<bool>,
 ) {
     loop {
-        let stream = accept_next(&listener).await;
-        if !shared.gate.borrow().admits(shared.open_connections.get()) {
-            // The caller tries another entry at once, as its request was not read.
-            shared.counts.borrow_mut().closed_unread += 1;
-            continue;
+        // All waiting connections are taken, as the event loop's delay does not show those that
+        // remain in the queue of the listener.
+        let stream = unconstrained(accept_next(&listener)).await;
+        if shared.gate.borrow_mut().admit(shared.open_connections.get()) {
+            let open = OpenConnection::new(&shared);
+            tokio::task::spawn_local(serve_caller(shared.clone(), stream, open, closing.clone()));
+        } else {
+            close_unread(&shared, stream);
         }
-        tokio::task::spawn_local(serve_caller(shared.clone(), stream, closing.clone()));
     }
 }
 
+/// Closes a connection, so that its caller tries another entry at once.
+fn close_unread(shared: &RelayShared, stream: TcpStream) {
+    drop(stream);
+    shared.counts.borrow_mut().closed_unread += 1;
+}
+
 /// Serves one connection of a caller.
 async fn serve_caller(
     shared: Rc<RelayShared>,
     stream: TcpStream,
+    open: OpenConnection,
     mut closing: watch::Receiver<bool>,
 ) {
+    if !ConnectionGate::is_timely(shared.now().since(open.taken_at)) {
+        close_unread(&shared, stream);
+        return;
+    }
     if let Err(error) = stream.set_nodelay(true) {
         slog::debug!(shared.log.logger(), "TCP_NODELAY not set"; "error" => %error);
     }
-    let _open_connection = OpenConnection::new(&shared);
     let limits = shared.core.borrow().rules().limits();
     let service_shared = shared.clone();
     let service = service_fn(move |request| {
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -277,18 +277,22 @@
 }
 
 /// Counts a connection of a caller as open.
-pub(crate) struct OpenConnection(Rc<RelayShared>);
+pub(crate) struct OpenConnection {
+    shared: Rc<RelayShared>,
+    /// When the entry took the connection.
+    pub(crate) taken_at: Tick,
+}
 
 impl OpenConnection {
     pub(crate) fn new(shared: &Rc<RelayShared>) -> Self {
         shared.open_connections.set(shared.open_connections.get() + 1);
-        OpenConnection(shared.clone())
+        OpenConnection { shared: shared.clone(), taken_at: shared.now() }
     }
 }
 
 impl Drop for OpenConnection {
     fn drop(&mut self) {
-        self.0.open_connections.set(self.0.open_connections.get() - 1);
+        self.shared.open_connections.set(self.shared.open_connections.get() - 1);
     }
 }
 
