Prompts leave hosts that stand still after what another attempt costs

Cause: silence of an engine alone says little, so that it was given 1.3 s, and nothing where no retry was left; no entry learned of a silent host from another one.

Change: a prompt that is overdue by as long as another attempt would take, at least 100 ms, has the agent on that host queried. An agent that has ended (no answer for 1.3 s before) makes no host silent.

--- a/src/relay/core/attempts.rs
+++ b/src/relay/core/attempts.rs
@@ -6,6 +6,7 @@
 
 use super::{PlacedAttempt, RelayCore, RelayLimits};
 use crate::relay::decide::group_search::place_prompt;
+use crate::relay::decide::host_contact::HostCheck;
 use crate::relay::decide::placement::{
     PermitPolicy, Placement, PlacementQuery, PromptNeed, TargetScope, place_call,
 };
@@ -261,4 +262,36 @@
             target.record_down(now);
         }
     }
+
+    /// Records that subscriptions are sent to the agents of the engines that this entry uses.
+    pub fn record_subscriptions(&mut self, now: Tick) {
+        for target in self.targets.iter_mut().filter(|target| target.is_used) {
+            target.contact.record_query(now);
+        }
+    }
+
+    /// Records that a target is overdue. Returns what to do about the agent on its host; a query is
+    /// taken to be sent.
+    pub fn check_host(&mut self, target: &str, now: Tick) -> HostCheck {
+        let Some(target) = self.targets.get_mut(target) else { return HostCheck::Wait };
+        let check = target.contact.record_overdue(now);
+        if check == HostCheck::Query {
+            target.contact.record_query(now);
+        }
+        check
+    }
+
+    /// Returns `true` if the host of a target answers nothing.
+    #[must_use]
+    pub fn is_host_silent(&self, target: &str, now: Tick) -> bool {
+        self.targets.get(target).is_some_and(|target| target.contact.is_silent(now))
+    }
+
+    /// Applies the report of another entry that the host of a target answers nothing.
+    pub fn apply_host_silence(&mut self, instance: &TargetInstance, now: Tick) {
+        let target = self.targets.get_mut(&instance.incarnation);
+        if let Some(target) = target.filter(|target| target.record.to_instance() == *instance) {
+            target.contact.record_report(now);
+        }
+    }
 }
--- a/src/relay/core/mod.rs
+++ b/src/relay/core/mod.rs
@@ -368,6 +368,7 @@
                 if let Some(target) = self.targets.get_mut(&target) {
                     target.subscribers = entries as usize;
                     target.acknowledged_at = Some(now);
+                    target.contact.record_answer(now);
                 }
                 if let Some(entries) = self.fleet_entries() {
                     self.slack_share.record_entries(entries, now);
--- a/src/relay/decide/mod.rs
+++ b/src/relay/decide/mod.rs
@@ -37,6 +37,7 @@
 pub mod evacuation;
 pub mod expiring_credit;
 pub mod group_search;
+pub mod host_contact;
 pub mod loss;
 pub mod part_board;
 pub mod part_evidence;
--- a/src/relay/decide/placement.rs
+++ b/src/relay/decide/placement.rs
@@ -281,8 +281,8 @@
     target.rate.map_or(0.0, |_| policy.scarce_cost)
 }
 
-/// The usable targets in the scope of a request. Ejected targets are included only if there are
-/// no others.
+/// The usable targets in the scope of a request. Ejected targets and those on silent hosts are
+/// included only if there are no others.
 pub(super) fn candidates<'a>(
     set: &'a TargetSet,
     query: &PlacementQuery<'a>,
@@ -294,7 +294,9 @@
     };
     let accepting = query.service.targets(set).filter(is_accepting);
     let in_scope: Vec<_> = accepting.filter(|target| query.scope.contains(target)).collect();
-    let is_healthy = |target: &&TargetState| !(query.policy.ejects && target.is_ejected(now));
+    let is_unhealthy =
+        |target: &TargetState| target.is_ejected(now) || target.contact.is_silent(now);
+    let is_healthy = |target: &&TargetState| !(query.policy.ejects && is_unhealthy(target));
     let healthy: Vec<_> = in_scope.iter().copied().filter(is_healthy).collect();
     if healthy.is_empty() { in_scope } else { healthy }
 }
--- a/src/relay/decide/target_state.rs
+++ b/src/relay/decide/target_state.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::engine_rates::EngineRates;
+use super::host_contact::HostContact;
 use super::pass_model::PassModel;
 use super::rate_limit::RateLimit;
 use super::target_notice::{NoticeState, TargetNotice};
@@ -134,6 +135,8 @@
     pub subscribers: usize,
     /// When its agent last acknowledged a subscription.
     pub acknowledged_at: Option<Tick>,
+    /// Contact with that agent.
+    pub contact: HostContact,
     /// Number of requests of this process on the target.
     pub in_flight: usize,
     /// When the target last sent anything.
@@ -174,6 +177,7 @@
             is_used: true,
             subscribers: 0,
             acknowledged_at: None,
+            contact: HostContact::default(),
             in_flight: 0,
             received_at: now,
             waiting_since: None,
@@ -303,6 +307,7 @@
     /// Records received bytes of an answer.
     pub fn record_received(&mut self, now: Tick) {
         self.received_at = now;
+        self.contact.record_sign_of_life();
         self.unreachable_since = None;
         self.waiting_since = (self.in_flight > 0).then_some(now);
     }
--- a/src/relay/discovery/follow_config.rs
+++ b/src/relay/discovery/follow_config.rs
@@ -85,7 +85,7 @@
             }
         }
         // Lets other entries adopt this proof instead of reading the store.
-        shared.link.send_subscriptions(&shared.core.borrow(), shared.now());
+        shared.link.send_subscriptions(&mut shared.core.borrow_mut(), shared.now());
         apply_updates_until(&shared, next_refresh(&shared)).await;
     }
 }
--- a/src/relay/peers/peer_link.rs
+++ b/src/relay/peers/peer_link.rs
@@ -12,6 +12,7 @@
 use crate::Result;
 use crate::relay::core::RelayCore;
 use crate::relay::core::retries::DepositOrder;
+use crate::relay::decide::host_contact::HostCheck;
 use crate::relay::decide::request_digest::RequestDigest;
 use crate::relay::discovery::target_list_sync::UpdateAnnouncer;
 use crate::time::Tick;
@@ -23,6 +24,9 @@
 /// use its engine, and an entry that reads the store informs its agents at once.
 const QUERIED_AGENTS: usize = 3;
 
+/// Number of agents that relay the report on a silent host: their own hosts may stand still.
+const REPORT_AGENTS: usize = 4;
+
 /// Number of agents that store the reports about a request or a part: one of them may be gone or unreachable.
 pub(crate) const SUSPECT_HOLDERS: usize = 3;
 
@@ -167,14 +171,42 @@
 
     /// Sends a subscription, which includes the age of the proof, to all agents of engines that
     /// this entry uses.
-    pub(crate) fn send_subscriptions(&self, core: &RelayCore, now: Tick) {
+    pub(crate) fn send_subscriptions(&self, core: &mut RelayCore, now: Tick) {
         self.subscribed_at.set(Some(now));
+        core.record_subscriptions(now);
         let message = to_subscription(core, now);
         for address in used_engines(core) {
             self.send_beside(address, &message);
         }
     }
 
+    /// Queries the agent on the host of an overdue target, or reports to other entries that the host
+    /// is silent. Returns `true` if it has just turned out to be silent.
+    pub(crate) fn check_host(&self, core: &mut RelayCore, target: &str, now: Tick) -> bool {
+        match core.check_host(target, now) {
+            HostCheck::Wait => {}
+            HostCheck::Query => {
+                let message = to_subscription(core, now);
+                if let Some(target) = core.targets.get(target) {
+                    self.send_beside(target.record.address, &message);
+                }
+            }
+            HostCheck::Report => {
+                let Some(target) = core.targets.get(target) else { return false };
+                let message = PeerMessage::HostSilent(target.record.to_instance());
+                let heard = core.targets.iter().filter(|target| {
+                    target.is_used && target.model.is_some() && !target.contact.is_silent(now)
+                });
+                let addresses = heard.map(|target| target.record.address);
+                for address in addresses.choose_multiple(&mut rand::rng(), REPORT_AGENTS) {
+                    self.send_beside(address, &message);
+                }
+                return true;
+            }
+        }
+        false
+    }
+
     /// Asks a few agents for the newest proof.
     pub(crate) fn query_agents(&self, core: &RelayCore, now: Tick) {
         let message = to_subscription(core, now);
--- a/src/relay/peers/peer_message.rs
+++ b/src/relay/peers/peer_message.rs
@@ -82,6 +82,9 @@
     /// The engine beside the agent is down. Sent repeatedly while it is.
     #[serde(rename = "d")]
     EngineDown,
+    /// The host of a target answers nothing. Relayed by agents to the other entries.
+    #[serde(rename = "i")]
+    HostSilent(TargetInstance),
     /// The engine beside the agent has exited. Sent a few times.
     #[serde(rename = "x")]
     EngineExited {
--- a/src/relay/peers/receive.rs
+++ b/src/relay/peers/receive.rs
@@ -51,6 +51,9 @@
                 apply_update(&shared, message, now);
             }
             PeerMessage::EngineDown => shared.core.borrow_mut().record_down(from.ip(), now),
+            PeerMessage::HostSilent(instance) => {
+                shared.core.borrow_mut().apply_host_silence(&instance, now);
+            }
             PeerMessage::EngineExited { next_ms } => {
                 shared.core.borrow_mut().record_exit(from.ip(), next_ms, now);
                 shared.report_suspects();
--- a/src/relay/peers/subscriber_set.rs
+++ b/src/relay/peers/subscriber_set.rs
@@ -131,6 +131,7 @@
             }
             PeerMessage::TargetListChanged(_)
             | PeerMessage::ConfigChanged(_)
+            | PeerMessage::HostSilent(_)
             | PeerMessage::Fragment(_) => self.to_others(from, message),
             PeerMessage::RequestSuspected(report) => self.merge_suspect(report, now),
             PeerMessage::RequestCleared(digest) => {
--- a/src/relay/proxy/forward.rs
+++ b/src/relay/proxy/forward.rs
@@ -28,6 +28,10 @@
 /// seconds.
 const MIN_SILENCE_TIMEOUT: Duration = Duration::from_millis(1_300);
 
+/// Silence of a target, beyond the predicted time to the first event, after which its host is
+/// checked.
+const OVERDUE_TIME: Duration = Duration::from_millis(100);
+
 /// Multiple of the predicted time to the first event that a request waits in any case.
 const PREDICTION_FACTOR: f64 = 1.5;
 
@@ -340,12 +344,20 @@
     let predicted = placement.first_event.mul_f64(PREDICTION_FACTOR);
     // Prefilling a long prompt again is expensive, and its caller waits longer.
     let silence = MIN_SILENCE_TIMEOUT.max(job.route.objective);
+    // Waiting costs less until it has taken as long as another attempt would.
+    let overdue = OVERDUE_TIME.max(placement.first_event);
     loop {
         tokio::time::sleep(SILENCE_CHECK_INTERVAL.min(job.deadline.since(shared.now()))).await;
         let now = shared.now();
         if now >= job.deadline {
             return AttemptFault::timeout(Verdict::MayHaveRun);
         }
+        let is_host_silent = job.need.is_some()
+            && now.since(sent_at) >= predicted + overdue
+            && check_host(shared, placement, attempt, now);
+        if is_host_silent && job.route.repeat.is_repeatable() {
+            return AttemptFault::silent("the host of the target answers nothing");
+        }
         if !may_hedge {
             continue;
         }
@@ -362,6 +374,27 @@
     }
 }
 
+/// Checks the host of an overdue target. Returns `true` if it answers nothing.
+fn check_host(
+    shared: &RelayShared,
+    placement: &Placement,
+    attempt: &PlacedAttempt,
+    now: Tick,
+) -> bool {
+    let target = &placement.target;
+    if shared.silence_of(target) < OVERDUE_TIME {
+        return false;
+    }
+    let mut core = shared.core.borrow_mut();
+    if !core.time_to_prefill(attempt, now).is_zero() {
+        return false;
+    }
+    if shared.link.check_host(&mut core, target, now) {
+        slog::info!(shared.log.logger(), "host silent"; "target" => %target);
+    }
+    core.is_host_silent(target, now)
+}
+
 /// Returns a fault for a refusal, and for an answer that belongs to another request, has a content
 /// encoding or lacks a signature.
 fn check_head(job: &RelayJob, parts: &Parts, head: &AnswerHead) -> Result<(), AttemptFault> {
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -8,6 +8,7 @@
 mod evacuations;
 mod events;
 mod fixture;
+mod host_contact;
 mod instances;
 mod message_fragments;
 mod notices;
