Tests: setup and events of the fleet of parts in files of their own

Change: FleetSetup and Traffic in part_setup.rs, events, requests and engines in part_events.rs, as they are. Result: the 25 tests of parts pass.

--- a/tests/relay/part_fleet.rs
+++ b/tests/relay/part_fleet.rs
@@ -19,6 +19,8 @@
 use shalelane::time::Tick;
 
 use crate::fixture::{ms, name};
+use crate::part_events::{FleetArrival, FleetEngine, FleetEvent, FleetRequest};
+use crate::part_setup::FleetSetup;
 
 /// Unix time of tick zero, in milliseconds.
 const UNIX_ORIGIN_MS: u64 = 1_700_000_000_000;
@@ -42,112 +44,6 @@
 /// Interval at which entries decide without an occasion.
 const SWEEP: Duration = Duration::from_millis(250);
 
-/// A kind of request.
-#[derive(Clone, Debug)]
-pub struct Traffic {
-    pub per_second: f64,
-    /// Names of the shared parts; `*` at the end of a name is replaced by a number below 24.
-    pub parts: Vec<&'static str>,
-    pub from: u64,
-    pub until: u64,
-}
-
-/// How a fleet is set up.
-#[derive(Clone, Debug)]
-pub struct FleetSetup {
-    pub entries: usize,
-    pub engines: usize,
-    pub traffic: Vec<Traffic>,
-    /// Parts that crash engines, with the share of requests that do so and the time from which.
-    pub culprits: Vec<(&'static str, f64, u64)>,
-    /// Entries that do not know of parts, as of an earlier version.
-    pub old_entries: usize,
-    pub has_store: bool,
-    /// Share of datagrams that are lost.
-    pub loss: f64,
-    /// Times at which all agents restart and lose what they know.
-    pub agent_restarts: Vec<u64>,
-    /// Times at which an entry restarts and loses what it knows.
-    pub entry_restarts: Vec<(u64, usize)>,
-    /// From when until when an entry is frozen.
-    pub freezes: Vec<(u64, u64, usize)>,
-    /// Times at which engines crash by themselves, with the share of all engines.
-    pub unrelated_crashes: Vec<(u64, f64)>,
-    /// Time from a crash until agents report it, drawn up to this one.
-    pub detection_ms: u64,
-    /// Time from which no part crashes engines any more.
-    pub mended_at: Option<u64>,
-    pub seed: u64,
-}
-
-impl FleetSetup {
-    pub fn new(entries: usize, engines: usize, seed: u64) -> Self {
-        FleetSetup {
-            entries,
-            engines,
-            traffic: Vec::new(),
-            culprits: Vec::new(),
-            old_entries: 0,
-            has_store: true,
-            loss: 0.0,
-            agent_restarts: Vec::new(),
-            entry_restarts: Vec::new(),
-            freezes: Vec::new(),
-            unrelated_crashes: Vec::new(),
-            detection_ms: 500,
-            mended_at: None,
-            seed,
-        }
-    }
-}
-
-#[derive(Clone, Debug)]
-struct FleetRequest {
-    entry: usize,
-    engine: usize,
-    incarnation: u64,
-    parts: PartSet,
-    /// Its number among all arrivals.
-    arrival: usize,
-    sent_at: Tick,
-    began_at: Option<Tick>,
-}
-
-#[derive(Clone, Debug)]
-enum FleetEvent {
-    Arrive { kind: usize },
-    Begin(usize),
-    Serve(usize),
-    Finish(usize),
-    Confirm { engine: usize, incarnation: u64 },
-    Return(usize),
-    ToAgent { agent: usize, from: usize, message: PartMessage },
-    ToEntry { entry: usize, message: PartMessage },
-    StoreChanged { entry: usize },
-    Sweep,
-    RestartAgents,
-    RestartEntry(usize),
-    Crash { share: f64 },
-}
-
-/// One arrival of a request, and what became of its first attempt.
-#[derive(Clone, Debug)]
-pub struct FleetArrival {
-    pub at: Tick,
-    pub kind: usize,
-    pub entry: usize,
-    pub has_begun: bool,
-    pub was_refused: bool,
-    pub reached_engine: bool,
-}
-
-struct FleetEngine {
-    incarnation: u64,
-    is_up: bool,
-    open: BTreeSet<usize>,
-    agent: PartBoard,
-}
-
 /// A running fleet.
 pub struct PartFleet {
     pub setup: FleetSetup,
--- a/tests/relay/parts.rs
+++ b/tests/relay/parts.rs
@@ -5,7 +5,8 @@
 //! at least half as often as before.
 
 use crate::fixture::{at, ms};
-use crate::part_fleet::{FleetSetup, PartFleet, Traffic};
+use crate::part_fleet::PartFleet;
+use crate::part_setup::{FleetSetup, Traffic};
 use shalelane::time::Tick;
 
 /// Fleets: entries and engines.
