--- a/src/relay/decide/host_contact.rs
+++ b/src/relay/decide/host_contact.rs
@@ -1,4 +1,4 @@
-//! Tells hosts that stand still from hosts whose agent has ended.
+//! Distinguishes hosts that stand still from hosts whose agent has ended.
 //!
 //! A target that sends nothing may work on other requests, and an agent that does not answer may
 //! have ended while its target works. A host counts as silent if its agent, which answered shortly
