Silent attempts go on until another one yields something

Callers of sound targets that are silent for a second or so got a broken stream or a 502 where the answer would have come, or waited for two silences in a row.

Cause: whether another target may be tried was asked when the request was sent. When the target had been silent for too long, the attempt was ended first, and only then were a retry, a target and the quarantine asked for, each of which may say no. Silence of a host ended an attempt without asking at all.

Now silence is something that an attempt yields, as it yields events. A silent attempt goes on while a replacement is sought: within the budgets, at a target that may take it, unless it is quarantined. Both then run, and the first that yields something goes on. So an attempt ends only if it fails by itself, if its caller leaves or its time is up, or if another one has yielded more. A replacement that ends unused counts as a run, so that no request runs at more targets than its route allows, and no refusal promises that it did not run.

The test of a discarded partial event now asserts it of the splitter that continues a stream, and that no event is taken twice.

--- a/src/relay/proxy/event_stream.rs
+++ b/src/relay/proxy/event_stream.rs
@@ -57,9 +57,10 @@
         !self.buffer.is_empty()
     }
 
-    /// Discards a partial event, whose target did not complete it.
-    pub fn clear_partial_event(&mut self) {
-        self.buffer.clear();
+    /// Returns a splitter for an answer that continues after the last complete event.
+    #[must_use]
+    pub fn resume(&self) -> Self {
+        EventSplitter { buffer: BytesMut::new(), last_id: self.last_id }
     }
 }
 
--- a/src/relay/proxy/exchange.rs
+++ b/src/relay/proxy/exchange.rs
@@ -1,6 +1,6 @@
 //! Entry point for a caller's request: checks access and reads the request.
 
-use std::cell::{Cell, OnceCell};
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -142,7 +142,6 @@
         deadline,
         need,
         cached_digest: OnceCell::new(),
-        sent_at: Cell::default(),
     };
     if let Some(hold) = job.quarantine_hold(shared) {
         return Err(quarantine_fault(hold));
--- a/src/relay/proxy/forward.rs
+++ b/src/relay/proxy/forward.rs
@@ -1,9 +1,9 @@
-//! One attempt: sends a request to a target and waits for the head of the answer.
+//! Sends a request to a target and waits for the head of the answer.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -23,24 +23,6 @@
 use crate::time::Tick;
 use crate::verdict::Verdict;
 
-/// Minimum silence of a busy target after which a prompt is sent to another target. The request
-/// also waits for the predicted time to its first event. Callers of short prompts wait for two
-/// seconds.
-const MIN_SILENCE_TIMEOUT: Duration = Duration::from_millis(1_300);
-
-/// Silence of a target, beyond the predicted time to the first event, after which its host is
-/// checked.
-const OVERDUE_TIME: Duration = Duration::from_millis(100);
-
-/// Multiple of the predicted time to the first event that a request waits in any case.
-const PREDICTION_FACTOR: f64 = 1.5;
-
-/// Fraction of the objective of a plain call after which another target is tried.
-const HEDGE_FRACTION: f64 = 0.8;
-
-/// Interval at which a waiting request checks whether its target is silent.
-const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Reason why an attempt produced no answer.
 pub(crate) struct AttemptFault {
     /// What the failure indicates about the target.
@@ -60,8 +42,6 @@
     /// Whether the failure indicates nothing about the target: the attempt used a pooled
     /// connection, which the target may have closed, or was superseded before it was sent.
     pub(crate) is_stale: bool,
-    /// Time for which the attempt had been receiving events.
-    pub(crate) streamed_for: Duration,
 }
 
 impl AttemptFault {
@@ -75,7 +55,6 @@
             is_timeout: false,
             failed_address: None,
             is_stale: false,
-            streamed_for: Duration::ZERO,
         }
     }
 
@@ -122,9 +101,11 @@
         is_suspect.then(|| shared.address_of(target)).flatten()
     }
 
-    pub(crate) fn timeout(verdict: Verdict) -> Self {
+    /// The time limit of the request has expired.
+    pub(crate) fn timeout(is_sent: bool) -> Self {
+        let verdict = if is_sent { Verdict::MayHaveRun } else { Verdict::NotRun };
         let fault = AttemptFault::new(TargetFault::TimedOut, verdict, "time is up");
-        AttemptFault { is_timeout: true, ..fault }
+        AttemptFault { is_timeout: true, is_sent, ..fault }
     }
 
     pub(crate) fn broken(reason: impl Into<String>) -> Self {
@@ -140,15 +121,6 @@
     }
 }
 
-/// Conditions of an attempt that depend on earlier attempts.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct SendTerms {
-    /// Whether another target may be tried if this one is silent.
-    pub(crate) may_hedge: bool,
-    /// Time before which the request has to be sent.
-    pub(crate) send_before: Tick,
-}
-
 /// Resources of a running attempt. Dropping the guard releases all of them and closes the
 /// connection unless it was returned to the pool.
 pub(crate) struct AttemptGuard {
@@ -160,6 +132,22 @@
 }
 
 impl AttemptGuard {
+    /// Occupies the resources of an attempt that was placed.
+    pub(crate) fn new(shared: &Rc<RelayShared>, job: &RelayJob, placement: &Placement) -> Self {
+        let attempt = {
+            let mut core = shared.core.borrow_mut();
+            let now = shared.now();
+            let mut attempt = core.begin_attempt(placement, job.need_at(now).as_ref(), now);
+            if job.is_suspect(&core) {
+                core.mark_suspect(&mut attempt);
+            }
+            attempt
+        };
+        shared.send_messages();
+        shared.counts.borrow_mut().attempts += 1;
+        AttemptGuard { shared: shared.clone(), attempt, connection: None, memory: None }
+    }
+
     /// Returns the connection to the pool after the complete answer was read.
     pub(crate) fn return_connection(&mut self, answer: &AnswerHead) {
         let Some(connection) = self.connection.take() else { return };
@@ -186,30 +174,28 @@
     pub(crate) head: AnswerHead,
 }
 
-/// Sends a request to its target and waits for the head of the answer.
-pub(crate) async fn start_attempt(
+/// What an attempt sends, and when.
+pub(crate) struct SendOrder {
+    pub(crate) placement: Placement,
+    /// Id of the last event that the caller has received.
+    pub(crate) resume_after: Option<u64>,
+    /// Time before which the request has to be sent.
+    pub(crate) send_before: Tick,
+}
+
+/// Sends a request to its target and waits for the head of the answer. `sent_at` is set when the
+/// request is sent.
+pub(crate) async fn open_answer(
     shared: &Rc<RelayShared>,
     job: &RelayJob,
-    placement: &Placement,
-    resume_after: Option<u64>,
-    terms: SendTerms,
+    order: SendOrder,
+    mut guard: AttemptGuard,
+    sent_at: Rc<Cell<Option<Tick>>>,
 ) -> Result<OpenAnswer, AttemptFault> {
+    let placement = &order.placement;
     let Some(address) = shared.address_of(&placement.target) else {
         return Err(AttemptFault::not_sent("the target is gone"));
     };
-    let attempt = {
-        let mut core = shared.core.borrow_mut();
-        let now = shared.now();
-        let mut attempt = core.begin_attempt(placement, job.need_at(now).as_ref(), now);
-        if job.is_suspect(&core) {
-            core.mark_suspect(&mut attempt);
-        }
-        attempt
-    };
-    shared.send_messages();
-    shared.counts.borrow_mut().attempts += 1;
-    let mut guard =
-        AttemptGuard { shared: shared.clone(), attempt, connection: None, memory: None };
     let mut helpers = to_helpers(shared, placement)?;
     if !placement.reservations.is_empty() {
         let hold = MemoryHold::reserve(shared, placement, &mut helpers).await;
@@ -221,7 +207,7 @@
     if !shared.core.borrow().may_send(attempt, shared.now()) {
         return Err(AttemptFault::superseded());
     }
-    if shared.now() >= terms.send_before {
+    if shared.now() >= order.send_before {
         return Err(AttemptFault::lapsed());
     }
     if !shared.core.borrow_mut().record_sent_parts(job.shared_parts(), shared.now()) {
@@ -231,16 +217,10 @@
         return Err(AttemptFault::not_sent("a reservation of memory has expired"));
     }
     let connection = guard.connection.insert(connection);
-    let request = to_request(shared, job, placement, &helpers, resume_after);
-    let sent_at = shared.now();
-    job.sent_at.set(sent_at);
-    let sending = connection.sender.send_request(request);
-    let timeout = wait_for_timeout(shared, job, placement, attempt, terms.may_hedge);
-    let response = tokio::select! {
-        response = sending => response,
-        fault = timeout => return Err(fault),
-    };
-    let response = response.map_err(|error| {
+    let request = to_request(shared, job, placement, &helpers, order.resume_after);
+    let now = shared.now();
+    sent_at.set(Some(now));
+    let response = connection.sender.send_request(request).await.map_err(|error| {
         let fault = if error.is_canceled() {
             AttemptFault::not_sent("the connection had ended")
         } else {
@@ -262,7 +242,7 @@
         shared.apply_notice(
             guard.attempt.instance.as_ref(),
             &head.notice,
-            is_authentic.then_some(sent_at),
+            is_authentic.then_some(now),
         );
     }
     check_head(job, &parts, &head).map_err(|fault| {
@@ -330,71 +310,6 @@
     request
 }
 
-/// Returns a fault when the time limit expires, or when the target seems not to work and another
-/// may be tried.
-async fn wait_for_timeout(
-    shared: &RelayShared,
-    job: &RelayJob,
-    placement: &Placement,
-    attempt: &PlacedAttempt,
-    may_hedge: bool,
-) -> AttemptFault {
-    let sent_at = shared.now();
-    let hedge_at = sent_at + job.route.objective.mul_f64(HEDGE_FRACTION);
-    let predicted = placement.first_event.mul_f64(PREDICTION_FACTOR);
-    // Prefilling a long prompt again is expensive, and its caller waits longer.
-    let silence = MIN_SILENCE_TIMEOUT.max(job.route.objective);
-    // Waiting costs less until it has taken as long as another attempt would.
-    let overdue = OVERDUE_TIME.max(placement.first_event);
-    loop {
-        tokio::time::sleep(SILENCE_CHECK_INTERVAL.min(job.deadline.since(shared.now()))).await;
-        let now = shared.now();
-        if now >= job.deadline {
-            return AttemptFault::timeout(Verdict::MayHaveRun);
-        }
-        let is_host_silent = job.need.is_some()
-            && now.since(sent_at) >= predicted + overdue
-            && check_host(shared, placement, attempt, now);
-        if is_host_silent && job.route.repeat.is_repeatable() {
-            return AttemptFault::silent("the host of the target answers nothing");
-        }
-        if !may_hedge {
-            continue;
-        }
-        if job.need.is_none() && now >= hedge_at {
-            return AttemptFault::silent("no answer within the objective");
-        }
-        let is_due = now.since(sent_at) >= predicted + silence;
-        let is_silent = || shared.silence_of(&placement.target) >= silence;
-        // The engine may prefill later prompts first, which is no fault of the target.
-        let is_queued = || !shared.core.borrow_mut().time_to_prefill(attempt, now).is_zero();
-        if job.need.is_some() && is_due && is_silent() && !is_queued() {
-            return AttemptFault::silent("the target has sent nothing for too long");
-        }
-    }
-}
-
-/// Checks the host of an overdue target. Returns `true` if it answers nothing.
-fn check_host(
-    shared: &RelayShared,
-    placement: &Placement,
-    attempt: &PlacedAttempt,
-    now: Tick,
-) -> bool {
-    let target = &placement.target;
-    if shared.silence_of(target) < OVERDUE_TIME {
-        return false;
-    }
-    let mut core = shared.core.borrow_mut();
-    if !core.time_to_prefill(attempt, now).is_zero() {
-        return false;
-    }
-    if shared.link.check_host(&mut core, target, now) {
-        slog::info!(shared.log.logger(), "host silent"; "target" => %target);
-    }
-    core.is_host_silent(target, now)
-}
-
 /// Returns a fault for a refusal, and for an answer that belongs to another request, has a content
 /// encoding or lacks a signature.
 fn check_head(job: &RelayJob, parts: &Parts, head: &AnswerHead) -> Result<(), AttemptFault> {
--- a/src/relay/proxy/job.rs
+++ b/src/relay/proxy/job.rs
@@ -1,6 +1,6 @@
 //! A caller's request on its way to targets, and what the quarantine learns of it.
 
-use std::cell::{Cell, OnceCell};
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -47,8 +47,6 @@
     pub(crate) need: Option<PromptNeed>,
     /// Digest of the request, computed on first use.
     pub(crate) cached_digest: OnceCell<RequestDigest>,
-    /// When the last attempt was sent.
-    pub(crate) sent_at: Cell<Tick>,
 }
 
 /// Why a request is not sent to any target.
@@ -101,11 +99,12 @@
         quarantined.quarantine_left(&self.digest(), now).map(QuarantineHold::Request)
     }
 
-    /// Reports to the quarantine that the connection of the last attempt broke.
+    /// Reports to the quarantine that the connection of an attempt broke that was sent at `sent_at`.
     pub(crate) fn report_broken(
         &self,
         shared: &RelayShared,
         instance: &TargetInstance,
+        sent_at: Tick,
         streamed_for: Duration,
         now: Tick,
     ) {
@@ -113,17 +112,16 @@
         core.record_broken(self.digest(), instance, streamed_for, now);
         if !self.shared_parts().is_empty() {
             let parts = self.head.shared_parts.clone();
-            let (digest, sent_at) = (self.digest(), self.sent_at.get());
-            let attempt = PartAttempt { digest, parts, sent_at, broke_at: now };
+            let attempt = PartAttempt { digest: self.digest(), parts, sent_at, broke_at: now };
             core.record_broken_parts(attempt, instance, streamed_for, now);
         }
     }
 
-    /// Reports to the quarantine that an engine has begun to serve the last attempt and has not
-    /// crashed.
-    pub(crate) fn report_served_parts(&self, shared: &RelayShared) {
+    /// Reports to the quarantine that an engine has begun to serve an attempt that was sent at
+    /// `sent_at`, and has not crashed.
+    pub(crate) fn report_served_parts(&self, shared: &RelayShared, sent_at: Tick) {
         if self.need.is_some() {
-            let (parts, sent_at) = (&self.head.shared_parts, self.sent_at.get());
+            let parts = &self.head.shared_parts;
             shared.core.borrow_mut().record_served_parts(parts, sent_at, shared.now());
         }
     }
--- a/src/relay/proxy/ledger.rs
+++ b/src/relay/proxy/ledger.rs
@@ -6,6 +6,7 @@
 use hyper::StatusCode;
 
 use super::answer::RelayFault;
+use super::job::RelayJob;
 use crate::relay::decide::request_digest::RequestDigest;
 use crate::relay::record::{RequestEnd, RequestLine, RetryStop, StreamPace};
 use crate::relay::shared::{OpenRequest, RelayShared};
@@ -25,7 +26,7 @@
     pub(crate) more_urgent: Option<u8>,
     /// Reason why the request was not sent again after a failure.
     pub(crate) retry_stop: Option<RetryStop>,
-    pub(crate) pace: StreamPace,
+    pace: StreamPace,
     is_ended: bool,
     /// A planned stop waits until the whole answer is sent, rather than its head.
     _open_request: OpenRequest,
@@ -56,6 +57,16 @@
         }
     }
 
+    /// Records events that are forwarded to the caller.
+    pub(crate) fn record_events(&mut self, job: &RelayJob) {
+        let now = self.shared.now();
+        if self.pace.time_to_first.is_none() {
+            let prompt = job.need.map_or(0, |need| need.prompt_tokens);
+            self.shared.counts.borrow().record_first_event(prompt, now.since(job.arrived));
+        }
+        self.pace.record(job.arrived, now);
+    }
+
     pub(crate) fn end(&mut self, outcome: RequestEnd, status: StatusCode, reason: &str) {
         self.is_ended = true;
         let shared = &self.shared;
--- a/src/relay/proxy/mod.rs
+++ b/src/relay/proxy/mod.rs
@@ -1,13 +1,15 @@
 //! Handling of a request in an entry, from the caller to a target and back.
 //!
-//! `exchange` accepts the request as a `job`; `call` or `stream` serves it. `series` decides whether another
-//! attempt is made, `permit` requests a permit if the target is rate-limited, and `forward` sends
-//! one attempt. `crash_check` probes whether a plain target has crashed, and `answer` builds the
+//! `exchange` accepts the request as a `job`; `call` or `stream` serves it. `series` decides whether
+//! another attempt is made, `permit` requests a permit if the target is rate-limited, and `forward`
+//! sends one attempt. A `running_attempt` yields what its target sends, `silence_watch` notices when
+//! that is nothing for too long, and an `attempt_race` replaces it once another one yields more. `crash_check` probes whether a plain target has crashed, and `answer` builds the
 //! caller's response. `connections` pools the connections to targets, `memory_hold` reserves memory
 //! at helpers, [`event_stream`] splits streams into events, and `ledger` logs the request at its
 //! end. [`protocol`] defines the adapters for the protocols of callers and targets.
 
 pub(crate) mod answer;
+pub(crate) mod attempt_race;
 pub(crate) mod call;
 pub(crate) mod connections;
 pub(crate) mod crash_check;
@@ -19,5 +21,7 @@
 pub(crate) mod memory_hold;
 pub(crate) mod permit;
 pub mod protocol;
+pub(crate) mod running_attempt;
 pub(crate) mod series;
+pub(crate) mod silence_watch;
 pub(crate) mod stream;
--- a/src/relay/proxy/series.rs
+++ b/src/relay/proxy/series.rs
@@ -10,10 +10,11 @@
 
 use super::answer::{RelayAnswer, RelayBody, RelayFault};
 use super::crash_check::check_crash;
-use super::forward::{AttemptFault, SendTerms};
+use super::forward::AttemptFault;
 use super::job::{QuarantineHold, RelayJob};
-use super::permit::acquire_retry;
-use crate::relay::core::RelayCore;
+use super::permit::{acquire_permit, acquire_retry};
+use super::running_attempt::RunningAttempt;
+use crate::relay::core::{PlacedAttempt, RelayCore};
 use crate::relay::decide::placement::{Placement, TargetScope};
 use crate::relay::decide::retry_delay::after_reopening;
 use crate::relay::decide::send_count::{SendCount, SendEnd};
@@ -29,6 +30,9 @@
 /// Delay before another target is tried after refusals.
 const REFUSED_DELAY: Duration = Duration::from_millis(30);
 
+/// Interval at which a replacement of a silent attempt is sought.
+const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Builds the answer to a quarantined request, which may be retried when the quarantine expires.
 #[cold]
 pub(crate) fn quarantine_fault(hold: QuarantineHold) -> RelayFault {
@@ -73,13 +77,39 @@
     is_target_fault
 }
 
+/// Records what a failed attempt indicates about a crash of its target, and about the request.
+fn record_target_crash(
+    shared: &Rc<RelayShared>,
+    job: &RelayJob,
+    failed: &RunningAttempt<'_>,
+    fault: &AttemptFault,
+    now: Tick,
+) {
+    let Some(instance) = &failed.attempt.instance else { return };
+    if fault.is_disconnect()
+        && let Some(sent_at) = failed.sent_at()
+    {
+        job.report_broken(shared, instance, sent_at, failed.streamed_for(), now);
+        check_crash(shared, instance);
+    }
+    if fault.fault == TargetFault::Unreachable {
+        shared.core.borrow_mut().record_unreachable(instance, now);
+    }
+    shared.report_suspects();
+}
+
+/// A failed attempt that was recorded.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FailedSend {
+    verdict: Verdict,
+    pub(crate) is_timeout: bool,
+}
+
 /// The attempts made for one request.
 pub(crate) struct AttemptSeries {
     tried: Vec<Arc<str>>,
     /// Instances of targets that may have run the request.
     ran_on: Vec<TargetInstance>,
-    /// Instance that the request was last placed at.
-    placed_on: Option<TargetInstance>,
     /// Whether the last attempt was refused or could not be sent.
     was_refused: bool,
     /// Whether the request was placed at a target whose permit it has to wait for.
@@ -97,7 +127,6 @@
         AttemptSeries {
             tried: Vec::new(),
             ran_on: Vec::new(),
-            placed_on: None,
             was_refused: false,
             waits_for_permit: false,
             sends: SendCount::default(),
@@ -113,22 +142,77 @@
         self.tried.is_empty() && self.sends.is_empty()
     }
 
-    /// Returns `true` if another target could be tried after this one has been silent. Without
-    /// another target, silence is no reason to abort an answer.
-    fn may_hedge(&self, shared: &RelayShared, job: &RelayJob, target: &Arc<str>) -> bool {
-        if !shared.core.borrow().limits().policy.hedges {
-            return false;
+    /// Waits until a silent attempt can be replaced, and returns where its replacement is to be
+    /// sent. The retry for it is acquired; the silent attempt goes on.
+    pub(crate) async fn find_replacement(
+        &mut self,
+        shared: &Rc<RelayShared>,
+        job: &RelayJob,
+        silent: &PlacedAttempt,
+    ) -> Placement {
+        self.set_aside(silent);
+        loop {
+            if let Some(placement) = self.place_replacement(shared, job).await {
+                return placement;
+            }
+            tokio::time::sleep(REPLACEMENT_INTERVAL).await;
+        }
+    }
+
+    /// Records that the target of an attempt that goes on is not a target of the next one.
+    fn set_aside(&mut self, silent: &PlacedAttempt) {
+        if self.tried.contains(&silent.target) {
+            return;
         }
-        let mut tried = self.tried.clone();
-        tried.push(target.clone());
-        job.route.repeat.is_repeatable()
+        self.tried.push(silent.target.clone());
+        self.record_run(silent);
+        self.send_before = Tick::default();
+    }
+
+    async fn place_replacement(
+        &mut self,
+        shared: &Rc<RelayShared>,
+        job: &RelayJob,
+    ) -> Option<Placement> {
+        if !self.may_replace(shared, job) || job.quarantine_hold(shared).is_some() {
+            return None;
+        }
+        let mut placement = self.place(shared, job)?;
+        if !acquire_permit(shared, job, self, &mut placement).await {
+            return None;
+        }
+        self.renew_retry(shared, job).await.ok()?;
+        Some(placement)
+    }
+
+    /// Returns `true` if another target could be tried beside the attempt that goes on.
+    fn may_replace(&self, shared: &RelayShared, job: &RelayJob) -> bool {
+        let is_allowed = shared.core.borrow().limits().policy.hedges
+            && job.route.repeat.is_repeatable()
             && self.sends.runs() + 1 < job.route.max_targets
-            && shared.core.borrow_mut().could_retry(
-                &job.service,
-                job.domains.as_deref(),
-                &tried,
-                shared.now(),
-            )
+            && self.sends.allows(job.route.max_targets);
+        is_allowed && {
+            let (domains, now) = (job.domains.as_deref(), shared.now());
+            shared.core.borrow_mut().could_retry(&job.service, domains, &self.tried, now)
+        }
+    }
+
+    /// Records an attempt that was ended since another one has yielded more.
+    pub(crate) fn record_superseded(&mut self, attempt: &RunningAttempt<'_>) {
+        if attempt.sent_at().is_some() {
+            self.sends.record(SendEnd::MayHaveRun);
+            self.worst_verdict = self.worst_verdict.join(Verdict::MayHaveRun);
+            self.record_run(&attempt.attempt);
+        }
+        self.send_before = Tick::default();
+    }
+
+    fn record_run(&mut self, attempt: &PlacedAttempt) {
+        if let Some(instance) = &attempt.instance
+            && !self.ran_on.contains(instance)
+        {
+            self.ran_on.push(instance.clone());
+        }
     }
 
     /// Chooses the next target.
@@ -137,9 +221,7 @@
         let placement = {
             let mut core = shared.core.borrow_mut();
             let placement = self.place_now(&mut core, job, now);
-            let placement = placement.or_else(|| self.place_waiting(&mut core, job, now))?;
-            self.placed_on = core.instance_of(&placement.target);
-            placement
+            placement.or_else(|| self.place_waiting(&mut core, job, now))?
         };
         let line = PlacementLine {
             id: &job.id,
@@ -222,31 +304,29 @@
         })
     }
 
-    /// Records a failed attempt and takes a further send from the budgets.
-    ///
-    /// # Errors
-    ///
-    /// No further attempt is allowed, for the returned reason.
-    pub(crate) async fn record_fault(
+    /// Ends a failed attempt and records its fault.
+    pub(crate) fn record_fault(
         &mut self,
         shared: &Rc<RelayShared>,
         job: &RelayJob,
-        target: &Arc<str>,
+        failed: &mut RunningAttempt<'_>,
         fault: AttemptFault,
-    ) -> Result<(), RetryStop> {
+    ) -> FailedSend {
+        failed.close();
         let now = shared.now();
+        let target = &failed.attempt.target;
         let line = FailedAttemptLine {
             id: &job.id,
             digest: job.digest(),
             parts: &job.head.shared_parts,
-            streamed_for: fault.streamed_for,
+            streamed_for: failed.streamed_for(),
             target,
             reason: &fault.reason,
             verdict: fault.verdict,
         };
         shared.log.attempt_failed(&line, now);
         shared.counts.borrow_mut().failed_attempts += 1;
-        self.record_target_crash(shared, job, &fault, now);
+        record_target_crash(shared, job, failed, &fault, now);
         if record_health(shared, target, &fault, now) {
             self.tried.push(target.clone());
         }
@@ -256,19 +336,34 @@
         self.answer = fault.answer.or(self.answer.take());
         self.sends.record(end);
         self.was_refused = matches!(end, SendEnd::NotSent | SendEnd::Refused);
-        if let Some(instance) = self.placed_on.take()
-            && end == SendEnd::MayHaveRun
-            && !self.ran_on.contains(&instance)
-        {
-            self.ran_on.push(instance);
+        if end == SendEnd::MayHaveRun {
+            self.record_run(&failed.attempt);
+        }
+        if fault.is_sent {
+            // The acquired retry, if any, is spent.
+            self.send_before = Tick::default();
         }
-        if fault.is_timeout || now >= job.deadline {
+        FailedSend { verdict: fault.verdict, is_timeout: fault.is_timeout }
+    }
+
+    /// Takes a further send from the budgets after a failed one.
+    ///
+    /// # Errors
+    ///
+    /// No further attempt is allowed, for the returned reason.
+    pub(crate) async fn acquire_next(
+        &mut self,
+        shared: &RelayShared,
+        job: &RelayJob,
+        failed: FailedSend,
+    ) -> Result<(), RetryStop> {
+        if failed.is_timeout || shared.now() >= job.deadline {
             return Err(RetryStop::TimeLimit);
         }
-        if !fault.verdict.may_retry(job.route.repeat.is_repeatable()) {
+        if !failed.verdict.may_retry(job.route.repeat.is_repeatable()) {
             return Err(RetryStop::NotRepeatable);
         }
-        self.acquire_send(shared, job, fault.is_sent).await
+        self.acquire_send(shared, job).await
     }
 
     /// Takes one more send from the budgets of the request and of the service.
@@ -276,7 +371,6 @@
         &mut self,
         shared: &RelayShared,
         job: &RelayJob,
-        is_sent: bool,
     ) -> Result<(), RetryStop> {
         let policy = shared.core.borrow().limits().policy;
         // A failure response of the target can be forwarded to the caller, so it earns no extra
@@ -286,10 +380,6 @@
         if !self.sends.allows(allowed_runs) {
             return Err(RetryStop::MaxSends);
         }
-        if is_sent {
-            // The acquired retry, if any, is spent.
-            self.send_before = Tick::default();
-        }
         self.renew_retry(shared, job).await
     }
 
@@ -306,34 +396,9 @@
         Ok(())
     }
 
-    /// Returns the conditions of the next attempt.
-    pub(crate) fn send_terms(
-        &self,
-        shared: &RelayShared,
-        job: &RelayJob,
-        target: &Arc<str>,
-    ) -> SendTerms {
-        let may_hedge = self.may_hedge(shared, job, target);
-        SendTerms { may_hedge, send_before: self.send_before }
-    }
-
-    /// Records what a failed attempt indicates about a crash of its target, and about the request.
-    fn record_target_crash(
-        &self,
-        shared: &Rc<RelayShared>,
-        job: &RelayJob,
-        fault: &AttemptFault,
-        now: Tick,
-    ) {
-        let Some(instance) = &self.placed_on else { return };
-        if fault.is_disconnect() {
-            job.report_broken(shared, instance, fault.streamed_for, now);
-            check_crash(shared, instance);
-        }
-        if fault.fault == TargetFault::Unreachable {
-            shared.core.borrow_mut().record_unreachable(instance, now);
-        }
-        shared.report_suspects();
+    /// Returns the time before which the next attempt has to be sent.
+    pub(crate) fn send_before(&self) -> Tick {
+        self.send_before
     }
 
     /// Returns the answer of a call that is not sent again: the failure of its target, if that gave
--- a/tests/relay/events.rs
+++ b/tests/relay/events.rs
@@ -37,11 +37,13 @@
 }
 
 #[test]
-fn a_partial_event_can_be_discarded() {
-    let mut splitter = EventSplitter::default();
-    splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap();
-    assert!(splitter.has_partial_event());
-    splitter.clear_partial_event();
+fn an_answer_that_continues_a_stream_discards_a_partial_event() {
+    let mut first = EventSplitter::default();
+    first.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap();
+    assert!(first.has_partial_event());
+    let mut splitter = first.resume();
+    assert!(!splitter.has_partial_event());
+    assert!(first.resume().push(b"id: 1\ndata: a\n\n").is_err(), "an event is repeated");
     let events = splitter.push(b"id: 2\ndata: b\n\n").unwrap().unwrap();
     assert_eq!(&events[..], b"id: 2\ndata: b\n\n");
 }
