Log and count how the connections of callers end

Callers saw requests that ended without an answer, and nothing in the logs could tell why: the error of a caller's connection was dropped, and connections that were closed unread left only a count.

The end of each connection is counted by reason (shalelane_relay_connection_ends_total), and logged, at a limited rate, if it ended with an error or while a request on it was read or answered, with the state, the ages, the configuration in force and since when, and the latest delay of the event loop. The gate logs when it begins to close connections and when it takes all again, and a delay of the event loop from 250 ms on is logged.

--- /dev/null
+++ b/src/relay/caller_connection.rs
@@ -0,0 +1,274 @@
+//! The connection of a caller: how far its current request is, and how the connection ends.
+
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use super::proxy::answer::{BrokenAnswer, RelayBody};
+use super::record::{ConnectionEnd, ConnectionLine, ConnectionState};
+use super::shared::RelayShared;
+use crate::time::Tick;
+
+/// An open connection of a caller. Its end is counted, and logged unless it is an ordinary one.
+pub(crate) struct CallerConnection {
+    shared: Rc<RelayShared>,
+    /// When the entry took the connection.
+    pub(crate) taken_at: Tick,
+    state: Cell<ConnectionState>,
+    state_since: Cell<Tick>,
+    requests: Cell<u64>,
+    /// Whether the last answer was given before the body of its request was read.
+    is_body_unread: Cell<bool>,
+    /// Whether the body of a request broke off.
+    is_body_broken: Cell<bool>,
+    is_answer_broken: Cell<bool>,
+    has_write_failed: Cell<bool>,
+    is_ended: Cell<bool>,
+}
+
+impl CallerConnection {
+    pub(crate) fn new(shared: &Rc<RelayShared>) -> Self {
+        shared.open_connections.set(shared.open_connections.get() + 1);
+        let now = shared.now();
+        CallerConnection {
+            shared: shared.clone(),
+            taken_at: now,
+            state: Cell::new(ConnectionState::Idle),
+            state_since: Cell::new(now),
+            requests: Cell::new(0),
+            is_body_unread: Cell::new(false),
+            is_body_broken: Cell::new(false),
+            is_answer_broken: Cell::new(false),
+            has_write_failed: Cell::new(false),
+            is_ended: Cell::new(false),
+        }
+    }
+
+    /// Records that the head of a request was read.
+    pub(crate) fn begin_request(&self) {
+        self.requests.set(self.requests.get() + 1);
+        self.is_body_unread.set(true);
+        self.enter(ConnectionState::Body);
+    }
+
+    /// Records that the body of the request was read whole.
+    pub(crate) fn finish_body(&self) {
+        self.is_body_unread.set(false);
+        self.enter(ConnectionState::Answering);
+    }
+
+    /// Records that the body of the request broke off. The connection remains in this state.
+    pub(crate) fn break_body(&self) {
+        self.is_body_broken.set(true);
+    }
+
+    /// Records that the head of the answer is known.
+    pub(crate) fn begin_answer(&self) {
+        self.enter(ConnectionState::Answering);
+    }
+
+    fn enter(&self, state: ConnectionState) {
+        if !self.is_body_broken.get() && self.state.replace(state) != state {
+            self.state_since.set(self.shared.now());
+        }
+    }
+
+    /// Records the end of a connection that was served.
+    pub(crate) fn end_served(&self, error: Option<&hyper::Error>, is_stopping: bool) {
+        let end = self.classify(error, is_stopping);
+        let text = error.map(ToString::to_string).unwrap_or_default();
+        self.end(end, &text);
+    }
+
+    fn classify(&self, error: Option<&hyper::Error>, is_stopping: bool) -> ConnectionEnd {
+        let is_idle = self.state.get() == ConnectionState::Idle;
+        if self.is_answer_broken.get() {
+            return ConnectionEnd::AnswerBroken;
+        }
+        if self.has_write_failed.get() {
+            return ConnectionEnd::AnswerUndelivered;
+        }
+        if self.is_body_unread.get() && self.state.get() != ConnectionState::Body {
+            return ConnectionEnd::AnsweredUnread;
+        }
+        match error {
+            Some(error) if error.is_timeout() && is_idle => ConnectionEnd::IdleLimit,
+            Some(error) if error.is_timeout() => ConnectionEnd::HeadLimit,
+            Some(error) if error.is_parse() => ConnectionEnd::InvalidHead,
+            None if is_idle && is_stopping => ConnectionEnd::Stopped,
+            None if is_idle => ConnectionEnd::Closed,
+            Some(_) | None => ConnectionEnd::CallerLeft,
+        }
+    }
+
+    /// Records the end of the connection.
+    pub(crate) fn end(&self, end: ConnectionEnd, error: &str) {
+        if self.is_ended.replace(true) {
+            return;
+        }
+        let shared = &self.shared;
+        shared.counts.borrow().record_connection_end(end);
+        if end.is_ordinary() {
+            return;
+        }
+        let now = shared.now();
+        let line = ConnectionLine {
+            end,
+            state: self.state.get(),
+            error,
+            age: now.since(self.taken_at),
+            state_age: now.since(self.state_since.get()),
+            requests: self.requests.get(),
+            version: shared.core.borrow().rules().version(),
+            config_age: now.since(shared.config_changed_at.get()),
+            loop_delay: shared.loop_delay.get(),
+        };
+        shared.log.connection_ended(&line, now);
+    }
+}
+
+impl Drop for CallerConnection {
+    fn drop(&mut self) {
+        self.end(ConnectionEnd::Cut, "");
+        self.shared.open_connections.set(self.shared.open_connections.get() - 1);
+    }
+}
+
+/// Bytes of a caller's connection. Records the begin of a head and failures to write.
+pub(crate) struct CallerStream {
+    pub(crate) stream: TcpStream,
+    pub(crate) connection: Rc<CallerConnection>,
+}
+
+impl CallerStream {
+    fn check_written(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if matches!(result, Poll::Ready(Err(_))) {
+            self.connection.has_write_failed.set(true);
+        }
+        result
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let length = buffer.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let is_idle = self.connection.state.get() == ConnectionState::Idle;
+        if buffer.filled().len() > length && is_idle {
+            self.connection.enter(ConnectionState::Head);
+        }
+        result
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.check_written(result)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.check_written(result)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
+
+/// Body of an answer on its connection.
+pub(crate) struct CallerAnswer {
+    pub(crate) body: RelayBody,
+    pub(crate) connection: Rc<CallerConnection>,
+}
+
+impl Body for CallerAnswer {
+    type Data = Bytes;
+    type Error = BrokenAnswer;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenAnswer>>> {
+        let frame = Pin::new(&mut self.body).poll_frame(context);
+        if matches!(frame, Poll::Ready(Some(Err(_)))) {
+            self.connection.is_answer_broken.set(true);
+        }
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for CallerAnswer {
+    fn drop(&mut self) {
+        // A connection that ends meanwhile keeps the state in which it ended.
+        if !self.connection.is_ended.get() && !self.connection.is_answer_broken.get() {
+            self.connection.enter(ConnectionState::Idle);
+        }
+    }
+}
+
+/// Closing of new connections at the gate, from the first one until none was closed for a while.
+#[derive(Debug, Default)]
+pub(crate) struct GateClosing {
+    /// When the last connection was closed, and how many were so far.
+    last: Cell<Option<(Tick, u64)>>,
+}
+
+impl GateClosing {
+    /// Time without a closed connection after which all are taken again.
+    const REST: Duration = Duration::from_secs(1);
+
+    /// Records that a connection was closed. Returns `true` for the first one.
+    pub(crate) fn record(&self, now: Tick) -> bool {
+        let closed = self.last.get().map_or(0, |(_, closed)| closed);
+        self.last.set(Some((now, closed + 1)));
+        closed == 0
+    }
+
+    /// Returns the number of closed connections once all are taken again.
+    pub(crate) fn take_ended(&self, now: Tick) -> Option<u64> {
+        let (closed_at, closed) = self.last.get()?;
+        if now.since(closed_at) < Self::REST {
+            return None;
+        }
+        self.last.set(None);
+        Some(closed)
+    }
+}
--- a/src/relay/counts.rs
+++ b/src/relay/counts.rs
@@ -8,7 +8,7 @@
 use super::decide::permit_issuer::PermitReply;
 use super::decide::rate_limit::RateNotice;
 use super::decide::target_notice::TargetNotice;
-use super::record::{RequestEnd, RetryOutcome};
+use super::record::{ConnectionEnd, RequestEnd, RetryOutcome};
 use crate::metrics::{MetricsRegistry, MirroredCounter, length_class};
 use crate::time::Tick;
 
@@ -60,6 +60,7 @@
     retries: IntCounterVec,
     first_event: HistogramVec,
     faults: IntCounterVec,
+    connection_ends: IntCounterVec,
     /// Ends of requests where ranks differ, by the number of more urgent ranks and the outcome.
     ranked_ends: IntCounterVec,
     config_version: IntGauge,
@@ -75,27 +76,7 @@
 impl Default for RelayCounts {
     fn default() -> Self {
         let registry = MetricsRegistry::default();
-        let mirrors = [
-            registry.add_counter("shalelane_relay_requests_total", "requests read"),
-            registry.add_counter("shalelane_relay_attempts_total", "sends to targets"),
-            registry
-                .add_counter("shalelane_relay_failed_attempts_total", "sends without an answer"),
-            registry
-                .add_counter("shalelane_relay_ejections_total", "times a target was left alone"),
-            registry
-                .add_counter("shalelane_relay_store_failures_total", "failed calls to the store"),
-            registry.add_counter("shalelane_relay_shared_proofs_total", "proofs of other entries"),
-            registry.add_counter("shalelane_relay_answered_total", "requests answered whole"),
-            registry.add_counter("shalelane_relay_refused_total", "requests refused as not run"),
-            registry.add_counter("shalelane_relay_failed_total", "requests that failed"),
-            registry.add_counter("shalelane_relay_broken_total", "answers that broke off"),
-            registry.add_counter("shalelane_relay_caller_left_total", "callers that left"),
-            registry.add_counter("shalelane_relay_lost_lines_total", "log lines that nobody took"),
-            registry.add_counter(
-                "shalelane_relay_closed_unread_total",
-                "connections of callers that were closed unread for lack of capacity",
-            ),
-        ];
+        let mirrors = add_mirrors(&registry);
         let first_event = registry.add_first_token_histogram(
             "shalelane_relay_first_event_seconds",
             "time to the first event of a stream, by length of its prompt",
@@ -164,6 +145,11 @@
                 "requests that the relay answered with a failure of its own, by its code",
                 "code",
             ),
+            connection_ends: registry.add_counter_vec(
+                "shalelane_relay_connection_ends_total",
+                "connections of callers that ended, by how",
+                "reason",
+            ),
             ranked_ends: registry.add_counter_vec(
                 "shalelane_relay_ranked_ends_total",
                 "ends of requests of services whose requests differ in urgency, by the number of \
@@ -176,6 +162,28 @@
     }
 }
 
+/// Registers the counters that mirror the totals of [`RelayCounts`], in the order of `to_text`.
+fn add_mirrors(registry: &MetricsRegistry) -> [MirroredCounter; 13] {
+    [
+        registry.add_counter("shalelane_relay_requests_total", "requests read"),
+        registry.add_counter("shalelane_relay_attempts_total", "sends to targets"),
+        registry.add_counter("shalelane_relay_failed_attempts_total", "sends without an answer"),
+        registry.add_counter("shalelane_relay_ejections_total", "times a target was left alone"),
+        registry.add_counter("shalelane_relay_store_failures_total", "failed calls to the store"),
+        registry.add_counter("shalelane_relay_shared_proofs_total", "proofs of other entries"),
+        registry.add_counter("shalelane_relay_answered_total", "requests answered whole"),
+        registry.add_counter("shalelane_relay_refused_total", "requests refused as not run"),
+        registry.add_counter("shalelane_relay_failed_total", "requests that failed"),
+        registry.add_counter("shalelane_relay_broken_total", "answers that broke off"),
+        registry.add_counter("shalelane_relay_caller_left_total", "callers that left"),
+        registry.add_counter("shalelane_relay_lost_lines_total", "log lines that nobody took"),
+        registry.add_counter(
+            "shalelane_relay_closed_unread_total",
+            "connections of callers that were closed unread for lack of capacity",
+        ),
+    ]
+}
+
 impl RelayCounts {
     /// Counts the outcome of a request.
     pub(crate) fn record_end(&mut self, outcome: RequestEnd) {
@@ -224,6 +232,11 @@
         self.permits.with_label_values(&[kind]).inc();
     }
 
+    /// Counts the end of a caller's connection.
+    pub(crate) fn record_connection_end(&self, end: ConnectionEnd) {
+        self.connection_ends.with_label_values(&[&end.to_string()]).inc();
+    }
+
     /// Counts a retry that a request needed.
     pub(crate) fn record_retry(&self, outcome: RetryOutcome) {
         self.retries.with_label_values(&[&outcome.to_string()]).inc();
--- a/src/relay/decide/connection_gate.rs
+++ b/src/relay/decide/connection_gate.rs
@@ -13,7 +13,7 @@
 
 /// Delay of the event loop from which fewer connections are taken. A request takes some four turns
 /// of the loop.
-const LATE_DELAY: Duration = Duration::from_millis(250);
+pub const LATE_DELAY: Duration = Duration::from_millis(250);
 
 /// Delay of the event loop below which more connections are taken. A process with a small share of a
 /// core may be late by a tenth of a second while it has little to do.
@@ -60,6 +60,12 @@
         self.taken = 0;
     }
 
+    /// Returns the number of connections to take until the next measurement.
+    #[must_use]
+    pub fn quota(&self) -> usize {
+        self.quota
+    }
+
     /// Returns `true` if a new connection is taken beside `open` others.
     pub fn admit(&mut self, open: usize) -> bool {
         let is_admitted = self.taken < self.quota && self.max_open.is_none_or(|max| open < max);
--- a/src/relay/discovery/follow_config.rs
+++ b/src/relay/discovery/follow_config.rs
@@ -188,7 +188,7 @@
         Ok(copy) => {
             let mut core = shared.core.borrow_mut();
             if core.apply_copy(&copy, shared.now()) {
-                shared.log.config_changed(core.rules().version());
+                shared.record_config_change(core.rules().version());
             }
             let is_held = core.lease().is_held(shared.now());
             drop(core);
@@ -214,7 +214,7 @@
         shared.log.quarantine_unreadable(&update.unreadable, shared.now());
         let mut core = shared.core.borrow_mut();
         if core.apply_update(*update, shared.now()) {
-            shared.log.config_changed(core.rules().version());
+            shared.record_config_change(core.rules().version());
         }
         drop(core);
         announce_change(shared);
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -10,10 +10,12 @@
 //! - [`proxy`]: the path of a request from its caller to a target and back.
 //!
 //! [`core::RelayCore`] combines the decisions and does no input or output. `shared` holds the
-//! state that the tasks of a process share, and [`server`] starts these tasks. [`settings`] reads
+//! state that the tasks of a process share, `caller_connection` follows the connections of callers,
+//! and [`server`] starts these tasks. [`settings`] reads
 //! the settings files, [`record`] writes the log, `counts` holds the metrics, and [`stop`] plans
 //! the phases of a stop.
 
+mod caller_connection;
 pub mod core;
 mod counts;
 pub mod decide;
--- a/src/relay/peers/receive.rs
+++ b/src/relay/peers/receive.rs
@@ -96,7 +96,7 @@
         PeerMessage::ConfigChanged(delta) => {
             let mut core = shared.core.borrow_mut();
             if core.apply_delta(&delta, now) {
-                shared.log.config_changed(core.rules().version());
+                shared.record_config_change(core.rules().version());
             }
             drop(core);
             shared.report_suspects();
--- a/src/relay/proxy/exchange.rs
+++ b/src/relay/proxy/exchange.rs
@@ -16,6 +16,7 @@
 use super::protocol::CallerHead;
 use super::series::{NO_ROOM_RETRY_DELAY, quarantine_fault};
 use super::stream::serve_stream;
+use crate::relay::caller_connection::CallerConnection;
 use crate::relay::core::{Refusal, RelayCore};
 use crate::relay::decide::placement::PromptNeed;
 use crate::relay::decide::urgency::UrgencyRank;
@@ -34,13 +35,17 @@
 const DEFAULT_ANSWER_TOKENS: u64 = 1_500;
 
 /// Serves one request.
-pub(crate) async fn serve(shared: Rc<RelayShared>, request: Request<Incoming>) -> RelayAnswer {
+pub(crate) async fn serve(
+    shared: Rc<RelayShared>,
+    request: Request<Incoming>,
+    connection: &CallerConnection,
+) -> RelayAnswer {
     let arrived = shared.now();
     shared.counts.borrow_mut().requests += 1;
     let head = (shared.caller_protocol.parse_head)(request.headers());
     let id: Arc<str> = head.attempt.clone().unwrap_or_else(|| "-".into());
     let mut ledger = RequestLedger::new(&shared, id.clone(), arrived);
-    let admitted = admit(&shared, request, head, id.clone(), arrived).await;
+    let admitted = admit(&shared, request, connection, head, id.clone(), arrived).await;
     ledger.more_urgent = admitted.as_ref().ok().and_then(|job| job.more_urgent);
     let answer = match admitted {
         Ok(job) if job.route.is_stream => serve_stream(&shared, Rc::new(job), ledger).await,
@@ -82,6 +87,7 @@
 async fn admit(
     shared: &Rc<RelayShared>,
     request: Request<Incoming>,
+    connection: &CallerConnection,
     head: CallerHead,
     id: Arc<str>,
     arrived: Tick,
@@ -106,7 +112,13 @@
     let time_limit =
         head.time_limit.unwrap_or(access.route.time_limit).min(access.route.time_limit);
     let deadline = arrived + time_limit;
-    let body = read_body(body, limits.max_body, time_limit).await.map_err(body_fault)?;
+    let body = read_body(body, limits.max_body, time_limit).await;
+    match &body {
+        Ok(_) => connection.finish_body(),
+        Err(BodyError::Aborted) => connection.break_body(),
+        Err(BodyError::TooLarge | BodyError::TimedOut) => {}
+    }
+    let body = body.map_err(body_fault)?;
     // Reading the body may take long, so the configuration must still be current after it.
     if !shared.core.borrow().may_serve(&access.route, shared.now()) {
         return Err(refusal_fault(Refusal::ConfigUnproven));
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -137,6 +137,95 @@
     Unanswered,
 }
 
+/// How far the current request of a caller's connection is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum ConnectionState {
+    /// Nothing of a request was read.
+    #[display("idle")]
+    Idle,
+    /// A part of the head was read.
+    #[display("head")]
+    Head,
+    /// The head was read, and the body was not read whole.
+    #[display("body")]
+    Body,
+    /// The request was read whole, and the answer was not written whole.
+    #[display("answering")]
+    Answering,
+}
+
+/// How the connection of a caller ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum ConnectionEnd {
+    /// By the caller or after the last answer, without a request on it.
+    #[display("closed")]
+    Closed,
+    /// By a stop of this process, without a request on it.
+    #[display("stopped")]
+    Stopped,
+    /// The connection was idle for too long.
+    #[display("idle_limit")]
+    IdleLimit,
+    /// The head of a request did not arrive in time.
+    #[display("head_limit")]
+    HeadLimit,
+    /// The head of a request was invalid.
+    #[display("invalid_head")]
+    InvalidHead,
+    /// The caller closed it while a request on it was read or answered, or it failed.
+    #[display("caller_left")]
+    CallerLeft,
+    /// This process broke the answer off.
+    #[display("answer_broken")]
+    AnswerBroken,
+    /// The answer could not be written.
+    #[display("answer_undelivered")]
+    AnswerUndelivered,
+    /// The request was answered before its body was read whole.
+    #[display("answered_unread")]
+    AnsweredUnread,
+    /// This process ended meanwhile.
+    #[display("cut")]
+    Cut,
+    /// Closed unread: more connections came than are taken.
+    #[display("unread_quota")]
+    UnreadQuota,
+    /// Closed unread: it waited too long after it was taken.
+    #[display("unread_late")]
+    UnreadLate,
+}
+
+impl ConnectionEnd {
+    /// Returns `true` if the end disturbs no request, or a line of its own tells of it.
+    #[must_use]
+    pub fn is_ordinary(self) -> bool {
+        matches!(self, ConnectionEnd::Closed | ConnectionEnd::Stopped | ConnectionEnd::UnreadQuota)
+    }
+}
+
+/// Fields of the log line of a connection.
+#[derive(Debug)]
+pub struct ConnectionLine<'a> {
+    /// How the connection ended.
+    pub end: ConnectionEnd,
+    /// State in which it ended.
+    pub state: ConnectionState,
+    /// Error of the connection, empty if there was none.
+    pub error: &'a str,
+    /// Time since the connection was taken.
+    pub age: Duration,
+    /// Time since it came into its state.
+    pub state_age: Duration,
+    /// Number of requests whose heads were read.
+    pub requests: u64,
+    /// Version of the configuration.
+    pub version: u64,
+    /// Time since that configuration came into force.
+    pub config_age: Duration,
+    /// Latest delay of the event loop.
+    pub loop_delay: Duration,
+}
+
 /// Timing of the events of a stream.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StreamPace {
@@ -306,6 +395,42 @@
             "left_out" => left_out);
     }
 
+    /// Logs the end of a caller's connection.
+    pub fn connection_ended(&self, line: &ConnectionLine<'_>, now: Tick) {
+        let kind = match line.end {
+            ConnectionEnd::IdleLimit => "connection_idle",
+            ConnectionEnd::CallerLeft => "connection_left",
+            ConnectionEnd::UnreadLate => "connection_unread",
+            _ => "connection",
+        };
+        let Some(left_out) = self.take_from_budget(kind, now) else { return };
+        warn!(self.logger, "connection ended";
+            "why" => %line.end, "state" => %line.state, "error" => line.error,
+            "age_ms" => line.age.as_millis() as u64, "state_ms" => line.state_age.as_millis() as u64,
+            "requests" => line.requests, "config_version" => line.version,
+            "config_age_ms" => line.config_age.as_millis() as u64,
+            "loop_delay_ms" => line.loop_delay.as_millis() as u64, "left_out" => left_out);
+    }
+
+    /// Logs that new connections are closed unread.
+    pub fn gate_closing(&self, quota: usize, open: usize, loop_delay: Duration) {
+        warn!(self.logger, "new connections are closed unread";
+            "quota" => quota, "open" => open, "loop_delay_ms" => loop_delay.as_millis() as u64);
+    }
+
+    /// Logs that all new connections are taken again, after `closed` were closed.
+    pub fn gate_opened(&self, closed: u64, quota: usize, loop_delay: Duration) {
+        info!(self.logger, "new connections are taken again";
+            "closed" => closed, "quota" => quota, "loop_delay_ms" => loop_delay.as_millis() as u64);
+    }
+
+    /// Logs that the event loop was late, with `open` connections of callers.
+    pub fn loop_late(&self, delay: Duration, open: usize, now: Tick) {
+        let Some(left_out) = self.take_from_budget("loop_late", now) else { return };
+        warn!(self.logger, "event loop was late";
+            "loop_delay_ms" => delay.as_millis() as u64, "open" => open, "left_out" => left_out);
+    }
+
     /// Logs a placement.
     pub fn placed(&self, line: &PlacementLine<'_>, now: Tick) {
         let Some(left_out) = self.take_from_budget("placed", now) else { return };
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -16,8 +16,9 @@
 use tokio::task::LocalSet;
 use tokio::task::coop::unconstrained;
 
+use super::caller_connection::{CallerAnswer, CallerConnection, CallerStream, GateClosing};
 use super::core::{RelayCore, draw_entry_number};
-use super::decide::connection_gate::ConnectionGate;
+use super::decide::connection_gate::{ConnectionGate, LATE_DELAY};
 use super::decide::reservation::ReservationNames;
 use super::decide::start_wait::StartPhase;
 use super::discovery::follow_config::follow_config;
@@ -29,9 +30,9 @@
 use super::peers::peer_link::PeerLink;
 use super::proxy::exchange::serve;
 use super::proxy::protocol::{CallerProtocol, TargetProtocol};
-use super::record::{DecisionLog, StdoutLog};
+use super::record::{ConnectionEnd, DecisionLog, StdoutLog};
 use super::settings::{RelaySettings, SettingsFile};
-use super::shared::{OpenConnection, RelayShared};
+use super::shared::RelayShared;
 use super::stop::{StopPhase, StopPlan};
 use crate::Result;
 use crate::client::HttpClient;
@@ -124,6 +125,9 @@
         open_requests: Cell::new(0),
         gate: RefCell::new(ConnectionGate::new(settings.max_descriptors)),
         open_connections: Cell::new(0),
+        gate_closing: GateClosing::default(),
+        loop_delay: Cell::default(),
+        config_changed_at: Cell::default(),
     });
     shared.core.borrow_mut().set_unix_origin(wall_micros() / MICROS_PER_MS);
     let source = Rc::new(adapter.source);
@@ -203,10 +207,13 @@
         // remain in the queue of the listener.
         let stream = unconstrained(accept_next(&listener)).await;
         if shared.gate.borrow_mut().admit(shared.open_connections.get()) {
-            let open = OpenConnection::new(&shared);
-            tokio::task::spawn_local(serve_caller(shared.clone(), stream, open, closing.clone()));
+            let connection = Rc::new(CallerConnection::new(&shared));
+            let served = serve_caller(shared.clone(), stream, connection, closing.clone());
+            tokio::task::spawn_local(served);
         } else {
             close_unread(&shared, stream);
+            shared.counts.borrow().record_connection_end(ConnectionEnd::UnreadQuota);
+            record_gate_closing(&shared);
         }
     }
 }
@@ -217,15 +224,25 @@
     shared.counts.borrow_mut().closed_unread += 1;
 }
 
+/// Logs that the gate has begun to close connections.
+fn record_gate_closing(shared: &RelayShared) {
+    if shared.gate_closing.record(shared.now()) {
+        let quota = shared.gate.borrow().quota();
+        let open = shared.open_connections.get();
+        shared.log.gate_closing(quota, open, shared.loop_delay.get());
+    }
+}
+
 /// Serves one connection of a caller.
 async fn serve_caller(
     shared: Rc<RelayShared>,
     stream: TcpStream,
-    open: OpenConnection,
+    connection: Rc<CallerConnection>,
     mut closing: watch::Receiver<bool>,
 ) {
-    if !ConnectionGate::is_timely(shared.now().since(open.taken_at)) {
+    if !ConnectionGate::is_timely(shared.now().since(connection.taken_at)) {
         close_unread(&shared, stream);
+        connection.end(ConnectionEnd::UnreadLate, "");
         return;
     }
     if let Err(error) = stream.set_nodelay(true) {
@@ -233,26 +250,34 @@
     }
     let limits = shared.core.borrow().rules().limits();
     let service_shared = shared.clone();
+    let service_connection = connection.clone();
     let service = service_fn(move |request| {
         let shared = service_shared.clone();
-        async move { Ok::<_, Infallible>(serve(shared, request).await) }
+        let connection = service_connection.clone();
+        async move {
+            connection.begin_request();
+            let answer = serve(shared, request, &connection).await;
+            connection.begin_answer();
+            Ok::<_, Infallible>(answer.map(|body| CallerAnswer { body, connection }))
+        }
     });
+    let stream = CallerStream { stream, connection: connection.clone() };
     // The timeout for a head includes the idle time between two requests, which callers may
     // use in full.
-    let connection = http1::Builder::new()
+    let exchange = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_limit)
         .max_buf_size(limits.max_head.max(MIN_BUFFER_SIZE))
         .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    loop {
+    tokio::pin!(exchange);
+    let result = loop {
         tokio::select! {
-            // The end of a connection concerns the caller only: the outcome of each of its
-            // requests is recorded separately.
-            _ = connection.as_mut() => return,
-            _ = closing.changed() => connection.as_mut().graceful_shutdown(),
+            result = exchange.as_mut() => break result,
+            _ = closing.changed() => exchange.as_mut().graceful_shutdown(),
         }
-    }
+    };
+    let is_stopping = *closing.borrow();
+    connection.end_served(result.as_ref().err(), is_stopping);
 }
 
 /// Smallest read buffer of a connection, in bytes.
@@ -305,7 +330,16 @@
     loop {
         let due = shared.now() + DELAY_INTERVAL;
         tokio::time::sleep(DELAY_INTERVAL).await;
-        shared.gate.borrow_mut().record_delay(shared.now().since(due));
+        let now = shared.now();
+        let delay = now.since(due);
+        shared.loop_delay.set(delay);
+        shared.gate.borrow_mut().record_delay(delay);
+        if delay >= LATE_DELAY {
+            shared.log.loop_late(delay, shared.open_connections.get(), now);
+        }
+        if let Some(closed) = shared.gate_closing.take_ended(now) {
+            shared.log.gate_opened(closed, shared.gate.borrow().quota(), delay);
+        }
     }
 }
 
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -8,6 +8,7 @@
 
 use tokio::sync::{Notify, oneshot, watch};
 
+use super::caller_connection::GateClosing;
 use super::core::RelayCore;
 use super::counts::RelayCounts;
 use super::decide::connection_gate::ConnectionGate;
@@ -80,6 +81,12 @@
     pub(crate) gate: RefCell<ConnectionGate>,
     /// Number of open connections of callers.
     pub(crate) open_connections: Cell<usize>,
+    /// Connections that the gate closes at present.
+    pub(crate) gate_closing: GateClosing,
+    /// Latest delay of the event loop.
+    pub(crate) loop_delay: Cell<Duration>,
+    /// When the configuration came into force.
+    pub(crate) config_changed_at: Cell<Tick>,
 }
 
 impl RelayShared {
@@ -169,13 +176,19 @@
         let mut core = self.core.borrow_mut();
         let was_behind = core.is_store_behind();
         if core.apply_read(read, sent_at) {
-            self.log.config_changed(core.rules().version());
+            self.record_config_change(core.rules().version());
         }
         if core.is_store_behind() != was_behind {
             self.log.store_behind(core.is_store_behind(), core.rules().version());
         }
     }
 
+    /// Records that another configuration is in force.
+    pub(crate) fn record_config_change(&self, version: u64) {
+        self.config_changed_at.set(self.now());
+        self.log.config_changed(version);
+    }
+
     /// Applies another entry's answer to a request for its proof.
     pub(crate) fn apply_proof(&self, proof: &PeerProof) {
         let now = self.now();
@@ -276,26 +289,6 @@
     }
 }
 
-/// Counts a connection of a caller as open.
-pub(crate) struct OpenConnection {
-    shared: Rc<RelayShared>,
-    /// When the entry took the connection.
-    pub(crate) taken_at: Tick,
-}
-
-impl OpenConnection {
-    pub(crate) fn new(shared: &Rc<RelayShared>) -> Self {
-        shared.open_connections.set(shared.open_connections.get() + 1);
-        OpenConnection { shared: shared.clone(), taken_at: shared.now() }
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.shared.open_connections.set(self.shared.open_connections.get() - 1);
-    }
-}
-
 /// Counts a request as open until its answer is complete.
 pub(crate) struct OpenRequest(Rc<RelayShared>);
 
