Entry: answer what is open when a drain ends

Callers whose requests were open at the end of a drain's time limit, or whose bodies were still being read when the last admitted request ended, got neither an answer nor a refusal: their connections were cut when the process ended, five seconds later.

The event loop ended with the core, but tasks of callers went on to wait for its replies: the senders stayed in the table of replies. Answers that their callers read slowly were cut five seconds after the last request, however much of the drain's limit was left.

The core now fails open requests when the drain times out (503, with the verdict of each), and the loop serves inputs until all answers have been sent. Idle connections are closed then, others after their answer.

Before, on: both tests of stops.rs failed ("connection closed before message completed"; an empty answer). Now both pass, and the 18 tests of processes.rs. No test covers the slow reader.

--- a/src/entry/admission.rs
+++ b/src/entry/admission.rs
@@ -136,6 +136,17 @@
         }
     }
 
+    /// Refuses all requests that wait for an agent, because this entry stops.
+    pub(super) fn refuse_pending(&mut self) {
+        for (number, pending) in std::mem::take(&mut self.pending) {
+            let release = ToAgent::ReleaseAccount(number);
+            self.effects.push(Effect::Send(pending.agent, release));
+            let text = "this entry is stopping";
+            let failure = not_run_failure(FailureCode::Stopping, text, NO_ANSWER_RETRY);
+            self.effects.push(Effect::Reply(number, Reply::Failed(failure)));
+        }
+    }
+
     pub(super) fn on_account_query_due(&mut self, number: u64) {
         if let Some(pending) = self.pending.remove(&number) {
             // The agent may have granted it: its answer may still arrive.
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -150,6 +150,7 @@
             Event::Hosts(delta) => self.table.on_hosts(&delta),
             Event::Config(config) => self.on_config(config),
             Event::Drain => self.draining = true,
+            Event::DrainTimedOut => self.on_drain_timed_out(now),
             Event::Wake => {}
         }
         self.fire_timers(now);
@@ -369,13 +370,7 @@
         if is_on(Mutant::DeadlineOff) {
             return;
         }
-        let Some(request) = self.requests.get_mut(&number) else {
-            return;
-        };
-        if request.attempt_target().is_some() {
-            request.verdict = request.verdict.join(Verdict::MayHaveRun);
-        }
-        self.cancel_attempt(number);
+        self.end_attempt(number);
         self.fail(number, FailureCode::TimeLimit, "the time limit passed", now);
     }
 
@@ -388,6 +383,26 @@
         }
     }
 
+    pub(super) fn on_drain_timed_out(&mut self, now: Tick) {
+        self.draining = true;
+        self.refuse_pending();
+        let numbers: Vec<u64> = self.requests.keys().copied().collect();
+        for number in numbers {
+            self.end_attempt(number);
+            self.fail(number, FailureCode::Stopping, "this entry is stopping", now);
+        }
+    }
+
+    /// Cancels the live attempt of a request whose outcome is no longer waited for.
+    fn end_attempt(&mut self, number: u64) {
+        if let Some(request) = self.requests.get_mut(&number)
+            && request.attempt_target().is_some()
+        {
+            request.verdict = request.verdict.join(Verdict::MayHaveRun);
+        }
+        self.cancel_attempt(number);
+    }
+
     pub(super) fn check_stopped(&mut self) {
         if self.draining && self.open_requests() == 0 && !self.stopped {
             self.stopped = true;
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -10,7 +10,7 @@
 
 use slog::{Logger, info, o, warn};
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::task::{LocalSet, spawn_local};
 
 use super::account::AccountTable;
@@ -47,8 +47,8 @@
 /// Delay after a failed call to the store.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(500);
 
-/// Time limit for sending the rest of the answers to callers after all requests have ended.
-const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
+/// Minimum time for sending the rest of the answers to callers after all requests have ended.
+const MIN_FLUSH_TIME: Duration = Duration::from_secs(5);
 
 /// A query of the core's state, run between two iterations of the event loop.
 pub(super) type CoreQuery = Box<dyn FnOnce(&EntryCore)>;
@@ -69,6 +69,8 @@
     pub(super) metrics: super::metrics::EntryMetrics,
     pub(super) draining: Cell<bool>,
     pub(super) connections: Cell<usize>,
+    /// Whether connections are closed once their answers have been sent.
+    pub(super) closing: watch::Sender<bool>,
     pub(super) claims: SharedClaims,
     pub(super) config_store: tokio::sync::Mutex<ConfigStore>,
     pull_requested: Notify,
@@ -175,6 +177,7 @@
             metrics: super::metrics::EntryMetrics::new(),
             draining: Cell::new(false),
             connections: Cell::new(0),
+            closing: watch::Sender::new(false),
             claims: Rc::new(ClaimStore::new(store.clone())),
             config_store: tokio::sync::Mutex::new(ConfigStore::new(store.clone())),
             pull_requested: Notify::new(),
@@ -195,7 +198,6 @@
         ];
         let mut entry_loop = EntryLoop::new(shared.clone(), pool, self.tuning);
         entry_loop.run(received, stop).await;
-        flush_replies(&shared).await;
         for task in tasks {
             task.abort();
         }
@@ -226,10 +228,34 @@
         mut inputs: mpsc::UnboundedReceiver<Input>,
         stop: impl Future<Output = ()>,
     ) {
-        let mut stop = std::pin::pin!(stop);
-        let mut drain_deadline = Tick::NEVER;
-        while !self.stopped && self.clock.now() < drain_deadline {
-            let wake_at = self.core.next_wake().unwrap_or(Tick::NEVER).min(drain_deadline);
+        self.run_until(&mut inputs, stop).await;
+        info!(self.shared.log, "drain started");
+        let drain_timeout = self.shared.settings.drain_timeout;
+        let drain_deadline = self.clock.now() + drain_timeout;
+        self.shared.draining.set(true);
+        self.run_iteration(Event::Drain);
+        self.run_until(&mut inputs, tokio::time::sleep(drain_timeout)).await;
+        if !self.stopped {
+            let open = self.core.open_requests();
+            warn!(self.shared.log, "drain timed out; open requests fail"; "requests" => open);
+            self.run_iteration(Event::DrainTimedOut);
+        }
+        // The core still answers requests whose bodies are being read.
+        let flush_timeout = drain_deadline.since(self.clock.now()).max(MIN_FLUSH_TIME);
+        let flush = flush_replies(self.shared.clone(), flush_timeout);
+        self.stopped = false;
+        self.run_until(&mut inputs, flush).await;
+    }
+
+    /// Handles inputs until `end` completes or the core has drained.
+    async fn run_until(
+        &mut self,
+        inputs: &mut mpsc::UnboundedReceiver<Input>,
+        end: impl Future<Output = ()>,
+    ) {
+        let mut end = std::pin::pin!(end);
+        while !self.stopped {
+            let wake_at = self.core.next_wake().unwrap_or(Tick::NEVER);
             let sleep = sleep_until(&self.clock, wake_at);
             tokio::select! {
                 input = inputs.recv() => match input {
@@ -238,12 +264,7 @@
                     None => return,
                 },
                 () = sleep => self.run_iteration(Event::Wake),
-                () = &mut stop, if !self.shared.draining.get() => {
-                    info!(self.shared.log, "drain started");
-                    self.shared.draining.set(true);
-                    drain_deadline = self.clock.now() + self.shared.settings.drain_timeout;
-                    self.run_iteration(Event::Drain);
-                }
+                () = &mut end => return,
             }
         }
     }
@@ -298,14 +319,18 @@
     }
 }
 
-/// Waits until all connections of callers are closed, so that the last parts of answers are sent.
-async fn flush_replies(shared: &EntryShared) {
+/// Closes the connections of callers once their answers have been sent, and waits for that.
+async fn flush_replies(shared: Rc<EntryShared>, timeout: Duration) {
+    shared.closing.send_replace(true);
     let all_closed = async {
         while shared.connections.get() > 0 {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
     };
-    let _ = tokio::time::timeout(FLUSH_TIMEOUT, all_closed).await;
+    if tokio::time::timeout(timeout, all_closed).await.is_err() {
+        let open = shared.connections.get();
+        warn!(shared.log, "callers have not read their answers in time"; "connections" => open);
+    }
 }
 
 async fn forward_links(shared: Rc<EntryShared>, mut events: mpsc::UnboundedReceiver<LinkEvent>) {
--- a/src/entry/event.rs
+++ b/src/entry/event.rs
@@ -58,6 +58,8 @@
     Config(Arc<Config>),
     /// The entry is to drain: it admits no more requests and finishes the open ones.
     Drain,
+    /// The time limit of the drain has passed: the open requests fail.
+    DrainTimedOut,
     /// A timer may be due.
     Wake,
 }
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -22,8 +22,8 @@
 use crate::prefix::PrefixHashes;
 use crate::verdict::Verdict;
 use crate::web::{
-    BodyError, WebResponse, accept_next, bearer_token, read_body, serve_connection, set_verdict,
-    to_error_response, to_json_response, to_response,
+    BodyError, WebResponse, accept_next, bearer_token, read_body, serve_connection_until,
+    set_verdict, to_error_response, to_json_response, to_response,
 };
 use crate::wire::Call;
 
@@ -49,12 +49,22 @@
         let guard = ConnectionGuard::new(shared.clone());
         spawn_local(async move {
             let shared = guard.shared.clone();
-            serve_connection(stream, |request| handle(shared.clone(), request)).await;
+            let closing = wait_closing(shared.clone());
+            serve_connection_until(stream, closing, |request| handle(shared.clone(), request))
+                .await;
             drop(guard);
         });
     }
 }
 
+/// Waits until connections that exist now are to be closed.
+async fn wait_closing(shared: Rc<EntryShared>) {
+    let mut closing = shared.closing.subscribe();
+    if closing.changed().await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
 struct ConnectionGuard {
     shared: Rc<EntryShared>,
 }
@@ -73,23 +83,25 @@
 }
 
 async fn handle(shared: Rc<EntryShared>, request: Request<Incoming>) -> WebResponse {
+    let mut response = answer(&shared, request).await;
+    if shared.draining.get() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(hyper::header::CONNECTION, close);
+    }
+    response
+}
+
+async fn answer(shared: &Rc<EntryShared>, request: Request<Incoming>) -> WebResponse {
     let path = request.uri().path();
     match (request.method(), path) {
         (&Method::GET, "/healthz") => to_response(StatusCode::OK, "text/plain", "ok\n"),
-        (&Method::GET, "/readyz") => answer_ready(&shared),
-        (&Method::GET, "/metrics") => answer_metrics(&shared).await,
+        (&Method::GET, "/readyz") => answer_ready(shared),
+        (&Method::GET, "/metrics") => answer_metrics(shared).await,
         _ => {
             let number = shared.new_number();
             let id = format!("{}.{number}", shared.process);
-            let mut response = match handle_api_call(&shared, request, number, &id).await {
-                Ok(response) => response,
-                Err(fault) => answer_request_fault(&fault, &id),
-            };
-            if shared.draining.get() {
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(hyper::header::CONNECTION, close);
-            }
-            response
+            let response = handle_api_call(shared, request, number, &id).await;
+            response.unwrap_or_else(|fault| answer_request_fault(&fault, &id))
         }
     }
 }
--- a/src/web.rs
+++ b/src/web.rs
@@ -227,17 +227,35 @@
 where
     F: Fn(Request<Incoming>) -> R,
     R: Future<Output = WebResponse>,
+{
+    serve_connection_until(stream, std::future::pending(), handle).await;
+}
+
+/// Serves one connection until it ends. Once `closing` completes, an idle connection is closed at
+/// once, and any other one after its current answer.
+pub(crate) async fn serve_connection_until<F, R>(
+    stream: TcpStream,
+    closing: impl Future<Output = ()>,
+    handle: F,
+) where
+    F: Fn(Request<Incoming>) -> R,
+    R: Future<Output = WebResponse>,
 {
     let _ = stream.set_nodelay(true);
     let handle = &handle;
     let service =
         service_fn(move |request| async move { Ok::<_, Infallible>(handle(request).await) });
-    // A connection error is ignored: the outcome of each request is handled separately.
-    let _ = hyper::server::conn::http1::Builder::new()
+    let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_READ_TIMEOUT)
         .max_buf_size(MAX_HEADER_BYTES)
         .max_headers(MAX_HEADERS)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    // A connection error is ignored: the outcome of each request is handled separately.
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = closing => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
 }
--- /dev/null
+++ b/tests/stops.rs
@@ -0,0 +1,96 @@
+//! Stops and signals of entries and agents: every request that was read ends with an answer.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use standins::caller::{call, completion, finish, next_chunk, open, request};
+use standins::engine_model::EngineSpec;
+use standins::prompt::make_prompt;
+use support::{Site, wait_until};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Maximum duration of a drain in tests of its end, in ms.
+const DRAIN_LIMIT_MS: &str = "1500";
+
+/// Tokens of an answer that takes longer than the drain.
+const LONG_ANSWER: u64 = 20_000;
+
+fn slow_engine() -> EngineSpec {
+    EngineSpec { step_base: Duration::from_millis(20), ..EngineSpec::default() }
+}
+
+/// Starts a site whose second entry ends a drain after [`DRAIN_LIMIT_MS`].
+async fn site_with_short_drain() -> Site {
+    let mut site = Site::start(1, 1, slow_engine()).await;
+    site.add_entry_with(1, &["--drain-limit-ms", DRAIN_LIMIT_MS]);
+    site.wait_ready(1).await;
+    site
+}
+
+async fn wait_draining(address: SocketAddr) {
+    wait_until("the entry reports that it is not ready", async || {
+        let probe = call(address, request("GET", "/readyz", "", "")).await;
+        probe.map_or(true, |answer| answer.status == 503)
+    })
+    .await;
+}
+
+/// Returns the request of a whole answer.
+fn whole_completion(
+    prompt: &str,
+    max_tokens: u64,
+) -> hyper::Request<http_body_util::Full<bytes::Bytes>> {
+    let body = serde_json::json!({
+        "model": "canal-8b", "prompt": prompt, "max_tokens": max_tokens,
+    });
+    request("POST", "/v1/completions", "demo-pier-app", body.to_string())
+}
+
+#[tokio::test]
+async fn requests_that_are_open_at_the_end_of_a_drain_are_answered() {
+    let mut site = site_with_short_drain().await;
+    let address = site.callers(1);
+    let whole = whole_completion(&make_prompt(200, 1, 0, 1), LONG_ANSWER);
+    let whole = tokio::spawn(call(address, whole));
+    let prompt = make_prompt(200, 1, 0, 2);
+    let mut stream =
+        open(address, completion("pier-app", &prompt, LONG_ANSWER)).await.expect("head");
+    next_chunk(&mut stream).await.expect("a first part");
+    site.entries[1].request_drain();
+    let answer = whole.await.expect("task").expect("an answer");
+    assert_eq!((answer.status, answer.verdict.as_str()), (503, "may-have-run"));
+    assert_eq!(answer.code(), "stopping");
+    let rest = finish(stream).await.expect("the end of the stream");
+    let text = String::from_utf8_lossy(&rest.body).into_owned();
+    assert!(text.contains("event: error"), "the stream ends without an error event");
+    assert!(site.entries[1].wait(), "the entry exited with a failure");
+    site.wait_memory_released().await;
+}
+
+#[tokio::test]
+async fn a_body_that_arrives_after_the_last_answer_of_a_drain_is_answered() {
+    let mut site = Site::start(1, 1, EngineSpec::default()).await;
+    let address = site.callers(0);
+    let body = serde_json::json!({"model": "canal-8b", "prompt": "A question?"}).to_string();
+    let (first, rest) = body.split_at(10);
+    let length = body.len();
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: fleet\r\n\
+         authorization: Bearer demo-pier-app\r\ncontent-length: {length}\r\n\r\n{first}"
+    );
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    stream.write_all(head.as_bytes()).await.expect("sent");
+    // The entry has read the head when it answers a request that was sent later.
+    call(address, request("GET", "/v1/models", "demo-pier-app", "")).await.expect("an answer");
+    site.entries[0].request_drain();
+    wait_draining(address).await;
+    stream.write_all(rest.as_bytes()).await.expect("sent");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("an answer");
+    assert!(answer.starts_with("HTTP/1.1 503"), "answered: {answer:?}");
+    assert!(answer.contains("shalelane-verdict: not-run"), "answered: {answer:?}");
+    assert!(site.entries[0].wait(), "the entry exited with a failure");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -176,6 +176,11 @@
 
     /// Starts an entry and adds it to the host list.
     pub fn add_entry(&mut self, index: usize) {
+        self.add_entry_with(index, &[]);
+    }
+
+    /// Starts an entry with further arguments and adds it to the host list.
+    pub fn add_entry_with(&mut self, index: usize, further_args: &[&str]) {
         let (store, hosts) = (self.store.server.address.to_string(), self.hosts.server.address);
         let (hosts, name) = (hosts.to_string(), format!("entry-{index}"));
         let key = shalelane::entry::account::to_key_hash(ADMIN_KEY);
@@ -197,6 +202,7 @@
             "--body-limit-ms",
             "5000",
         ];
+        let args = [&args[..], further_args].concat();
         let process = Process::spawn(env!("CARGO_BIN_EXE_shalelane-entry"), &args);
         self.hosts.set(HostRecord {
             name: name.into(),
