A refusal reaches a caller that still writes its body

Callers whose request was refused before its body was read (unknown key, no route, no configuration, a stop, a body over the limit) lost the refusal: their connection was reset while they wrote.

Cause: an answer was given and the body dropped. The HTTP library then closes the connection, and the system resets one that is closed with unread bytes. A caller that fails on writing never reads the answer.

Change: src/connection.rs serves every connection of callers. A body that is dropped before its end is handed to its connection, which reads and discards the rest, up to 256 KiB and 5 s, while the answer goes out. Beyond these bounds, and after a head that can not be read, the sending side is closed and the rest is read for up to 2 s, so that the answer arrives before the connection ends. No place that answers has to know of it. A body that the caller announced with `Expect` and that was not asked for ends the connection, as what follows could be either that body or a request.

--- a/src/agent/metrics.rs
+++ b/src/agent/metrics.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
 use prometheus::IntGauge;
 use tokio::net::TcpListener;
@@ -11,6 +10,7 @@
 
 use super::core::AgentCore;
 use super::daemon::AgentShared;
+use crate::connection::RequestBody;
 use crate::metrics::{MetricsRegistry, MirroredCounter};
 use crate::web::{WebResponse, accept_next, serve_connection, to_json_response, to_response};
 
@@ -96,7 +96,7 @@
     }
 }
 
-fn handle(shared: &AgentShared, request: &Request<Incoming>) -> WebResponse {
+fn handle(shared: &AgentShared, request: &Request<RequestBody>) -> WebResponse {
     match (request.method(), request.uri().path()) {
         (&Method::GET, "/healthz") => to_response(StatusCode::OK, "text/plain", "ok\n"),
         (&Method::GET, "/metrics") => to_response(
--- a/src/entry/admin.rs
+++ b/src/entry/admin.rs
@@ -4,7 +4,6 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, ETAG, HeaderValue, IF_MATCH};
 use hyper::{Method, Request, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -18,6 +17,7 @@
 use super::decision_log::DecisionLog;
 use crate::client::{HttpClient, full};
 use crate::config::{Config, ConfigVersion};
+use crate::connection::RequestBody;
 use crate::error::Error;
 use crate::id::RequestId;
 use crate::verdict::Verdict;
@@ -94,7 +94,7 @@
     pub dry_run: bool,
 }
 
-async fn handle(shared: Rc<EntryShared>, request: Request<Incoming>) -> WebResponse {
+async fn handle(shared: Rc<EntryShared>, request: Request<RequestBody>) -> WebResponse {
     let result = match authorize(&shared, &request) {
         Ok(()) => route(&shared, request).await,
         Err(fault) => Err(fault),
@@ -104,7 +104,7 @@
     })
 }
 
-fn authorize(shared: &EntryShared, request: &Request<Incoming>) -> Result<(), AdminFault> {
+fn authorize(shared: &EntryShared, request: &Request<RequestBody>) -> Result<(), AdminFault> {
     let expected = shared.settings.admin_key_sha256.as_deref().unwrap_or("");
     let given = bearer_token(request.headers()).map(to_key_hash).unwrap_or_default();
     let is_match: bool = expected.as_bytes().ct_eq(given.as_bytes()).into();
@@ -116,7 +116,7 @@
 
 async fn route(
     shared: &Rc<EntryShared>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<WebResponse, AdminFault> {
     let path = request.uri().path().to_owned();
     match (request.method(), path.as_str()) {
@@ -181,7 +181,7 @@
 
 async fn apply_config(
     shared: &Rc<EntryShared>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<WebResponse, AdminFault> {
     let expected = read_if_match(&request)?;
     let dry_run = request.uri().query().is_some_and(|query| query.contains("dry_run=true"));
@@ -206,7 +206,7 @@
     Ok(response)
 }
 
-fn read_if_match(request: &Request<Incoming>) -> Result<ConfigVersion, AdminFault> {
+fn read_if_match(request: &Request<RequestBody>) -> Result<ConfigVersion, AdminFault> {
     let value = request.headers().get(IF_MATCH).and_then(|value| value.to_str().ok());
     let version = value.and_then(|value| value.trim_matches('"').parse().ok());
     version.map(ConfigVersion).ok_or_else(|| {
@@ -232,7 +232,7 @@
 async fn show_decisions(
     shared: &Rc<EntryShared>,
     text: &str,
-    request: &Request<Incoming>,
+    request: &Request<RequestBody>,
 ) -> Result<WebResponse, AdminFault> {
     let id = RequestId::from_str(text)
         .map_err(|error| AdminFault::new(StatusCode::BAD_REQUEST, "bad_id", error.to_string()))?;
@@ -259,7 +259,7 @@
     shared: &Rc<EntryShared>,
     id: &RequestId,
     text: &str,
-    request: &Request<Incoming>,
+    request: &Request<RequestBody>,
 ) -> Result<WebResponse, AdminFault> {
     let name = id.owner.name.clone();
     let address = shared.query_core(move |core| core.table().entry_addresses().remove(&name)).await;
@@ -280,7 +280,7 @@
     Ok(to_response(response.status(), "application/json", response.into_body()))
 }
 
-fn show_timeline(shared: &EntryShared, request: &Request<Incoming>) -> WebResponse {
+fn show_timeline(shared: &EntryShared, request: &Request<RequestBody>) -> WebResponse {
     let query = request.uri().query().unwrap_or("");
     let requested = query.split('&').find_map(|pair| pair.strip_prefix("request="));
     let timeline = shared.timeline.borrow();
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 use serde::Serialize;
@@ -19,6 +18,7 @@
 use crate::claim::ClaimKey;
 use crate::claim_store::ClaimOutcome;
 use crate::config::AccountPolicy;
+use crate::connection::RequestBody;
 use crate::prefix::PrefixHashes;
 use crate::verdict::Verdict;
 use crate::web::{
@@ -72,7 +72,7 @@
     }
 }
 
-async fn handle(shared: Rc<EntryShared>, request: Request<Incoming>) -> WebResponse {
+async fn handle(shared: Rc<EntryShared>, request: Request<RequestBody>) -> WebResponse {
     let path = request.uri().path();
     match (request.method(), path) {
         (&Method::GET, "/healthz") => to_response(StatusCode::OK, "text/plain", "ok\n"),
@@ -115,7 +115,7 @@
 
 async fn handle_api_call(
     shared: &Rc<EntryShared>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     number: u64,
     id: &str,
 ) -> Result<WebResponse, RequestFault> {
@@ -138,7 +138,7 @@
 
 fn authorize(
     shared: &EntryShared,
-    request: &Request<Incoming>,
+    request: &Request<RequestBody>,
 ) -> Result<Rc<AccountPolicy>, RequestFault> {
     if !shared.is_ready() {
         return Err(RequestFault::new(503, "not_ready", "this entry takes no requests now"));
@@ -172,7 +172,7 @@
     to_json_response(StatusCode::OK, &ModelList { object: "list", data: data.collect() })
 }
 
-async fn read_limited_body(shared: &EntryShared, body: Incoming) -> Result<Bytes, RequestFault> {
+async fn read_limited_body(shared: &EntryShared, body: RequestBody) -> Result<Bytes, RequestFault> {
     let settings = &shared.settings;
     read_body(body, settings.max_body_bytes, settings.body_timeout).await.map_err(|fault| {
         match fault {
@@ -190,7 +190,7 @@
 
 async fn complete(
     shared: &Rc<EntryShared>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     policy: Rc<AccountPolicy>,
     number: u64,
     id: &str,
@@ -238,14 +238,14 @@
     Ok(answer_whole(caller, first, &answer_format).await)
 }
 
-fn forbids_repeat(request: &Request<Incoming>) -> bool {
+fn forbids_repeat(request: &Request<RequestBody>) -> bool {
     let value = request.headers().get(REPEATABLE_HEADER);
     value.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"no"))
 }
 
 async fn call_service(
     shared: &Rc<EntryShared>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     policy: Rc<AccountPolicy>,
     number: u64,
     id: &str,
@@ -337,7 +337,7 @@
     }
 }
 
-fn header_text(request: &Request<Incoming>, name: &str) -> Result<String, RequestFault> {
+fn header_text(request: &Request<RequestBody>, name: &str) -> Result<String, RequestFault> {
     let Some(value) = request.headers().get(name) else {
         return Ok(String::new());
     };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -84,6 +84,7 @@
 pub mod clock;
 pub mod config;
 pub mod config_store;
+mod connection;
 pub mod entry;
 mod error;
 mod hex;
--- a/src/relay/proxy/exchange.rs
+++ b/src/relay/proxy/exchange.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::{Request, StatusCode};
 
@@ -16,6 +15,7 @@
 use super::protocol::CallerHead;
 use super::series::{NO_ROOM_RETRY_DELAY, quarantine_fault};
 use super::stream::serve_stream;
+use crate::connection::RequestBody;
 use crate::relay::core::{Refusal, RelayCore};
 use crate::relay::decide::placement::PromptNeed;
 use crate::relay::decide::urgency::UrgencyRank;
@@ -34,7 +34,7 @@
 const DEFAULT_ANSWER_TOKENS: u64 = 1_500;
 
 /// Serves one request.
-pub(crate) async fn serve(shared: Rc<RelayShared>, request: Request<Incoming>) -> RelayAnswer {
+pub(crate) async fn serve(shared: Rc<RelayShared>, request: Request<RequestBody>) -> RelayAnswer {
     let arrived = shared.now();
     shared.counts.borrow_mut().requests += 1;
     let head = (shared.caller_protocol.parse_head)(request.headers());
@@ -81,7 +81,7 @@
 /// Checks whether a request may be served, reads its body and finds its route and service.
 async fn admit(
     shared: &Rc<RelayShared>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     head: CallerHead,
     id: Arc<str>,
     arrived: Tick,
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -36,6 +36,7 @@
 use crate::Result;
 use crate::client::HttpClient;
 use crate::clock::{ProcessClock, SuspensionWatch, wall_micros};
+use crate::connection::serve_requests;
 use crate::program::on_reload_signal;
 use crate::time::Tick;
 use crate::web::{accept_next, bind_listener};
@@ -232,27 +233,16 @@
         slog::debug!(shared.log.logger(), "TCP_NODELAY not set"; "error" => %error);
     }
     let limits = shared.core.borrow().rules().limits();
-    let service_shared = shared.clone();
-    let service = service_fn(move |request| {
-        let shared = service_shared.clone();
-        async move { Ok::<_, Infallible>(serve(shared, request).await) }
-    });
     // The timeout for a head includes the idle time between two requests, which callers may
     // use in full.
-    let connection = http1::Builder::new()
+    let mut builder = http1::Builder::new();
+    builder
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_limit)
-        .max_buf_size(limits.max_head.max(MIN_BUFFER_SIZE))
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    loop {
-        tokio::select! {
-            // The end of a connection concerns the caller only: the outcome of each of its
-            // requests is recorded separately.
-            _ = connection.as_mut() => return,
-            _ = closing.changed() => connection.as_mut().graceful_shutdown(),
-        }
-    }
+        .max_buf_size(limits.max_head.max(MIN_BUFFER_SIZE));
+    // The sender outlives the connections.
+    let closing = async { drop(closing.changed().await) };
+    serve_requests(stream, &builder, closing, |request| serve(shared.clone(), request)).await;
 }
 
 /// Smallest read buffer of a connection, in bytes.
--- a/src/web.rs
+++ b/src/web.rs
@@ -9,15 +9,16 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
-use hyper::service::service_fn;
+use hyper::server::conn::http1;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc;
 
+use crate::connection::{RequestBody, serve_requests};
 use crate::verdict::Verdict;
 
 /// Header with the verdict on whether the request ran.
@@ -173,11 +174,14 @@
 }
 
 /// Reads a whole body of up to `max_bytes` bytes within `timeout`.
-pub(crate) async fn read_body(
-    mut body: Incoming,
+pub(crate) async fn read_body<B>(
+    mut body: B,
     max_bytes: usize,
     timeout: Duration,
-) -> Result<Bytes, BodyError> {
+) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
     let expected_bytes = body.size_hint().lower() as usize;
     if expected_bytes > max_bytes {
         return Err(BodyError::TooLarge);
@@ -225,19 +229,15 @@
 /// Serves one connection until it ends.
 pub(crate) async fn serve_connection<F, R>(stream: TcpStream, handle: F)
 where
-    F: Fn(Request<Incoming>) -> R,
+    F: Fn(Request<RequestBody>) -> R,
     R: Future<Output = WebResponse>,
 {
     let _ = stream.set_nodelay(true);
-    let handle = &handle;
-    let service =
-        service_fn(move |request| async move { Ok::<_, Infallible>(handle(request).await) });
-    // A connection error is ignored: the outcome of each request is handled separately.
-    let _ = hyper::server::conn::http1::Builder::new()
+    let mut builder = http1::Builder::new();
+    builder
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_READ_TIMEOUT)
         .max_buf_size(MAX_HEADER_BYTES)
-        .max_headers(MAX_HEADERS)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+        .max_headers(MAX_HEADERS);
+    serve_requests(stream, &builder, std::future::pending(), handle).await;
 }
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::io::{Read, Write};
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -329,3 +330,34 @@
         events.as_array().into_iter().flatten().map(|event| &event["kind"]).collect();
     assert_eq!(kinds, ["started", "done"]);
 }
+
+/// Sends a request with an unknown key whose body is written in pieces. Returns the answer, which
+/// is read before the last piece is written.
+fn write_in_pieces(address: std::net::SocketAddr) -> std::io::Result<String> {
+    const PIECES: usize = 40;
+    let mut stream = std::net::TcpStream::connect(address)?;
+    stream.set_read_timeout(Some(Duration::from_secs(10)))?;
+    let piece = [b'x'; 1_000];
+    let length = PIECES * piece.len();
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer none\r\n\
+         Content-Length: {length}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes())?;
+    for _ in 1..PIECES {
+        std::thread::sleep(Duration::from_millis(5));
+        stream.write_all(&piece)?;
+    }
+    let mut answer = [0; 4_096];
+    let length = stream.read(&mut answer)?;
+    stream.write_all(&piece)?;
+    Ok(String::from_utf8_lossy(&answer[..length]).into_owned())
+}
+
+#[tokio::test]
+async fn a_refusal_reaches_a_caller_that_still_writes() {
+    let site = Site::start(1, 1, EngineSpec::default()).await;
+    let address = site.callers(0);
+    let answer = tokio::task::spawn_blocking(move || write_in_pieces(address)).await.expect("task");
+    assert!(answer.expect("answer").starts_with("HTTP/1.1 401 "));
+}
