--- a/src/relay/caller_connection.rs
+++ b/src/relay/caller_connection.rs
@@ -15,6 +15,7 @@
 use super::proxy::answer::{BrokenAnswer, RelayBody};
 use super::record::{ConnectionEnd, ConnectionLine, ConnectionState};
 use super::shared::RelayShared;
+use crate::connection::ServedEnd;
 use crate::time::Tick;
 
 /// An open connection of a caller. Its end is counted, and logged unless it is an ordinary one.
@@ -25,8 +26,6 @@
     state: Cell<ConnectionState>,
     state_since: Cell<Tick>,
     requests: Cell<u64>,
-    /// Whether the last answer was given before the body of its request was read.
-    is_body_unread: Cell<bool>,
     /// Whether the body of a request broke off.
     is_body_broken: Cell<bool>,
     is_answer_broken: Cell<bool>,
@@ -44,7 +43,6 @@
             state: Cell::new(ConnectionState::Idle),
             state_since: Cell::new(now),
             requests: Cell::new(0),
-            is_body_unread: Cell::new(false),
             is_body_broken: Cell::new(false),
             is_answer_broken: Cell::new(false),
             has_write_failed: Cell::new(false),
@@ -55,13 +53,11 @@
     /// Records that the head of a request was read.
     pub(crate) fn begin_request(&self) {
         self.requests.set(self.requests.get() + 1);
-        self.is_body_unread.set(true);
         self.enter(ConnectionState::Body);
     }
 
     /// Records that the body of the request was read whole.
     pub(crate) fn finish_body(&self) {
-        self.is_body_unread.set(false);
         self.enter(ConnectionState::Answering);
     }
 
@@ -82,13 +78,13 @@
     }
 
     /// Records the end of a connection that was served.
-    pub(crate) fn end_served(&self, error: Option<&hyper::Error>, is_stopping: bool) {
-        let end = self.classify(error, is_stopping);
-        let text = error.map(ToString::to_string).unwrap_or_default();
+    pub(crate) fn end_served(&self, served: &ServedEnd, is_stopping: bool) {
+        let end = self.classify(served, is_stopping);
+        let text = served.error.as_ref().map(ToString::to_string).unwrap_or_default();
         self.end(end, &text);
     }
 
-    fn classify(&self, error: Option<&hyper::Error>, is_stopping: bool) -> ConnectionEnd {
+    fn classify(&self, served: &ServedEnd, is_stopping: bool) -> ConnectionEnd {
         let is_idle = self.state.get() == ConnectionState::Idle;
         if self.is_answer_broken.get() {
             return ConnectionEnd::AnswerBroken;
@@ -96,10 +92,10 @@
         if self.has_write_failed.get() {
             return ConnectionEnd::AnswerUndelivered;
         }
-        if self.is_body_unread.get() && self.state.get() != ConnectionState::Body {
+        if served.is_unread {
             return ConnectionEnd::AnsweredUnread;
         }
-        match error {
+        match &served.error {
             Some(error) if error.is_timeout() && is_idle => ConnectionEnd::IdleLimit,
             Some(error) if error.is_timeout() => ConnectionEnd::HeadLimit,
             Some(error) if error.is_parse() => ConnectionEnd::InvalidHead,
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -37,6 +37,7 @@
 use crate::Result;
 use crate::client::HttpClient;
 use crate::clock::{ProcessClock, SuspensionWatch, wall_micros};
+use crate::connection::serve_requests;
 use crate::program::on_reload_signal;
 use crate::time::Tick;
 use crate::web::{accept_next, bind_listener};
@@ -249,35 +250,28 @@
         slog::debug!(shared.log.logger(), "TCP_NODELAY not set"; "error" => %error);
     }
     let limits = shared.core.borrow().rules().limits();
-    let service_shared = shared.clone();
-    let service_connection = connection.clone();
-    let service = service_fn(move |request| {
-        let shared = service_shared.clone();
-        let connection = service_connection.clone();
-        async move {
-            connection.begin_request();
-            let answer = serve(shared, request, &connection).await;
-            connection.begin_answer();
-            Ok::<_, Infallible>(answer.map(|body| CallerAnswer { body, connection }))
-        }
-    });
     let stream = CallerStream { stream, connection: connection.clone() };
     // The timeout for a head includes the idle time between two requests, which callers may
     // use in full.
-    let exchange = http1::Builder::new()
+    let mut builder = http1::Builder::new();
+    builder
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_limit)
-        .max_buf_size(limits.max_head.max(MIN_BUFFER_SIZE))
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(exchange);
-    let result = loop {
-        tokio::select! {
-            result = exchange.as_mut() => break result,
-            _ = closing.changed() => exchange.as_mut().graceful_shutdown(),
-        }
+        .max_buf_size(limits.max_head.max(MIN_BUFFER_SIZE));
+    let is_closing = Cell::new(false);
+    let closing = async {
+        // The sender outlives the connections.
+        drop(closing.changed().await);
+        is_closing.set(true);
+    };
+    let handle = |request| async {
+        connection.begin_request();
+        let answer = serve(shared.clone(), request, &connection).await;
+        connection.begin_answer();
+        answer.map(|body| CallerAnswer { body, connection: connection.clone() })
     };
-    let is_stopping = *closing.borrow();
-    connection.end_served(result.as_ref().err(), is_stopping);
+    let end = serve_requests(stream, &builder, closing, handle).await;
+    connection.end_served(&end, is_closing.get());
 }
 
 /// Smallest read buffer of a connection, in bytes.
