Entry and agent: no end by SIGHUP

Callers' streams broke off when their entry or an agent got SIGHUP: the signal was not handled, and its default action ends a process. The relay handles it; the product's own daemons did not.

Both take the signal now and log that there is nothing to reload.

Before: a_reload_signal_ends_no_answer failed ("error reading a body from connection"). Now it passes.

--- a/src/agent/daemon.rs
+++ b/src/agent/daemon.rs
@@ -24,6 +24,7 @@
 use crate::log::new_logger;
 use crate::metrics::IterationMeter;
 use crate::peer::{LinkSender, LinkSide, OpenAttempts, PeerIdentity, accept, link_queue, run_link};
+use crate::program::on_reload_signal;
 use crate::settings::AgentSettings;
 use crate::time::Tick;
 use crate::timeline::EventTimeline;
@@ -130,9 +131,14 @@
         });
         let acceptor = spawn_local(accept_all(shared.clone(), self.listener));
         let metrics_server = spawn_local(metrics::serve(shared.clone(), self.metrics));
+        let reload_log = shared.log.clone();
+        let reload = spawn_local(on_reload_signal(move || {
+            info!(reload_log, "settings not reloaded: all are fixed");
+        }));
         let mut agent_loop = AgentLoop::new(shared.clone(), process);
         agent_loop.run(received, stop).await;
         acceptor.abort();
+        reload.abort();
         metrics_server.abort();
         flush_links(&shared).await;
         info!(shared.log, "agent stopped");
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -29,6 +29,7 @@
 use crate::log::new_logger;
 use crate::metrics::IterationMeter;
 use crate::peer::PeerIdentity;
+use crate::program::on_reload_signal;
 use crate::settings::EntrySettings;
 use crate::store::StoreClient;
 use crate::time::Tick;
@@ -189,7 +190,12 @@
         let identity = PeerIdentity { process, key: shared.settings.peer_key.clone() };
         let (pool_events, link_events) = mpsc::unbounded_channel();
         let pool = LinkPool::new(identity, pool_events);
+        let reload_log = log.clone();
+        let reload = on_reload_signal(move || {
+            info!(reload_log, "settings not reloaded: all are fixed");
+        });
         let tasks = [
+            spawn_local(reload),
             spawn_local(http::serve(shared.clone(), self.callers)),
             spawn_local(admin::serve(shared.clone(), self.admin)),
             spawn_local(forward_links(shared.clone(), link_events)),
--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -7,7 +7,7 @@
 
 use standins::caller::{call, completion, finish, next_chunk, open, request};
 use standins::engine_model::EngineSpec;
-use standins::prompt::make_prompt;
+use standins::prompt::{make_prompt, prompt_hash, whole_answer};
 use support::{Site, wait_until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -94,3 +94,17 @@
     assert!(answer.contains("shalelane-verdict: not-run"), "answered: {answer:?}");
     assert!(site.entries[0].wait(), "the entry exited with a failure");
 }
+
+#[tokio::test]
+async fn a_reload_signal_ends_no_answer() {
+    let site = Site::start(1, 1, slow_engine()).await;
+    let prompt = make_prompt(200, 1, 0, 4);
+    let mut stream =
+        open(site.callers(0), completion("pier-app", &prompt, 60)).await.expect("head");
+    next_chunk(&mut stream).await.expect("a first part");
+    site.entries[0].request_reload();
+    site.agents[0].process.request_reload();
+    let rest = finish(stream).await.expect("the rest");
+    assert!(rest.is_done());
+    assert!(whole_answer(prompt_hash(&prompt), 60).ends_with(&rest.stream_text()));
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -63,6 +63,11 @@
         self.signal("-TERM");
     }
 
+    /// Sends the signal that asks for a reload of settings.
+    pub fn request_reload(&self) {
+        self.signal("-HUP");
+    }
+
     /// Suspends or resumes the process.
     pub fn freeze(&self, is_frozen: bool) {
         self.signal(if is_frozen { "-STOP" } else { "-CONT" });
