Agent: try again when a call to resume a run is lost

A run whose prompt is prefilled piece by piece was ended, and with it the request or a retry of it, when one call that resumes it got no answer, although the engine held the run. To resume a run twice is harmless, and calls that cancel or release are tried again too.

--- a/src/agent/daemon.rs
+++ b/src/agent/daemon.rs
@@ -40,10 +40,13 @@
 /// Polls of the load report between two checks of the engine's runs and reservations.
 const POLLS_PER_HOLDINGS_CHECK: u32 = 8;
 
+/// Maximum number of tries of a call that changes the state of a run or a reservation.
+const MAX_CALL_TRIES: u32 = 12;
+
 /// Consecutive failed polls after which the target counts as lost.
 const MAX_FAILED_POLLS: u32 = 3;
 
-/// Delay before the retry of a call that cancels a run or releases a reservation.
+/// Delay before the retry of such a call.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
 /// Timeout for sending the last queued messages at shutdown.
@@ -300,7 +303,7 @@
 async fn cancel_run(shared: &AgentShared, id: &AttemptId, call: Option<&TargetCall>) {
     let name = id.to_string();
     // A target that is lost in the meantime is reset before it is used again.
-    for _ in 0..MAX_FAILED_POLLS * 4 {
+    for _ in 0..MAX_CALL_TRIES {
         let has_arrived = call.is_none_or(|call| call.has_arrived.get());
         match shared.engine.cancel(&name).await {
             Ok(true) => return,
@@ -311,18 +314,26 @@
 }
 
 async fn resume(shared: Rc<AgentShared>, id: AttemptId, limit: Option<u64>) {
-    if shared.engine.resume(&id, limit).await.is_err() {
-        let failed = RunEvent::Failed(
-            crate::verdict::Verdict::MayHaveRun,
-            "the engine did not go on with it".into(),
-        );
-        shared.send(Event::Run(id, failed));
+    for _ in 0..MAX_CALL_TRIES {
+        match shared.engine.resume(&id, limit).await {
+            Ok(()) => return,
+            Err(error) if !error.is_unreachable() => break,
+            Err(error) => {
+                warn!(shared.log, "failed to resume a run; retrying"; "run" => id.to_string(), "error" => %error);
+                tokio::time::sleep(RETRY_DELAY).await;
+            }
+        }
     }
+    let failed = RunEvent::Failed(
+        crate::verdict::Verdict::MayHaveRun,
+        "the engine did not go on with it".into(),
+    );
+    shared.send(Event::Run(id, failed));
 }
 
 async fn unreserve(shared: Rc<AgentShared>, id: AttemptId) {
     let mut tries = 0;
-    while shared.engine.unreserve(&id).await.is_err() && tries < MAX_FAILED_POLLS * 4 {
+    while shared.engine.unreserve(&id).await.is_err() && tries < MAX_CALL_TRIES {
         tries += 1;
         tokio::time::sleep(RETRY_DELAY).await;
     }
--- a/standins/src/engine_server.rs
+++ b/standins/src/engine_server.rs
@@ -44,6 +44,10 @@
     pub frozen: bool,
     /// Delay between the arrival of a start call and the start of its run.
     pub start_lag: Duration,
+    /// Whether calls for the load report are closed without a response.
+    pub drops_load_calls: bool,
+    /// Number of further calls to resume a run that are closed without a response or an effect.
+    pub dropped_resumes: u32,
 }
 
 /// An engine on a loopback port, with fault injection for tests.
@@ -206,6 +210,9 @@
     }
     let path = request.uri().path().to_owned();
     let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+    if is_dropped(&mut lock(&state.fault), &parts) {
+        return None;
+    }
     Some(match (request.method().clone(), parts.as_slice()) {
         (Method::GET, ["v1", "load"]) => reply_load(&state),
         (Method::GET, ["v1", "cache", "events"]) => reply_events(&state, &request),
@@ -223,6 +230,18 @@
     })
 }
 
+/// Returns `true` if a fault closes the connection of a call without a response.
+fn is_dropped(fault: &mut EngineFault, parts: &[&str]) -> bool {
+    match parts {
+        ["v1", "load"] => fault.drops_load_calls,
+        ["v1", "runs", _, "resume"] if fault.dropped_resumes > 0 => {
+            fault.dropped_resumes -= 1;
+            true
+        }
+        _ => false,
+    }
+}
+
 fn reply_found(is_found: bool) -> Reply {
     let status = if is_found { StatusCode::OK } else { StatusCode::NOT_FOUND };
     reply(status, "")
