Agent: do not reset an engine whose runs progress

Streams broke off ("the target was lost") when three polls of the load report in a row failed, which takes 0.75 s if connections are closed at once. An overloaded engine closes connections and goes on with its runs; the agent then had the engine delete all of them.

A failed poll counts now only while no run progresses, and a target that accepts connections counts as lost after three seconds without a sign of life. A refused connection counts as before, and so does another boot.

Before: an_engine_that_streams_is_not_reset_for_lost_load_reports failed ("the stream ends with an error"). Now it passes, with the four bounds of agent_health.rs.

--- a/src/agent/daemon.rs
+++ b/src/agent/daemon.rs
@@ -15,6 +15,7 @@
 use super::core::AgentCore;
 use super::engine::EngineClient;
 use super::event::{AgentTuning, ConnId, Effect, EngineFacts, Event, RunEvent, StartRun};
+use super::health::{PollOutcome, TargetHealth};
 use super::metrics::{self, AgentMetrics};
 use super::plain::PlainClient;
 use crate::clock::{ProcessClock, new_incarnation, sleep_until, wall_micros};
@@ -43,9 +44,6 @@
 /// Maximum number of tries of a call that changes the state of a run or a reservation.
 const MAX_CALL_TRIES: u32 = 12;
 
-/// Consecutive failed polls after which the target counts as lost.
-const MAX_FAILED_POLLS: u32 = 3;
-
 /// Delay before the retry of such a call.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -62,6 +60,8 @@
     pub(super) open_links: Cell<usize>,
     pub(super) engine: EngineClient,
     pub(super) plain: PlainClient,
+    pub(super) clock: ProcessClock,
+    pub(super) health: RefCell<TargetHealth>,
     pub(super) timeline: RefCell<EventTimeline>,
     pub(super) log: Logger,
     pub(super) metrics: AgentMetrics,
@@ -127,6 +127,8 @@
             open_links: Cell::new(0),
             engine: EngineClient::new(settings.target.clone()),
             plain: PlainClient::new(settings.target.clone()),
+            clock: ProcessClock::new(),
+            health: RefCell::new(TargetHealth::new(Tick::default())),
             timeline: RefCell::new(EventTimeline::new(process.clone(), TIMELINE_CAPACITY)),
             metrics: AgentMetrics::new(),
             log,
@@ -266,7 +268,12 @@
         let id = start.id.clone();
         let report: Rc<dyn Fn(RunEvent)> = {
             let (shared, id) = (shared.clone(), id.clone());
-            Rc::new(move |event| shared.send(Event::Run(id.clone(), event)))
+            Rc::new(move |event| {
+                if event.is_progress() {
+                    shared.health.borrow_mut().record_progress(shared.clock.now());
+                }
+                shared.send(Event::Run(id.clone(), event));
+            })
         };
         let (calls, attempt) = (self.calls.clone(), id.clone());
         let has_arrived = Rc::new(Cell::new(false));
@@ -354,15 +361,18 @@
         }
         tokio::time::sleep(POLL_INTERVAL).await;
     };
-    let mut failed_polls = 0;
+    *shared.health.borrow_mut() = TargetHealth::new(shared.clock.now());
     let mut polls = 0;
     let mut cache_sequence = 0;
-    while failed_polls < MAX_FAILED_POLLS {
+    loop {
         tokio::time::sleep(POLL_INTERVAL).await;
-        match shared.engine.get_load().await {
-            Ok(load) if load.boot == boot => failed_polls = 0,
+        let outcome = match shared.engine.poll_load().await {
+            Ok(load) if load.boot == boot => PollOutcome::Reported,
             Ok(_) => break,
-            Err(_) => failed_polls += 1,
+            Err(outcome) => outcome,
+        };
+        if shared.health.borrow_mut().record_poll(outcome, shared.clock.now()) {
+            break;
         }
         if let Ok(events) = shared.engine.get_cache_events(cache_sequence).await {
             for event in events {
--- a/src/agent/engine.rs
+++ b/src/agent/engine.rs
@@ -17,6 +17,7 @@
 
 use super::cache::CacheEvent;
 use super::event::{EngineFacts, EngineHolding, RunEvent, RunUsage, StartRun};
+use super::health::PollOutcome;
 use crate::client::{CallBody, CallFault, HttpClient, full, pieces};
 use crate::config::Urgency;
 use crate::error::{Error, ErrorCode, Result};
@@ -140,11 +141,29 @@
         }
     }
 
-    pub(super) async fn get_load(&self) -> Result<EngineLoad> {
+    async fn get_load(&self) -> Result<EngineLoad> {
         let body = self.call(Method::GET, "/v1/load", "").await?;
         serde_json::from_slice(&body).map_err(Error::unreachable)
     }
 
+    /// Polls the load report.
+    ///
+    /// # Errors
+    ///
+    /// There is no report; the outcome states why.
+    pub(super) async fn poll_load(&self) -> std::result::Result<EngineLoad, PollOutcome> {
+        let request = self.request(Method::GET, "/v1/load", full(""));
+        let work = async {
+            let response = self.http.send(request).await.map_err(|fault| match fault {
+                CallFault::NotSent(_) => PollOutcome::NotConnected,
+                CallFault::Unknown(_) => PollOutcome::NoReport,
+            })?;
+            let body = response.into_body().collect().await.map_err(|_| PollOutcome::NoReport)?;
+            serde_json::from_slice(&body.to_bytes()).map_err(|_| PollOutcome::NoReport)
+        };
+        tokio::time::timeout(CALL_TIMEOUT, work).await.unwrap_or(Err(PollOutcome::NoReport))
+    }
+
     /// Deletes all runs and reservations of the engine. Returns its properties and its boot
     /// number.
     pub(super) async fn reset(&self) -> Result<(EngineFacts, u64)> {
--- a/src/agent/event.rs
+++ b/src/agent/event.rs
@@ -67,6 +67,17 @@
     Cancelled,
 }
 
+impl RunEvent {
+    /// Returns `true` if the event shows that the target works on the run.
+    #[must_use]
+    pub fn is_progress(&self) -> bool {
+        matches!(
+            self,
+            RunEvent::Head(..) | RunEvent::Text(_) | RunEvent::Paused(_) | RunEvent::Done(_)
+        )
+    }
+}
+
 /// An input of the agent's core.
 #[derive(Clone, Debug)]
 pub enum Event {
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -14,6 +14,7 @@
 pub mod daemon;
 mod engine;
 mod event;
+pub mod health;
 mod holds;
 pub mod lease;
 pub mod ledger;
