Claims: release the key of a caller that gave up meanwhile

A caller that left while its idempotency key was being claimed could not use the key again: the claim was written for a request that never started, nobody released it, and repeats got 409 "may have run".

The writer of claims releases a claim that it has won for nobody.

Before: the key stayed Taken("abandoned") for ten seconds, the bound of the test. Now it is free.

--- a/src/claim_store.rs
+++ b/src/claim_store.rs
@@ -38,6 +38,9 @@
 /// each log that it has read.
 const REWRITE_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Delay before releases that are not part of a batch are written.
+const RELEASE_DELAY: Duration = Duration::from_millis(500);
+
 /// Maximum number of reads that check whether a write without a usable answer took effect.
 const MAX_READ_BACKS: u32 = 3;
 
@@ -117,6 +120,8 @@
     rewrite_at: Option<Instant>,
     /// Releases of failed batches, to be written with the next batch.
     unwritten_releases: Vec<ClaimRecord>,
+    /// When those releases are written if no batch arrives; `None` if there are none.
+    release_at: Option<Instant>,
 }
 
 impl ShardWriter {
@@ -131,6 +136,7 @@
             lost: Vec::new(),
             rewrite_at: None,
             unwritten_releases: Vec::new(),
+            release_at: None,
         }
     }
 
@@ -163,6 +169,7 @@
                     continue;
                 }
                 () = tokio::time::sleep_until(self.next_rewrite()), if self.is_rewrite_due() => {}
+                () = sleep_until(self.release_at), if self.release_at.is_some() => {}
             }
             while batch.len() < MAX_BATCH
                 && let Ok(more) = pending.try_recv()
@@ -176,6 +183,7 @@
     /// Writes a batch and answers each of its claims.
     async fn write_batch(&mut self, batch: Vec<PendingClaim>) {
         let mut records = std::mem::take(&mut self.unwritten_releases);
+        self.release_at = None;
         records.extend(batch.iter().map(|pending| pending.record.clone()));
         let is_written = self.write(&records).await.is_ok();
         if !is_written {
@@ -190,8 +198,12 @@
                 Some(owner) => ClaimOutcome::Taken(owner.to_owned()),
                 None => ClaimOutcome::StoreUnreachable,
             };
-            // If the caller has disconnected, the answer is not needed.
-            let _ = answer.send(outcome);
+            let is_won = outcome == ClaimOutcome::Won;
+            if answer.send(outcome).is_err() && is_won {
+                // The caller has disconnected, so the request does not run.
+                self.unwritten_releases.push(ClaimRecord { is_release: true, ..pending.record });
+                self.release_at = Some(Instant::now() + RELEASE_DELAY);
+            }
         }
     }
 
@@ -325,6 +337,13 @@
     }
 }
 
+async fn sleep_until(at: Option<Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
+
 fn head_name(shard: u8) -> String {
     format!("claims/{shard}/head")
 }
