Claims: read releases of other entries

A key that was released after its request had not run stayed taken at entries that had seen it taken: they answered from the log as last read, and read further segments only when they wrote one themselves.

A claim on a taken key reads the new segments first, one read a batch.

--- a/src/claim_store.rs
+++ b/src/claim_store.rs
@@ -219,7 +219,8 @@
     async fn write(&mut self, records: &[ClaimRecord]) -> Result<()> {
         self.load().await?;
         let is_rewrite = self.is_rewrite(records);
-        if is_rewrite && !self.lost.is_empty() {
+        // A key that is taken here may have been released by another writer.
+        if is_rewrite && !self.lost.is_empty() || self.has_taken_key(records) {
             self.catch_up().await?;
         }
         loop {
@@ -320,6 +321,13 @@
         is_due || !awaits_rewrites || records.iter().any(|record| record.is_release)
     }
 
+    /// Returns `true` if one of the claims is on a key that another request owns.
+    fn has_taken_key(&self, records: &[ClaimRecord]) -> bool {
+        let Some(log) = &self.log else { return false };
+        let mut claims = records.iter().filter(|record| !record.is_release);
+        claims.any(|claim| log.owner(&claim.key).is_some_and(|owner| owner != claim.request))
+    }
+
     /// Reads the segments that other writers have added since the log was read.
     async fn catch_up(&mut self) -> Result<()> {
         while let Some(number) = self.log.as_ref().map(ClaimLog::next)
--- a/tests/claims_abandoned.rs
+++ b/tests/claims_abandoned.rs
@@ -32,6 +32,17 @@
     wait_free(|| new_claims(&store), &key).await;
 }
 
+async fn release_elsewhere() {
+    let store = StoreServer::start();
+    let (one, other) = (new_claims(&store), new_claims(&store));
+    let key = ClaimKey::new("acme", "boats", "key");
+    assert_eq!(one.claim(key.clone(), "first".into()).await, ClaimOutcome::Won);
+    let outcome = other.claim(key.clone(), "second".into()).await;
+    assert_eq!(outcome, ClaimOutcome::Taken("first".into()));
+    one.release(key.clone(), "first".into());
+    wait_free(|| other.clone(), &key).await;
+}
+
 /// Claims a key until the claim succeeds.
 async fn wait_free(claims: impl Fn() -> Rc<ClaimStore>, key: &ClaimKey) {
     let start = Instant::now();
@@ -54,3 +65,8 @@
 fn a_key_whose_caller_gave_up_before_the_claim_is_free_again() {
     block_on(abandon_claim());
 }
+
+#[test]
+fn a_key_that_one_entry_releases_is_free_at_an_entry_that_saw_it_taken() {
+    block_on(release_elsewhere());
+}
