Entry: do not end an attempt before another target takes its request

Callers got 502 or 503 after 0.6 s for requests that their target went on to answer. After the loss of a link, an attempt that may be repeated was cancelled after 0.6 s, and only then did the entry find that the retry budget was spent, no attempt was left, or no other target was open.

The attempt is kept now until another target has taken the request. Others are looked for only if a retry is possible; if none takes it, the entry goes on to resume until the time limit for that, which starts again when the agent is back.

--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -144,7 +144,7 @@
         match event {
             Event::Arrive(arrival) => self.on_arrive(arrival, now),
             Event::CallerDisconnected(number) => self.on_caller_disconnected(number, now),
-            Event::AgentUp(target, incarnation) => self.on_agent_up(target, incarnation),
+            Event::AgentUp(target, incarnation) => self.on_agent_up(&target, incarnation, now),
             Event::AgentDown(target) => self.on_agent_down(&target, now),
             Event::AgentMessage(target, message) => self.on_message(&target, message, now),
             Event::Hosts(delta) => self.table.on_hosts(&delta),
@@ -308,6 +308,10 @@
         if let Some((target, _)) = request.attempt_target() {
             self.effects.push(Effect::Send(target.clone(), ToAgent::Cancel(key)));
         }
+        if let Some(silent) = &request.silent {
+            let cancel = ToAgent::Cancel(silent.key);
+            self.effects.push(Effect::Send(silent.target.clone(), cancel));
+        }
         self.release_members(number);
     }
 
@@ -396,7 +400,7 @@
     /// Cancels the live attempt of a request whose outcome is no longer waited for.
     fn end_attempt(&mut self, number: u64) {
         if let Some(request) = self.requests.get_mut(&number)
-            && request.attempt_target().is_some()
+            && (request.attempt_target().is_some() || request.silent.is_some())
         {
             request.verdict = request.verdict.join(Verdict::MayHaveRun);
         }
--- a/src/entry/probing.rs
+++ b/src/entry/probing.rs
@@ -50,6 +50,9 @@
             None => self.table.subset_candidates(&query, now, &mut self.rng),
         };
         if targets.is_empty() {
+            if self.resume_silent(number, now) {
+                return;
+            }
             self.fail(number, FailureCode::NoTarget, "no target of the service is known", now);
             return;
         }
@@ -151,6 +154,9 @@
         let is_too_large = is_model && capacity.is_some_and(|max| total > max);
         self.forget_probes(&phase);
         if is_too_large {
+            if self.resume_silent(number, now) {
+                return;
+            }
             self.form_group(number, &offers, now);
             return;
         }
@@ -167,7 +173,9 @@
                 return;
             };
             if request.dispatches >= self.tuning.max_attempts {
-                self.fail_overloaded(number, now);
+                if !self.resume_silent(number, now) {
+                    self.fail_overloaded(number, now);
+                }
                 return;
             }
             let Some(offer) = request.spare_offers.pop() else {
@@ -176,6 +184,13 @@
             if !self.links.contains_key(&offer.target) {
                 continue;
             }
+            if !self.end_silent(number, now) {
+                self.resume_silent(number, now);
+                return;
+            }
+            let Some(request) = self.requests.get_mut(&number) else {
+                return;
+            };
             request.attempt += 1;
             let reason = format!(
                 "least predicted time to first token, {} ms",
@@ -188,6 +203,9 @@
     }
 
     pub(super) fn back_off_or_fail(&mut self, number: u64, now: Tick) {
+        if self.resume_silent(number, now) {
+            return;
+        }
         let Some(request) = self.requests.get(&number) else {
             return;
         };
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -29,6 +29,16 @@
     pub(super) held_at: Tick,
 }
 
+/// An attempt whose target is silent. It is not ended before another target takes the request.
+#[derive(Clone, Debug)]
+pub(super) struct SilentAttempt {
+    pub(super) key: AttemptKey,
+    pub(super) target: Arc<str>,
+    pub(super) incarnation: Incarnation,
+    /// Time at which the attempt is given up even if no other target takes the request.
+    pub(super) until: Tick,
+}
+
 /// Progress of a request.
 #[derive(Clone, Debug)]
 pub(super) enum Phase {
@@ -39,7 +49,14 @@
     /// A target has the live attempt.
     Running { target: Arc<str>, incarnation: Incarnation },
     /// The connection to the target was lost, and the entry tries to resume the attempt.
-    Resuming { target: Arc<str>, incarnation: Incarnation, until: Tick, next: Tick },
+    Resuming {
+        target: Arc<str>,
+        incarnation: Incarnation,
+        until: Tick,
+        next: Tick,
+        /// Time from which another target is looked for.
+        search_at: Tick,
+    },
     /// The request waits before targets are probed again.
     Backoff { until: Tick },
 }
@@ -60,6 +77,8 @@
     pub(super) spare_offers: Vec<Offer>,
     /// Targets that refused the request or failed an attempt.
     pub(super) tried: Vec<Arc<str>>,
+    /// The live attempt while another target is looked for because its target is silent.
+    pub(super) silent: Option<SilentAttempt>,
     /// Members of the engine group, if the request needs one.
     pub(super) members: Vec<Member>,
     /// Hash of the prompt's first prefix, if that has been seen before.
@@ -101,6 +120,7 @@
             dispatches: 0,
             spare_offers: Vec::new(),
             tried: Vec::new(),
+            silent: None,
             members: Vec::new(),
             prefix: None,
             is_direct: false,
--- a/src/entry/retry.rs
+++ b/src/entry/retry.rs
@@ -28,9 +28,14 @@
         self.balance = (self.balance + self.ratio).min(MAX_BALANCE);
     }
 
+    /// Returns `true` if one retry can be withdrawn.
+    pub(super) fn has_retry(&self) -> bool {
+        self.balance >= 1.0
+    }
+
     /// Withdraws one retry; returns `false` if the balance is too low.
     pub(super) fn withdraw(&mut self) -> bool {
-        if self.balance < 1.0 {
+        if !self.has_retry() {
             return false;
         }
         self.balance -= 1.0;
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -184,6 +184,13 @@
         open
     }
 
+    /// Returns `true` if a target that the request has not tried may be chosen now.
+    #[must_use]
+    pub fn has_untried(&self, query: &RouteQuery<'_>, now: Tick) -> bool {
+        let open = self.available(query, now);
+        open.iter().any(|target| !query.tried.contains(&target.name))
+    }
+
     /// Targets to which a short request may be dispatched without probing: those that the hash of
     /// its prefix selects, or the entry's subset if the prefix is not known.
     #[must_use]
