Links: notice a silent peer while a write is blocked

Requests at an agent hung until their time limits (504, may have run) when its link had gone silent while a large body was being sent: the task of a link either wrote or read, so a blocked write stopped the pings and their time limit, for as long as the system keeps a dead connection. Two sides that both wrote more than their sockets hold could also wait for each other for good.

Both directions run side by side now. A write that goes on after it was blocked counts as a sign of life, so that a slow body is not cut off.

--- a/src/peer.rs
+++ b/src/peer.rs
@@ -4,17 +4,19 @@
 //! fleet's key, and then both may send frames. Control frames are sent before body
 //! frames, so that a prompt of several megabytes does not delay a probe.
 
+use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
 use hmac::{Hmac, Mac};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio::time::{Instant, timeout};
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
@@ -46,6 +48,9 @@
 /// is closed.
 pub(crate) const BODY_QUEUE_LEN: usize = 512;
 
+/// Duration from which a write counts as blocked.
+const BLOCKED_WRITE: Duration = Duration::from_millis(50);
+
 type Socket = WebSocketStream<TcpStream>;
 type Nonce = [u8; 16];
 
@@ -296,7 +301,9 @@
 /// The reason why a link ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LinkEnd {
-    /// This side dropped its sender, or the peer closed the link.
+    /// This side dropped its sender.
+    Dropped,
+    /// The peer closed the link, or the connection failed.
     Closed,
     /// The peer sent a frame that can not be decoded.
     BadFrame,
@@ -315,42 +322,126 @@
     Accepting,
 }
 
+/// When a link was last used, as both of its directions record it.
+struct LinkActivity {
+    /// When a frame was last received.
+    received_at: Cell<Instant>,
+    /// When a control or body frame was last received or sent.
+    used_at: Cell<Instant>,
+    /// When a write that had been blocked was last completed: the peer has read data.
+    unblocked_at: Cell<Instant>,
+}
+
+impl LinkActivity {
+    fn new() -> Self {
+        let now = Instant::now();
+        LinkActivity {
+            received_at: Cell::new(now),
+            used_at: Cell::new(now),
+            unblocked_at: Cell::new(now),
+        }
+    }
+
+    /// Time since the last sign of life of the peer.
+    fn silence(&self) -> Duration {
+        self.received_at.get().max(self.unblocked_at.get()).elapsed()
+    }
+
+    fn is_idle(&self) -> bool {
+        self.used_at.get().elapsed() > LINK_IDLE_TIMEOUT
+    }
+}
+
 /// Transfers frames in both directions until the link ends, and hands received messages to
 /// `on_message`.
+///
+/// A write that is blocked stops neither reading nor the monitoring of the peer.
 pub(crate) async fn run_link<In: LinkMessage>(
-    mut socket: Socket,
+    socket: Socket,
+    queue: LinkQueue,
+    side: LinkSide,
+    open_attempts: &RefCell<OpenAttempts>,
+    on_message: impl FnMut(In),
+) -> LinkEnd {
+    let activity = LinkActivity::new();
+    let ping = Notify::new();
+    let (mut sink, stream) = socket.split();
+    let end = tokio::select! {
+        end = write_frames(&mut sink, queue, &ping, &activity) => end,
+        end = read_messages(stream, side, open_attempts, &ping, &activity, on_message) => end,
+    };
+    if matches!(end, LinkEnd::Dropped | LinkEnd::Idle) {
+        let _ = timeout(HANDSHAKE_TIMEOUT, sink.close()).await;
+    }
+    end
+}
+
+/// Sends queued frames, those of control first, until the sender is dropped or the link fails.
+async fn write_frames(
+    sink: &mut SplitSink<Socket, Message>,
     mut queue: LinkQueue,
+    ping: &Notify,
+    activity: &LinkActivity,
+) -> LinkEnd {
+    loop {
+        let mut frames = Vec::new();
+        tokio::select! {
+            biased;
+            count = queue.control.recv_many(&mut frames, CONTROL_QUEUE_LEN) => {
+                if count == 0 {
+                    return LinkEnd::Dropped;
+                }
+                activity.used_at.set(Instant::now());
+            }
+            () = ping.notified() => {}
+            Some(frame) = queue.body.recv() => {
+                frames.push(frame);
+                activity.used_at.set(Instant::now());
+            }
+        }
+        let start = Instant::now();
+        if send_frames(sink, frames).await.is_err() {
+            return LinkEnd::Closed;
+        }
+        if start.elapsed() >= BLOCKED_WRITE {
+            activity.unblocked_at.set(Instant::now());
+        }
+    }
+}
+
+/// Sends frames, or a ping if there are none.
+async fn send_frames(
+    sink: &mut SplitSink<Socket, Message>,
+    frames: Vec<Bytes>,
+) -> std::result::Result<(), tokio_tungstenite::tungstenite::Error> {
+    if frames.is_empty() {
+        return sink.send(Message::Ping(Bytes::new())).await;
+    }
+    for frame in frames {
+        sink.feed(Message::Binary(frame)).await?;
+    }
+    sink.flush().await
+}
+
+/// Hands received messages to `on_message` until the link fails or is idle.
+async fn read_messages<In: LinkMessage>(
+    mut stream: SplitStream<Socket>,
     side: LinkSide,
-    open_attempts: &std::cell::RefCell<OpenAttempts>,
+    open_attempts: &RefCell<OpenAttempts>,
+    ping: &Notify,
+    activity: &LinkActivity,
     mut on_message: impl FnMut(In),
 ) -> LinkEnd {
-    let mut last_received = Instant::now();
-    let mut last_used = last_received;
     let mut ping_timer = tokio::time::interval(PING_INTERVAL);
     loop {
         tokio::select! {
             biased;
-            frame = queue.control.recv() => {
-                let Some(frame) = frame else { break };
-                last_used = Instant::now();
-                if socket.feed(Message::Binary(frame)).await.is_err() {
-                    return LinkEnd::Closed;
-                }
-                while let Ok(frame) = queue.control.try_recv() {
-                    if socket.feed(Message::Binary(frame)).await.is_err() {
-                        return LinkEnd::Closed;
-                    }
-                }
-                if socket.flush().await.is_err() {
-                    return LinkEnd::Closed;
-                }
-            }
-            incoming = socket.next() => {
+            incoming = stream.next() => {
                 let Some(Ok(incoming)) = incoming else { return LinkEnd::Closed };
-                last_received = Instant::now();
+                activity.received_at.set(Instant::now());
                 match incoming {
                     Message::Binary(frame) => {
-                        last_used = last_received;
+                        activity.used_at.set(Instant::now());
                         let Ok(message) = In::from_frame(frame) else { return LinkEnd::BadFrame };
                         open_attempts.borrow_mut().record(&message);
                         on_message(message);
@@ -359,35 +450,23 @@
                     _ => return LinkEnd::Closed,
                 }
             }
-            Some(frame) = queue.body.recv() => {
-                last_used = Instant::now();
-                if socket.send(Message::Binary(frame)).await.is_err() {
-                    return LinkEnd::Closed;
-                }
-            }
             _ = ping_timer.tick(), if side == LinkSide::Connecting => {
-                let has_open_attempts = !open_attempts.borrow().is_empty();
-                if !has_open_attempts && last_used.elapsed() > LINK_IDLE_TIMEOUT {
-                    break;
-                }
-                if !has_open_attempts {
-                    last_received = Instant::now();
+                if open_attempts.borrow().is_empty() {
+                    if activity.is_idle() {
+                        return LinkEnd::Idle;
+                    }
+                    activity.received_at.set(Instant::now());
                     continue;
                 }
-                let silence = last_received.elapsed();
+                let silence = activity.silence();
                 if silence > DEAD_PEER_TIMEOUT {
                     return LinkEnd::Silent;
                 }
                 // Received frames show that the peer is alive, so no ping is needed.
-                if silence < PING_INTERVAL {
-                    continue;
-                }
-                if socket.send(Message::Ping(Bytes::new())).await.is_err() {
-                    return LinkEnd::Closed;
+                if silence >= PING_INTERVAL {
+                    ping.notify_one();
                 }
             }
         }
     }
-    let _ = timeout(HANDSHAKE_TIMEOUT, socket.close(None)).await;
-    if last_used.elapsed() > LINK_IDLE_TIMEOUT { LinkEnd::Idle } else { LinkEnd::Closed }
 }
--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -36,6 +36,7 @@
 pub struct FaultProxy {
     fault: Arc<Mutex<ProxyFault>>,
     cut_sender: watch::Sender<u64>,
+    silence_sender: watch::Sender<u64>,
     /// The server thread.
     pub server: ServerThread,
 }
@@ -46,11 +47,13 @@
     pub fn start(server: SocketAddr) -> Self {
         let fault = Arc::new(Mutex::new(ProxyFault::default()));
         let (cut_sender, cut_receiver) = watch::channel(0);
+        let (silence_sender, silence_receiver) = watch::channel(0);
         let shared_fault = fault.clone();
         let server = ServerThread::spawn("proxy", None, move |listener| async move {
-            accept_connections(listener, server, shared_fault, cut_receiver).await;
+            let signals = (cut_receiver, silence_receiver);
+            accept_connections(listener, server, shared_fault, signals).await;
         });
-        FaultProxy { fault, cut_sender, server }
+        FaultProxy { fault, cut_sender, silence_sender, server }
     }
 
     /// Replaces the faults, for open connections as well.
@@ -64,6 +67,11 @@
     pub fn close_connections(&self) {
         self.cut_sender.send_modify(|count| *count += 1);
     }
+
+    /// Keeps the present connections open and forwards nothing on them any more.
+    pub fn silence_connections(&self) {
+        self.silence_sender.send_modify(|count| *count += 1);
+    }
 }
 
 type SharedFault = Arc<Mutex<ProxyFault>>;
@@ -76,7 +84,7 @@
     listener: TcpListener,
     server: SocketAddr,
     fault: SharedFault,
-    cut_receiver: watch::Receiver<u64>,
+    (cut_receiver, silence_receiver): (watch::Receiver<u64>, watch::Receiver<u64>),
 ) {
     loop {
         let Ok((client, _)) = listener.accept().await else {
@@ -87,6 +95,8 @@
         }
         let (fault, mut cut_receiver) = (fault.clone(), cut_receiver.clone());
         cut_receiver.mark_unchanged();
+        let mut silence_receiver = silence_receiver.clone();
+        silence_receiver.mark_unchanged();
         spawn_local(async move {
             let Ok(server) = TcpStream::connect(server).await else {
                 return;
@@ -98,6 +108,9 @@
                 () = forward(&mut client_in, &mut server_out, &fault, false) => {}
                 () = forward(&mut server_in, &mut client_out, &fault, true) => {}
                 _ = cut_receiver.changed() => {}
+                _ = silence_receiver.changed() => {
+                    let _ = cut_receiver.changed().await;
+                }
             }
         });
     }
