--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -189,7 +189,7 @@
         });
         let identity = PeerIdentity { process, key: shared.settings.peer_key.clone() };
         let (pool_events, link_events) = mpsc::unbounded_channel();
-        let pool = LinkPool::new(identity, pool_events);
+        let pool = LinkPool::new(identity, pool_events, log.clone());
         let reload_log = log.clone();
         let reload = on_reload_signal(move || {
             info!(reload_log, "settings not reloaded: all are fixed");
