A planned stop ends when the last answer is written, not when it is queued

Callers that read slowly lost the end of a whole answer when the entry was stopped, and a request whose head had begun to arrive was cut without an answer.

Cause: a stop waited for requests. A request counted until its answer was handed to the HTTP library, a stream until its last chunk was in a channel of eight, and a head that arrives did not count. Then the process ended, with the rest of the answer in its memory.

Change: a connection is busy from the first byte of a head until its answer is written to the socket and a body that nobody reads is discarded. A stop ends when no connection is busy, or 0.7 s before the platform's limit as before. Then new requests are refused, the listener takes what waits and closes, idle connections are closed after 50 ms, others when their answer is written, and the process exits when all are closed or 0.4 s before the limit. What has arrived is read before a connection is closed.

--- a/src/agent/metrics.rs
+++ b/src/agent/metrics.rs
@@ -10,7 +10,7 @@
 
 use super::core::AgentCore;
 use super::daemon::AgentShared;
-use crate::connection::RequestBody;
+use crate::connection::{ConnectionGroup, RequestBody};
 use crate::metrics::{MetricsRegistry, MirroredCounter};
 use crate::web::{WebResponse, accept_next, serve_connection, to_json_response, to_response};
 
@@ -87,11 +87,12 @@
 
 /// Accepts connections until the task is aborted.
 pub(super) async fn serve(shared: Rc<AgentShared>, listener: TcpListener) {
+    let group = ConnectionGroup::new();
     loop {
         let stream = accept_next(&listener).await;
-        let shared = shared.clone();
+        let (shared, group) = (shared.clone(), group.clone());
         spawn_local(async move {
-            serve_connection(stream, async |request| handle(&shared, &request)).await;
+            serve_connection(stream, group, async |request| handle(&shared, &request)).await;
         });
     }
 }
--- a/src/connection.rs
+++ b/src/connection.rs
@@ -1,4 +1,5 @@
-//! Connections of an HTTP server. An answer reaches its caller although the caller still writes.
+//! Connections of an HTTP server. An answer reaches its caller although the caller still writes,
+//! and a server that stops knows which connections owe an answer.
 
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
@@ -19,7 +20,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 /// Maximum size of the rest of a body that is discarded to keep a connection, in bytes.
 const MAX_DISCARDED_BYTES: usize = 256 * 1024;
@@ -31,12 +32,54 @@
 /// with unread bytes, and the caller then loses the answer.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time for which an idle connection stays open once its server closes, for a request that is on
+/// its way.
+const CLOSE_DELAY: Duration = Duration::from_millis(50);
+
+/// The connections of one server.
+#[derive(Debug)]
+pub(crate) struct ConnectionGroup {
+    busy: Cell<usize>,
+    closing: watch::Sender<bool>,
+}
+
+impl ConnectionGroup {
+    pub(crate) fn new() -> Rc<Self> {
+        Rc::new(ConnectionGroup { busy: Cell::new(0), closing: watch::Sender::new(false) })
+    }
+
+    /// Returns the number of connections on which a request has begun to arrive whose answer is
+    /// not written to the end.
+    pub(crate) fn busy(&self) -> usize {
+        self.busy.get()
+    }
+
+    /// Closes each connection as soon as it owes no answer.
+    pub(crate) fn close(&self) {
+        self.closing.send_replace(true);
+    }
+
+    /// Completes once the connections are to be closed.
+    pub(crate) async fn closing(&self) {
+        let mut closing = self.closing.subscribe();
+        // The sender lives as long as this group.
+        drop(closing.wait_for(|closing| *closing).await);
+    }
+}
+
 /// State of one connection.
 #[derive(Default)]
 struct ConnectionState {
+    /// Whether bytes of a request have arrived that is not answered yet.
+    has_input: Cell<bool>,
+    /// Number of requests without an answer, and answers that are not written to the end.
+    exchanges: Cell<usize>,
+    /// Whether the caller's window is full.
+    is_write_blocked: Cell<bool>,
     /// A body that the server does not read to its end.
     leftover: RefCell<Option<Incoming>>,
     leftover_added: Notify,
+    is_discarding: Cell<bool>,
     /// Whether the caller may still send a body that nothing reads.
     is_unread: Cell<bool>,
     /// The socket, once the HTTP library has released it.
@@ -44,8 +87,16 @@
 }
 
 impl ConnectionState {
+    fn is_busy(&self) -> bool {
+        self.has_input.get()
+            || self.exchanges.get() > 0
+            || self.is_write_blocked.get()
+            || self.is_discarding.get()
+    }
+
     fn keep_leftover(&self, body: Incoming) {
         *self.leftover.borrow_mut() = Some(body);
+        self.is_discarding.set(true);
         self.leftover_added.notify_one();
     }
 
@@ -58,6 +109,8 @@
                 let is_discarded = tokio::time::timeout(DISCARD_TIMEOUT, discard(body)).await;
                 self.is_unread.set(!is_discarded.unwrap_or(false));
             }
+            self.is_discarding.set(false);
+            self.has_input.set(false);
         }
     }
 }
@@ -74,6 +127,27 @@
     true
 }
 
+/// Counts a connection as busy.
+struct BusyMark {
+    group: Rc<ConnectionGroup>,
+    is_busy: Cell<bool>,
+}
+
+impl BusyMark {
+    fn set(&self, is_busy: bool) {
+        if self.is_busy.replace(is_busy) != is_busy {
+            let busy = self.group.busy.get();
+            self.group.busy.set(if is_busy { busy + 1 } else { busy - 1 });
+        }
+    }
+}
+
+impl Drop for BusyMark {
+    fn drop(&mut self) {
+        self.set(false);
+    }
+}
+
 /// Body of a caller's request. If it is dropped before its end, the rest is discarded, so that the
 /// connection need not be reset.
 pub(crate) struct RequestBody {
@@ -132,6 +206,49 @@
     })
 }
 
+/// Counts a request until its answer is written to the end.
+struct Exchange(Rc<ConnectionState>);
+
+impl Exchange {
+    fn new(state: &Rc<ConnectionState>) -> Self {
+        state.exchanges.set(state.exchanges.get() + 1);
+        Exchange(state.clone())
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        self.0.exchanges.set(self.0.exchanges.get() - 1);
+        self.0.has_input.set(false);
+    }
+}
+
+/// Body of an answer, which the HTTP library drops at its end.
+struct AnswerBody<B> {
+    body: B,
+    _exchange: Exchange,
+}
+
+impl<B: Body + Unpin> Body for AnswerBody<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Socket of a connection. It survives the HTTP library, which would close it.
 struct CallerSocket {
     stream: Option<TcpStream>,
@@ -156,7 +273,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        self.stream()?.poll_read(context, buffer)
+        let before = buffer.filled().len();
+        let polled = self.stream()?.poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            self.state.has_input.set(true);
+        }
+        polled
     }
 }
 
@@ -166,7 +288,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.stream()?.poll_write(context, bytes)
+        let polled = self.stream()?.poll_write(context, bytes);
+        self.state.is_write_blocked.set(polled.is_pending());
+        polled
     }
 
     fn poll_write_vectored(
@@ -174,7 +298,9 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.stream()?.poll_write_vectored(context, buffers)
+        let polled = self.stream()?.poll_write_vectored(context, buffers);
+        self.state.is_write_blocked.set(polled.is_pending());
+        polled
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -190,41 +316,59 @@
     }
 }
 
-/// Serves one connection until it ends. Once `closing` completes, it takes no further request.
+/// Serves one connection until it ends.
 pub(crate) async fn serve_requests<H, R, B>(
     stream: TcpStream,
     builder: &Builder,
-    closing: impl Future<Output = ()>,
+    group: Rc<ConnectionGroup>,
     handle: H,
 ) where
     H: Fn(Request<RequestBody>) -> R,
     R: Future<Output = Response<B>>,
-    B: Body + 'static,
+    B: Body + Unpin + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
+    let mark = BusyMark { group: group.clone(), is_busy: Cell::new(false) };
     let state = Rc::new(ConnectionState::default());
     let (handle, owner) = (&handle, &state);
     let service = service_fn(move |request: Request<Incoming>| async move {
-        Ok::<_, Infallible>(handle(track_body(request, owner)).await)
+        let exchange = Exchange::new(owner);
+        let request = track_body(request, owner);
+        let answer = handle(request).await;
+        Ok::<_, Infallible>(answer.map(|body| AnswerBody { body, _exchange: exchange }))
     });
     let socket = CallerSocket { stream: Some(stream), state: state.clone() };
     let is_broken = {
         let connection = builder.serve_connection(TokioIo::new(socket), service);
         let discarding = state.discard_leftovers();
+        let closing = async {
+            group.closing().await;
+            tokio::time::sleep(CLOSE_DELAY).await;
+            poll_fn(|_| if state.is_busy() { Poll::Pending } else { Poll::Ready(()) }).await;
+        };
         tokio::pin!(connection, discarding, closing);
-        let mut is_closing = false;
+        let discarding = poll_fn(|context| {
+            let polled = discarding.as_mut().poll(context);
+            mark.set(state.is_busy());
+            polled
+        });
+        tokio::pin!(discarding);
+        let mut is_closed = false;
         loop {
             tokio::select! {
+                // The connection comes first: what has arrived is read before it is closed.
+                biased;
                 result = connection.as_mut() => break result.is_err_and(|error| !error.is_timeout()),
                 never = &mut discarding => match never {},
-                () = &mut closing, if !is_closing => {
-                    is_closing = true;
+                () = &mut closing, if !is_closed => {
+                    is_closed = true;
                     connection.as_mut().graceful_shutdown();
                 }
             }
         }
     };
     if is_broken || state.is_unread.get() {
+        mark.set(true);
         linger(&state).await;
     }
 }
--- a/src/entry/admin.rs
+++ b/src/entry/admin.rs
@@ -17,7 +17,7 @@
 use super::decision_log::DecisionLog;
 use crate::client::{HttpClient, full};
 use crate::config::{Config, ConfigVersion};
-use crate::connection::RequestBody;
+use crate::connection::{ConnectionGroup, RequestBody};
 use crate::error::Error;
 use crate::id::RequestId;
 use crate::verdict::Verdict;
@@ -37,11 +37,12 @@
 
 /// Accepts connections of operators until the task is aborted.
 pub(super) async fn serve(shared: Rc<EntryShared>, listener: TcpListener) {
+    let group = ConnectionGroup::new();
     loop {
         let stream = accept_next(&listener).await;
-        let shared = shared.clone();
+        let (shared, group) = (shared.clone(), group.clone());
         spawn_local(async move {
-            serve_connection(stream, |request| handle(shared.clone(), request)).await;
+            serve_connection(stream, group, |request| handle(shared.clone(), request)).await;
         });
     }
 }
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -18,7 +18,7 @@
 use crate::claim::ClaimKey;
 use crate::claim_store::ClaimOutcome;
 use crate::config::AccountPolicy;
-use crate::connection::RequestBody;
+use crate::connection::{ConnectionGroup, RequestBody};
 use crate::prefix::PrefixHashes;
 use crate::verdict::Verdict;
 use crate::web::{
@@ -41,15 +41,17 @@
 
 /// Accepts connections of callers until the task is aborted.
 pub(super) async fn serve(shared: Rc<EntryShared>, listener: TcpListener) {
+    let group = ConnectionGroup::new();
     loop {
         let stream = accept_next(&listener).await;
         if shared.connections.get() >= shared.settings.max_connections {
             continue;
         }
         let guard = ConnectionGuard::new(shared.clone());
+        let group = group.clone();
         spawn_local(async move {
             let shared = guard.shared.clone();
-            serve_connection(stream, |request| handle(shared.clone(), request)).await;
+            serve_connection(stream, group, |request| handle(shared.clone(), request)).await;
             drop(guard);
         });
     }
--- a/src/relay/proxy/ledger.rs
+++ b/src/relay/proxy/ledger.rs
@@ -9,7 +9,7 @@
 use super::job::RelayJob;
 use crate::relay::decide::request_digest::RequestDigest;
 use crate::relay::record::{RequestEnd, RequestLine, RetryStop, StreamPace};
-use crate::relay::shared::{OpenRequest, RelayShared};
+use crate::relay::shared::RelayShared;
 use crate::time::Tick;
 use crate::verdict::Verdict;
 
@@ -28,8 +28,6 @@
     pub(crate) retry_stop: Option<RetryStop>,
     pace: StreamPace,
     is_ended: bool,
-    /// A planned stop waits until the whole answer is sent, rather than its head.
-    _open_request: OpenRequest,
 }
 
 impl RequestLedger {
@@ -45,7 +43,6 @@
             retry_stop: None,
             pace: StreamPace::default(),
             is_ended: false,
-            _open_request: OpenRequest::new(shared),
         }
     }
 
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -36,7 +36,7 @@
 use crate::Result;
 use crate::client::HttpClient;
 use crate::clock::{ProcessClock, SuspensionWatch, wall_micros};
-use crate::connection::serve_requests;
+use crate::connection::{ConnectionGroup, serve_requests};
 use crate::program::on_reload_signal;
 use crate::time::Tick;
 use crate::web::{accept_next, bind_listener};
@@ -122,17 +122,16 @@
         reservation_names: RefCell::new(ReservationNames::new(entry)),
         pending_permits: RefCell::default(),
         clock: ProcessClock::new(),
-        open_requests: Cell::new(0),
+        connections: ConnectionGroup::new(),
         gate: RefCell::new(ConnectionGate::new(settings.max_descriptors)),
         open_connections: Cell::new(0),
     });
     shared.core.borrow_mut().set_unix_origin(wall_micros() / MICROS_PER_MS);
     let source = Rc::new(adapter.source);
-    let (close, closing) = watch::channel(false);
     tokio::task::spawn_local(follow_config(shared.clone(), source.clone()));
     tokio::task::spawn_local(follow_quarantine(shared.clone(), source.clone()));
     tokio::task::spawn_local(follow_targets(shared.clone(), source));
-    tokio::task::spawn_local(accept_callers(shared.clone(), callers, closing));
+    tokio::task::spawn_local(accept_until_stop(shared.clone(), callers));
     tokio::task::spawn_local(serve_paths(shared.clone(), readiness, answer_status));
     tokio::task::spawn_local(serve_paths(shared.clone(), metrics, answer_status));
     tokio::task::spawn_local(serve_paths(shared.clone(), config_copies, serve_copy));
@@ -142,7 +141,7 @@
     let stop_limit = settings.stop_limit();
     tokio::task::spawn_local(reload_settings(shared.clone(), file, settings));
     stop.await;
-    drain(&shared, stop_limit, &close).await;
+    drain(&shared, stop_limit).await;
     Ok(())
 }
 
@@ -172,40 +171,54 @@
     tokio::join!(on_reload_signal(|| reload(true)), timed);
 }
 
-/// Carries out a planned stop: callers are directed to other entries, open requests continue.
-async fn drain(shared: &RelayShared, limit: Duration, close: &watch::Sender<bool>) {
+/// Carries out a planned stop: callers are directed to other entries, and each request that has
+/// begun to arrive is answered.
+async fn drain(shared: &RelayShared, limit: Duration) {
     let started_at = shared.now();
+    let elapsed = || shared.now().since(started_at);
+    let connections = &shared.connections;
     shared.is_stopping.set(true);
-    slog::info!(shared.log.logger(), "stop begun"; "open" => shared.open_requests.get());
+    slog::info!(shared.log.logger(), "stop begun"; "open" => connections.busy());
     let plan = StopPlan::new(limit);
     loop {
         tokio::time::sleep(STOP_CHECK_INTERVAL).await;
-        match plan.phase(shared.now().since(started_at), shared.open_requests.get()) {
+        match plan.phase(elapsed(), connections.busy()) {
             StopPhase::Serving => {}
             StopPhase::Finishing => shared.is_closed_to_new.set(true),
             StopPhase::Ended => break,
         }
     }
+    // Requests that still arrive are refused until their connections are closed.
     shared.is_closed_to_new.set(true);
-    // No new request is served from here on, so closing the connections disturbs no caller.
-    close.send_replace(true);
-    tokio::time::sleep(STOP_CHECK_INTERVAL).await;
-    slog::info!(shared.log.logger(), "stop"; "open" => shared.open_requests.get());
+    connections.close();
+    loop {
+        tokio::time::sleep(STOP_CHECK_INTERVAL).await;
+        if shared.open_connections.get() == 0 || plan.must_exit(elapsed()) {
+            break;
+        }
+    }
+    slog::info!(shared.log.logger(), "stop"; "open" => connections.busy());
     tokio::time::sleep(STOP_CHECK_INTERVAL).await;
 }
 
-async fn accept_callers(
-    shared: Rc<RelayShared>,
-    listener: TcpListener,
-    closing: watch::Receiver<bool>,
-) {
+/// Accepts connections of callers until all connections are closed. Those that wait by then are
+/// taken first, since the system resets them with the listener.
+async fn accept_until_stop(shared: Rc<RelayShared>, listener: TcpListener) {
+    tokio::select! {
+        biased;
+        () = accept_callers(shared.clone(), listener) => {}
+        () = shared.connections.closing() => {}
+    }
+}
+
+async fn accept_callers(shared: Rc<RelayShared>, listener: TcpListener) {
     loop {
         // All waiting connections are taken, as the event loop's delay does not show those that
         // remain in the queue of the listener.
         let stream = unconstrained(accept_next(&listener)).await;
         if shared.gate.borrow_mut().admit(shared.open_connections.get()) {
             let open = OpenConnection::new(&shared);
-            tokio::task::spawn_local(serve_caller(shared.clone(), stream, open, closing.clone()));
+            tokio::task::spawn_local(serve_caller(shared.clone(), stream, open));
         } else {
             close_unread(&shared, stream);
         }
@@ -219,12 +232,7 @@
 }
 
 /// Serves one connection of a caller.
-async fn serve_caller(
-    shared: Rc<RelayShared>,
-    stream: TcpStream,
-    open: OpenConnection,
-    mut closing: watch::Receiver<bool>,
-) {
+async fn serve_caller(shared: Rc<RelayShared>, stream: TcpStream, open: OpenConnection) {
     if !ConnectionGate::is_timely(shared.now().since(open.taken_at)) {
         close_unread(&shared, stream);
         return;
@@ -240,9 +248,8 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_limit)
         .max_buf_size(limits.max_head.max(MIN_BUFFER_SIZE));
-    // The sender outlives the connections.
-    let closing = async { drop(closing.changed().await) };
-    serve_requests(stream, &builder, closing, |request| serve(shared.clone(), request)).await;
+    let group = shared.connections.clone();
+    serve_requests(stream, &builder, group, |request| serve(shared.clone(), request)).await;
 }
 
 /// Smallest read buffer of a connection, in bytes.
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -26,6 +26,7 @@
 use super::record::DecisionLog;
 use crate::client::HttpClient;
 use crate::clock::ProcessClock;
+use crate::connection::ConnectionGroup;
 use crate::time::Tick;
 
 /// Time after a failed call to the store during which lapsed entries of the target list may come
@@ -74,8 +75,8 @@
     /// Requests for permits that wait for an answer, by their nonce.
     pub(crate) pending_permits: RefCell<HashMap<u64, oneshot::Sender<PermitReply>>>,
     pub(crate) clock: ProcessClock,
-    /// Number of requests whose answers are not complete.
-    pub(crate) open_requests: Cell<usize>,
+    /// Connections of callers.
+    pub(crate) connections: Rc<ConnectionGroup>,
     /// Whether new connections of callers are taken.
     pub(crate) gate: RefCell<ConnectionGate>,
     /// Number of open connections of callers.
@@ -295,19 +296,3 @@
         self.shared.open_connections.set(self.shared.open_connections.get() - 1);
     }
 }
-
-/// Counts a request as open until its answer is complete.
-pub(crate) struct OpenRequest(Rc<RelayShared>);
-
-impl OpenRequest {
-    pub(crate) fn new(shared: &Rc<RelayShared>) -> Self {
-        shared.open_requests.set(shared.open_requests.get() + 1);
-        OpenRequest(shared.clone())
-    }
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.0.open_requests.set(self.0.open_requests.get() - 1);
-    }
-}
--- a/src/relay/stop.rs
+++ b/src/relay/stop.rs
@@ -13,6 +13,9 @@
 /// Margin by which a stop ends before the platform's limit.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
 
+/// Margin by which the process exits before that limit.
+const EXIT_MARGIN: Duration = Duration::from_millis(400);
+
 /// Phase of a planned stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StopPhase {
@@ -20,7 +23,7 @@
     Serving,
     /// New requests are refused, and open requests are finished.
     Finishing,
-    /// The process exits.
+    /// Connections are closed, and the process exits.
     Ended,
 }
 
@@ -37,7 +40,8 @@
         StopPlan { limit }
     }
 
-    /// Returns the phase at `elapsed` after the start, with `open` requests still open.
+    /// Returns the phase at `elapsed` after the start, with `open` requests still
+    /// unanswered.
     #[must_use]
     pub fn phase(&self, elapsed: Duration, open: usize) -> StopPhase {
         let is_idle = open == 0 && elapsed >= BALANCER_DELAY;
@@ -49,4 +53,10 @@
             StopPhase::Serving
         }
     }
+
+    /// Returns `true` if the process exits at `elapsed` whatever is still open.
+    #[must_use]
+    pub fn must_exit(&self, elapsed: Duration) -> bool {
+        elapsed + EXIT_MARGIN >= self.limit
+    }
 }
--- a/src/web.rs
+++ b/src/web.rs
@@ -4,6 +4,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -18,7 +19,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc;
 
-use crate::connection::{RequestBody, serve_requests};
+use crate::connection::{ConnectionGroup, RequestBody, serve_requests};
 use crate::verdict::Verdict;
 
 /// Header with the verdict on whether the request ran.
@@ -227,7 +228,7 @@
 }
 
 /// Serves one connection until it ends.
-pub(crate) async fn serve_connection<F, R>(stream: TcpStream, handle: F)
+pub(crate) async fn serve_connection<F, R>(stream: TcpStream, group: Rc<ConnectionGroup>, handle: F)
 where
     F: Fn(Request<RequestBody>) -> R,
     R: Future<Output = WebResponse>,
@@ -239,5 +240,5 @@
         .header_read_timeout(HEADER_READ_TIMEOUT)
         .max_buf_size(MAX_HEADER_BYTES)
         .max_headers(MAX_HEADERS);
-    serve_requests(stream, &builder, std::future::pending(), handle).await;
+    serve_requests(stream, &builder, group, handle).await;
 }
--- a/tests/relay/stop.rs
+++ b/tests/relay/stop.rs
@@ -23,3 +23,11 @@
 fn requests_after_three_seconds_are_refused() {
     assert_eq!(phase(2_999, 1), StopPhase::Finishing);
 }
+
+#[test]
+fn a_stop_ends_before_the_limit_whatever_is_open() {
+    let plan = StopPlan::new(ms(8_000));
+    let ended = (0..8_000).find(|millis| phase(*millis, 1) == StopPhase::Ended).unwrap();
+    assert!(!plan.must_exit(ms(ended)), "connections have time to close");
+    assert!(plan.must_exit(ms(7_999)));
+}
