--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -22,8 +22,8 @@
 use crate::prefix::PrefixHashes;
 use crate::verdict::Verdict;
 use crate::web::{
-    BodyError, WebResponse, accept_next, bearer_token, read_body, serve_connection_until,
-    set_verdict, to_error_response, to_json_response, to_response,
+    BodyError, WebResponse, accept_next, bearer_token, read_body, serve_connection, set_verdict,
+    to_error_response, to_json_response, to_response,
 };
 use crate::wire::Call;
 
@@ -49,22 +49,13 @@
         let guard = ConnectionGuard::new(shared.clone());
         spawn_local(async move {
             let shared = guard.shared.clone();
-            let closing = wait_closing(shared.clone());
-            serve_connection_until(stream, closing, |request| handle(shared.clone(), request))
-                .await;
+            let group = shared.group.clone();
+            serve_connection(stream, group, |request| handle(shared.clone(), request)).await;
             drop(guard);
         });
     }
 }
 
-/// Waits until connections that exist now are to be closed.
-async fn wait_closing(shared: Rc<EntryShared>) {
-    let mut closing = shared.closing.subscribe();
-    if closing.changed().await.is_err() {
-        std::future::pending::<()>().await;
-    }
-}
-
 struct ConnectionGuard {
     shared: Rc<EntryShared>,
 }
--- a/src/relay/caller_connection.rs
+++ b/src/relay/caller_connection.rs
@@ -78,13 +78,13 @@
     }
 
     /// Records the end of a connection that was served.
-    pub(crate) fn end_served(&self, served: &ServedEnd, is_stopping: bool) {
-        let end = self.classify(served, is_stopping);
+    pub(crate) fn end_served(&self, served: &ServedEnd) {
+        let end = self.classify(served);
         let text = served.error.as_ref().map(ToString::to_string).unwrap_or_default();
         self.end(end, &text);
     }
 
-    fn classify(&self, served: &ServedEnd, is_stopping: bool) -> ConnectionEnd {
+    fn classify(&self, served: &ServedEnd) -> ConnectionEnd {
         let is_idle = self.state.get() == ConnectionState::Idle;
         if self.is_answer_broken.get() {
             return ConnectionEnd::AnswerBroken;
@@ -99,7 +99,7 @@
             Some(error) if error.is_timeout() && is_idle => ConnectionEnd::IdleLimit,
             Some(error) if error.is_timeout() => ConnectionEnd::HeadLimit,
             Some(error) if error.is_parse() => ConnectionEnd::InvalidHead,
-            None if is_idle && is_stopping => ConnectionEnd::Stopped,
+            None if is_idle && served.is_closed => ConnectionEnd::Stopped,
             None if is_idle => ConnectionEnd::Closed,
             Some(_) | None => ConnectionEnd::CallerLeft,
         }
