Take the connections that queued while the event loop stood still

Callers that connected to an entry while it stood still were reset unread once it went on, all but four. A caller that has a try left goes elsewhere; the others got no answer, though serving them takes some milliseconds.

Cause: the gate took each delay of the event loop for the work of new connections. After a stall the delay was recorded before any of the queue was taken, so that the bound fell from whatever it was to its minimum of four, and the rest of the queue was closed.

A delay shrinks the bound now only if it may come from connections that were taken and that the loop had not yet gone through: a task counts the turns of the loop after connections are taken, and they are settled once a request's four turns took less than the delay that counts as prompt. A delay is also measured before connections are taken after it, whichever task wakes first. Reading late is better for a caller than being closed as long as it still waits; the limit of 400 ms from taking a connection to reading it, the bound of descriptors and the bound under a real overload stay as they were.

The virtual-time tests run their cases with settled connections as well; none of their bounds changes.

--- a/src/relay/decide/connection_gate.rs
+++ b/src/relay/decide/connection_gate.rs
@@ -8,6 +8,10 @@
 //! delay. The bound shrinks while the loop is late and grows while it is in time, so that no turn of
 //! the loop takes long. Connections that were taken before the loop turned out to be late are closed
 //! when it comes to them.
+//!
+//! A delay shrinks the bound only if connections that the loop had not yet gone through may have caused
+//! it. Any other has another cause, such as a process that stood still or that read a large
+//! configuration, and says nothing about how many connections the loop can serve.
 
 use std::time::Duration;
 
@@ -40,6 +44,8 @@
     quota: usize,
     /// Number of connections taken since the last measurement.
     taken: usize,
+    /// Number of connections taken that the loop may not have gone through yet.
+    unsettled: usize,
 }
 
 impl ConnectionGate {
@@ -47,19 +53,33 @@
     #[must_use]
     pub fn new(max_descriptors: Option<usize>) -> Self {
         let max_open = max_descriptors.map(|max| (max as f64 * CALLER_SHARE) as usize);
-        ConnectionGate { max_open, quota: MAX_QUOTA, taken: 0 }
+        ConnectionGate { max_open, quota: MAX_QUOTA, taken: 0, unsettled: 0 }
     }
 
     /// Records by how much the event loop is late.
     pub fn record_delay(&mut self, delay: Duration) {
-        if delay >= LATE_DELAY {
+        if delay >= LATE_DELAY && self.unsettled > MIN_QUOTA {
             self.quota = (self.taken / 2).max(MIN_QUOTA);
         } else if delay < PROMPT_DELAY {
             self.quota = (self.quota + self.quota / 8 + 1).min(MAX_QUOTA);
+            self.unsettled = self.unsettled.min(self.taken);
         }
         self.taken = 0;
     }
 
+    /// Returns the number of connections taken that the loop may not have gone through yet.
+    #[must_use]
+    pub fn unsettled(&self) -> usize {
+        self.unsettled
+    }
+
+    /// Records that the loop has gone through `count` connections, within `duration`.
+    pub fn record_settled(&mut self, count: usize, duration: Duration) {
+        if duration < PROMPT_DELAY {
+            self.unsettled = self.unsettled.saturating_sub(count);
+        }
+    }
+
     /// Returns the number of connections to take until the next measurement.
     #[must_use]
     pub fn quota(&self) -> usize {
@@ -70,6 +90,7 @@
     pub fn admit(&mut self, open: usize) -> bool {
         let is_admitted = self.taken < self.quota && self.max_open.is_none_or(|max| open < max);
         self.taken += usize::from(is_admitted);
+        self.unsettled += usize::from(is_admitted);
         is_admitted
     }
 
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -49,6 +49,9 @@
 /// Interval at which the delay of the event loop is checked.
 const DELAY_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Turns of the event loop that a request takes, waits for its target aside.
+const REQUEST_TURNS: u32 = 4;
+
 /// Interval at which the settings file is read again.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -126,6 +129,8 @@
         gate: RefCell::new(ConnectionGate::new(settings.max_descriptors)),
         open_connections: Cell::new(0),
         gate_closing: GateClosing::default(),
+        connections_taken: Notify::new(),
+        delay_due: Cell::new(Tick::NEVER),
         loop_delay: Cell::default(),
         config_changed_at: Cell::default(),
     });
@@ -141,6 +146,7 @@
     tokio::task::spawn_local(serve_paths(shared.clone(), config_copies, serve_copy));
     tokio::task::spawn_local(sweep(shared.clone()));
     tokio::task::spawn_local(record_loop_delay(shared.clone()));
+    tokio::task::spawn_local(settle_connections(shared.clone()));
     tokio::task::spawn_local(super::peers::receive::receive(shared.clone()));
     let stop_limit = settings.stop_limit();
     tokio::task::spawn_local(reload_settings(shared.clone(), file, settings));
@@ -206,10 +212,15 @@
         // All waiting connections are taken, as the event loop's delay does not show those that
         // remain in the queue of the listener.
         let stream = unconstrained(accept_next(&listener)).await;
+        // A delay concerns the connections that were taken before it.
+        if shared.now().since(shared.delay_due.get()) >= LATE_DELAY {
+            measure_delay(&shared);
+        }
         if shared.gate.borrow_mut().admit(shared.open_connections.get()) {
             let connection = Rc::new(CallerConnection::new(&shared));
             let served = serve_caller(shared.clone(), stream, connection, closing.clone());
             tokio::task::spawn_local(served);
+            shared.connections_taken.notify_one();
         } else {
             close_unread(&shared, stream);
             shared.counts.borrow().record_connection_end(ConnectionEnd::UnreadQuota);
@@ -327,22 +338,47 @@
 
 /// Records by how much the event loop is late.
 async fn record_loop_delay(shared: Rc<RelayShared>) {
+    shared.delay_due.set(shared.now() + DELAY_INTERVAL);
     loop {
-        let due = shared.now() + DELAY_INTERVAL;
-        tokio::time::sleep(DELAY_INTERVAL).await;
-        let now = shared.now();
-        let delay = now.since(due);
-        shared.loop_delay.set(delay);
-        shared.gate.borrow_mut().record_delay(delay);
-        if delay >= LATE_DELAY {
-            shared.log.loop_late(delay, shared.open_connections.get(), now);
+        let left = shared.delay_due.get().since(shared.now());
+        if left.is_zero() {
+            measure_delay(&shared);
+        } else {
+            tokio::time::sleep(left).await;
         }
-        if let Some(closed) = shared.gate_closing.take_ended(now) {
-            shared.log.gate_opened(closed, shared.gate.borrow().quota(), delay);
+    }
+}
+
+/// Records when the event loop has gone through the connections that were taken.
+async fn settle_connections(shared: Rc<RelayShared>) {
+    loop {
+        shared.connections_taken.notified().await;
+        while shared.gate.borrow().unsettled() > 0 {
+            let taken = shared.gate.borrow().unsettled();
+            let started_at = shared.now();
+            for _ in 0..REQUEST_TURNS {
+                tokio::task::yield_now().await;
+            }
+            let duration = shared.now().since(started_at);
+            shared.gate.borrow_mut().record_settled(taken, duration);
         }
     }
 }
 
+fn measure_delay(shared: &RelayShared) {
+    let now = shared.now();
+    let delay = now.since(shared.delay_due.get());
+    shared.delay_due.set(now + DELAY_INTERVAL);
+    shared.loop_delay.set(delay);
+    shared.gate.borrow_mut().record_delay(delay);
+    if delay >= LATE_DELAY {
+        shared.log.loop_late(delay, shared.open_connections.get(), now);
+    }
+    if let Some(closed) = shared.gate_closing.take_ended(now) {
+        shared.log.gate_opened(closed, shared.gate.borrow().quota(), delay);
+    }
+}
+
 /// Closes connections that were idle for too long, and removes targets that did not come back.
 async fn sweep(shared: Rc<RelayShared>) {
     let mut was_held = false;
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -83,6 +83,10 @@
     pub(crate) open_connections: Cell<usize>,
     /// Connections that the gate closes at present.
     pub(crate) gate_closing: GateClosing,
+    /// Notified when connections of callers were taken.
+    pub(crate) connections_taken: Notify,
+    /// When the delay of the event loop is measured next.
+    pub(crate) delay_due: Cell<Tick>,
     /// Latest delay of the event loop.
     pub(crate) loop_delay: Cell<Duration>,
     /// When the configuration came into force.
--- a/tests/relay/connection_gate.rs
+++ b/tests/relay/connection_gate.rs
@@ -26,6 +26,15 @@
     /// Processor time of one request.
     cost_ms: f64,
     now_ms: f64,
+    /// Whether the gate learns when the loop has gone through connections.
+    settles: bool,
+}
+
+/// Connections through which the loop goes in its next turns.
+struct SettlingModel {
+    count: usize,
+    turns_left: u32,
+    started_ms: f64,
 }
 
 /// A connection that the loop has taken.
@@ -63,6 +72,21 @@
         }
     }
 
+    /// Counts a turn of the loop.
+    fn settle(&mut self, settling: &mut Option<SettlingModel>) {
+        if let Some(model) = settling {
+            model.turns_left -= 1;
+            if model.turns_left > 0 {
+                return;
+            }
+            let duration = Duration::from_secs_f64((self.now_ms - model.started_ms) / 1e3);
+            self.gate.record_settled(model.count, duration);
+        }
+        let count = self.gate.unsettled();
+        let model = SettlingModel { count, turns_left: STAGES, started_ms: self.now_ms };
+        *settling = (count > 0).then_some(model);
+    }
+
     /// Lets connections arrive evenly for `duration`. Counts those that arrive after `settle`.
     fn run(&mut self, per_second: f64, settle: Duration, duration: Duration) -> GateOutcome {
         let gap_ms = 1_000.0 / per_second;
@@ -71,6 +95,7 @@
         let mut open: Vec<OpenModel> = Vec::new();
         let mut next_ms = 0.0;
         let mut due_ms = INTERVAL_MS;
+        let mut settling = None;
         while next_ms < end_ms || !open.is_empty() {
             if open.is_empty() {
                 let wake_ms = if next_ms < end_ms { next_ms.min(due_ms) } else { due_ms };
@@ -105,6 +130,9 @@
                 outcome.answered_in_time += u32::from(is_in_time && is_counted);
             }
             open.retain(|connection| connection.stage < STAGES);
+            if self.settles {
+                self.settle(&mut settling);
+            }
             if self.now_ms >= due_ms {
                 self.gate.record_delay(Duration::from_secs_f64((self.now_ms - due_ms) / 1e3));
                 due_ms = self.now_ms + INTERVAL_MS;
@@ -114,11 +142,16 @@
     }
 }
 
+/// Returns each load with and without knowledge of the connections that are settled.
+fn cases(loads: [f64; 3]) -> impl Iterator<Item = (f64, bool)> {
+    loads.into_iter().flat_map(|load| [(load, false), (load, true)])
+}
+
 /// Runs a loop that can serve `capacity` requests a second by its share of a core.
-fn run(share: f64, capacity: f64, load: f64) -> GateOutcome {
+fn run(share: f64, capacity: f64, load: f64, settles: bool) -> GateOutcome {
     let cost_ms = 1_000.0 * share / capacity;
     let gate = ConnectionGate::new(None);
-    let mut model = LoopModel { gate, share, cost_ms, now_ms: 0.0 };
+    let mut model = LoopModel { gate, share, cost_ms, now_ms: 0.0, settles };
     model.run(capacity * load, Duration::from_secs(3), Duration::from_secs(13))
 }
 
@@ -134,9 +167,11 @@
 fn a_loop_that_is_in_time_takes_all_connections() {
     for share in [0.05, 0.2, 1.0] {
         for capacity in [20.0, 50.0, 100.0, 500.0, 5_000.0] {
-            for load in [0.1, 0.5, 0.8] {
-                let outcome = run(share, capacity, load);
-                let case = format!("share {share}, {capacity} a second, load {load}: {outcome:?}");
+            for (load, settles) in cases([0.1, 0.5, 0.8]) {
+                let outcome = run(share, capacity, load, settles);
+                let case = format!(
+                    "share {share}, {capacity} a second, load {load}, settles {settles}: {outcome:?}"
+                );
                 assert_eq!((outcome.closed, outcome.read_late), (0, 0), "{case}");
             }
         }
@@ -147,9 +182,11 @@
 fn what_is_taken_beyond_the_capacity_is_read_and_answered_in_time() {
     for share in [0.05, 0.2, 1.0] {
         for capacity in [20.0, 50.0, 100.0, 500.0, 5_000.0] {
-            for load in [1.5, 4.0, 20.0] {
-                let outcome = run(share, capacity, load);
-                let case = format!("share {share}, {capacity} a second, load {load}: {outcome:?}");
+            for (load, settles) in cases([1.5, 4.0, 20.0]) {
+                let outcome = run(share, capacity, load, settles);
+                let case = format!(
+                    "share {share}, {capacity} a second, load {load}, settles {settles}: {outcome:?}"
+                );
                 assert_eq!(outcome.read_late, 0, "{case}");
                 // Three quarters of the capacity, for the ten seconds that are counted.
                 let least = capacity * 10.0 * 0.75;
@@ -159,6 +196,81 @@
     }
 }
 
+/// Measurements during which a gate took connections in time, before an event.
+const PROMPT_INTERVALS: u32 = 20;
+
+/// Takes connections, through which the loop goes at once.
+fn take_settled(gate: &mut ConnectionGate, count: usize) {
+    assert_eq!((0..count).filter(|_| gate.admit(0)).count(), count);
+    gate.record_settled(gate.unsettled(), ms(10));
+}
+
+/// Returns a gate that took `taken` connections in each of some intervals without delay.
+fn prompt_gate(taken: usize) -> ConnectionGate {
+    let mut gate = ConnectionGate::new(None);
+    for _ in 0..PROMPT_INTERVALS {
+        take_settled(&mut gate, taken);
+        gate.record_delay(ms(1));
+    }
+    gate
+}
+
+#[test]
+fn connections_that_queued_while_the_process_stood_still_are_taken() {
+    for stall_ms in [300, 600, 1_000] {
+        for backlog in [40, 200] {
+            for rate in [0, 1, 4, 10, 50] {
+                for taken in [0, rate / 2, rate] {
+                    let mut gate = prompt_gate(rate);
+                    take_settled(&mut gate, taken);
+                    gate.record_delay(ms(stall_ms));
+                    let admitted = (0..backlog).filter(|_| gate.admit(0)).count();
+                    let case = format!("{stall_ms} ms, {taken} taken of {rate} an interval");
+                    assert_eq!(admitted, backlog, "{case}");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn delays_in_a_row_without_new_connections_close_none() {
+    let mut gate = prompt_gate(10);
+    for _ in 0..5 {
+        gate.record_delay(ms(600));
+    }
+    assert_eq!((0..200).filter(|_| gate.admit(0)).count(), 200);
+}
+
+#[test]
+fn stalls_in_a_row_close_none_of_the_connections_that_queue() {
+    let mut gate = ConnectionGate::new(None);
+    for _ in 0..5 {
+        gate.record_delay(ms(600));
+        take_settled(&mut gate, 200);
+    }
+}
+
+#[test]
+fn connections_that_the_loop_goes_through_slowly_count_as_the_cause_of_a_delay() {
+    let mut gate = ConnectionGate::new(None);
+    assert_eq!((0..200).filter(|_| gate.admit(0)).count(), 200);
+    gate.record_settled(gate.unsettled(), ms(200));
+    gate.record_delay(ms(300));
+    assert_eq!((0..200).filter(|_| gate.admit(0)).count(), 100);
+}
+
+#[test]
+fn a_loop_that_has_become_slow_takes_fewer_connections_than_before() {
+    let mut gate = prompt_gate(200);
+    let mut taken = [0; 4];
+    for taken in &mut taken {
+        *taken = (0..200).filter(|_| gate.admit(0)).count();
+        gate.record_delay(ms(500));
+    }
+    assert!(taken[3] <= taken[0] / 4, "{taken:?}");
+}
+
 #[test]
 fn a_late_event_loop_closes_most_connections_and_never_all() {
     let mut gate = ConnectionGate::new(None);
