--- a/src/connection.rs
+++ b/src/connection.rs
@@ -326,14 +326,34 @@
     pub(crate) is_closed: bool,
 }
 
-/// Serves one connection until it ends.
-pub(crate) async fn serve_requests<S, H, R, B>(
+/// Limit on the time that a head of a request may take, beside that of the HTTP library.
+pub(crate) struct HeadLimit<W, O> {
+    /// Completes once a head is overdue.
+    pub(crate) wait_until_overdue: W,
+    /// Returns `true` if a head is overdue now.
+    pub(crate) is_overdue: O,
+}
+
+/// Polls a future once. Returns its output if it is complete.
+async fn poll_once<F: Future>(mut future: Pin<&mut F>) -> Option<F::Output> {
+    poll_fn(|context| match future.as_mut().poll(context) {
+        Poll::Ready(output) => Poll::Ready(Some(output)),
+        Poll::Pending => Poll::Ready(None),
+    })
+    .await
+}
+
+/// Serves one connection until it ends; returns `None` if it was closed for an overdue head.
+pub(crate) async fn serve_requests<S, W, O, H, R, B>(
     stream: S,
     builder: &Builder,
     group: Rc<ConnectionGroup>,
+    head_limit: HeadLimit<W, O>,
     handle: H,
-) -> ServedEnd
+) -> Option<ServedEnd>
 where
+    W: AsyncFn(),
+    O: Fn() -> bool,
     S: AsyncRead + AsyncWrite + Unpin,
     H: Fn(Request<RequestBody>) -> R,
     R: Future<Output = Response<B>>,
@@ -378,6 +398,16 @@
                     is_closed = true;
                     connection.as_mut().graceful_shutdown();
                 }
+                () = (head_limit.wait_until_overdue)() => {
+                    // After a stall, timers may fire before what has arrived meanwhile is read.
+                    tokio::task::yield_now().await;
+                    if let Some(result) = poll_once(connection.as_mut()).await {
+                        break (result.err(), is_closed);
+                    }
+                    if (head_limit.is_overdue)() {
+                        return None;
+                    }
+                }
             }
         }
     };
@@ -387,7 +417,7 @@
         mark.set(true);
         linger(stream).await;
     }
-    ServedEnd { error, is_unread, is_closed }
+    Some(ServedEnd { error, is_unread, is_closed })
 }
 
 /// Closes the sending side of a connection, and reads until the caller closes its own.
--- a/src/web.rs
+++ b/src/web.rs
@@ -19,7 +19,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc;
 
-use crate::connection::{ConnectionGroup, RequestBody, serve_requests};
+use crate::connection::{ConnectionGroup, HeadLimit, RequestBody, serve_requests};
 use crate::verdict::Verdict;
 
 /// Header with the verdict on whether the request ran.
@@ -241,5 +241,6 @@
         .max_buf_size(MAX_HEADER_BYTES)
         .max_headers(MAX_HEADERS);
     // A connection error is ignored: the outcome of each request is handled separately.
-    serve_requests(stream, &builder, group, handle).await;
+    let head_limit = HeadLimit { wait_until_overdue: std::future::pending, is_overdue: || false };
+    serve_requests(stream, &builder, group, head_limit, handle).await;
 }
