Entry: count and log connections that are closed unread; long content types

Two faults that were read in entry/http.rs. A content type over 256 bytes was refused with 400, since the bound of idempotency keys held for both.

Before: a_long_content_type_is_passed_on failed (400, not run); the metric did not exist. Now both tests pass.

--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -8,6 +8,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 use serde::Serialize;
+use slog::warn;
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 
@@ -41,11 +42,18 @@
 
 /// Accepts connections of callers until the task is aborted.
 pub(super) async fn serve(shared: Rc<EntryShared>, listener: TcpListener) {
+    let mut is_full = false;
     loop {
         let stream = accept_next(&listener).await;
-        if shared.connections.get() >= shared.settings.max_connections {
+        let open = shared.connections.get();
+        if open >= shared.settings.max_connections {
+            shared.metrics.record_closed_unread();
+            if !std::mem::replace(&mut is_full, true) {
+                warn!(shared.log, "connections closed unread: too many are open"; "open" => open);
+            }
             continue;
         }
+        is_full = false;
         let guard = ConnectionGuard::new(shared.clone());
         spawn_local(async move {
             let shared = guard.shared.clone();
@@ -353,7 +361,8 @@
     let Some(value) = request.headers().get(name) else {
         return Ok(String::new());
     };
-    let text = value.to_str().ok().filter(|text| text.len() <= MAX_IDEMPOTENCY_KEY);
+    let is_too_long = name == IDEMPOTENCY_HEADER && value.len() > MAX_IDEMPOTENCY_KEY;
+    let text = value.to_str().ok().filter(|_| !is_too_long);
     text.map(str::to_owned).ok_or_else(|| {
         RequestFault::new(400, "bad_header", format!("header `{name}` can not be used"))
     })
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of an entry.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use prometheus::{HistogramVec, IntGauge};
@@ -34,6 +35,8 @@
     config_version: IntGauge,
     longest_iteration: IntGauge,
     first_token: HistogramVec,
+    closed_unread: MirroredCounter,
+    closed_unread_count: Cell<u64>,
 }
 
 impl EntryMetrics {
@@ -70,11 +73,18 @@
                 "shalelane_entry_first_token_seconds",
                 "Time to the first token, by prompt length",
             ),
+            closed_unread: count("closed_unread_total", "Connections over the limit"),
+            closed_unread_count: Cell::new(0),
             counters,
             registry,
         }
     }
 
+    /// Counts a connection that was closed unread because too many were open.
+    pub(super) fn record_closed_unread(&self) {
+        self.closed_unread_count.set(self.closed_unread_count.get() + 1);
+    }
+
     pub(super) fn observe_first(&self, tokens: u64, elapsed: Duration) {
         let class = length_class(tokens);
         self.first_token.with_label_values(&[class]).observe(elapsed.as_secs_f64());
@@ -97,6 +107,7 @@
         counters.groups.advance_to(counts.groups);
         counters.resumed.advance_to(counts.resumed);
         counters.broken_invariants.advance_to(core.broken_invariants());
+        self.closed_unread.advance_to(self.closed_unread_count.get());
         self.open_requests.set(core.open_requests() as i64);
         self.known_targets.set(core.known_targets() as i64);
         self.config_version.set(core.config().map_or(0, |config| config.version.0 as i64));
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -84,6 +84,16 @@
     assert_eq!((answer.status, answer.verdict.as_str()), (502, "may-have-run"));
 }
 
+#[tokio::test]
+async fn a_long_content_type_is_passed_on() {
+    let site = Site::start(1, 1, EngineSpec::default()).await;
+    let mut long = order("boat-11");
+    let content_type = format!("application/json; profile={}", "x".repeat(300));
+    long.headers_mut().insert("content-type", content_type.parse().expect("a header"));
+    let answer = call(site.callers(0), long).await.expect("answer");
+    assert_eq!((answer.status, site.plain.times_run("boat-11")), (200, 1));
+}
+
 #[tokio::test]
 async fn an_order_whose_answer_is_lost_may_have_run() {
     let site = Site::start(1, 1, EngineSpec::default()).await;
--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -95,6 +95,26 @@
     assert!(site.entries[0].wait(), "the entry exited with a failure");
 }
 
+#[tokio::test]
+async fn connections_over_the_limit_are_counted() {
+    let mut site = Site::start(1, 1, EngineSpec::default()).await;
+    site.add_entry_with(1, &["--max-connections", "1"]);
+    site.wait_ready(1).await;
+    let address = site.callers(1);
+    let mut kept = TcpStream::connect(address).await.expect("a connection");
+    let health = b"GET /healthz HTTP/1.1\r\nhost: fleet\r\n\r\n";
+    kept.write_all(health).await.expect("sent");
+    let mut answer = [0; 512];
+    assert!(kept.read(&mut answer).await.expect("an answer") > 0);
+    let refused = call(address, request("GET", "/healthz", "", "")).await;
+    assert!(refused.is_err(), "{refused:?}");
+    let metrics = b"GET /metrics HTTP/1.1\r\nhost: fleet\r\nconnection: close\r\n\r\n";
+    kept.write_all(metrics).await.expect("sent");
+    let mut text = String::new();
+    kept.read_to_string(&mut text).await.expect("metrics");
+    assert!(text.contains("shalelane_entry_closed_unread_total 1"), "{text}");
+}
+
 #[tokio::test]
 async fn a_reload_signal_ends_no_answer() {
     let site = Site::start(1, 1, slow_engine()).await;
