Agent: keep the prefixes that newer runs share

A cached prefix counted as uncached once the oldest tracked run with it was dropped, until the next event of the cache. Hashes are counted by run now.

Before: 0 tokens cached, 1024 expected. Now the test passes.

--- a/src/agent/cache.rs
+++ b/src/agent/cache.rs
@@ -33,6 +33,8 @@
     last_sequence: u64,
     blocks_by_hash: HashMap<u64, u32>,
     runs: HashMap<String, PrefixHashes>,
+    /// Number of tracked runs with each hash.
+    runs_by_hash: HashMap<u64, u32>,
     run_order: VecDeque<String>,
     gaps: u64,
 }
@@ -48,6 +50,9 @@
         {
             self.untrack_run(&oldest);
         }
+        for PrefixHash(_, hash) in &hashes.0 {
+            *self.runs_by_hash.entry(*hash).or_default() += 1;
+        }
         let name = id.to_string();
         self.run_order.push_back(name.clone());
         self.runs.insert(name, hashes.clone());
@@ -58,7 +63,12 @@
             return;
         };
         for PrefixHash(_, hash) in hashes.0 {
-            self.blocks_by_hash.remove(&hash);
+            let Some(count) = self.runs_by_hash.get_mut(&hash) else { continue };
+            *count -= 1;
+            if *count == 0 {
+                self.runs_by_hash.remove(&hash);
+                self.blocks_by_hash.remove(&hash);
+            }
         }
     }
 
