Agent: do not stop before entries have their answers

A draining agent stopped as soon as no run was open. An answer that had ended while its entry's link was down was lost with it (502, may have run), though the entry went on to ask for it; starts that were on their way when the engine was lost reached it after its reset, and ran for nobody; and entries of runs that were open at the end of the drain's limit waited five seconds for an agent that had ended.

A run of which the lost engine has shown nothing is cancelled by name, and a drain waits for that. Open runs are reported as failed when the drain times out.

--- a/src/agent/attempts.rs
+++ b/src/agent/attempts.rs
@@ -127,6 +127,7 @@
         if is_on(Mutant::CancelOff) {
             return;
         }
+        self.undelivered.remove(id);
         if self.runs.contains_key(id) {
             self.counts.cancelled += 1;
             self.abort(id, "cancelled by the caller", now);
@@ -173,6 +174,7 @@
 
     /// Sends the stored outcome of an attempt again, from `offset` bytes of the answer on.
     pub(super) fn replay(&mut self, conn: ConnId, id: &AttemptId, offset: u64) {
+        self.undelivered.remove(id);
         let Some(outcome) = self.ledger.get(id).cloned() else {
             return;
         };
@@ -267,12 +269,30 @@
         let Some(run) = self.runs.get(id) else { return };
         let outcome = Outcome::Failed { verdict, reason: reason.into() };
         let (conn, until) = (run.conn, run.deadline.max(now) + self.tuning.ledger_margin);
+        let disconnected_at = run.disconnected_at;
         self.send_outcome(conn, id.key, &outcome, 0);
+        if conn.is_none() {
+            self.keep_for_entry(id, disconnected_at, now);
+        }
         self.store_outcome(id.clone(), outcome, until);
         self.record(id, "failed", format!("{reason}, {verdict}"));
         self.counts.failed += 1;
     }
 
+    /// Lets a drain wait until the entry has asked for an outcome that could not be sent.
+    pub(super) fn keep_for_entry(
+        &mut self,
+        id: &AttemptId,
+        disconnected_at: Option<Tick>,
+        now: Tick,
+    ) {
+        let until = disconnected_at.unwrap_or(now) + self.tuning.disconnect_grace;
+        if until > now {
+            self.undelivered.insert(id.clone());
+            self.timers.subscribe(until, Timer::Undelivered(id.clone()));
+        }
+    }
+
     pub(super) fn cancel_at_target(&mut self, id: &AttemptId) {
         let Some(run) = self.runs.get_mut(id) else {
             return;
--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -43,6 +43,7 @@
     Deadline(AttemptId),
     Disconnect(AttemptId),
     Lease(AttemptId),
+    Undelivered(AttemptId),
     /// The back-off that the target asked for has ended.
     BackOff,
 }
@@ -59,6 +60,8 @@
     pub(super) peers: BTreeMap<ConnId, ProcessId>,
     pub(super) runs: BTreeMap<AttemptId, Run>,
     pub(super) ledger: OutcomeLedger,
+    /// Attempts that ended without a connection, and whose entries may ask for the outcome.
+    pub(super) undelivered: BTreeSet<AttemptId>,
     pub(super) leases: LeaseTable,
     /// Holds whose reservations the engine has yet to release.
     pub(super) releasing: BTreeSet<AttemptId>,
@@ -93,6 +96,7 @@
             peers: BTreeMap::new(),
             runs: BTreeMap::new(),
             ledger: OutcomeLedger::default(),
+            undelivered: BTreeSet::new(),
             leases: LeaseTable::default(),
             releasing: BTreeSet::new(),
             holders: BTreeMap::new(),
@@ -125,6 +129,7 @@
             Event::Cache(event) => self.cache.on_event(&event),
             Event::EngineHoldings(holdings) => self.on_holdings(&holdings),
             Event::Drain => self.on_drain(now),
+            Event::DrainTimedOut => self.on_drain_timed_out(now),
             Event::Wake => {}
         }
         self.expire(now);
@@ -315,6 +320,9 @@
                 Timer::Deadline(id) => self.abort(&id, "time limit", now),
                 Timer::Disconnect(id) => self.on_disconnect_due(&id, now),
                 Timer::Lease(id) => self.on_lease_due(&id, now),
+                Timer::Undelivered(id) => {
+                    self.undelivered.remove(&id);
+                }
                 // `schedule` runs after each event and reconsiders the queue.
                 Timer::BackOff => {}
             }
@@ -363,8 +371,17 @@
         }
     }
 
+    /// Fails the open runs, so that their entries do not wait for an agent that has stopped.
+    pub(super) fn on_drain_timed_out(&mut self, now: Tick) {
+        let ids: Vec<_> = self.runs.keys().cloned().collect();
+        for id in ids {
+            self.abort(&id, "the agent is stopping", now);
+        }
+    }
+
     pub(super) fn check_stopped(&mut self) {
-        let is_empty = self.runs.is_empty() && self.leases.is_empty();
+        let is_empty =
+            self.runs.is_empty() && self.leases.is_empty() && self.undelivered.is_empty();
         if self.leaving && is_empty && !self.stopped {
             self.stopped = true;
             self.effects.push(Effect::Stopped);
@@ -378,7 +395,7 @@
         let is_balanced = self.leases.is_balanced();
         self.invariant.expect(is_balanced, "the leases sum up to the memory in use");
         let mut unleased = self.runs.iter().filter(|(id, run)| {
-            run.is_at_target() && !run.is_plain() && self.leases.get(id).is_none()
+            run.is_at_target() && !run.is_plain() && !run.is_lost && self.leases.get(id).is_none()
         });
         let all_leased = unleased.next().is_none();
         self.invariant.expect(all_leased, "every run at the engine has a lease");
--- a/src/agent/daemon.rs
+++ b/src/agent/daemon.rs
@@ -208,6 +208,11 @@
                 }
             }
         }
+        if !self.stopped {
+            let open = self.core.open_runs();
+            warn!(self.shared.log, "drain timed out; open runs fail"; "runs" => open);
+            self.run_iteration(Event::DrainTimedOut);
+        }
     }
 
     fn run_iteration(&mut self, event: Event) {
--- a/src/agent/event.rs
+++ b/src/agent/event.rs
@@ -103,6 +103,8 @@
     EngineHoldings(Vec<EngineHolding>),
     /// The agent is to drain: it refuses new and queued work, and runs at the target continue.
     Drain,
+    /// The time limit of the drain has passed: the open runs fail.
+    DrainTimedOut,
     /// Time has passed; due timers are processed.
     Wake,
 }
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -47,6 +47,8 @@
     pub(super) prefilled: u64,
     /// Prompt tokens up to which the target may prefill at present.
     pub(super) granted: u64,
+    /// Whether the target was lost while the run was on its way to it.
+    pub(super) is_lost: bool,
     /// Whether no other run was in prefill when the current piece started.
     pub(super) prefills_alone: bool,
     /// Chunks of the answer received so far.
@@ -74,6 +76,7 @@
             cached,
             prefilled: cached,
             granted: cached,
+            is_lost: false,
             prefills_alone: false,
             answer_chunks: 0,
         }
@@ -106,6 +109,11 @@
         !matches!(self.state, RunState::Receiving | RunState::Queued)
     }
 
+    /// Returns `true` if the target has shown that it received the run.
+    pub(super) fn has_arrived(&self) -> bool {
+        self.head.is_some() || self.first_output.is_some() || self.prefilled > self.cached
+    }
+
     /// Returns `true` if the scheduler decides on the run's next step.
     pub(super) fn is_waiting(&self) -> bool {
         matches!(self.state, RunState::Queued | RunState::Paused)
--- a/src/agent/target.rs
+++ b/src/agent/target.rs
@@ -64,10 +64,24 @@
             self.abort_queued(id, "the target was lost", now);
             return;
         }
-        if run.state != RunState::Cancelling {
+        let is_cancelled = run.state == RunState::Cancelling;
+        let is_on_its_way = !is_cancelled && !run.has_arrived();
+        if !is_cancelled {
             self.report_failure(id, Verdict::MayHaveRun, "the target was lost", now);
         }
-        self.runs.remove(id);
+        if is_on_its_way {
+            // The call may reach the target after its reset.
+            self.cancel_at_target(id);
+            self.mark_lost(id);
+        } else {
+            self.runs.remove(id);
+        }
+    }
+
+    fn mark_lost(&mut self, id: &AttemptId) {
+        if let Some(run) = self.runs.get_mut(id) {
+            run.is_lost = true;
+        }
     }
 
     pub(super) fn on_run(&mut self, id: &AttemptId, event: RunEvent, now: Tick) {
@@ -177,7 +191,11 @@
         let conn = run.conn;
         let until = run.deadline.max(now) + self.tuning.ledger_margin;
         let head = run.head.take();
+        let disconnected_at = run.disconnected_at;
         self.send(conn, ToEntry::Done(id.key, completion.clone()));
+        if conn.is_none() {
+            self.keep_for_entry(id, disconnected_at, now);
+        }
         self.store_outcome(id.clone(), Outcome::Done { head, output, completion }, until);
         self.record(id, "done", String::new());
         self.counts.done += 1;
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -9,3 +9,4 @@
 mod orphaned_reservation;
 mod paused_run_behind_queued_run;
 mod requests_that_crash_engines;
+mod stop_before_delivery;
