--- a/src/peer.rs
+++ b/src/peer.rs
@@ -325,30 +325,26 @@
 /// When a link was last used, as both of its directions record it.
 struct LinkActivity {
     /// When a frame was last received.
-    received_at: Cell<Instant>,
+    received: Cell<Instant>,
     /// When a control or body frame was last received or sent.
-    used_at: Cell<Instant>,
+    used: Cell<Instant>,
     /// When a write that had been blocked was last completed: the peer has read data.
-    unblocked_at: Cell<Instant>,
+    unblocked: Cell<Instant>,
 }
 
 impl LinkActivity {
     fn new() -> Self {
         let now = Instant::now();
-        LinkActivity {
-            received_at: Cell::new(now),
-            used_at: Cell::new(now),
-            unblocked_at: Cell::new(now),
-        }
+        LinkActivity { received: Cell::new(now), used: Cell::new(now), unblocked: Cell::new(now) }
     }
 
     /// Time since the last sign of life of the peer.
     fn silence(&self) -> Duration {
-        self.received_at.get().max(self.unblocked_at.get()).elapsed()
+        self.received.get().max(self.unblocked.get()).elapsed()
     }
 
     fn is_idle(&self) -> bool {
-        self.used_at.get().elapsed() > LINK_IDLE_TIMEOUT
+        self.used.get().elapsed() > LINK_IDLE_TIMEOUT
     }
 }
 
@@ -391,12 +387,12 @@
                 if count == 0 {
                     return LinkEnd::Dropped;
                 }
-                activity.used_at.set(Instant::now());
+                activity.used.set(Instant::now());
             }
             () = ping.notified() => {}
             Some(frame) = queue.body.recv() => {
                 frames.push(frame);
-                activity.used_at.set(Instant::now());
+                activity.used.set(Instant::now());
             }
         }
         let start = Instant::now();
@@ -404,7 +400,7 @@
             return LinkEnd::Closed;
         }
         if start.elapsed() >= BLOCKED_WRITE {
-            activity.unblocked_at.set(Instant::now());
+            activity.unblocked.set(Instant::now());
         }
     }
 }
@@ -438,10 +434,10 @@
             biased;
             incoming = stream.next() => {
                 let Some(Ok(incoming)) = incoming else { return LinkEnd::Closed };
-                activity.received_at.set(Instant::now());
+                activity.received.set(Instant::now());
                 match incoming {
                     Message::Binary(frame) => {
-                        activity.used_at.set(Instant::now());
+                        activity.used.set(Instant::now());
                         let Ok(message) = In::from_frame(frame) else { return LinkEnd::BadFrame };
                         open_attempts.borrow_mut().record(&message);
                         on_message(message);
@@ -455,7 +451,7 @@
                     if activity.is_idle() {
                         return LinkEnd::Idle;
                     }
-                    activity.received_at.set(Instant::now());
+                    activity.received.set(Instant::now());
                     continue;
                 }
                 let silence = activity.silence();
--- a/tests/entry_answers.rs
+++ b/tests/entry_answers.rs
@@ -13,7 +13,7 @@
 
 /// Time for which a link is down in tests: longer than the entry waits if another target can
 /// take the request, and shorter than the time for which the agent keeps the run.
-const OUTAGE: Duration = Duration::from_millis(2_000);
+const OUTAGE: Duration = Duration::from_secs(2);
 
 /// Starts a request and loses the link to its target for [`OUTAGE`].
 fn lose_link(fixture: &mut EntryFixture) -> (u64, AttemptKey, usize) {
