Part evidence: a request at a crashed engine keeps the time of the crash

Cause: of several requests at one crashed engine, the last one replaced the whole record of the crash, with the time at which its own connection broke. A connection that is opened before the port of a crashed engine is closed breaks as well, and so does one to the next engine at its address while the list can't be read. The crashes were no longer ordered by time; all crashes after the moved one seemed to lie before it, and counted neither for the score nor for the series.

Now only a request that was sent before the crash can replace another one, and the time of the crash stays. The test failed before: the part is sent.

--- a/src/relay/decide/part_evidence.rs
+++ b/src/relay/decide/part_evidence.rs
@@ -191,9 +191,10 @@
     pub fn add_crash(&mut self, crash: PartCrash) -> bool {
         if let Some(known) = self.crashes.iter_mut().find(|known| known.instance == crash.instance)
         {
-            // Of several requests with the part, the last one shows most about the series.
-            if crash.sent_ms > known.sent_ms {
-                *known = PartCrash { recorded_at: known.recorded_at, ..crash };
+            // Of several requests with the part, the last one that was sent before the crash shows
+            // most about the series.
+            if crash.sent_ms > known.sent_ms && crash.sent_ms < known.broke_ms {
+                (known.digest, known.sent_ms) = (crash.digest, crash.sent_ms);
             }
             return false;
         }
--- a/tests/relay/part_bounds.rs
+++ b/tests/relay/part_bounds.rs
@@ -115,6 +115,20 @@
     assert!(is_open(&mut ledger, &["rare"], at(9_000)));
 }
 
+/// Connections to an engine that has crashed break as well, until its port is closed.
+#[test]
+fn a_request_that_is_sent_to_a_crashed_engine_does_not_hide_other_crashes() {
+    let mut ledger = served_ledger();
+    crash(&mut ledger, 2, ms(0));
+    let late = attempt(9, &["bad", "common"], at(1_100), at(1_160));
+    ledger.record_broken(late, &instance(1), ms(0), at(1_160));
+    let third = attempt(3, &["bad", "common"], at(1_300), at(1_500));
+    ledger.record_broken(third, &instance(3), ms(0), at(1_500));
+    ledger.record_crash(&instance(3), at(1_510));
+    ledger.decide(at(1_510) + JOIN_WINDOW);
+    assert!(!is_open(&mut ledger, &["bad"], at(2_000)));
+}
+
 /// An entry that hears of no other entry's crashes leaves the decision to those that do.
 #[test]
 fn an_entry_without_reports_of_others_does_not_decide() {
