Agents repeat a poll that breaks off after 100 ms

Entries that wait for the confirmation of a crash got it late. An agent polls its engine when an entry suspects it. If the engine exits just then, its port is not closed yet or the connection of the agent breaks, and the poll counted as a late report, which is repeated after 400 ms. Two refused polls have to follow, so a crash is reported 600 ms after it (virtual time), while the entries are told of it within half a second by design.

The test failed before: reported after 600 ms, bound 500 ms. A poll that runs into its timeout is repeated after 400 ms as before, and so is the second one in a row that breaks, so that an engine which always breaks off polls is not polled more often.

--- a/src/relay/peers/coordinator.rs
+++ b/src/relay/peers/coordinator.rs
@@ -133,7 +133,7 @@
         }
         Ok(Err(CallFault::Unknown(error))) => {
             slog::warn!(logger, "could not poll the target's report"; "error" => error);
-            return EnginePoll::without_report(PollResult::Missed);
+            return EnginePoll::without_report(PollResult::Broken);
         }
         Err(elapsed) => {
             slog::warn!(logger, "could not poll the target's report"; "error" => %elapsed);
--- a/src/relay/peers/engine_health.rs
+++ b/src/relay/peers/engine_health.rs
@@ -51,6 +51,8 @@
     Pace(u32),
     /// The connection was refused.
     Refused,
+    /// The connection broke, as it does when the engine exits.
+    Broken,
     /// There was no report in time, or it cannot be read.
     Missed,
 }
@@ -93,6 +95,8 @@
     is_rate_limited: bool,
     polled_at: Option<Tick>,
     is_suspected: bool,
+    /// Number of polls in a row whose connections broke.
+    broken: u32,
     /// Entries that recently suspected the engine, with the time of their last suspicion.
     suspicions: Vec<(SocketAddr, Tick)>,
     /// When all entries were last informed of suspicions.
@@ -111,6 +115,7 @@
             is_rate_limited: false,
             polled_at: None,
             is_suspected: false,
+            broken: 0,
             suspicions: Vec::new(),
             informed_at: None,
         }
@@ -154,7 +159,8 @@
     pub fn is_due(&mut self, is_busy: bool, now: Tick) -> bool {
         let is_poll_needed = is_busy || self.is_down;
         // The second poll, which confirms an exit, is due soon after the first.
-        let is_urgent = self.is_suspected || (1..MIN_REFUSED_POLLS).contains(&self.refused);
+        let is_exit_likely = self.broken == 1 || (1..MIN_REFUSED_POLLS).contains(&self.refused);
+        let is_urgent = self.is_suspected || is_exit_likely;
         let interval = match (is_urgent, is_poll_needed) {
             (true, _) => SUSPECT_POLL_INTERVAL,
             (false, true) if self.is_rate_limited && !self.is_down => RATE_LIMITED_POLL_INTERVAL,
@@ -189,6 +195,7 @@
     /// Records the result of a poll. Returns `true` if entries are to be informed that the engine
     /// is down.
     pub fn record_report(&mut self, result: PollResult) -> bool {
+        self.broken = if result == PollResult::Broken { self.broken + 1 } else { 0 };
         match result {
             PollResult::Pace(pace) => {
                 self.pace_percent = pace;
@@ -200,7 +207,7 @@
                 self.refused += 1;
                 self.is_down = true;
             }
-            PollResult::Missed => {
+            PollResult::Missed | PollResult::Broken => {
                 self.missed += 1;
                 self.is_down |= self.missed >= MIN_MISSED_REPORTS;
             }
--- a/tests/relay/crashes.rs
+++ b/tests/relay/crashes.rs
@@ -148,6 +148,25 @@
     assert_eq!(health.pace_percent(), 150);
 }
 
+/// Entries wait for half a second at most. The poll that they ask for breaks off if the port of the
+/// engine is not closed yet.
+#[test]
+fn an_exit_is_reported_in_time_if_the_first_poll_breaks_off() {
+    let mut health = EngineHealth::default();
+    assert!(health.is_due(true, at(1_000)));
+    health.record_report(PollResult::Pace(100));
+    health.record_suspicion(entry_address(1), at(1_001));
+    let mut results = [PollResult::Broken, PollResult::Refused, PollResult::Refused].into_iter();
+    let reported_at = (1_001..5_000).find(|now| {
+        if !health.is_due(true, at(*now)) {
+            return false;
+        }
+        health.record_report(results.next().unwrap_or(PollResult::Refused));
+        health.take_exit().is_some()
+    });
+    assert!(reported_at.is_some_and(|at| at <= 1_500), "{reported_at:?}");
+}
+
 fn entry_address(number: u8) -> SocketAddr {
     ([10, 1, 0, number], 7_000).into()
 }
