A request waits for reports of crashes before a third engine

Callers saw engines crash under requests with one part after five had crashed under it: a request that repeats itself reached up to five engines within 0.25 s, each 60 ms after the one before, while a crash is confirmed after 0.1 to 0.3 s, beside load after 0.9 s. Crashes under one request say nothing about its parts, so only the request was quarantined, and the next one with the part did the same.

Now a prompt whose connections broke at two engines without an event is sent again only when these crashes are confirmed and evaluated. The wait ends 600 ms after the last break and at half of the time that was left then, at once for engines that have sent something since the break, and it is left out where no retry could be paid for. A request that is quarantined in this time takes no retry from the budget. The decision is decide/crash_wait.rs, the wait proxy/crash_hold.rs; nothing else of a series changes.

--- a/src/relay/core/quarantine.rs
+++ b/src/relay/core/quarantine.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::{PlacedAttempt, RelayCore};
+use crate::relay::decide::crash_wait::EngineSigns;
 use crate::relay::decide::quarantine::{QuarantineLedger, QuarantineRecords, SuspectReport};
 use crate::relay::decide::request_digest::RequestDigest;
 use crate::relay::decide::targets::{ListChange, TargetInstance};
@@ -41,6 +42,17 @@
         is_listed && !self.quarantine.has_crashed(instance)
     }
 
+    /// Returns what is known of an engine at which a connection broke.
+    #[must_use]
+    pub fn engine_signs(&self, instance: &TargetInstance) -> EngineSigns {
+        let target = self.targets.get(&instance.incarnation);
+        let target = target.filter(|target| target.record.to_instance() == *instance);
+        EngineSigns {
+            crashed_at: self.quarantine.crashed_at(instance),
+            received_at: target.map_or(Tick::default(), |target| target.received_at),
+        }
+    }
+
     /// Records that an attempt of a suspect was sent to its target.
     pub fn mark_suspect(&mut self, attempt: &mut PlacedAttempt) {
         if let Some(instance) = &attempt.instance {
--- a/src/relay/core/retries.rs
+++ b/src/relay/core/retries.rs
@@ -68,9 +68,14 @@
             let is_unlimited = target.is_usable(now) && target.rate.is_none();
             target.is_used && is_unlimited && is_untried(&target.record.incarnation)
         });
+        has_other && self.may_acquire_retry(service, now)
+    }
+
+    /// Returns `true` if this entry or an agent may pay for a retry now.
+    pub fn may_acquire_retry(&mut self, service: &Arc<str>, now: Tick) -> bool {
         let has_agent = !self.retry_agents(now).is_empty();
         let budget = self.budget(service);
-        has_other && (budget.has_retry(now) || (has_agent && budget.may_request(now)))
+        budget.has_retry(now) || (has_agent && budget.may_request(now))
     }
 
     fn budget(&mut self, service: &Arc<str>) -> &mut RetryBudget {
--- a/src/relay/decide/crash_tracker.rs
+++ b/src/relay/decide/crash_tracker.rs
@@ -77,7 +77,14 @@
     /// Returns `true` if the instance is known to have crashed recently.
     #[must_use]
     pub fn has_crashed(&self, instance: &TargetInstance) -> bool {
-        self.crashed.iter().any(|(crashed, _)| crashed == instance)
+        self.crashed_at(instance).is_some()
+    }
+
+    /// Returns when the crash of an instance was confirmed, if it crashed recently.
+    #[must_use]
+    pub fn crashed_at(&self, instance: &TargetInstance) -> Option<Tick> {
+        let mut crashed = self.crashed.iter();
+        crashed.find(|(crashed, _)| crashed == instance).map(|(_, at)| *at)
     }
 
     /// Keeps only the broken attempts that satisfy a condition.
--- a/src/relay/decide/mod.rs
+++ b/src/relay/decide/mod.rs
@@ -25,12 +25,14 @@
 //! - [`request_digest`]: recognizes repeated sends of one request, [`prompt_part`]: parts that
 //!   prompts share.
 //! - [`quarantine`]: requests that crash the targets that run them, [`crash_tracker`]: crashes of
-//!   targets, and [`quarantine_list`]: for how long something is quarantined.
+//!   targets, [`crash_wait`]: how long a request waits for their reports, and
+//!   [`quarantine_list`]: for how long something is quarantined.
 //! - [`part_evidence`]: which parts of prompts crash engines, [`part_ledger`]: their
 //!   quarantine, [`part_probe`]: its end, and [`part_board`]: what agents relay about them.
 
 pub mod connection_gate;
 pub mod crash_tracker;
+pub mod crash_wait;
 pub mod engine_rates;
 pub mod engine_snapshot;
 pub mod engine_subset;
--- a/src/relay/decide/quarantine.rs
+++ b/src/relay/decide/quarantine.rs
@@ -156,6 +156,12 @@
         self.tracker.has_crashed(instance)
     }
 
+    /// Returns when the crash of an instance was confirmed, if it crashed recently.
+    #[must_use]
+    pub fn crashed_at(&self, instance: &TargetInstance) -> Option<Tick> {
+        self.tracker.crashed_at(instance)
+    }
+
     /// Applies a report of another process.
     pub fn apply_report(&mut self, report: &SuspectReport, now: Tick) {
         for instance in report.instances.iter().take(MAX_INSTANCES) {
--- a/src/relay/proxy/exchange.rs
+++ b/src/relay/proxy/exchange.rs
@@ -1,6 +1,6 @@
 //! Entry point for a caller's request: checks access and reads the request.
 
-use std::cell::{Cell, OnceCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -142,6 +142,7 @@
         deadline,
         need,
         cached_digest: OnceCell::new(),
+        crash_wait: RefCell::default(),
         sent_at: Cell::default(),
     };
     if let Some(hold) = job.quarantine_hold(shared) {
--- a/src/relay/proxy/job.rs
+++ b/src/relay/proxy/job.rs
@@ -1,6 +1,6 @@
 //! A caller's request on its way to targets, and what the quarantine learns of it.
 
-use std::cell::{Cell, OnceCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,6 +11,7 @@
 
 use super::protocol::CallerHead;
 use crate::relay::core::RelayCore;
+use crate::relay::decide::crash_wait::CrashWait;
 use crate::relay::decide::part_ledger::{PartAttempt, PartVerdict};
 use crate::relay::decide::placement::PromptNeed;
 use crate::relay::decide::prompt_part::PromptPart;
@@ -47,6 +48,7 @@
     pub(crate) need: Option<PromptNeed>,
     /// Digest of the request, computed on first use.
     pub(crate) cached_digest: OnceCell<RequestDigest>,
+    pub(crate) crash_wait: RefCell<CrashWait>,
     /// When the last attempt was sent.
     pub(crate) sent_at: Cell<Tick>,
 }
@@ -109,6 +111,9 @@
         streamed_for: Duration,
         now: Tick,
     ) {
+        if self.need.is_some() && streamed_for.is_zero() {
+            self.crash_wait.borrow_mut().record_broken(instance, now);
+        }
         let mut core = shared.core.borrow_mut();
         core.record_broken(self.digest(), instance, streamed_for, now);
         if !self.shared_parts().is_empty() {
@@ -119,6 +124,15 @@
         }
     }
 
+    /// Returns the time before which the request is not sent again, since its engines may have
+    /// crashed; `None` if it need not wait, or no retry could be acquired after the wait.
+    pub(crate) fn crash_wait_until(&self, shared: &RelayShared) -> Option<Tick> {
+        let wait = self.crash_wait.borrow();
+        let mut core = shared.core.borrow_mut();
+        let until = wait.wait_until(self.deadline, |instance| core.engine_signs(instance))?;
+        core.may_acquire_retry(&self.service, shared.now()).then_some(until)
+    }
+
     /// Reports to the quarantine that an engine has begun to serve the last attempt and has not
     /// crashed.
     pub(crate) fn report_served_parts(&self, shared: &RelayShared) {
--- a/src/relay/proxy/mod.rs
+++ b/src/relay/proxy/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! `exchange` accepts the request as a `job`; `call` or `stream` serves it. `series` decides whether another
 //! attempt is made, `permit` requests a permit if the target is rate-limited, and `forward` sends
-//! one attempt. `crash_check` probes whether a plain target has crashed, and `answer` builds the
-//! caller's response. `connections` pools the connections to targets, `memory_hold` reserves memory
+//! one attempt. `crash_check` probes whether a plain target has crashed, `crash_hold` waits for
+//! reports of crashes, and `answer` builds the caller's response. `connections` pools the connections to targets, `memory_hold` reserves memory
 //! at helpers, [`event_stream`] splits streams into events, and `ledger` logs the request at its
 //! end. [`protocol`] defines the adapters for the protocols of callers and targets.
 
@@ -11,6 +11,7 @@
 pub(crate) mod call;
 pub(crate) mod connections;
 pub(crate) mod crash_check;
+pub(crate) mod crash_hold;
 pub mod event_stream;
 pub(crate) mod exchange;
 pub(crate) mod forward;
--- a/src/relay/proxy/series.rs
+++ b/src/relay/proxy/series.rs
@@ -10,6 +10,7 @@
 
 use super::answer::{RelayAnswer, RelayBody, RelayFault};
 use super::crash_check::check_crash;
+use super::crash_hold::wait_for_crash_reports;
 use super::forward::{AttemptFault, SendTerms};
 use super::job::{QuarantineHold, RelayJob};
 use super::permit::acquire_retry;
@@ -286,6 +287,7 @@
         if !self.sends.allows(allowed_runs) {
             return Err(RetryStop::MaxSends);
         }
+        wait_for_crash_reports(shared, job).await?;
         if is_sent {
             // The acquired retry, if any, is spent.
             self.send_before = Tick::default();
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod config_updates;
 mod connection_gate;
+mod crash_wait;
 mod crashes;
 mod engine_subset;
 mod evacuations;
