--- a/src/relay/proxy/mod.rs
+++ b/src/relay/proxy/mod.rs
@@ -3,8 +3,10 @@
 //! `exchange` accepts the request as a `job`; `call` or `stream` serves it. `series` decides whether
 //! another attempt is made, `permit` requests a permit if the target is rate-limited, and `forward`
 //! sends one attempt. A `running_attempt` yields what its target sends, `silence_watch` notices when
-//! that is nothing for too long, and an `attempt_race` replaces it once another one yields more. `crash_check` probes whether a plain target has crashed, and `answer` builds the
-//! caller's response. `connections` pools the connections to targets, `memory_hold` reserves memory
+//! that is nothing for too long, and an `attempt_race` replaces it once another one yields more.
+//! `crash_check` probes whether a plain target has crashed, `crash_hold` waits for reports of
+//! crashes, and `answer` builds the caller's response. `connections` pools the connections to
+//! targets, `memory_hold` reserves memory
 //! at helpers, [`event_stream`] splits streams into events, and `ledger` logs the request at its
 //! end. [`protocol`] defines the adapters for the protocols of callers and targets.
 
@@ -13,6 +15,7 @@
 pub(crate) mod call;
 pub(crate) mod connections;
 pub(crate) mod crash_check;
+pub(crate) mod crash_hold;
 pub mod event_stream;
 pub(crate) mod exchange;
 pub(crate) mod forward;
--- a/src/relay/proxy/series.rs
+++ b/src/relay/proxy/series.rs
@@ -10,6 +10,7 @@
 
 use super::answer::{RelayAnswer, RelayBody, RelayFault};
 use super::crash_check::check_crash;
+use super::crash_hold::wait_for_crash_reports;
 use super::forward::AttemptFault;
 use super::job::{QuarantineHold, RelayJob};
 use super::permit::{acquire_permit, acquire_retry};
@@ -174,7 +175,12 @@
         shared: &Rc<RelayShared>,
         job: &RelayJob,
     ) -> Option<Placement> {
-        if !self.may_replace(shared, job) || job.quarantine_hold(shared).is_some() {
+        let waits_for_reports =
+            job.crash_wait_until(shared).is_some_and(|until| until > shared.now());
+        if !self.may_replace(shared, job)
+            || waits_for_reports
+            || job.quarantine_hold(shared).is_some()
+        {
             return None;
         }
         let mut placement = self.place(shared, job)?;
@@ -380,6 +386,7 @@
         if !self.sends.allows(allowed_runs) {
             return Err(RetryStop::MaxSends);
         }
+        wait_for_crash_reports(shared, job).await?;
         self.renew_retry(shared, job).await
     }
 
