--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -16,8 +16,9 @@
 use tokio::task::LocalSet;
 use tokio::task::coop::unconstrained;
 
+use super::caller_connection::{CallerAnswer, CallerConnection, CallerStream, GateClosing};
 use super::core::{RelayCore, draw_entry_number};
-use super::decide::connection_gate::ConnectionGate;
+use super::decide::connection_gate::{ConnectionGate, LATE_DELAY};
 use super::decide::reservation::ReservationNames;
 use super::decide::start_wait::StartPhase;
 use super::discovery::follow_config::follow_config;
@@ -29,13 +30,14 @@
 use super::peers::peer_link::PeerLink;
 use super::proxy::exchange::serve;
 use super::proxy::protocol::{CallerProtocol, TargetProtocol};
-use super::record::{DecisionLog, StdoutLog};
+use super::record::{ConnectionEnd, DecisionLog, StdoutLog};
 use super::settings::{RelaySettings, SettingsFile};
-use super::shared::{OpenConnection, RelayShared};
+use super::shared::RelayShared;
 use super::stop::{StopPhase, StopPlan};
 use crate::Result;
 use crate::client::HttpClient;
 use crate::clock::{ProcessClock, SuspensionWatch, wall_micros};
+use crate::connection::serve_requests;
 use crate::program::on_reload_signal;
 use crate::time::Tick;
 use crate::web::{accept_next, bind_listener};
@@ -124,6 +126,9 @@
         open_requests: Cell::new(0),
         gate: RefCell::new(ConnectionGate::new(settings.max_descriptors)),
         open_connections: Cell::new(0),
+        gate_closing: GateClosing::default(),
+        loop_delay: Cell::default(),
+        config_changed_at: Cell::default(),
     });
     shared.core.borrow_mut().set_unix_origin(wall_micros() / MICROS_PER_MS);
     let source = Rc::new(adapter.source);
@@ -203,10 +208,13 @@
         // remain in the queue of the listener.
         let stream = unconstrained(accept_next(&listener)).await;
         if shared.gate.borrow_mut().admit(shared.open_connections.get()) {
-            let open = OpenConnection::new(&shared);
-            tokio::task::spawn_local(serve_caller(shared.clone(), stream, open, closing.clone()));
+            let connection = Rc::new(CallerConnection::new(&shared));
+            let served = serve_caller(shared.clone(), stream, connection, closing.clone());
+            tokio::task::spawn_local(served);
         } else {
             close_unread(&shared, stream);
+            shared.counts.borrow().record_connection_end(ConnectionEnd::UnreadQuota);
+            record_gate_closing(&shared);
         }
     }
 }
@@ -217,42 +225,53 @@
     shared.counts.borrow_mut().closed_unread += 1;
 }
 
+/// Logs that the gate has begun to close connections.
+fn record_gate_closing(shared: &RelayShared) {
+    if shared.gate_closing.record(shared.now()) {
+        let quota = shared.gate.borrow().quota();
+        let open = shared.open_connections.get();
+        shared.log.gate_closing(quota, open, shared.loop_delay.get());
+    }
+}
+
 /// Serves one connection of a caller.
 async fn serve_caller(
     shared: Rc<RelayShared>,
     stream: TcpStream,
-    open: OpenConnection,
+    connection: Rc<CallerConnection>,
     mut closing: watch::Receiver<bool>,
 ) {
-    if !ConnectionGate::is_timely(shared.now().since(open.taken_at)) {
+    if !ConnectionGate::is_timely(shared.now().since(connection.taken_at)) {
         close_unread(&shared, stream);
+        connection.end(ConnectionEnd::UnreadLate, "");
         return;
     }
     if let Err(error) = stream.set_nodelay(true) {
         slog::debug!(shared.log.logger(), "TCP_NODELAY not set"; "error" => %error);
     }
     let limits = shared.core.borrow().rules().limits();
-    let service_shared = shared.clone();
-    let service = service_fn(move |request| {
-        let shared = service_shared.clone();
-        async move { Ok::<_, Infallible>(serve(shared, request).await) }
-    });
+    let stream = CallerStream { stream, connection: connection.clone() };
     // The timeout for a head includes the idle time between two requests, which callers may
     // use in full.
-    let connection = http1::Builder::new()
+    let mut builder = http1::Builder::new();
+    builder
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_limit)
-        .max_buf_size(limits.max_head.max(MIN_BUFFER_SIZE))
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    loop {
-        tokio::select! {
-            // The end of a connection concerns the caller only: the outcome of each of its
-            // requests is recorded separately.
-            _ = connection.as_mut() => return,
-            _ = closing.changed() => connection.as_mut().graceful_shutdown(),
-        }
-    }
+        .max_buf_size(limits.max_head.max(MIN_BUFFER_SIZE));
+    let is_closing = Cell::new(false);
+    let closing = async {
+        // The sender outlives the connections.
+        drop(closing.changed().await);
+        is_closing.set(true);
+    };
+    let handle = |request| async {
+        connection.begin_request();
+        let answer = serve(shared.clone(), request, &connection).await;
+        connection.begin_answer();
+        answer.map(|body| CallerAnswer { body, connection: connection.clone() })
+    };
+    let end = serve_requests(stream, &builder, closing, handle).await;
+    connection.end_served(&end, is_closing.get());
 }
 
 /// Smallest read buffer of a connection, in bytes.
@@ -305,7 +324,16 @@
     loop {
         let due = shared.now() + DELAY_INTERVAL;
         tokio::time::sleep(DELAY_INTERVAL).await;
-        shared.gate.borrow_mut().record_delay(shared.now().since(due));
+        let now = shared.now();
+        let delay = now.since(due);
+        shared.loop_delay.set(delay);
+        shared.gate.borrow_mut().record_delay(delay);
+        if delay >= LATE_DELAY {
+            shared.log.loop_late(delay, shared.open_connections.get(), now);
+        }
+        if let Some(closed) = shared.gate_closing.take_ended(now) {
+            shared.log.gate_opened(closed, shared.gate.borrow().quota(), delay);
+        }
     }
 }
 
