Agent: a cancelled run that was never started has ended

Since lost starts are cancelled by name, a start that could not be sent to a lost engine stayed open: its failure was ignored while it was being cancelled.

--- a/src/agent/target.rs
+++ b/src/agent/target.rs
@@ -93,8 +93,12 @@
             return;
         }
         if run.state == RunState::Cancelling {
-            // A run that completed before the cancel holds nothing either.
-            if matches!(event, RunEvent::Cancelled | RunEvent::Done(_)) {
+            // A run that completed before the cancel, or was never started, holds nothing either.
+            let has_ended = matches!(
+                event,
+                RunEvent::Cancelled | RunEvent::Done(_) | RunEvent::Failed(Verdict::NotRun, _)
+            );
+            if has_ended {
                 self.drop_run(id);
             }
             return;
