A refused body that still arrives keeps its connection past the idle limit

Callers that still write the rest of a refused body longer than the idle limit were closed while they wrote: the rest began when the refusal was given. A body that was not read gets the time in which it is discarded on top.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -25,7 +25,7 @@
 const MAX_DISCARDED_BYTES: usize = 256 * 1024;
 
 /// Time limit for discarding the rest of a body to keep a connection.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
+pub(crate) const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Time for which a closed connection is still read. The system resets a connection that is closed
 /// with unread bytes, and the caller then loses the answer.
--- a/src/relay/caller_connection.rs
+++ b/src/relay/caller_connection.rs
@@ -18,7 +18,7 @@
 use super::proxy::answer::{BrokenAnswer, RelayBody};
 use super::record::{ConnectionEnd, ConnectionLine, ConnectionState};
 use super::shared::RelayShared;
-use crate::connection::ServedEnd;
+use crate::connection::{DISCARD_TIMEOUT, ServedEnd};
 use crate::time::Tick;
 
 /// An open connection of a caller. Its end is counted, and logged unless it is an ordinary one.
@@ -31,6 +31,8 @@
     /// End of the present or last rest by the limit under which it began.
     rest_end: Cell<Tick>,
     requests: Cell<u64>,
+    /// Whether the body of the last request was read whole.
+    is_body_read: Cell<bool>,
     /// Whether the body of a request broke off.
     is_body_broken: Cell<bool>,
     is_answer_broken: Cell<bool>,
@@ -50,6 +52,7 @@
             state_since: Cell::new(now),
             rest_end: Cell::new(now + idle_limit),
             requests: Cell::new(0),
+            is_body_read: Cell::new(true),
             is_body_broken: Cell::new(false),
             is_answer_broken: Cell::new(false),
             has_write_failed: Cell::new(false),
@@ -60,11 +63,13 @@
     /// Records that the head of a request was read.
     pub(crate) fn begin_request(&self) {
         self.requests.set(self.requests.get() + 1);
+        self.is_body_read.set(false);
         self.enter(ConnectionState::Body);
     }
 
     /// Records that the body of the request was read whole.
     pub(crate) fn finish_body(&self) {
+        self.is_body_read.set(true);
         self.enter(ConnectionState::Answering);
     }
 
@@ -85,7 +90,9 @@
         let now = self.shared.now();
         self.state_since.set(now);
         if state == ConnectionState::Idle {
-            self.rest_end.set(now + self.limits().idle_limit);
+            // The rest of a body that was not read comes before the next head.
+            let leftover = if self.is_body_read.get() { Duration::ZERO } else { DISCARD_TIMEOUT };
+            self.rest_end.set(now + leftover + self.limits().idle_limit);
         }
     }
 
