--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -14,6 +14,7 @@
 mod message_fragments;
 mod notices;
 mod part_bounds;
+mod part_bystanders;
 mod part_events;
 mod part_fleet;
 mod part_setup;
