--- a/src/agent/daemon.rs
+++ b/src/agent/daemon.rs
@@ -15,6 +15,7 @@
 use super::core::AgentCore;
 use super::engine::EngineClient;
 use super::event::{AgentTuning, ConnId, Effect, EngineFacts, Event, RunEvent, StartRun};
+use super::health::{PollOutcome, TargetHealth};
 use super::metrics::{self, AgentMetrics};
 use super::plain::PlainClient;
 use crate::clock::{ProcessClock, new_incarnation, sleep_until, wall_micros};
@@ -24,6 +25,7 @@
 use crate::log::new_logger;
 use crate::metrics::IterationMeter;
 use crate::peer::{LinkSender, LinkSide, OpenAttempts, PeerIdentity, accept, link_queue, run_link};
+use crate::program::on_reload_signal;
 use crate::settings::AgentSettings;
 use crate::time::Tick;
 use crate::timeline::EventTimeline;
@@ -39,10 +41,10 @@
 /// Polls of the load report between two checks of the engine's runs and reservations.
 const POLLS_PER_HOLDINGS_CHECK: u32 = 8;
 
-/// Consecutive failed polls after which the target counts as lost.
-const MAX_FAILED_POLLS: u32 = 3;
+/// Maximum number of tries of a call that changes the state of a run or a reservation.
+const MAX_CALL_TRIES: u32 = 12;
 
-/// Delay before the retry of a call that cancels a run or releases a reservation.
+/// Delay before the retry of such a call.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
 /// Timeout for sending the last queued messages at shutdown.
@@ -58,6 +60,8 @@
     pub(super) open_links: Cell<usize>,
     pub(super) engine: EngineClient,
     pub(super) plain: PlainClient,
+    pub(super) clock: ProcessClock,
+    pub(super) health: RefCell<TargetHealth>,
     pub(super) timeline: RefCell<EventTimeline>,
     pub(super) log: Logger,
     pub(super) metrics: AgentMetrics,
@@ -123,6 +127,8 @@
             open_links: Cell::new(0),
             engine: EngineClient::new(settings.target.clone()),
             plain: PlainClient::new(settings.target.clone()),
+            clock: ProcessClock::new(),
+            health: RefCell::new(TargetHealth::new(Tick::default())),
             timeline: RefCell::new(EventTimeline::new(process.clone(), TIMELINE_CAPACITY)),
             metrics: AgentMetrics::new(),
             log,
@@ -130,9 +136,14 @@
         });
         let acceptor = spawn_local(accept_all(shared.clone(), self.listener));
         let metrics_server = spawn_local(metrics::serve(shared.clone(), self.metrics));
+        let reload_log = shared.log.clone();
+        let reload = spawn_local(on_reload_signal(move || {
+            info!(reload_log, "settings not reloaded: all are fixed");
+        }));
         let mut agent_loop = AgentLoop::new(shared.clone(), process);
         agent_loop.run(received, stop).await;
         acceptor.abort();
+        reload.abort();
         metrics_server.abort();
         flush_links(&shared).await;
         info!(shared.log, "agent stopped");
@@ -197,6 +208,11 @@
                 }
             }
         }
+        if !self.stopped {
+            let open = self.core.open_runs();
+            warn!(self.shared.log, "drain timed out; open runs fail"; "runs" => open);
+            self.run_iteration(Event::DrainTimedOut);
+        }
     }
 
     fn run_iteration(&mut self, event: Event) {
@@ -257,7 +273,12 @@
         let id = start.id.clone();
         let report: Rc<dyn Fn(RunEvent)> = {
             let (shared, id) = (shared.clone(), id.clone());
-            Rc::new(move |event| shared.send(Event::Run(id.clone(), event)))
+            Rc::new(move |event| {
+                if event.is_progress() {
+                    shared.health.borrow_mut().record_progress(shared.clock.now());
+                }
+                shared.send(Event::Run(id.clone(), event));
+            })
         };
         let (calls, attempt) = (self.calls.clone(), id.clone());
         let has_arrived = Rc::new(Cell::new(false));
@@ -294,7 +315,7 @@
 async fn cancel_run(shared: &AgentShared, id: &AttemptId, call: Option<&TargetCall>) {
     let name = id.to_string();
     // A target that is lost in the meantime is reset before it is used again.
-    for _ in 0..MAX_FAILED_POLLS * 4 {
+    for _ in 0..MAX_CALL_TRIES {
         let has_arrived = call.is_none_or(|call| call.has_arrived.get());
         match shared.engine.cancel(&name).await {
             Ok(true) => return,
@@ -305,18 +326,26 @@
 }
 
 async fn resume(shared: Rc<AgentShared>, id: AttemptId, limit: Option<u64>) {
-    if shared.engine.resume(&id, limit).await.is_err() {
-        let failed = RunEvent::Failed(
-            crate::verdict::Verdict::MayHaveRun,
-            "the engine did not go on with it".into(),
-        );
-        shared.send(Event::Run(id, failed));
+    for _ in 0..MAX_CALL_TRIES {
+        match shared.engine.resume(&id, limit).await {
+            Ok(()) => return,
+            Err(error) if !error.is_unreachable() => break,
+            Err(error) => {
+                warn!(shared.log, "failed to resume a run; retrying"; "run" => id.to_string(), "error" => %error);
+                tokio::time::sleep(RETRY_DELAY).await;
+            }
+        }
     }
+    let failed = RunEvent::Failed(
+        crate::verdict::Verdict::MayHaveRun,
+        "the engine did not go on with it".into(),
+    );
+    shared.send(Event::Run(id, failed));
 }
 
 async fn unreserve(shared: Rc<AgentShared>, id: AttemptId) {
     let mut tries = 0;
-    while shared.engine.unreserve(&id).await.is_err() && tries < MAX_FAILED_POLLS * 4 {
+    while shared.engine.unreserve(&id).await.is_err() && tries < MAX_CALL_TRIES {
         tries += 1;
         tokio::time::sleep(RETRY_DELAY).await;
     }
@@ -337,15 +366,18 @@
         }
         tokio::time::sleep(POLL_INTERVAL).await;
     };
-    let mut failed_polls = 0;
+    *shared.health.borrow_mut() = TargetHealth::new(shared.clock.now());
     let mut polls = 0;
     let mut cache_sequence = 0;
-    while failed_polls < MAX_FAILED_POLLS {
+    loop {
         tokio::time::sleep(POLL_INTERVAL).await;
-        match shared.engine.get_load().await {
-            Ok(load) if load.boot == boot => failed_polls = 0,
+        let outcome = match shared.engine.poll_load().await {
+            Ok(load) if load.boot == boot => PollOutcome::Reported,
             Ok(_) => break,
-            Err(_) => failed_polls += 1,
+            Err(outcome) => outcome,
+        };
+        if shared.health.borrow_mut().record_poll(outcome, shared.clock.now()) {
+            break;
         }
         if let Ok(events) = shared.engine.get_cache_events(cache_sequence).await {
             for event in events {
--- a/src/agent/event.rs
+++ b/src/agent/event.rs
@@ -67,6 +67,17 @@
     Cancelled,
 }
 
+impl RunEvent {
+    /// Returns `true` if the event shows that the target works on the run.
+    #[must_use]
+    pub fn is_progress(&self) -> bool {
+        matches!(
+            self,
+            RunEvent::Head(..) | RunEvent::Text(_) | RunEvent::Paused(_) | RunEvent::Done(_)
+        )
+    }
+}
+
 /// An input of the agent's core.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -92,6 +103,8 @@
     EngineHoldings(Vec<EngineHolding>),
     /// The agent is to drain: it refuses new and queued work, and runs at the target continue.
     Drain,
+    /// The time limit of the drain has passed: the open runs fail.
+    DrainTimedOut,
     /// Time has passed; due timers are processed.
     Wake,
 }
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -10,7 +10,7 @@
 
 use slog::{Logger, info, o, warn};
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::{LocalSet, spawn_local};
 
 use super::account::AccountTable;
@@ -21,6 +21,7 @@
 use crate::clock::{ProcessClock, new_incarnation, sleep_until, wall_micros};
 use crate::config::{Config, ConfigVersion};
 use crate::config_store::ConfigStore;
+use crate::connection::ConnectionGroup;
 use crate::error::Result;
 use crate::host_list::HostListClient;
 use crate::hosts::{HostDelta, HostRole};
@@ -29,6 +30,7 @@
 use crate::log::new_logger;
 use crate::metrics::IterationMeter;
 use crate::peer::PeerIdentity;
+use crate::program::on_reload_signal;
 use crate::settings::EntrySettings;
 use crate::store::StoreClient;
 use crate::time::Tick;
@@ -69,8 +71,7 @@
     pub(super) metrics: super::metrics::EntryMetrics,
     pub(super) draining: Cell<bool>,
     pub(super) connections: Cell<usize>,
-    /// Whether connections are closed once their answers have been sent.
-    pub(super) closing: watch::Sender<bool>,
+    pub(super) group: Rc<ConnectionGroup>,
     pub(super) claims: SharedClaims,
     pub(super) config_store: tokio::sync::Mutex<ConfigStore>,
     pull_requested: Notify,
@@ -177,7 +178,7 @@
             metrics: super::metrics::EntryMetrics::new(),
             draining: Cell::new(false),
             connections: Cell::new(0),
-            closing: watch::Sender::new(false),
+            group: ConnectionGroup::new(),
             claims: Rc::new(ClaimStore::new(store.clone())),
             config_store: tokio::sync::Mutex::new(ConfigStore::new(store.clone())),
             pull_requested: Notify::new(),
@@ -188,8 +189,13 @@
         });
         let identity = PeerIdentity { process, key: shared.settings.peer_key.clone() };
         let (pool_events, link_events) = mpsc::unbounded_channel();
-        let pool = LinkPool::new(identity, pool_events);
+        let pool = LinkPool::new(identity, pool_events, log.clone());
+        let reload_log = log.clone();
+        let reload = on_reload_signal(move || {
+            info!(reload_log, "settings not reloaded: all are fixed");
+        });
         let tasks = [
+            spawn_local(reload),
             spawn_local(http::serve(shared.clone(), self.callers)),
             spawn_local(admin::serve(shared.clone(), self.admin)),
             spawn_local(forward_links(shared.clone(), link_events)),
@@ -321,7 +327,7 @@
 
 /// Closes the connections of callers once their answers have been sent, and waits for that.
 async fn flush_replies(shared: Rc<EntryShared>, timeout: Duration) {
-    shared.closing.send_replace(true);
+    shared.group.close();
     let all_closed = async {
         while shared.connections.get() > 0 {
             tokio::time::sleep(Duration::from_millis(5)).await;
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -7,6 +7,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 use serde::Serialize;
+use slog::warn;
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 
@@ -22,8 +23,8 @@
 use crate::prefix::PrefixHashes;
 use crate::verdict::Verdict;
 use crate::web::{
-    BodyError, WebResponse, accept_next, bearer_token, read_body, serve_connection_until,
-    set_verdict, to_error_response, to_json_response, to_response,
+    BodyError, WebResponse, accept_next, bearer_token, read_body, serve_connection, set_verdict,
+    to_error_response, to_json_response, to_response,
 };
 use crate::wire::Call;
 
@@ -41,30 +42,28 @@
 
 /// Accepts connections of callers until the task is aborted.
 pub(super) async fn serve(shared: Rc<EntryShared>, listener: TcpListener) {
+    let mut is_full = false;
     loop {
         let stream = accept_next(&listener).await;
-        if shared.connections.get() >= shared.settings.max_connections {
+        let open = shared.connections.get();
+        if open >= shared.settings.max_connections {
+            shared.metrics.record_closed_unread();
+            if !std::mem::replace(&mut is_full, true) {
+                warn!(shared.log, "connections closed unread: too many are open"; "open" => open);
+            }
             continue;
         }
+        is_full = false;
         let guard = ConnectionGuard::new(shared.clone());
         spawn_local(async move {
             let shared = guard.shared.clone();
-            let closing = wait_closing(shared.clone());
-            serve_connection_until(stream, closing, |request| handle(shared.clone(), request))
-                .await;
+            let group = shared.group.clone();
+            serve_connection(stream, group, |request| handle(shared.clone(), request)).await;
             drop(guard);
         });
     }
 }
 
-/// Waits until connections that exist now are to be closed.
-async fn wait_closing(shared: Rc<EntryShared>) {
-    let mut closing = shared.closing.subscribe();
-    if closing.changed().await.is_err() {
-        std::future::pending::<()>().await;
-    }
-}
-
 struct ConnectionGuard {
     shared: Rc<EntryShared>,
 }
@@ -353,7 +352,8 @@
     let Some(value) = request.headers().get(name) else {
         return Ok(String::new());
     };
-    let text = value.to_str().ok().filter(|text| text.len() <= MAX_IDEMPOTENCY_KEY);
+    let is_too_long = name == IDEMPOTENCY_HEADER && value.len() > MAX_IDEMPOTENCY_KEY;
+    let text = value.to_str().ok().filter(|_| !is_too_long);
     text.map(str::to_owned).ok_or_else(|| {
         RequestFault::new(400, "bad_header", format!("header `{name}` can not be used"))
     })
--- a/src/relay/proxy/exchange.rs
+++ b/src/relay/proxy/exchange.rs
@@ -1,6 +1,6 @@
 //! Entry point for a caller's request: checks access and reads the request.
 
-use std::cell::OnceCell;
+use std::cell::{OnceCell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -154,6 +154,7 @@
         deadline,
         need,
         cached_digest: OnceCell::new(),
+        crash_wait: RefCell::default(),
     };
     if let Some(hold) = job.quarantine_hold(shared) {
         return Err(quarantine_fault(hold));
--- a/src/web.rs
+++ b/src/web.rs
@@ -4,6 +4,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -18,7 +19,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc;
 
-use crate::connection::{RequestBody, serve_requests};
+use crate::connection::{ConnectionGroup, HeadLimit, RequestBody, serve_requests};
 use crate::verdict::Verdict;
 
 /// Header with the verdict on whether the request ran.
@@ -227,23 +228,10 @@
 }
 
 /// Serves one connection until it ends.
-pub(crate) async fn serve_connection<F, R>(stream: TcpStream, handle: F)
+pub(crate) async fn serve_connection<F, R>(stream: TcpStream, group: Rc<ConnectionGroup>, handle: F)
 where
     F: Fn(Request<RequestBody>) -> R,
     R: Future<Output = WebResponse>,
-{
-    serve_connection_until(stream, std::future::pending(), handle).await;
-}
-
-/// Serves one connection until it ends. Once `closing` completes, an idle connection is closed at
-/// once, and any other one after its current answer.
-pub(crate) async fn serve_connection_until<F, R>(
-    stream: TcpStream,
-    closing: impl Future<Output = ()>,
-    handle: F,
-) where
-    F: Fn(Request<RequestBody>) -> R,
-    R: Future<Output = WebResponse>,
 {
     let _ = stream.set_nodelay(true);
     let mut builder = http1::Builder::new();
@@ -253,5 +241,6 @@
         .max_buf_size(MAX_HEADER_BYTES)
         .max_headers(MAX_HEADERS);
     // A connection error is ignored: the outcome of each request is handled separately.
-    serve_requests(stream, &builder, closing, handle).await;
+    let head_limit = HeadLimit { wait_until_overdue: std::future::pending, is_overdue: || false };
+    serve_requests(stream, &builder, group, head_limit, handle).await;
 }
