The rest of a connection begins when its answer is written

A shorter limit in a new configuration brings that to callers of larger answers.

Cause: an answer counted as given when its last frame was buffered, and the rest began then. Now each write after it begins the rest anew, and a connection is not closed for an overdue head while its answer is blocked or a body is discarded.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -91,6 +91,17 @@
             || self.is_discarding.get()
     }
 
+    /// Waits until a head is overdue and nothing of the exchange before it is under way. Both states
+    /// change only where this is polled as well.
+    async fn wait_until_overdue(&self, wait: &impl AsyncFn()) {
+        wait().await;
+        poll_fn(|_| {
+            let is_under_way = self.is_write_blocked.get() || self.is_discarding.get();
+            if is_under_way { Poll::Pending } else { Poll::Ready(()) }
+        })
+        .await;
+    }
+
     fn keep_leftover(&self, body: Incoming) {
         *self.leftover.borrow_mut() = Some(body);
         self.is_discarding.set(true);
@@ -398,7 +409,7 @@
                     is_closed = true;
                     connection.as_mut().graceful_shutdown();
                 }
-                () = (head_limit.wait_until_overdue)() => {
+                () = state.wait_until_overdue(&head_limit.wait_until_overdue) => {
                     // After a stall, timers may fire before what has arrived meanwhile is read.
                     tokio::task::yield_now().await;
                     if let Some(result) = poll_once(connection.as_mut()).await {
--- a/src/relay/caller_connection.rs
+++ b/src/relay/caller_connection.rs
@@ -96,6 +96,15 @@
         }
     }
 
+    /// Begins a rest anew, since the end of an answer is still being written.
+    fn extend_rest(&self) {
+        if self.state.get() == ConnectionState::Idle {
+            let now = self.shared.now();
+            self.state_since.set(now);
+            self.rest_end.set(self.rest_end.get().max(now + self.limits().idle_limit));
+        }
+    }
+
     fn limits(&self) -> CallerLimits {
         self.shared.core.borrow().rules().limits()
     }
@@ -130,7 +139,7 @@
             if armed_for.replace(deadline) != Some(deadline) || sleep.is_elapsed() {
                 sleep.as_mut().reset(Instant::now() + left);
             }
-            sleep.as_mut().poll(context).map(|()| ())
+            sleep.as_mut().poll(context)
         })
         .await;
     }
@@ -213,8 +222,10 @@
 
 impl CallerStream {
     fn check_written(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if matches!(result, Poll::Ready(Err(_))) {
-            self.connection.has_write_failed.set(true);
+        match result {
+            Poll::Ready(Ok(_)) => self.connection.extend_rest(),
+            Poll::Ready(Err(_)) => self.connection.has_write_failed.set(true),
+            Poll::Pending => {}
         }
         result
     }
