A caller that leaves is no fault of its engine, nor is a stall of the entry

If a caller left while its stream was blocked, either branch of a select could come first; one of them reported a broken connection of the engine, which may eject it and count as evidence of a crash. And after a stall of the entry an answer that had arrived could lose against its time limit. Both branches are ordered now. Read in the code (review), not shown by a run.

--- a/src/relay/proxy/stream.rs
+++ b/src/relay/proxy/stream.rs
@@ -67,6 +67,7 @@
     tokio::task::spawn_local(async move {
         let mut output = StreamOutput { start: Some(start), chunks };
         tokio::select! {
+            biased;
             // All work for a request is cancelled when its caller leaves.
             () = caller.closed() => {}
             () = run_stream(&task_shared, &job, &mut output, &mut ledger) => {}
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -147,6 +147,7 @@
         loop {
             let left = tick.since(self.now());
             tokio::select! {
+                biased;
                 output = &mut work => return Some(output),
                 () = tokio::time::sleep(left) => return None,
                 _ = resumes.changed() => {}
