Silent attempts: a third target, failures of replacements, refusals after a silence

- With three targets on a route that allows three, of which two stay silent, a call got 504 after 8.00 s and a stream broke off then: nothing was sought beside two attempts.
The race now holds any number of attempts, within the limits of the route, and seeks another target once all are silent.
Silent attempts that lose are recorded as such.
- A replacement that answered 404 ended a sound attempt that would have answered 200 after 0.6 s.
Its failure is kept aside while an earlier attempt goes on.
- A target that refused after a silence was asked again though another was free: the silent attempt counted as a run before it had ended.
Only ended attempts count.

--- a/src/relay/proxy/attempt_race.rs
+++ b/src/relay/proxy/attempt_race.rs
@@ -1,10 +1,15 @@
-//! Two attempts of one request at the same time: one whose target is silent, and its replacement.
+//! Attempts of one request at the same time: those whose targets are silent, and the latest
+//! replacement.
 //!
 //! An attempt is ended only once another one has yielded something, since a silent target may still
 //! go on, and a replacement may be refused, fail or be silent as well.
 
 use std::rc::Rc;
 
+use bytes::Bytes;
+use futures_util::future::select_all;
+use hyper::Response;
+
 use super::forward::{AttemptFault, SendOrder};
 use super::job::RelayJob;
 use super::ledger::RequestLedger;
@@ -13,12 +18,15 @@
 use crate::relay::decide::placement::Placement;
 use crate::relay::shared::RelayShared;
 
+/// What an attempt has yielded, and its index.
+type RaceStep = (usize, Result<AttemptYield, AttemptFault>);
+
 /// The attempts of a request that are in progress.
 pub(crate) struct AttemptRace<'a> {
     shared: &'a Rc<RelayShared>,
     job: &'a RelayJob,
-    current: RunningAttempt<'a>,
-    replacement: Option<RunningAttempt<'a>>,
+    /// In the order in which they were sent; never empty.
+    attempts: Vec<RunningAttempt<'a>>,
 }
 
 impl<'a> AttemptRace<'a> {
@@ -30,13 +38,13 @@
         series: &AttemptSeries,
         position: &StreamPosition,
     ) -> Self {
-        let current = start_attempt(shared, job, placement, series, position);
-        AttemptRace { shared, job, current, replacement: None }
+        let first = start_attempt(shared, job, placement, series, position);
+        AttemptRace { shared, job, attempts: vec![first] }
     }
 
     /// Returns the attempt that yielded last, or the one that failed.
     pub(crate) fn current(&mut self) -> &mut RunningAttempt<'a> {
-        &mut self.current
+        &mut self.attempts[0]
     }
 
     /// Returns what the attempts yield next, without silence.
@@ -50,101 +58,118 @@
         ledger: &mut RequestLedger,
     ) -> Result<AttemptYield, AttemptFault> {
         loop {
-            let step = if self.replacement.is_some() {
-                self.race(series).await
-            } else if self.current.silence().is_some() {
-                self.seek_replacement(series, ledger).await
+            let step = if self.may_seek() {
+                self.next_or_replace(series, ledger).await
             } else {
-                self.current.next().await
+                Some(next_step(&mut self.attempts).await)
             };
-            match step? {
-                AttemptYield::Silence => {}
-                progress => return Ok(progress),
+            let Some((index, result)) = step else { continue };
+            if let Some(progress) = self.handle(series, index, result) {
+                return progress;
             }
         }
     }
 
-    /// Waits for the silent attempt until it yields something or a replacement can be sent.
-    async fn seek_replacement(
+    /// Returns `true` if all targets are silent, and another one could continue the answer.
+    fn may_seek(&self) -> bool {
+        let are_silent = self.attempts.iter().all(|attempt| attempt.silence().is_some());
+        are_silent && self.attempts[0].position().may_continue()
+    }
+
+    /// Waits for the silent attempts until one yields something, or until a replacement is sent,
+    /// for which `None` is returned.
+    async fn next_or_replace(
         &mut self,
         series: &mut AttemptSeries,
         ledger: &mut RequestLedger,
-    ) -> Result<AttemptYield, AttemptFault> {
-        let silent = self.current.attempt.clone();
+    ) -> Option<RaceStep> {
+        let silent: Vec<_> =
+            self.attempts.iter().map(|attempt| attempt.attempt.target.clone()).collect();
+        let search = async {
+            // After a stall, silence may be noticed before what has arrived meanwhile is read.
+            tokio::task::yield_now().await;
+            series.find_replacement(self.shared, self.job, &silent).await
+        };
         let placement = tokio::select! {
             biased;
-            step = self.current.next() => return step,
-            placement = series.find_replacement(self.shared, self.job, &silent) => placement,
+            step = next_step(&mut self.attempts) => return Some(step),
+            placement = search => placement,
         };
         ledger.record_send(&placement.target);
-        let position = self.current.position();
+        let position = self.attempts[0].position();
         let replacement = start_attempt(self.shared, self.job, placement, series, &position);
-        self.replacement = Some(replacement);
-        Ok(AttemptYield::Silence)
+        self.attempts.push(replacement);
+        None
     }
 
-    /// Waits for both attempts. The first one that yields something goes on, the other one ends.
-    async fn race(&mut self, series: &mut AttemptSeries) -> Result<AttemptYield, AttemptFault> {
-        let Some(replacement) = &mut self.replacement else { return Ok(AttemptYield::Silence) };
-        tokio::select! {
-            biased;
-            step = self.current.next() => self.end_race(series, step),
-            step = replacement.next() => self.continue_race(series, step),
-        }
-    }
-
-    /// Handles what the silent attempt has yielded.
-    fn end_race(
+    /// Handles what an attempt has yielded. Returns `None` if the others go on.
+    fn handle(
         &mut self,
         series: &mut AttemptSeries,
-        step: Result<AttemptYield, AttemptFault>,
-    ) -> Result<AttemptYield, AttemptFault> {
-        if matches!(step, Ok(AttemptYield::Silence)) {
-            return step;
-        }
-        let Some(replacement) = self.replacement.take() else { return step };
-        match step {
-            Err(fault) if !fault.is_timeout => {
-                series.record_fault(self.shared, self.job, &mut self.current, fault);
-                self.current = replacement;
-                Ok(AttemptYield::Silence)
+        index: usize,
+        result: Result<AttemptYield, AttemptFault>,
+    ) -> Option<Result<AttemptYield, AttemptFault>> {
+        let is_last = self.attempts.len() == 1;
+        match result {
+            Ok(AttemptYield::Silence) => None,
+            Err(fault) if is_last || fault.is_timeout => {
+                self.end_others(series, index);
+                Some(Err(fault))
             }
-            step => {
-                series.record_superseded(&replacement);
-                step
+            Err(fault) => {
+                let mut failed = self.attempts.remove(index);
+                series.record_fault(self.shared, self.job, &mut failed, fault);
+                None
+            }
+            Ok(AttemptYield::Answer(answer)) if index > 0 && !answer.status().is_success() => {
+                self.set_answer_aside(series, index, answer);
+                None
+            }
+            Ok(progress) => {
+                self.end_others(series, index);
+                Some(Ok(progress))
             }
         }
     }
 
-    /// Handles what the replacement has yielded.
-    fn continue_race(
+    /// Ends a replacement that answered with a failure, since the target before it may succeed.
+    fn set_answer_aside(
         &mut self,
         series: &mut AttemptSeries,
-        step: Result<AttemptYield, AttemptFault>,
-    ) -> Result<AttemptYield, AttemptFault> {
-        match step {
-            Ok(AttemptYield::Silence) => return step,
-            Err(fault) => {
-                if let Some(mut replacement) = self.replacement.take() {
-                    series.record_fault(self.shared, self.job, &mut replacement, fault);
-                }
-                return Ok(AttemptYield::Silence);
-            }
-            Ok(_) => {}
+        index: usize,
+        answer: Response<Bytes>,
+    ) {
+        let ended = self.attempts.remove(index);
+        series.record_superseded(&ended);
+        if !self.job.route.is_stream {
+            series.keep_answer(answer);
         }
-        if let Some(replacement) = self.replacement.take() {
-            match self.current.silence().map(AttemptFault::silent) {
+    }
+
+    /// Ends all attempts but one.
+    fn end_others(&mut self, series: &mut AttemptSeries, index: usize) {
+        let winner = self.attempts.swap_remove(index);
+        for mut ended in std::mem::replace(&mut self.attempts, vec![winner]) {
+            match ended.silence().map(AttemptFault::silent) {
                 Some(fault) => {
-                    series.record_fault(self.shared, self.job, &mut self.current, fault);
+                    series.record_fault(self.shared, self.job, &mut ended, fault);
                 }
-                None => series.record_superseded(&self.current),
+                None => series.record_superseded(&ended),
             }
-            self.current = replacement;
         }
-        step
     }
 }
 
+/// Waits until one of the attempts yields something. The one that was sent first comes first.
+async fn next_step(attempts: &mut [RunningAttempt<'_>]) -> RaceStep {
+    if let [only] = attempts {
+        return (0, only.next().await);
+    }
+    let steps = attempts.iter_mut().map(|attempt| Box::pin(attempt.next()));
+    let (result, index, _) = select_all(steps).await;
+    (index, result)
+}
+
 fn start_attempt<'a>(
     shared: &'a Rc<RelayShared>,
     job: &'a RelayJob,
--- a/src/relay/proxy/running_attempt.rs
+++ b/src/relay/proxy/running_attempt.rs
@@ -46,6 +46,13 @@
     pub(crate) is_started: bool,
 }
 
+impl StreamPosition {
+    /// Returns `true` if another target can continue after what the caller has received.
+    pub(crate) fn may_continue(&self) -> bool {
+        !self.is_started || self.splitter.last_id().is_some()
+    }
+}
+
 type Opening<'a> = Pin<Box<dyn Future<Output = Result<OpenAnswer, AttemptFault>> + 'a>>;
 
 enum AttemptState<'a> {
--- a/src/relay/proxy/series.rs
+++ b/src/relay/proxy/series.rs
@@ -143,41 +143,42 @@
         self.tried.is_empty() && self.sends.is_empty()
     }
 
-    /// Waits until a silent attempt can be replaced, and returns where its replacement is to be
-    /// sent. The retry for it is acquired; the silent attempt goes on.
+    /// Waits until the silent attempts can be replaced, and returns where the replacement is to be
+    /// sent. The retry for it is acquired; the silent attempts go on.
     pub(crate) async fn find_replacement(
         &mut self,
         shared: &Rc<RelayShared>,
         job: &RelayJob,
-        silent: &PlacedAttempt,
+        silent: &[Arc<str>],
     ) -> Placement {
-        self.set_aside(silent);
+        for target in silent {
+            if !self.tried.contains(target) {
+                self.tried.push(target.clone());
+                // The acquired retry, if any, is spent.
+                self.send_before = Tick::default();
+            }
+        }
         loop {
-            if let Some(placement) = self.place_replacement(shared, job).await {
+            // A refusal leaves time for another target to accept requests.
+            if self.was_refused {
+                tokio::time::sleep(REPLACEMENT_INTERVAL).await;
+            }
+            if let Some(placement) = self.place_replacement(shared, job, silent.len()).await {
                 return placement;
             }
             tokio::time::sleep(REPLACEMENT_INTERVAL).await;
         }
     }
 
-    /// Records that the target of an attempt that goes on is not a target of the next one.
-    fn set_aside(&mut self, silent: &PlacedAttempt) {
-        if self.tried.contains(&silent.target) {
-            return;
-        }
-        self.tried.push(silent.target.clone());
-        self.record_run(silent);
-        self.send_before = Tick::default();
-    }
-
     async fn place_replacement(
         &mut self,
         shared: &Rc<RelayShared>,
         job: &RelayJob,
+        in_progress: usize,
     ) -> Option<Placement> {
         let waits_for_reports =
             job.crash_wait_until(shared).is_some_and(|until| until > shared.now());
-        if !self.may_replace(shared, job)
+        if !self.may_replace(shared, job, in_progress)
             || waits_for_reports
             || job.quarantine_hold(shared).is_some()
         {
@@ -191,11 +192,11 @@
         Some(placement)
     }
 
-    /// Returns `true` if another target could be tried beside the attempt that goes on.
-    fn may_replace(&self, shared: &RelayShared, job: &RelayJob) -> bool {
+    /// Returns `true` if another target could be tried beside the attempts that go on.
+    fn may_replace(&self, shared: &RelayShared, job: &RelayJob, in_progress: usize) -> bool {
         let is_allowed = shared.core.borrow().limits().policy.hedges
             && job.route.repeat.is_repeatable()
-            && self.sends.runs() + 1 < job.route.max_targets
+            && self.sends.runs() + in_progress < job.route.max_targets
             && self.sends.allows(job.route.max_targets);
         is_allowed && {
             let (domains, now) = (job.domains.as_deref(), shared.now());
@@ -209,8 +210,13 @@
             self.sends.record(SendEnd::MayHaveRun);
             self.worst_verdict = self.worst_verdict.join(Verdict::MayHaveRun);
             self.record_run(&attempt.attempt);
+            self.send_before = Tick::default();
         }
-        self.send_before = Tick::default();
+    }
+
+    /// Keeps the failure response of a target, in case no other attempt succeeds.
+    pub(crate) fn keep_answer(&mut self, answer: Response<Bytes>) {
+        self.answer.get_or_insert_with(|| Box::new(answer));
     }
 
     fn record_run(&mut self, attempt: &PlacedAttempt) {
