--- a/src/connection.rs
+++ b/src/connection.rs
@@ -389,22 +389,23 @@
         let closing = async {
             group.closing().await;
             tokio::time::sleep(CLOSE_DELAY).await;
+            // The state changes only in this task, which polls this again then.
             poll_fn(|_| if state.is_busy() { Poll::Pending } else { Poll::Ready(()) }).await;
         };
         tokio::pin!(connection, discarding, closing);
-        let discarding = poll_fn(|context| {
+        let discard_and_mark = poll_fn(|context| {
             let polled = discarding.as_mut().poll(context);
             mark.set(state.is_busy());
             polled
         });
-        tokio::pin!(discarding);
+        tokio::pin!(discard_and_mark);
         let mut is_closed = false;
         loop {
             tokio::select! {
                 // The connection comes first: what has arrived is read before it is closed.
                 biased;
                 result = connection.as_mut() => break (result.err(), is_closed),
-                never = &mut discarding => match never {},
+                never = &mut discard_and_mark => match never {},
                 () = &mut closing, if !is_closed => {
                     is_closed = true;
                     connection.as_mut().graceful_shutdown();
--- a/src/relay/proxy/silence_watch.rs
+++ b/src/relay/proxy/silence_watch.rs
@@ -74,16 +74,19 @@
         self.stream_due = None;
     }
 
-    /// Waits until the target has been silent for too long before the head or within an answer
-    /// that is read whole.
+    /// Waits until the target has been silent for too long before the head of its answer. Never
+    /// completes while a silence that was noticed goes on.
     pub(crate) async fn wait_for_answer(&mut self, shared: &RelayShared, job: &RelayJob) {
         if self.noticed.is_some() {
             return std::future::pending().await;
         }
-        while self.noticed.is_none() {
+        loop {
             tokio::time::sleep(CHECK_INTERVAL).await;
             let sent_at = self.sent_at.get();
             self.noticed = sent_at.and_then(|sent_at| self.check_answer(shared, job, sent_at));
+            if self.noticed.is_some() {
+                return;
+            }
         }
     }
 
@@ -132,7 +135,8 @@
         !shared.core.borrow_mut().time_to_prefill(&self.attempt, shared.now()).is_zero()
     }
 
-    /// Waits until the target has been silent for too long within a stream.
+    /// Waits until the target has been silent for too long within a stream. Never completes while
+    /// a silence that was noticed goes on.
     pub(crate) async fn wait_for_event(&mut self, shared: &RelayShared, job: &RelayJob) {
         if self.noticed.is_some() {
             return std::future::pending().await;
