--- a/review/standins.rs
+++ b/review/standins.rs
@@ -254,6 +254,31 @@
     });
 }
 
+/// Serves each channel in a thread of its own; `answer` writes to the channel itself, and returns
+/// `true` if the channel stays open.
+pub fn serve_written(
+    address: SocketAddr,
+    answer: impl Fn(&Request, &mut TcpStream) -> bool + Send + Sync + 'static,
+) {
+    let listener = TcpListener::bind(address)
+        .unwrap_or_else(|error| cannot_run(&format!("{address}: {error}")));
+    let answer = Arc::new(answer);
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let answer = answer.clone();
+            thread::spawn(move || {
+                let _ = stream.set_nodelay(true);
+                let mut buffer = Vec::new();
+                while let Ok(Some(request)) = read_request(&mut stream, &mut buffer) {
+                    if !answer(&request, &mut stream) {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+}
+
 fn serve_channel(mut stream: TcpStream, answer: &(dyn Fn(&Request) -> Act + Send + Sync)) {
     let _ = stream.set_nodelay(true);
     let mut buffer = Vec::new();
