A target's 408, 429 or 503 after a run is not passed on as a promise

Cause: whole_answer treated the status of a target that states no refusal as its answer unless the route may be repeated. A refusal (Not-Executed) never gets there, so each 408, 421, 429 and 503 there is a false promise. On routes that may be repeated the last failure was passed on as well, and a 408 or 429 counted as a success of its target.

Now such a status is a fault with the verdict that the request ran: repeated where that is allowed, and answered with a 502 of the entry's own otherwise. No status of a target is rewritten; others pass unchanged.

--- a/src/relay/proxy/running_attempt.rs
+++ b/src/relay/proxy/running_attempt.rs
@@ -20,7 +20,7 @@
 use crate::relay::decide::targets::TargetFault;
 use crate::relay::shared::RelayShared;
 use crate::time::Tick;
-use crate::verdict::Verdict;
+use crate::verdict::{Verdict, promises_not_run};
 
 /// Largest answer of a target that is buffered, in bytes.
 pub(crate) const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
@@ -290,7 +290,8 @@
     }
 
     /// Returns the answer that was read. Failures of the target that another attempt may avoid are
-    /// faults.
+    /// faults, and so are statuses that promise that the request has not run: refusals do not get
+    /// here.
     fn whole_answer(&mut self) -> Result<Response<Bytes>, AttemptFault> {
         let body = std::mem::take(&mut self.buffer).freeze();
         let AttemptState::Open(answer) = &self.state else {
@@ -298,12 +299,15 @@
         };
         let response = Response::from_parts(answer.parts.clone(), body);
         let status = self.end_answer();
-        if status.is_server_error() && self.job.route.repeat.is_repeatable() {
+        let is_promise = promises_not_run(status);
+        let may_repeat = self.job.route.repeat.is_repeatable();
+        if is_promise || (status.is_server_error() && may_repeat) {
             let mut fault =
                 AttemptFault::malformed(format!("the target answered {}", status.as_u16()));
             fault.fault = TargetFault::Error;
             fault.verdict = Verdict::Ran;
-            fault.answer = (!self.job.route.is_stream).then(|| Box::new(response));
+            let may_forward = !is_promise && !self.job.route.is_stream;
+            fault.answer = may_forward.then(|| Box::new(response));
             return Err(fault);
         }
         if self.is_continuation {
--- a/src/verdict.rs
+++ b/src/verdict.rs
@@ -1,6 +1,7 @@
 //! Verdicts on whether a request may have run.
 
 use derive_more::Display;
+use hyper::StatusCode;
 use serde::{Deserialize, Serialize};
 
 /// What is known about the execution of a request that did not get a complete answer.
@@ -35,3 +36,16 @@
         self.max(other)
     }
 }
+
+/// Returns `true` if a status tells callers that the request has not run and never will, so that
+/// they may send it again.
+#[must_use]
+pub fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
