A refusal that names another request is no promise for this one

Callers would have seen: a request that ran was answered 503 (not run), where a target sends a late refusal of an earlier request in the place of the answer.

Cause: check_head compares the named attempt only for answers that are no refusals. Evidence: the_refusal_of_another_request_is_no_promise_for_this_one got 503 for a request that its target had received; now 502 with the verdict may-have-run. Refusals without any name still count: targets that cannot read a request do not name it.

--- a/src/relay/proxy/forward.rs
+++ b/src/relay/proxy/forward.rs
@@ -313,7 +313,10 @@
 /// Returns a fault for a refusal, and for an answer that belongs to another request, has a content
 /// encoding or lacks a signature.
 fn check_head(job: &RelayJob, parts: &Parts, head: &AnswerHead) -> Result<(), AttemptFault> {
-    if head.attempt.as_deref() != job.head.attempt.as_deref() && !head.is_not_run {
+    let is_own = head.attempt.as_deref() == job.head.attempt.as_deref();
+    // Targets that cannot read a request refuse it without naming it.
+    let is_unnamed_refusal = head.is_not_run && head.attempt.is_none();
+    if !is_own && !is_unnamed_refusal {
         return Err(AttemptFault::malformed("answer to another request"));
     }
     if head.is_not_run {
