Entry: a request that may have run is not refused with 503

Callers saw: at the end of a planned stop an open request was answered 503, the status of a refusal, though it may have run; likewise where a retry after a run found no target (no_target, overloaded). The verdict beside it said so, the status promised the contrary.

Cause: the status followed from the code of the failure alone. Now a status that promises that a request has not run needs the verdict not-run, and is 502 otherwise, without Retry-After; code and verdict stay.

tests/stops.rs asserted 503 with the verdict may-have-run, the fault itself. It now asserts 502 with the same verdict and code, which is as strict; it failed before this change (503).

--- a/src/entry/answers.rs
+++ b/src/entry/answers.rs
@@ -9,14 +9,16 @@
 
 use super::caller::CallerHandle;
 use super::event::{Failure, FailureCode, Reply};
-use crate::verdict::Verdict;
+use crate::verdict::{Verdict, promises_not_run};
 use crate::web::{
     ChunkStream, ErrorBody, ResponseBody, WebResponse, set_verdict, to_error_response, to_response,
 };
 use crate::wire::Completion;
 
-pub(super) fn to_status(code: FailureCode) -> StatusCode {
-    match code {
+/// Returns the status of a failure. One that promises that the request has not run is used only
+/// if that is known.
+pub(super) fn to_status(failure: &Failure) -> StatusCode {
+    let status = match failure.code {
         FailureCode::LimitExceeded => StatusCode::TOO_MANY_REQUESTS,
         FailureCode::Overloaded
         | FailureCode::NoTarget
@@ -25,12 +27,16 @@
         FailureCode::TimeLimit => StatusCode::GATEWAY_TIMEOUT,
         FailureCode::TargetFailed => StatusCode::BAD_GATEWAY,
         FailureCode::PromptTooLong => StatusCode::PAYLOAD_TOO_LARGE,
-    }
+    };
+    let is_false_promise = promises_not_run(status) && failure.verdict != Verdict::NotRun;
+    if is_false_promise { StatusCode::BAD_GATEWAY } else { status }
 }
 
 pub(super) fn answer_failure(failure: &Failure, id: &str) -> WebResponse {
-    let (status, code) = (to_status(failure.code), failure.code.to_string());
-    to_error_response(status, &code, &failure.message, failure.verdict, id, failure.retry_after)
+    let (status, code) = (to_status(failure), failure.code.to_string());
+    // Without a promise there is nothing that the caller may send again.
+    let retry_after = failure.retry_after.filter(|_| failure.verdict == Verdict::NotRun);
+    to_error_response(status, &code, &failure.message, failure.verdict, id, retry_after)
 }
 
 /// Format of the answer to one model request.
