Entry: a service's 408, 421, 429 or 503 is not passed on as a promise

Callers saw: a service that had executed an order answered 408 (421, 429, 503) and the entry passed the status on, which callers take for "not run".

Cause: answer_service passed on whatever status the service gave; a plain service has no means to say that it has not run a call. Now such an answer is a 502 of the entry's own (target_failed, may-have-run); all others pass unchanged.

an_order_that_a_service_executed_is_not_promised_not_to_have_run failed before with (408, "ran").

--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -21,7 +21,7 @@
 use crate::config::AccountPolicy;
 use crate::connection::RequestBody;
 use crate::prefix::PrefixHashes;
-use crate::verdict::Verdict;
+use crate::verdict::{Verdict, promises_not_run};
 use crate::web::{
     BodyError, WebResponse, accept_next, bearer_token, read_body, serve_connection, set_verdict,
     to_error_response, to_json_response, to_response,
@@ -375,6 +375,18 @@
         }
     }
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    if promises_not_run(status) {
+        let text = format!("the service was given the request and answered {}", status.as_u16());
+        let verdict = Verdict::MayHaveRun;
+        return to_error_response(
+            StatusCode::BAD_GATEWAY,
+            "target_failed",
+            &text,
+            verdict,
+            id,
+            None,
+        );
+    }
     let mut response = to_response(status, content_type, body);
     set_verdict(response.headers_mut(), Verdict::Ran, id);
     response
--- a/standins/src/plain_server.rs
+++ b/standins/src/plain_server.rs
@@ -26,6 +26,8 @@
     pub loses_answers: bool,
     /// Additional delay before each order is executed.
     pub delay: Duration,
+    /// Status with which the service answers after it has executed an order, in place of 200.
+    pub failed_with: Option<StatusCode>,
 }
 
 /// A running plain service with counters and fault injection.
@@ -110,5 +112,8 @@
     if fault.loses_answers {
         return None;
     }
+    if let Some(status) = fault.failed_with {
+        return Some(reply(status, "the order was executed, its receipt could not be written"));
+    }
     Some(reply_json(&serde_json::json!({"done": order.order})))
 }
