Agent: an engine that fails a run with 500 may have run it

Callers saw: 503 with the verdict not-run for a run that its engines had begun; a request that must not be repeated was begun at a second engine.

Cause: try_run took each status but success for a refusal. An engine refuses with 503 or a status that blames the call; all others now leave the verdict open.

a_run_that_an_engine_began_and_failed_may_have_run failed before (503, not-run).

--- a/src/agent/engine.rs
+++ b/src/agent/engine.rs
@@ -246,7 +246,7 @@
         if !status.is_success() {
             report_backoff(&response, report);
             let text = format!("the engine answered {status}");
-            return Err(RunEvent::Failed(Verdict::NotRun, text.into()));
+            return Err(RunEvent::Failed(to_verdict(status), text.into()));
         }
         let mut stream = EventStream::new(response.into_body());
         loop {
@@ -291,6 +291,13 @@
     }
 }
 
+/// Returns the verdict on a run whose start an engine answered with a failure. Engines refuse a run
+/// with 503 or a status that blames the call, and answer so only before it begins.
+fn to_verdict(status: StatusCode) -> Verdict {
+    let is_refusal = status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE;
+    if is_refusal { Verdict::NotRun } else { Verdict::MayHaveRun }
+}
+
 /// Reports the back-off that an overloaded target asks for in `Retry-After`.
 pub(super) fn report_backoff<T>(response: &Response<T>, report: &Rc<dyn Fn(RunEvent)>) {
     let overload_statuses = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS];
--- a/standins/src/engine_server.rs
+++ b/standins/src/engine_server.rs
@@ -48,6 +48,8 @@
     pub drops_load_calls: bool,
     /// Number of further calls to resume a run that are closed without a response or an effect.
     pub dropped_resumes: u32,
+    /// Status with which start calls are answered after their run has begun, in place of a stream.
+    pub failed_with: Option<StatusCode>,
 }
 
 /// An engine on a loopback port, with fault injection for tests.
@@ -224,7 +226,9 @@
         (Method::DELETE, ["v1", "kv", id]) => reply_found(lock(&state.model).unreserve(id)),
         (Method::POST, ["v1", "orders"]) => apply_order(&state, request).await,
         (Method::POST, ["v1", "completions"] | ["v1", "chat", "completions"]) => {
-            start(&state, request).await
+            let stream = start(&state, request).await;
+            let failed_with = lock(&state.fault).failed_with;
+            failed_with.map_or(stream, |status| reply(status, "the run failed"))
         }
         _ => reply(StatusCode::NOT_FOUND, "no such path"),
     })
--- a/tests/false_promises.rs
+++ b/tests/false_promises.rs
@@ -7,8 +7,9 @@
 mod support;
 
 use hyper::StatusCode;
-use standins::caller::{call, order};
+use standins::caller::{call, completion, order};
 use standins::engine_model::EngineSpec;
+use standins::prompt::make_prompt;
 use support::{Site, keyed_order};
 
 const PROMISES: [StatusCode; 4] = [
@@ -43,3 +44,19 @@
         assert_eq!((answer.status, answer.verdict.as_str()), (status.as_u16(), "ran"));
     }
 }
+
+#[tokio::test]
+async fn a_run_that_an_engine_began_and_failed_may_have_run() {
+    let site = Site::start(1, 2, EngineSpec::default()).await;
+    for engine in &site.engines {
+        engine.fault.lock().expect("fault").failed_with = Some(StatusCode::INTERNAL_SERVER_ERROR);
+    }
+    let prompt = make_prompt(200, 1, 0, 1);
+    let mut once = completion("pier-app", &prompt, 5);
+    once.headers_mut().insert("shalelane-repeatable", "no".parse().expect("a header"));
+    let answer = call(site.callers(0), once).await.expect("answer");
+    assert_eq!((answer.status, answer.verdict.as_str()), (502, "may-have-run"));
+    let started: u64 =
+        site.engines.iter().map(standins::engine_server::EngineServer::runs_started).sum();
+    assert_eq!(started, 1, "a run that must not be repeated was started again");
+}
