An entry that was cut off reads the store as soon as it is in contact again

Agents answer subscriptions every 750 ms. An entry that heard none for a second asks a few every 250 ms; when one answers, and the store did not answer either, pending calls and delays end and list and configuration are read at once.

an_entry_back_from_a_cut_sends_nothing_to_a_target_that_has_left failed before (list read 1.17 s after the cut; 3 s less the 2 s of return allow 1 s) and passes.

--- a/src/relay/decide/mod.rs
+++ b/src/relay/decide/mod.rs
@@ -5,6 +5,7 @@
 //! - [`rate_limit`]: the rate of requests that a target accepts from all entries together,
 //!   [`rate_table`]: the known rates, and [`permit_issuer`]: permits to send to a rate-limited
 //!   target.
+//! - [`peer_contact`]: whether this process is cut off from its peers.
 //! - [`connection_gate`]: whether an overloaded entry takes new connections.
 //! - [`urgency`]: the ranks of requests, and what each is worth beside the others.
 //! - [`warmup`]: the rate limit of a target that has just come into use.
@@ -47,6 +48,7 @@
 pub mod part_message;
 pub mod part_probe;
 pub mod pass_model;
+pub mod peer_contact;
 mod pending_prefill;
 pub mod permit_issuer;
 pub mod placement;
--- a/src/relay/discovery/follow_config.rs
+++ b/src/relay/discovery/follow_config.rs
@@ -46,18 +46,14 @@
             continue;
         }
         let sent_at = shared.now();
-        let read = match read_proof(&shared, &source).await {
+        let read = shared.run_until_cut_ends(read_proof(&shared, &source)).await;
+        let Some(read) = read else { continue };
+        let read = match read {
             Ok(read) => read,
             Err(error) => {
                 record_lost_store(&shared, is_reachable, &error);
                 is_reachable = false;
-                // If the store turns away only this entry, other entries prove the configuration
-                // for it.
-                if renew_proof_from_peers(&shared).await {
-                    tokio::time::sleep(TURNED_AWAY_INTERVAL).await;
-                } else {
-                    wait_for_store(&shared).await;
-                }
+                shared.run_until_cut_ends(wait_after_failure(&shared)).await;
                 continue;
             }
         };
@@ -122,6 +118,16 @@
     Ok(read)
 }
 
+/// Waits until the store is to be read again after a failure. If the store turns away only this
+/// entry, other entries prove the configuration for it.
+async fn wait_after_failure(shared: &RelayShared) {
+    if renew_proof_from_peers(shared).await {
+        tokio::time::sleep(TURNED_AWAY_INTERVAL).await;
+    } else {
+        wait_for_store(shared).await;
+    }
+}
+
 /// Waits until this entry has to call the store again: as one of the probing entries, or because
 /// another entry has reached it.
 async fn wait_for_store(shared: &RelayShared) {
--- a/src/relay/discovery/follow_targets.rs
+++ b/src/relay/discovery/follow_targets.rs
@@ -48,14 +48,18 @@
     let mut outages = shared.store_recoveries.subscribe();
     loop {
         outages.mark_unchanged();
-        let Some(mut position) = read_list(&shared, &source, received_at, known_at).await else {
-            wait_for_list(&shared, &mut outages).await;
+        let read = read_list(&shared, &source, received_at, known_at);
+        let Some(position) = shared.run_until_cut_ends(read).await else { continue };
+        let Some(mut position) = position else {
+            shared.run_until_cut_ends(wait_for_list(&shared, &mut outages)).await;
             continue;
         };
         loop {
             (received_at, known_at) = (shared.now(), position.known_at);
             let next = tokio::select! {
-                next = receive_changes(&shared, &source, position) => next,
+                next = shared.run_until_cut_ends(receive_changes(&shared, &source, position)) => {
+                    next.flatten()
+                }
                 // The connection of the watch may hang since an outage.
                 _ = outages.changed() => None,
             };
--- a/src/relay/peers/receive.rs
+++ b/src/relay/peers/receive.rs
@@ -25,6 +25,7 @@
             continue;
         };
         let now = shared.now();
+        shared.record_peer_heard(now);
         if let Some(message) = message.to_part_message() {
             shared.core.borrow_mut().apply_part_message(&message, now);
             shared.report_suspects();
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -585,6 +585,11 @@
         warn!(self.logger, "host was suspended"; "for_ms" => duration.as_millis() as u64);
     }
 
+    /// Logs that this process is in contact with its peers again.
+    pub fn contact_regained(&self, silence: Duration) {
+        warn!(self.logger, "peers heard again"; "silent_ms" => silence.as_millis() as u64);
+    }
+
     /// Logs that the store was restored from a backup.
     pub fn epoch_changed(&self, before: u64, epoch: u64) {
         warn!(self.logger, "store restored from a backup"; "epoch_before" => before, "epoch" => epoch);
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -113,6 +113,8 @@
         store_failed_at: Cell::new(None),
         start_phase: watch::Sender::new(StartPhase::Loading),
         store_recoveries: watch::Sender::new(0),
+        peer_contact: RefCell::default(),
+        cut_ends: watch::Sender::new(0),
         config_changed: Notify::new(),
         config_update: RefCell::default(),
         list_due: Notify::new(),
@@ -403,6 +405,9 @@
         update_watching(&shared, now);
         shared.core.borrow_mut().expire_rates(now);
         shared.link.subscribe(&mut shared.core.borrow_mut(), now);
+        if shared.peer_contact.borrow().is_cut_off(now) {
+            shared.link.query_agents(&shared.core.borrow(), now);
+        }
         shared.link.deposit(&mut shared.core.borrow_mut(), now);
         was_held = log_proof(&shared, was_held, now);
     }
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -12,6 +12,7 @@
 use super::core::RelayCore;
 use super::counts::RelayCounts;
 use super::decide::connection_gate::ConnectionGate;
+use super::decide::peer_contact::PeerContact;
 use super::decide::permit_issuer::PermitReply;
 use super::decide::reservation::ReservationNames;
 use super::decide::start_wait::{StartPhase, start_wait};
@@ -52,6 +53,10 @@
     pub(crate) start_phase: watch::Sender<StartPhase>,
     /// Counts the times that the store became reachable again.
     pub(crate) store_recoveries: watch::Sender<u64>,
+    /// Contact with agents and other entries.
+    pub(crate) peer_contact: RefCell<PeerContact>,
+    /// Counts the times that this process was cut off from its peers and the store, and is no longer.
+    pub(crate) cut_ends: watch::Sender<u64>,
     /// Notified by the watch of the configuration, on an update or at its end.
     pub(crate) config_changed: Notify,
     /// The newest update from that watch that has not been applied yet.
@@ -164,6 +169,28 @@
         self.config_changed.notify_one();
     }
 
+    /// Records that a peer was heard. If this process was cut off before, and not only a peer but
+    /// the store as well did not answer, everything that it knows of them is read again at once.
+    pub(crate) fn record_peer_heard(&self, now: Tick) {
+        let Some(heard_at) = self.peer_contact.borrow_mut().record_heard(now) else { return };
+        if self.store_failed_at.get().is_some_and(|failed_at| failed_at >= heard_at) {
+            self.log.contact_regained(now.since(heard_at));
+            self.cut_ends.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// Runs `work` until this process is in contact again after a cut, `None` if that comes first:
+    /// a call that was sent during the cut hangs until its timeout.
+    pub(crate) async fn run_until_cut_ends<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        let mut cut_ends = self.cut_ends.subscribe();
+        tokio::select! {
+            biased;
+            output = work => Some(output),
+            // The sender lives as long as this process.
+            _ = cut_ends.changed() => None,
+        }
+    }
+
     /// Records the epoch that an answer of the store names. If the store has been restored from a
     /// backup, everything is read again, since the store gives out the same revisions again.
     pub(crate) fn record_epoch(&self, epoch: u64) {
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -20,6 +20,7 @@
 mod part_setup;
 mod parts;
 mod pass_model;
+mod peer_contact;
 mod peer_messages;
 mod permits;
 mod placement;
