A request that is given up unanswered does not reach its target later

Cause: an entry that gives an attempt up closes its connection. What was sent before is still delivered by the system, however long a cut holds it up.

A connection that is closed while nothing has arrived in answer to its request is now reset, which discards what it still has to send. Once a target has begun to answer it has the request, and the regular close stays: a cut delays it, but loses a reset.

an_unanswered_request_that_is_given_up_is_not_delivered_later failed before (regular end) and passes.

--- a/src/relay/proxy/forward.rs
+++ b/src/relay/proxy/forward.rs
@@ -220,6 +220,7 @@
     let request = to_request(shared, job, placement, &helpers, order.resume_after);
     let now = shared.now();
     sent_at.set(Some(now));
+    connection.begin_request();
     let response = connection.sender.send_request(request).await.map_err(|error| {
         let fault = if error.is_canceled() {
             AttemptFault::not_sent("the connection had ended")
--- a/src/relay/proxy/mod.rs
+++ b/src/relay/proxy/mod.rs
@@ -6,8 +6,7 @@
 //! that is nothing for too long, and an `attempt_race` replaces it once another one yields more.
 //! `crash_check` probes whether a plain target has crashed, `crash_hold` waits for reports of
 //! crashes, and `answer` builds the caller's response. `connections` pools the connections to
-//! targets, `memory_hold` reserves memory
-//! at helpers, [`event_stream`] splits streams into events, and `ledger` logs the request at its
+//! targets, `target_stream` carries their bytes, `memory_hold` reserves memory at helpers, [`event_stream`] splits streams into events, and `ledger` logs the request at its
 //! end. [`protocol`] defines the adapters for the protocols of callers and targets.
 
 pub(crate) mod answer;
@@ -28,3 +27,4 @@
 pub(crate) mod series;
 pub(crate) mod silence_watch;
 pub(crate) mod stream;
+mod target_stream;
