Answers of the store and of engines' reports are read up to 8 MiB

Callers saw: an entry whose store answered without end used 1.19 GB of memory within seconds (its smallest hosts have 112 MB) and would have been killed.

Cause: HttpClient::call and the agent's poll collect a body whatever its length; only time ended them.

--- a/src/client.rs
+++ b/src/client.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::combinators::BoxBody;
-use http_body_util::{BodyExt, Full, StreamBody};
+use http_body_util::{BodyExt, Full, Limited, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::{Request, Response};
 use hyper_util::client::legacy::Client;
@@ -20,6 +20,9 @@
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Maximum size of the body of a response that is read whole, in bytes.
+const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+
 /// An HTTP client with a connection pool.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
@@ -81,13 +84,23 @@
                 CallFault::NotSent(text) | CallFault::Unknown(text) => Error::unreachable(text),
             })?;
             let (parts, body) = response.into_parts();
-            let body = body.collect().await.map_err(Error::unreachable)?;
-            Ok(Response::from_parts(parts, body.to_bytes()))
+            let body = read_whole(body).await.map_err(Error::unreachable)?;
+            Ok(Response::from_parts(parts, body))
         };
         tokio::time::timeout(time_limit, work).await.map_err(Error::unreachable)?
     }
 }
 
+/// Reads the whole body of a response.
+///
+/// # Errors
+///
+/// The body breaks off, or is larger than 8 MiB.
+pub(crate) async fn read_whole(body: Incoming) -> std::result::Result<Bytes, String> {
+    let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+    collected.map(|body| body.to_bytes()).map_err(|error| error.to_string())
+}
+
 fn to_text(error: &hyper_util::client::legacy::Error) -> String {
     match std::error::Error::source(error) {
         Some(source) => format!("{error}: {source}"),
--- a/src/relay/peers/coordinator.rs
+++ b/src/relay/peers/coordinator.rs
@@ -6,7 +6,6 @@
 
 use futures_util::FutureExt;
 use futures_util::future::{Fuse, FusedFuture, LocalBoxFuture};
-use http_body_util::BodyExt;
 use hyper::Request;
 use tokio::net::UdpSocket;
 
@@ -14,7 +13,7 @@
 use super::peer_message::{MAX_DATAGRAM_BYTES, PeerMessage};
 use super::subscriber_set::{OutboundMessage, SubscriberSet};
 use crate::Result;
-use crate::client::{CallFault, HttpClient, full};
+use crate::client::{CallFault, HttpClient, full, read_whole};
 use crate::clock::ProcessClock;
 use crate::program::on_reload_signal;
 use crate::relay::proxy::protocol::TargetProtocol;
@@ -122,11 +121,10 @@
     *request.uri_mut() = uri.parse().unwrap_or_default();
     let work = async {
         let response = client.send(request).await?;
-        let body = response.into_body().collect().await;
-        body.map_err(|error| CallFault::Unknown(error.to_string()))
+        read_whole(response.into_body()).await.map_err(CallFault::Unknown)
     };
     let body = match tokio::time::timeout(REPORT_TIMEOUT, work).await {
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Ok(body)) => body,
         Ok(Err(CallFault::NotSent(error))) => {
             slog::debug!(logger, "could not poll the target's report"; "error" => error);
             return EnginePoll::without_report(PollResult::Refused);
