Heads before a target's answer are bounded together

Callers saw: no answer until their time limit where a target sent interim heads without end (8.2 s), while the entry read 466 MB of them.

Cause: the HTTP client skips each interim head and waits for the next; header lines alone it bounds. What a target sends before the body is now limited to 64 KiB, and the connection ends: the request goes elsewhere or gets 502 at once.

--- a/src/relay/proxy/connections.rs
+++ b/src/relay/proxy/connections.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,7 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-use super::target_stream::{TargetStream, UnansweredFlag};
+use super::target_stream::{ExchangeState, TargetStream};
 use crate::silence::set_unacked_timeout;
 use crate::time::Tick;
 
@@ -36,18 +37,10 @@
 pub(crate) struct TargetConnection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
     pub(crate) is_reused: bool,
-    is_unanswered: UnansweredFlag,
+    pub(crate) exchange: Rc<ExchangeState>,
     task: AbortHandle,
 }
 
-impl TargetConnection {
-    /// Records that a request is about to be sent: the connection is reset if it is closed before
-    /// anything arrives.
-    pub(crate) fn begin_request(&self) {
-        self.is_unanswered.set(true);
-    }
-}
-
 impl Drop for TargetConnection {
     fn drop(&mut self) {
         self.task.abort();
@@ -134,11 +127,11 @@
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
     let stream = stream.map_err(|_| ConnectFault::Timeout)?;
     let stream = stream.map_err(ConnectFault::Io)?;
-    let is_unanswered = UnansweredFlag::default();
-    let stream = TargetStream::new(stream, is_unanswered.clone());
+    let exchange = Rc::<ExchangeState>::default();
+    let stream = TargetStream::new(stream, exchange.clone());
     let handshake = Builder::new().handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(ConnectFault::Handshake)?;
     // The request on the connection sees the connection's error, so the result is dropped here.
     let task = tokio::task::spawn_local(async move { drop(connection.await) });
-    Ok(TargetConnection { sender, is_reused: false, is_unanswered, task: task.abort_handle() })
+    Ok(TargetConnection { sender, is_reused: false, exchange, task: task.abort_handle() })
 }
--- a/src/relay/proxy/forward.rs
+++ b/src/relay/proxy/forward.rs
@@ -220,7 +220,7 @@
     let request = to_request(shared, job, placement, &helpers, order.resume_after);
     let now = shared.now();
     sent_at.set(Some(now));
-    connection.begin_request();
+    connection.exchange.begin_request();
     let response = connection.sender.send_request(request).await.map_err(|error| {
         let fault = if error.is_canceled() {
             AttemptFault::not_sent("the connection had ended")
@@ -229,6 +229,7 @@
         };
         AttemptFault { is_stale: is_reused, ..fault }
     })?;
+    connection.exchange.end_head();
     shared.core.borrow_mut().record_received(&placement.target, shared.now());
     let (parts, body) = response.into_parts();
     let head = (shared.target_protocol.parse_answer)(parts.status, &parts.headers);
