Comments, empty events and parts of events are no progress of a stream

Callers saw: streams that broke off or ended with 504 though another engine could have served them, where a target sent comments, empty events or an event without end, byte by byte: whatever arrived counted as progress.

Cause: SilenceWatch counted each frame.

--- a/src/relay/proxy/running_attempt.rs
+++ b/src/relay/proxy/running_attempt.rs
@@ -211,7 +211,6 @@
         let Some(frame) = step else { return Ok(BodyStep::Silence) };
         let Some(frame) = frame else { return Ok(BodyStep::End) };
         let frame = frame.map_err(|error| AttemptFault::broken(error.to_string()))?;
-        self.silence.record_received();
         shared.core.borrow_mut().record_received(&self.attempt.target, shared.now());
         Ok(BodyStep::Data(Frame::into_data(frame).unwrap_or_default()))
     }
@@ -220,14 +219,18 @@
         loop {
             let data = match self.next_frame().await? {
                 BodyStep::Silence => return Ok(AttemptYield::Silence),
-                BodyStep::End => return self.end_stream(),
+                BodyStep::End => match self.splitter.take_empty().filter(|_| self.has_yielded) {
+                    Some(rest) => return Ok(AttemptYield::Events(rest)),
+                    None => return self.end_stream(),
+                },
                 BodyStep::Data(data) if data.is_empty() => continue,
                 BodyStep::Data(data) => data,
             };
-            self.record_event_bytes();
             let events = self.splitter.push(&data);
             let events = events.map_err(|_| AttemptFault::malformed("no stream of events"))?;
             if let Some(events) = events {
+                self.silence.record_received();
+                self.record_event_bytes();
                 self.has_yielded = true;
                 return Ok(AttemptYield::Events(events));
             }
