A call whose answer stands still within its body is tried elsewhere

Callers saw: 504 after their whole time limit where a target sent a head at once and its body never, or a chunk extension byte by byte; before the head another target was tried after 0.8 of the objective.

Cause: only the wait for the head noticed silence. A call is answered when its answer is whole, so the wait for the rest now counts as well.

slow_endless_calls_end_in_time failed before (504) and passes.

--- a/src/relay/proxy/running_attempt.rs
+++ b/src/relay/proxy/running_attempt.rs
@@ -195,6 +195,8 @@
         let silence = async {
             if is_stream {
                 watch.wait_for_event(shared, job).await;
+            } else if job.need.is_none() {
+                watch.wait_for_answer(shared, job).await;
             } else {
                 std::future::pending::<()>().await;
             }
