Agent: endless answers of a service and comments of an engine are bounded

Read, not seen: a service's answer was kept for its entry whatever its length, and lines of an engine that are no data were skipped without end. Both are bounded now (8 MiB, 1 MiB), and the run fails with the verdict may-have-run.

--- a/src/agent/engine.rs
+++ b/src/agent/engine.rs
@@ -18,7 +18,7 @@
 use super::cache::CacheEvent;
 use super::event::{EngineFacts, EngineHolding, RunEvent, RunUsage, StartRun};
 use super::health::PollOutcome;
-use crate::client::{CallBody, CallFault, HttpClient, full, pieces};
+use crate::client::{CallBody, CallFault, HttpClient, full, pieces, read_whole};
 use crate::config::Urgency;
 use crate::error::{Error, ErrorCode, Result};
 use crate::id::AttemptId;
@@ -32,7 +32,7 @@
 /// Maximum number of idle connections kept to the engine.
 const MAX_IDLE_CONNECTIONS: usize = 32;
 
-/// Maximum size of an engine's stream event, in bytes.
+/// Maximum size of an engine's stream event with the comments before it, in bytes.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
 /// Load report of an engine. It lags behind the engine's state.
@@ -158,8 +158,9 @@
                 CallFault::NotSent(_) => PollOutcome::NotConnected,
                 CallFault::Unknown(_) => PollOutcome::NoReport,
             })?;
-            let body = response.into_body().collect().await.map_err(|_| PollOutcome::NoReport)?;
-            serde_json::from_slice(&body.to_bytes()).map_err(|_| PollOutcome::NoReport)
+            let body = read_whole(response.into_body()).await;
+            let body = body.map_err(|_| PollOutcome::NoReport)?;
+            serde_json::from_slice(&body).map_err(|_| PollOutcome::NoReport)
         };
         tokio::time::timeout(CALL_TIMEOUT, work).await.unwrap_or(Err(PollOutcome::NoReport))
     }
@@ -359,17 +360,16 @@
     }
 
     async fn next(&mut self) -> std::result::Result<StreamEvent, String> {
+        let mut skipped = 0;
         loop {
             while let Some(line) = self.take_line() {
-                let Some(json) = line.strip_prefix(b"data: ") else {
-                    continue;
-                };
-                if json.starts_with(b"[DONE]") {
-                    continue;
+                skipped += line.len() + 1;
+                let json = line.strip_prefix(b"data: ");
+                if let Some(json) = json.filter(|json| !json.starts_with(b"[DONE]")) {
+                    return serde_json::from_slice(json).map_err(|error| error.to_string());
                 }
-                return serde_json::from_slice(json).map_err(|error| error.to_string());
             }
-            if self.pending.len() > MAX_EVENT_BYTES {
+            if skipped + self.pending.len() > MAX_EVENT_BYTES {
                 return Err("the engine's event is too large".to_owned());
             }
             match self.body.frame().await {
--- a/src/agent/plain.rs
+++ b/src/agent/plain.rs
@@ -13,6 +13,9 @@
 use crate::verdict::Verdict;
 use crate::wire::Call;
 
+/// Maximum size of an answer that is kept for its entry, in bytes.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
 /// Client of one plain service.
 #[derive(Debug)]
 pub(super) struct PlainClient {
@@ -52,10 +55,16 @@
         let content_type: Arc<str> = content_type.unwrap_or("application/octet-stream").into();
         report(RunEvent::Head(response.status().as_u16(), content_type));
         let mut body = response.into_body();
+        let mut length = 0;
         while let Some(frame) = body.frame().await {
             let frame = frame
                 .map_err(|error| RunEvent::Failed(Verdict::MayHaveRun, error.to_string().into()))?;
             if let Ok(part) = frame.into_data() {
+                length += part.len();
+                if length > MAX_ANSWER_BYTES {
+                    let text = format!("the answer is longer than {MAX_ANSWER_BYTES} bytes");
+                    return Err(RunEvent::Failed(Verdict::MayHaveRun, text.into()));
+                }
                 report(RunEvent::Text(part));
             }
         }
