--- a/src/client.rs
+++ b/src/client.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::combinators::BoxBody;
-use http_body_util::{BodyExt, Full, Limited, StreamBody};
+use http_body_util::{BodyExt, Collected, Full, Limited, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::{Request, Response};
 use hyper_util::client::legacy::Client;
@@ -98,7 +98,7 @@
 /// The body breaks off, or is larger than 8 MiB.
 pub(crate) async fn read_whole(body: Incoming) -> std::result::Result<Bytes, String> {
     let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-    collected.map(|body| body.to_bytes()).map_err(|error| error.to_string())
+    collected.map(Collected::to_bytes).map_err(|error| error.to_string())
 }
 
 fn to_text(error: &hyper_util::client::legacy::Error) -> String {
