--- a/tests/relay/events.rs
+++ b/tests/relay/events.rs
@@ -47,3 +47,34 @@
     let events = splitter.push(b"id: 2\ndata: b\n\n").unwrap().unwrap();
     assert_eq!(&events[..], b"id: 2\ndata: b\n\n");
 }
+
+/// Comments and empty events neither count as progress nor get lost, wherever chunks end.
+#[test]
+fn comments_and_empty_events_come_with_the_next_event() {
+    fn property(draws: Vec<u8>, chunk_len: u8) -> bool {
+        const EMPTY: [&str; 4] = [": more\n\n", "\n\n", "data:\n\n", "event\n: x\n\n"];
+        let before: String = draws.into_iter().map(|draw| EMPTY[usize::from(draw % 4)]).collect();
+        let text = format!("{before}id: 1\ndata: a\n\n{before}");
+        let mut splitter = EventSplitter::default();
+        let mut forwarded = Vec::new();
+        for chunk in text.as_bytes().chunks(usize::from(chunk_len.max(1))) {
+            let events = splitter.push(chunk).unwrap();
+            if events.as_ref().is_some_and(|_| splitter.last_id() != Some(1)) {
+                return false;
+            }
+            forwarded.extend(events.into_iter().flatten());
+        }
+        let is_whole = !splitter.has_partial_event();
+        forwarded.extend(splitter.take_empty().into_iter().flatten());
+        is_whole && forwarded == text.as_bytes()
+    }
+    check(property as fn(Vec<u8>, u8) -> bool);
+}
+
+#[test]
+fn comments_without_end_are_a_fault() {
+    let mut splitter = EventSplitter::default();
+    let comments = ": more\n\n".repeat(1_000);
+    let is_fault = (0..100).any(|_| splitter.push(comments.as_bytes()).is_err());
+    assert!(is_fault, "800 kB of comments were kept");
+}
