--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -4,7 +4,7 @@
 //! number. The programs under review are started as the deploy file does: the settings file's path
 //! stands in `SHALELANE_BOOT`.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -17,6 +17,32 @@
 
 unsafe extern "C" {
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, len: u32) -> i32;
+    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
+    fn connect(fd: i32, address: *const u8, len: u32) -> i32;
+}
+
+/// Opens a channel with small windows, as of a small device: packets of 1,460 bytes and 16 kB that
+/// wait to be read.
+fn connect_with_small_window(address: &str) -> Option<TcpStream> {
+    use std::os::fd::FromRawFd;
+    let address: std::net::SocketAddrV4 = address.parse().ok()?;
+    let mut bytes = [0_u8; 16];
+    // AF_INET in the byte order of the machine, then port and address in that of the network.
+    bytes[..2].copy_from_slice(&2_u16.to_ne_bytes());
+    bytes[2..4].copy_from_slice(&address.port().to_be_bytes());
+    bytes[4..8].copy_from_slice(&address.ip().octets());
+    unsafe {
+        let fd = socket(2, 1, 0);
+        if fd < 0 {
+            return None;
+        }
+        let stream = TcpStream::from_raw_fd(fd);
+        let (receive_buffer, segment) = (16 * 1024, 1_460);
+        // SOL_SOCKET and SO_RCVBUF, IPPROTO_TCP and TCP_MAXSEG on Linux.
+        setsockopt(fd, 1, 8, &receive_buffer, 4);
+        setsockopt(fd, 6, 2, &segment, 4);
+        (connect(fd, bytes.as_ptr(), 16) == 0).then_some(stream)
+    }
 }
 
 /// Lets a connection end with a reset once it is dropped.
@@ -37,10 +63,6 @@
         self.0 ^= self.0 << 17;
         self.0
     }
-
-    fn unit(&mut self) -> f64 {
-        (self.next() >> 11) as f64 / (1_u64 << 53) as f64
-    }
 }
 
 // ---------------------------------------------------------------- the record
@@ -363,7 +385,8 @@
             }
             let events: Vec<String> = if path == "/objects/config" {
                 let is_changed = content.config_revision > after;
-                let object = || format!("{{\"gone\":false,\"object\":{}}}", content.config_object());
+                let object =
+                    || format!("{{\"gone\":false,\"object\":{}}}", content.config_object());
                 is_changed.then(object).into_iter().collect()
             } else {
                 let later = content.events.iter().filter(|(revision, _)| *revision > after);
@@ -412,7 +435,6 @@
 struct Runs {
     /// For each attempt id: the runner and the time of each run.
     of: Mutex<HashMap<String, Vec<(String, f64)>>>,
-    arrivals: AtomicU64,
 }
 
 /// Places of a runner: it works on so many requests at the same time, and holds the others.
@@ -442,14 +464,11 @@
     address: String,
     capacity: usize,
     work: Duration,
-    /// Share of the requests whose answer is lost: the runner runs them and resets the channel.
-    loses: Arc<Mutex<f64>>,
 }
 
 impl Runner {
-    fn start(self: Arc<Self>, runs: Arc<Runs>, record: Arc<Record>, seed: u64) -> std::io::Result<()> {
+    fn start(self: Arc<Self>, runs: Arc<Runs>, record: Arc<Record>) -> std::io::Result<()> {
         let places = Places { free: Mutex::new(self.capacity), freed: Condvar::new() };
-        let rng = Mutex::new(Rng(seed | 1));
         let address = self.address.clone();
         serve(&address, move |request, stream| {
             let id = request.header("attempt-id").to_owned();
@@ -464,7 +483,6 @@
                 let extra = "Content-Type: application/json\r\n";
                 return stream.write_all(answer_text(200, extra, body).as_bytes()).is_ok();
             }
-            runs.arrivals.fetch_add(1, Ordering::SeqCst);
             let expected = request.header("expect-instance");
             if !expected.is_empty() && expected != self.name {
                 let extra = format!("Instance-Id: {}\r\n", self.name);
@@ -476,11 +494,6 @@
             runs.of.lock().unwrap().entry(id.clone()).or_default().push((self.name.clone(), at));
             thread::sleep(self.work);
             places.give_back();
-            if rng.lock().unwrap().unit() < *self.loses.lock().unwrap() {
-                record.line(format!("lost {id} at {}", self.name));
-                reset(stream);
-                return false;
-            }
             let body = format!("ran {id} at {}", self.name);
             let extra = format!(
                 "Attempt-Id: {id}\r\nResponse-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n\
@@ -501,18 +514,20 @@
     }
 }
 
+/// Returns the id of the runner on a host.
+fn runner_name(host: u32) -> String {
+    format!("i-{:04x}", 0x4a10 + host * 0x137)
+}
+
 // ---------------------------------------------------------------- the system's processes
 
 /// A process of the system, killed when dropped.
-struct Process {
-    child: Child,
-    name: String,
-}
+struct Process(Child);
 
 impl Drop for Process {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        let _ = self.0.kill();
+        let _ = self.0.wait();
     }
 }
 
@@ -558,7 +573,7 @@
                 .spawn()
         });
         match child {
-            Ok(child) => Process { child, name: name.to_owned() },
+            Ok(child) => Process(child),
             Err(error) => {
                 eprintln!("{program}: {error}");
                 std::process::exit(2);
@@ -674,139 +689,6 @@
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
 }
 
-// ---------------------------------------------------------------- lost answers
-
-/// Runners run requests and their answers are lost. Counts the requests that ran on more runners
-/// than their route's `MaxAttempts`.
-fn lost_answers(case: u32) -> i32 {
-    const MAX_ATTEMPTS: u32 = 2;
-    const ENTRIES: [u32; 2] = [11, 12];
-    const RUNNERS: u32 = 5;
-    const CLIENTS: u64 = 24;
-    const ROUND: Duration = Duration::from_secs(4);
-    const ROUNDS: u32 = 9;
-    let record = Record::open(case);
-    let site = Site::new(BOUNDS);
-    let Ok(store) = Store::start(&format!("{}:8223", site.ip(1)), false) else { return 2 };
-    let runs: Arc<Runs> = Arc::default();
-    let routes = [plain_route("/bo/", "app", "idempotent", MAX_ATTEMPTS)];
-    store.write(|content| content.put_config(config(7, &routes, 16_384, &[KEY])));
-    let mut losses = Vec::new();
-    for number in 0..RUNNERS {
-        let runner = Arc::new(Runner {
-            name: format!("i-{:04x}", 0x4a10 + number * 0x1357),
-            address: format!("{}:8120", site.ip(41 + number)),
-            capacity: 6,
-            work: Duration::from_millis(60),
-            loses: Arc::new(Mutex::new(0.0)),
-        });
-        losses.push(runner.loses.clone());
-        let spec = runner.spec("app", "z1", "ready");
-        store.write(|content| content.put_server(&runner.name, &spec));
-        if runner.start(runs.clone(), record.clone(), 77 + u64::from(number)).is_err() {
-            return 2;
-        }
-    }
-    let mut processes = Vec::new();
-    for host in [61, 62, 63] {
-        let engine = Arc::new(Runner {
-            name: format!("i-e{host}"),
-            address: format!("{}:8228", site.ip(host)),
-            capacity: 16,
-            work: Duration::from_millis(20),
-            loses: Arc::default(),
-        });
-        let spec = engine.spec("engines", "z1", "ready");
-        store.write(|content| content.put_server(&engine.name, &spec));
-        if engine.start(runs.clone(), record.clone(), u64::from(host)).is_err() {
-            return 2;
-        }
-        processes.push(site.agent(host));
-    }
-    for host in ENTRIES {
-        processes.push(site.entry(host, "z1", 0));
-    }
-    if !ENTRIES.iter().all(|host| site.wait_ready(*host)) {
-        record.say("the entries did not get ready");
-        return 2;
-    }
-    thread::sleep(Duration::from_secs(3));
-    let is_over = Arc::new(AtomicBool::new(false));
-    let sent = Arc::new(AtomicU64::new(0));
-    let served = Arc::new(AtomicU64::new(0));
-    let clients: Vec<_> = (0..CLIENTS)
-        .map(|client| {
-            let front = site.front(ENTRIES[(client % 2) as usize]);
-            let (is_over, sent, served) = (is_over.clone(), sent.clone(), served.clone());
-            let record = record.clone();
-            thread::spawn(move || {
-                let mut rng = Rng(0x9e37_79b9_7f4a_7c15 ^ (client * 7_919 + 1));
-                let mut channel = None;
-                while !is_over.load(Ordering::SeqCst) {
-                    let id = format!("{:08x}{:08x}", client, sent.fetch_add(1, Ordering::SeqCst));
-                    let path = format!("/bo/{:x}", rng.next() % 4_096);
-                    record.line(format!("send {id} {path} to {front}"));
-                    let head = get_head(&path, &id, KEY, 4_000);
-                    let mut open = channel.take().or_else(|| Channel::open(&front));
-                    let answer = open
-                        .as_mut()
-                        .and_then(|open| open.call(&head, b"", Duration::from_millis(4_500)));
-                    let status = answer.as_ref().map_or(0, |answer| answer.status);
-                    record.line(format!("answer {id} {status}"));
-                    served.fetch_add(u64::from(status == 200), Ordering::SeqCst);
-                    if answer.is_some_and(|answer| answer.header("connection") != "close") {
-                        channel = open;
-                    }
-                    thread::sleep(Duration::from_millis(20 + rng.next() % 120));
-                }
-            })
-        })
-        .collect();
-    for _ in 0..ROUNDS {
-        thread::sleep(Duration::from_secs(2));
-        if is_troubled() {
-            // Three runners in five, two answers in five.
-            for loses in &losses[..3] {
-                *loses.lock().unwrap() = 0.4;
-            }
-            record.line("answers are lost from now on");
-        }
-        thread::sleep(ROUND);
-        for loses in &losses {
-            *loses.lock().unwrap() = 0.0;
-        }
-        record.line("no more answers are lost");
-    }
-    thread::sleep(Duration::from_secs(1));
-    is_over.store(true, Ordering::SeqCst);
-    for client in clients {
-        let _ = client.join();
-    }
-    drop(processes);
-    let runs = runs.of.lock().unwrap();
-    let mut by_runners: BTreeMap<usize, usize> = BTreeMap::new();
-    for places in runs.values() {
-        let runners: HashSet<&String> = places.iter().map(|(runner, _)| runner).collect();
-        *by_runners.entry(runners.len()).or_default() += 1;
-    }
-    let over = by_runners.iter().filter(|(count, _)| **count > MAX_ATTEMPTS as usize);
-    let over: usize = over.map(|(_, requests)| requests).sum();
-    let sent = sent.load(Ordering::SeqCst);
-    let again: usize = runs.values().map(|places| places.len() - 1).sum();
-    record.say(format!(
-        "{sent} requests, {} answered 200, {again} runs beyond the first; requests by number of \
-         runners that ran them: {by_runners:?}",
-        served.load(Ordering::SeqCst)
-    ));
-    record.say(format!(
-        "{over} requests ran on more than {MAX_ATTEMPTS} runners; the rule allows three"
-    ));
-    if served.load(Ordering::SeqCst) * 2 < sent {
-        return 2;
-    }
-    i32::from(over > 3)
-}
-
 // ---------------------------------------------------------------- a fleet of a few processes
 
 /// The store, runners of plain services, engines with their agents, and entries.
@@ -847,16 +729,15 @@
         work: Duration,
     ) -> Option<()> {
         let runner = Arc::new(Runner {
-            name: format!("i-{:04x}", 0x4a10 + host * 0x137),
+            name: runner_name(host),
             address: format!("{}:{port}", self.site.ip(host)),
             capacity,
             work,
-            loses: Arc::default(),
         });
         let spec = runner.spec(service, "z1", "ready");
         self.store.write(|content| content.put_server(&runner.name, &spec));
         self.record.line(format!("{} is a runner of {service}", runner.name));
-        runner.start(self.runs.clone(), self.record.clone(), u64::from(host)).ok()
+        runner.start(self.runs.clone(), self.record.clone()).ok()
     }
 
     /// Sends one request on a channel of its own and returns the status of the answer, 0 if there
@@ -1056,9 +937,9 @@
     const ROUNDS: u64 = 17;
     let to_config = |version: u64, moved: &str, rounds: u64, key: u64| {
         let mut routes = vec![plain_route("/sw/", moved, "idempotent", 2)];
-        routes.extend((1..=rounds).map(|round| {
-            plain_route(&format!("/n{round}/"), "app", "idempotent", 2)
-        }));
+        routes.extend(
+            (1..=rounds).map(|round| plain_route(&format!("/n{round}/"), "app", "idempotent", 2)),
+        );
         config(version, &routes, 16_384, &[KEY, &format!("spare-key-{key:06}")])
     };
     let services = [("app", 41), ("app", 42), ("other", 43), ("other", 44)];
@@ -1114,33 +995,34 @@
     // For each round, when the last version was acknowledged, and when the next one was sent.
     let mut acks: Vec<(f64, f64)> = Vec::new();
     let mut rng = Rng(0x51ed_270b_9f3c_1d57 ^ u64::from(std::process::id()));
+    let put = |version: u64, moved: &str, rounds: u64, key: u64| {
+        fleet.store.write(|content| content.put_config(to_config(version, moved, rounds, key)));
+        record.line(format!("version {version} is acknowledged: /sw/ to {moved}"));
+    };
     for round in 1..=ROUNDS {
         if let Some(last) = acks.last_mut() {
             last.1 = record.now();
         }
-        let put = |fleet: &Fleet, version: u64, moved: &str, rounds: u64, key: u64| {
-            fleet.store.write(|content| content.put_config(to_config(version, moved, rounds, key)));
-            record.line(format!("version {version} is acknowledged: /sw/ to {moved}"));
-        };
         if is_troubled() {
             // A key is replaced, one operator moves the route, the other one moves it back and adds
             // a route.
-            put(&fleet, version + 1, "app", round - 1, round);
+            put(version + 1, "app", round - 1, round);
             thread::sleep(Duration::from_millis(100));
-            put(&fleet, version + 2, "other", round - 1, round);
+            put(version + 2, "other", round - 1, round);
             thread::sleep(Duration::from_millis(170));
         }
         version += 3;
-        put(&fleet, version, "app", round, round);
+        put(version, "app", round, round);
         acks.push((record.now(), f64::MAX));
         newest.store(round, Ordering::SeqCst);
         thread::sleep(ROUND + Duration::from_millis(rng.next() % 300));
     }
     is_over.store(true, Ordering::SeqCst);
     let last = record.now();
-    let asked: Vec<Asked> = clients.into_iter().flat_map(|c| c.join().unwrap_or_default()).collect();
+    let asked: Vec<Asked> =
+        clients.into_iter().flat_map(|c| c.join().unwrap_or_default()).collect();
     let runs = fleet.runs.of.lock().unwrap();
-    let names: Vec<String> = [43, 44].iter().map(|host| format!("i-{:04x}", 0x4a10 + host * 0x137)).collect();
+    let others = [43, 44].map(runner_name);
     let (mut regressed, mut late) = (0, 0);
     for (index, (acked_at, next_at)) in acks.iter().enumerate() {
         let until = next_at.min(last);
@@ -1154,7 +1036,9 @@
             }
         }
         for one in asked.iter().filter(|one| one.path == "/sw/x" && one.sent_at < until) {
-            let is_old = runs.get(&one.id).is_some_and(|runs| runs.iter().any(|run| names.contains(&run.0)));
+            let is_old = runs
+                .get(&one.id)
+                .is_some_and(|runs| runs.iter().any(|run| others.contains(&run.0)));
             if !is_old || one.sent_at < *acked_at {
                 continue;
             }
@@ -1174,16 +1058,279 @@
          were sent later than ConfigApplyMs after the acknowledgement of the newest",
         asked.len()
     ));
+    if runs.len() * 2 < asked.len() {
+        return 2;
+    }
     i32::from(regressed > 0)
 }
 
+// ---------------------------------------------------------------- a client that does not read
+
+/// Memory that an engine has set aside under one id.
+#[derive(Debug)]
+struct Ticket {
+    engine: String,
+    tokens: u64,
+    /// Time up to which it is set aside.
+    held_until: f64,
+    renewals: u32,
+    is_released: bool,
+    /// End of the last request that used it.
+    used_until: Option<f64>,
+}
+
+type Tickets = Arc<Mutex<BTreeMap<String, Ticket>>>;
+
+/// Returns the text or the number of a field of a flat JSON object.
+fn field<'a>(text: &'a str, name: &str) -> &'a str {
+    let after = text.split(&format!("\"{name}\":")).nth(1).unwrap_or_default();
+    after.split([',', '}']).next().unwrap_or_default().trim().trim_matches('"')
+}
+
+/// An engine that takes orders to set memory aside, and streams answers.
+struct Engine {
+    name: String,
+    address: String,
+    events: u64,
+    event_bytes: usize,
+}
+
+impl Engine {
+    fn start(self, tickets: Tickets, record: Arc<Record>) -> std::io::Result<()> {
+        const MEMORY: u64 = 450_000;
+        let address = self.address.clone();
+        serve(&address, move |request, stream| {
+            let json = "Content-Type: application/json\r\n";
+            if request.path == "/report" {
+                let body = "{\"Stage\":\"dual\",\"Models\":[{\"Name\":\"m\",\"Version\":1,\
+                            \"Adapters\":[]}],\"Utilization\":false,\"CallSeq\":0,\"Queued\":0,\
+                            \"Active\":0,\"KvUsed\":0,\"KvTotal\":450000,\"Handles\":0}";
+                return stream.write_all(answer_text(200, json, body).as_bytes()).is_ok();
+            }
+            if request.path == "/order" {
+                let (status, free) = self.order(&request, &tickets, &record, MEMORY);
+                let body = format!("{{\"free\":{free}}}");
+                return stream.write_all(answer_text(status, json, &body).as_bytes()).is_ok();
+            }
+            let id = request.header("attempt-id").to_owned();
+            if request.header("expect-instance") != self.name {
+                let extra = format!("Instance-Id: {}\r\n", self.name);
+                return stream.write_all(answer_text(421, &extra, "").as_bytes()).is_ok();
+            }
+            let helpers = request.header("helpers").to_owned();
+            record.line(format!("run {id} at {} with helpers {helpers}", self.name));
+            let end = self.stream(&id, &request, stream, &record);
+            let ended_at = record.now();
+            record.line(format!("end of {id} at {}", self.name));
+            let mut tickets = tickets.lock().unwrap();
+            for name in helpers.split(',').filter_map(|helper| helper.split_once('/')) {
+                if let Some(ticket) = tickets.get_mut(name.1) {
+                    ticket.used_until = Some(ended_at);
+                }
+            }
+            end
+        })
+    }
+
+    fn order(
+        &self,
+        request: &Request,
+        tickets: &Tickets,
+        record: &Record,
+        memory: u64,
+    ) -> (u16, u64) {
+        let text = String::from_utf8_lossy(&request.body).into_owned();
+        let id = field(&text, "Id").to_owned();
+        let now = record.now();
+        let mut tickets = tickets.lock().unwrap();
+        let held = |tickets: &BTreeMap<String, Ticket>| {
+            let own = tickets.iter().filter(|(known, ticket)| {
+                **known != id
+                    && ticket.engine == self.name
+                    && !ticket.is_released
+                    && ticket.held_until > now
+            });
+            own.map(|(_, ticket)| ticket.tokens).sum::<u64>()
+        };
+        let free = memory.saturating_sub(held(&tickets));
+        if field(&text, "op") == "release" {
+            if let Some(ticket) = tickets.get_mut(&id) {
+                ticket.is_released = true;
+                ticket.held_until = ticket.held_until.min(now);
+            }
+            record.line(format!("release {id} at {}", self.name));
+            return (200, free);
+        }
+        let tokens: u64 = field(&text, "Tokens").parse().unwrap_or(0);
+        let hold: f64 = field(&text, "HoldMs").parse().unwrap_or(0.0);
+        if tokens > free {
+            return (409, free);
+        }
+        let ticket = tickets.entry(id.clone()).or_insert(Ticket {
+            engine: self.name.clone(),
+            tokens,
+            held_until: 0.0,
+            renewals: 0,
+            is_released: false,
+            used_until: None,
+        });
+        ticket.held_until = now + hold / 1e3;
+        ticket.renewals += 1;
+        record.line(format!("reserve {id} at {}: {tokens} tokens for {hold} ms", self.name));
+        (200, free - tokens)
+    }
+
+    /// Streams the answer. Ends at the deadline that the request names.
+    fn stream(&self, id: &str, request: &Request, stream: &mut TcpStream, record: &Record) -> bool {
+        let limit: f64 = request.header("deadline-ms").parse().unwrap_or(15_000.0);
+        let deadline = record.now() + limit / 1e3;
+        let first: u64 = request.header("last-event-id").parse().map_or(1, |last: u64| last + 1);
+        thread::sleep(Duration::from_millis(500));
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n\
+             Instance-Id: {}\r\nContent-Type: text/event-stream\r\n\
+             Transfer-Encoding: chunked\r\n\r\n",
+            self.name
+        );
+        let mut is_written = stream.write_all(head.as_bytes()).is_ok();
+        for number in first..=self.events {
+            let event = format!("id: {number}\ndata: {}\n\n", "x".repeat(self.event_bytes));
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            let left = Duration::from_secs_f64((deadline - record.now()).max(0.001));
+            let _ = stream.set_write_timeout(Some(left));
+            is_written = is_written && stream.write_all(chunk.as_bytes()).is_ok();
+            if !is_written {
+                return false;
+            }
+            thread::sleep(Duration::from_millis(12));
+        }
+        stream.write_all(b"0\r\n\r\n").is_ok()
+    }
+}
+
+/// A client of a long prompt does not read its answer for a while. Counts the memory that stays set
+/// aside `FreeMs` after the end of the last request that used it.
+fn unread_answer(case: u32) -> i32 {
+    const FREE_S: f64 = 4.0;
+    const ROUNDS: u32 = 4;
+    let record = Record::open(case);
+    let site = Site::new(BOUNDS);
+    let Ok(store) = Store::start(&format!("{}:8223", site.ip(1)), false) else { return 2 };
+    let route = format!(
+        "{{\"Name\":\"r-long\",\"Hostname\":\"{HOST}\",\"PathPrefix\":\"/lo/\",\
+         \"RouteType\":\"streaming\",\"TimeoutMs\":15000,\"SloMs\":3000,\"Priority\":1,\
+         \"Backend\":\"engines\",\"MaxAttempts\":2,\"Public\":false,\"Affinity\":true,\
+         \"Resumable\":true,\"gap_aim_ms\":800}}"
+    );
+    store.write(|content| content.put_config(config(7, &[route], 16_384, &[KEY])));
+    let tickets: Tickets = Arc::default();
+    let mut processes = Vec::new();
+    for host in 61..69 {
+        let name = format!("i-e{host}");
+        let address = format!("{}:8228", site.ip(host));
+        let spec = format!(
+            "{{\"Backend\":\"engines\",\"Address\":\"{address}\",\"Zone\":\"z1\",\"Version\":\"v1\",\
+             \"Capacity\":16,\"State\":\"ready\",\"WarmupLeftMs\":0,\"Stage\":\"dual\",\
+             \"Models\":[{{\"Name\":\"m\",\"Version\":1,\"Adapters\":[]}}],\"CallSeq\":0}}"
+        );
+        let engine = Engine { name: name.clone(), address, events: 160, event_bytes: 3_000 };
+        store.write(|content| content.put_server(&name, &spec));
+        if engine.start(tickets.clone(), record.clone()).is_err() {
+            return 2;
+        }
+        processes.push(site.agent(host));
+    }
+    for host in [11, 12] {
+        processes.push(site.entry(host, "z1", 0));
+    }
+    if ![11, 12].iter().all(|host| site.wait_ready(*host)) {
+        return 2;
+    }
+    thread::sleep(Duration::from_secs(3));
+    let mut served = 0;
+    for round in 0..ROUNDS {
+        let id = format!("long{round:04}");
+        let body = "y".repeat(20_000);
+        let head = format!(
+            "POST /lo/{round} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\nModel: m\r\n\
+             Token-Count: 600000,8000\r\nPrompt-Prefix: 5c1e07a2:40,{round:08x}:599960\r\n\
+             Deadline-Ms: 15000\r\nAuthorization: Bearer {KEY}\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        record.line(format!("send {id}"));
+        let sent = Instant::now();
+        let Some(mut stream) = connect_with_small_window(&site.front(11 + round % 2)) else {
+            return 2;
+        };
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(12)));
+        if stream
+            .write_all(head.as_bytes())
+            .and_then(|()| stream.write_all(body.as_bytes()))
+            .is_err()
+        {
+            return 2;
+        }
+        let mut reader = BufReader::with_capacity(1_024, stream);
+        let Some((first, _)) = read_head(&mut reader) else {
+            record.say(format!("{id}: no answer"));
+            return 2;
+        };
+        record.line(format!("answer {id} {first}"));
+        let mut line = String::new();
+        let mut last = String::new();
+        if is_troubled() {
+            // The client is busy, and gives up at its deadline.
+            while reader.read_line(&mut line).is_ok_and(|length| length > 0)
+                && !line.contains("id: 1")
+            {}
+            record.line(format!("{id} is not read any more"));
+            thread::sleep(Duration::from_millis(14_900).saturating_sub(sent.elapsed()));
+        } else {
+            while reader.read_line(&mut line).is_ok_and(|length| length > 0) {
+                if let Some(id) = line.trim().strip_prefix("id: ") {
+                    last = id.to_owned();
+                }
+                line.clear();
+                if last == "160" {
+                    break;
+                }
+            }
+        }
+        served += u32::from(first.contains("200"));
+        record.line(format!("{id}: the client closes its channel, last event {last}"));
+        drop(reader);
+        thread::sleep(Duration::from_millis(2_500));
+    }
+    drop(processes);
+    let tickets = tickets.lock().unwrap();
+    let mut leaks = 0;
+    for (id, ticket) in tickets.iter() {
+        let Some(used_until) = ticket.used_until else { continue };
+        let kept = ticket.held_until - used_until;
+        leaks += u32::from(kept > FREE_S);
+        record.say(format!(
+            "{} tokens at {} under {id}: set aside for {kept:.1} s after the end of the last request \
+             that used them, {} orders",
+            ticket.tokens, ticket.engine, ticket.renewals
+        ));
+    }
+    record.say(format!(
+        "{served} of {ROUNDS} prompts begun; {leaks} of {} tickets kept over FreeMs",
+        tickets.len()
+    ));
+    if tickets.values().all(|ticket| ticket.used_until.is_none()) {
+        return 2;
+    }
+    i32::from(leaks > 0)
+}
+
 fn main() {
     let case: u32 = std::env::args().nth(1).and_then(|word| word.parse().ok()).unwrap_or(0);
     let kind = std::env::args().nth(2).unwrap_or_default();
     let code = match kind.as_str() {
-        "lost-answers" => lost_answers(case),
         "restored-store" => restored_store(case),
         "longer-heads" => longer_heads(case),
+        "unread-answer" => unread_answer(case),
         "racing-operators" => racing_operators(case),
         _ => 2,
     };
