--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -547,12 +547,16 @@
 
 const BOUNDS: Bounds = Bounds { drain_ms: 2_000, revoke_ms: 5_000, retry_slack: 106.0 };
 
+/// Bounds of a deployment with some dozens of entries.
+const FLEET_BOUNDS: Bounds = Bounds { drain_ms: 3_000, revoke_ms: 5_000, retry_slack: 212.0 };
+
 impl Site {
-    fn new(bounds: Bounds) -> Self {
+    /// Creates one of several sites of a run.
+    fn new(bounds: Bounds, index: u32) -> Self {
         let pid = std::process::id();
-        let folder = std::env::temp_dir().join(format!("review-2-{pid}"));
+        let folder = std::env::temp_dir().join(format!("review-2-{pid}-{index}"));
         std::fs::create_dir_all(&folder).unwrap_or_else(|_| std::process::exit(2));
-        let net = format!("127.{}.{}", 64 + pid % 96, 1 + (pid / 96) % 250);
+        let net = format!("127.{}.{}", 64 + pid % 96, 1 + (pid / 96 + 27 * index) % 250);
         Site { folder, net, bounds }
     }
 
@@ -610,6 +614,23 @@
         format!("{}:8227", self.ip(host))
     }
 
+    /// Returns how often each entry has asked the store for changes of the list of runners, by its
+    /// own metrics.
+    fn list_watches(&self, entries: std::ops::Range<u32>) -> BTreeMap<u32, u64> {
+        let count = |host: u32| {
+            let head = "GET /metrics HTTP/1.1\r\nHost: operator\r\n\r\n";
+            let answer = Channel::open(&format!("{}:9464", self.ip(host)))?.call(
+                head,
+                b"",
+                Duration::from_secs(2),
+            )?;
+            let mut lines = answer.body.lines();
+            let line = lines.find(|line| line.contains("kind=\"list_watch\""))?;
+            line.rsplit(' ').next()?.parse().ok()
+        };
+        entries.filter_map(|host| Some((host, count(host)?))).collect()
+    }
+
     /// Waits until an entry says that it is ready.
     fn wait_ready(&self, host: u32) -> bool {
         let address = format!("{}:8220", self.ip(host));
@@ -703,21 +724,30 @@
 
 impl Fleet {
     fn start(case: u32, config: String, services: &[(&str, u32)], names_era: bool) -> Option<Self> {
-        let record = Record::open(case);
-        let site = Site::new(BOUNDS);
-        let store = Store::start(&format!("{}:8223", site.ip(1)), names_era).ok()?;
-        store.write(|content| content.put_config(config));
-        let runs: Arc<Runs> = Arc::default();
-        let mut fleet = Fleet { record, store, runs, processes: Vec::new(), site };
+        let mut fleet = Fleet::empty(Record::open(case), Site::new(BOUNDS, 0), config, names_era)?;
         for (service, host) in services {
             fleet.add_runner(service, *host, 8120, 6, Duration::from_millis(20))?;
         }
+        fleet.add_engines()?;
+        Some(fleet)
+    }
+
+    /// Starts the store alone.
+    fn empty(record: Arc<Record>, site: Site, config: String, names_era: bool) -> Option<Self> {
+        let store = Store::start(&format!("{}:8223", site.ip(1)), names_era).ok()?;
+        store.write(|content| content.put_config(config));
+        let runs: Arc<Runs> = Arc::default();
+        Some(Fleet { record, store, runs, processes: Vec::new(), site })
+    }
+
+    /// Starts three engines with their agents, by which entries hear of one another.
+    fn add_engines(&mut self) -> Option<()> {
         for host in [61, 62, 63] {
-            fleet.add_runner("engines", host, 8228, 16, Duration::from_millis(20))?;
-            let agent = fleet.site.agent(host);
-            fleet.processes.push(agent);
+            self.add_runner("engines", host, 8228, 16, Duration::from_millis(20))?;
+            let agent = self.site.agent(host);
+            self.processes.push(agent);
         }
-        Some(fleet)
+        Some(())
     }
 
     fn add_runner(
@@ -1214,7 +1244,7 @@
     const FREE_S: f64 = 4.0;
     const ROUNDS: u32 = 4;
     let record = Record::open(case);
-    let site = Site::new(BOUNDS);
+    let site = Site::new(BOUNDS, 0);
     let Ok(store) = Store::start(&format!("{}:8223", site.ip(1)), false) else { return 2 };
     let route = format!(
         "{{\"Name\":\"r-long\",\"Hostname\":\"{HOST}\",\"PathPrefix\":\"/lo/\",\
@@ -1324,12 +1354,204 @@
     i32::from(leaks > 0)
 }
 
+// ---------------------------------------------------------------- runners are added and leave
+
+/// A runner that may leave, and the requests that reach it afterwards.
+struct LeavingRunner {
+    name: String,
+    address: String,
+    /// When the store acknowledged that it is draining.
+    acked_at: Mutex<Option<f64>>,
+    late: Arc<AtomicU64>,
+    latest_ms: Arc<AtomicU64>,
+}
+
+impl LeavingRunner {
+    fn start(self: Arc<Self>, record: Arc<Record>, drain_s: f64) -> std::io::Result<()> {
+        let address = self.address.clone();
+        serve(&address, move |request, stream| {
+            let now = record.now();
+            let id = request.header("attempt-id");
+            if request.header("expect-instance") != self.name {
+                let extra = format!("Instance-Id: {}\r\n", self.name);
+                return stream.write_all(answer_text(421, &extra, "").as_bytes()).is_ok();
+            }
+            let acked_at = *self.acked_at.lock().unwrap();
+            record.line(format!("run {id} at {}", self.name));
+            if let Some(after) = acked_at.map(|at| now - at).filter(|after| *after > drain_s) {
+                record.line(format!("late: {id} at {}, {after:.3} s after the ack", self.name));
+                self.late.fetch_add(1, Ordering::SeqCst);
+                self.latest_ms.fetch_max((after * 1e3) as u64, Ordering::SeqCst);
+            }
+            thread::sleep(Duration::from_millis(5));
+            let extra = format!(
+                "Attempt-Id: {id}\r\nResponse-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n\
+                 Instance-Id: {}\r\nKeep-Alive: timeout=15\r\n",
+                self.name
+            );
+            stream.write_all(answer_text(200, &extra, "done").as_bytes()).is_ok()
+        })
+    }
+
+    fn spec(&self, state: &str) -> String {
+        format!(
+            "{{\"Backend\":\"app\",\"Address\":\"{}\",\"Zone\":\"z1\",\"Version\":\"v1\",\
+             \"Capacity\":6,\"State\":\"{state}\",\"WarmupLeftMs\":0,\"CallSeq\":0}}",
+            self.address
+        )
+    }
+}
+
+/// What one fleet has seen.
+#[derive(Debug, Default)]
+struct DrainCount {
+    sent: u64,
+    served: u64,
+    left: u32,
+    late: u64,
+    latest_ms: u64,
+}
+
+/// Runners are added to a fleet in which most entries do not watch the store, and the entries that
+/// read the list of runners lose power; later runners leave one after the other and are replaced. Counts the requests that reach a runner later than `DrainMs`
+/// after the store acknowledged that it is draining. `None` if the fleet could not run.
+fn serve_while_runners_leave(record: &Arc<Record>, index: u32) -> Option<DrainCount> {
+    const ENTRIES: std::ops::Range<u32> = 101..146;
+    const MOST_KILLED: usize = 7;
+    const FIRST_RUNNERS: u32 = 17;
+    const ADDED_RUNNERS: u32 = 5;
+    let drain_s = FLEET_BOUNDS.drain_ms as f64 / 1e3;
+    let routes = [plain_route("/sw/", "app", "idempotent", 2)];
+    let first = config(10, &routes, 16_384, &[KEY]);
+    let mut fleet = Fleet::empty(record.clone(), Site::new(FLEET_BOUNDS, index), first, false)?;
+    fleet.add_engines()?;
+    let (late, latest_ms) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
+    let start = |number: u32| {
+        let runner = Arc::new(LeavingRunner {
+            name: format!("i-{index}r{number:03}"),
+            address: format!("{}:{}", fleet.site.ip(20 + number % 30), 8_120 + number / 30),
+            acked_at: Mutex::new(None),
+            late: late.clone(),
+            latest_ms: latest_ms.clone(),
+        });
+        runner.clone().start(record.clone(), drain_s).ok()?;
+        let spec = runner.spec("ready");
+        fleet.store.write(|content| content.put_server(&runner.name, &spec));
+        record.line(format!("{} is ready", runner.name));
+        Some(runner)
+    };
+    let at_first = if is_troubled() { FIRST_RUNNERS } else { FIRST_RUNNERS + ADDED_RUNNERS };
+    let mut runners = (0..at_first).map(start).collect::<Option<Vec<_>>>()?;
+    let mut entries: BTreeMap<u32, Process> =
+        ENTRIES.map(|host| (host, fleet.site.entry(host, "z1", 0))).collect();
+    if !ENTRIES.clone().all(|host| fleet.site.wait_ready(host)) {
+        return None;
+    }
+    thread::sleep(Duration::from_secs(5));
+    for number in at_first..FIRST_RUNNERS + ADDED_RUNNERS {
+        runners.push(start(number)?);
+        thread::sleep(Duration::from_millis(200));
+    }
+    let before = fleet.site.list_watches(ENTRIES);
+    thread::sleep(Duration::from_secs(6));
+    if is_troubled() {
+        // Those that read the list last lose power. An entry that watches asks again at most 1.2 s
+        // after a change.
+        let after = fleet.site.list_watches(ENTRIES);
+        let readers: Vec<u32> = ENTRIES.filter(|host| after.get(host) > before.get(host)).collect();
+        record.say(format!("entries that read the list: {readers:?}"));
+        if readers.len() > MOST_KILLED {
+            return None;
+        }
+        record.say("these lose power");
+        for host in readers {
+            entries.remove(&host);
+        }
+        thread::sleep(Duration::from_secs(4));
+    }
+    let is_over = Arc::new(AtomicBool::new(false));
+    let alive: Vec<u32> = entries.keys().copied().collect();
+    let clients: Vec<_> = alive
+        .into_iter()
+        .map(|entry| {
+            let front = fleet.site.front(entry);
+            let (is_over, record) = (is_over.clone(), record.clone());
+            thread::spawn(move || {
+                let (mut sent, mut served) = (0_u64, 0_u64);
+                let mut channel = None;
+                while !is_over.load(Ordering::SeqCst) {
+                    sent += 1;
+                    let id = format!("{index:02x}{entry:02x}{sent:08x}");
+                    record.line(format!("send {id} to edge-{entry}"));
+                    let head = get_head("/sw/x", &id, KEY, 2_000);
+                    let mut open = channel.take().or_else(|| Channel::open(&front));
+                    let answer = open
+                        .as_mut()
+                        .and_then(|open| open.call(&head, b"", Duration::from_millis(2_500)));
+                    let status = answer.as_ref().map_or(0, |answer| answer.status);
+                    record.line(format!("answer {id} {status}"));
+                    served += u64::from(status == 200);
+                    if answer.is_some_and(|answer| answer.header("connection") != "close") {
+                        channel = open;
+                    }
+                    thread::sleep(Duration::from_millis(80));
+                }
+                (sent, served)
+            })
+        })
+        .collect();
+    let mut rng = Rng(0x2545_f491_4f6c_dd1d ^ u64::from(std::process::id() + 65_536 * index));
+    let end = record.now() + 14.0;
+    let mut number = FIRST_RUNNERS + ADDED_RUNNERS;
+    while record.now() < end {
+        thread::sleep(Duration::from_millis(800 + rng.next() % 400));
+        // A new runner starts first, then the old one drains. It serves on until the end.
+        runners.push(start(number)?);
+        number += 1;
+        let old = runners.remove((rng.next() % (runners.len() as u64 - 1)) as usize);
+        let spec = old.spec("draining");
+        fleet.store.write(|content| content.put_server(&old.name, &spec));
+        *old.acked_at.lock().unwrap() = Some(record.now());
+        record.line(format!("acknowledged: {} is draining", old.name));
+    }
+    is_over.store(true, Ordering::SeqCst);
+    let left = number - FIRST_RUNNERS - ADDED_RUNNERS;
+    let mut count = DrainCount { left, ..DrainCount::default() };
+    for client in clients {
+        let (sent, served) = client.join().unwrap_or_default();
+        count.sent += sent;
+        count.served += served;
+    }
+    drop(entries);
+    count.late = late.load(Ordering::SeqCst);
+    count.latest_ms = latest_ms.load(Ordering::SeqCst);
+    Some(count)
+}
+
+/// Starts a fleet, and another one, up to four times, if by chance more entries read the list than may
+/// be killed.
+fn added_runners(case: u32) -> i32 {
+    let record = Record::open(case);
+    let mut fleets = (0..5).map(|index| serve_while_runners_leave(&record, index));
+    let Some(count) = fleets.find_map(|count| count) else { return 2 };
+    let DrainCount { sent, served, left, late, latest_ms } = count;
+    record.say(format!(
+        "{sent} requests, {served} answered 200; {left} runners left; {late} requests reached one \
+         later than DrainMs after the acknowledgement, the last {latest_ms} ms after it"
+    ));
+    if served * 2 < sent {
+        return 2;
+    }
+    i32::from(late > 0)
+}
+
 fn main() {
     let case: u32 = std::env::args().nth(1).and_then(|word| word.parse().ok()).unwrap_or(0);
     let kind = std::env::args().nth(2).unwrap_or_default();
     let code = match kind.as_str() {
         "restored-store" => restored_store(case),
         "longer-heads" => longer_heads(case),
+        "added-runners" => added_runners(case),
         "unread-answer" => unread_answer(case),
         "racing-operators" => racing_operators(case),
         _ => 2,
