Log the revision, digest and origin of a configuration that comes into force

The line named the version alone, so two hypotheses could not be told apart: an entry goes back to an older version, or it runs by other contents under the number of the newer one. Entries that have the same configuration log the same digest; the origin tells which of read, watch, announced change and copy brought it.

--- a/src/relay/core/configuration.rs
+++ b/src/relay/core/configuration.rs
@@ -219,6 +219,12 @@
         self.config_revision
     }
 
+    /// Returns the digest of the configuration in force.
+    #[must_use]
+    pub fn config_digest(&self) -> u64 {
+        self.config_digest
+    }
+
     /// Records the revision of the configuration in force in the store.
     pub fn set_config_revision(&mut self, revision: StoreRevision) {
         self.config_revision = self.config_revision.max(revision);
--- a/src/relay/discovery/follow_config.rs
+++ b/src/relay/discovery/follow_config.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::proof_sync::{PeerVerdict, ProofSync};
-use super::source::{ConfigRead, ConfigWatch, DiscoverySource};
+use super::source::{ConfigOrigin, ConfigRead, ConfigWatch, DiscoverySource};
 use super::store_revision::StoreRevision;
 use super::target_list_sync::UpdateAnnouncer;
 use super::watch_timing::{MIN_WATCH_INTERVAL, WatchEnd, delay_after};
@@ -194,7 +194,7 @@
         Ok(copy) => {
             let mut core = shared.core.borrow_mut();
             if core.apply_copy(&copy, shared.now()) {
-                shared.record_config_change(core.rules().version());
+                shared.record_config_change(&core, ConfigOrigin::Copy);
             }
             let is_held = core.lease().is_held(shared.now());
             drop(core);
@@ -220,7 +220,7 @@
         shared.log.quarantine_unreadable(&update.unreadable, shared.now());
         let mut core = shared.core.borrow_mut();
         if core.apply_update(*update, shared.now()) {
-            shared.record_config_change(core.rules().version());
+            shared.record_config_change(&core, ConfigOrigin::Watch);
         }
         drop(core);
         announce_change(shared);
--- a/src/relay/discovery/source.rs
+++ b/src/relay/discovery/source.rs
@@ -13,6 +13,23 @@
 use crate::relay::decide::quarantine::QuarantineRecords;
 use crate::relay::decide::targets::TargetRecord;
 
+/// Where an entry has received a configuration from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum ConfigOrigin {
+    /// A read of the store.
+    #[display("read")]
+    Read,
+    /// A watch of the store.
+    #[display("watch")]
+    Watch,
+    /// A change that another entry announced.
+    #[display("change")]
+    Change,
+    /// A copy from another entry.
+    #[display("copy")]
+    Copy,
+}
+
 /// A read of the configuration.
 #[derive(Debug)]
 pub struct ConfigRead {
--- a/src/relay/peers/receive.rs
+++ b/src/relay/peers/receive.rs
@@ -8,6 +8,7 @@
 use super::peer_message::{MAX_DATAGRAM_BYTES, PeerMessage};
 use crate::relay::core::RelayCore;
 use crate::relay::discovery::proof_sync::PeerProof;
+use crate::relay::discovery::source::ConfigOrigin;
 use crate::relay::shared::RelayShared;
 use crate::time::Tick;
 
@@ -97,7 +98,7 @@
         PeerMessage::ConfigChanged(delta) => {
             let mut core = shared.core.borrow_mut();
             if core.apply_delta(&delta, now) {
-                shared.record_config_change(core.rules().version());
+                shared.record_config_change(&core, ConfigOrigin::Change);
             }
             drop(core);
             shared.report_suspects();
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -14,6 +14,7 @@
 
 use slog::{Drain, Logger, Never, OwnedKVList, Record, info, o, warn};
 
+use super::core::RelayCore;
 use super::decide::part_message::PartCrashReport;
 use super::decide::permit_issuer::PermitReply;
 use super::decide::prompt_part::PromptPart;
@@ -22,7 +23,7 @@
 use super::decide::target_notice::TargetNotice;
 use super::decide::targets::ListChange;
 use super::discovery::freshness::StalePolicy;
-use super::discovery::source::UnreadableEntry;
+use super::discovery::source::{ConfigOrigin, UnreadableEntry};
 use crate::time::Tick;
 use crate::verdict::Verdict;
 
@@ -491,9 +492,14 @@
             "target" => target, "for_ms" => duration.as_millis() as u64);
     }
 
-    /// Logs that another configuration is in force.
-    pub fn config_changed(&self, version: u64) {
-        info!(self.logger, "configuration in force"; "config_version" => version);
+    /// Logs that another configuration is in force. Entries with the same digest have the same
+    /// configuration.
+    pub fn config_changed(&self, core: &RelayCore, origin: ConfigOrigin) {
+        info!(self.logger, "configuration in force";
+            "config_version" => core.rules().version(),
+            "revision" => %core.config_revision(),
+            "digest" => format!("{:016x}", core.config_digest()),
+            "from" => %origin);
     }
 
     /// Logs that the configuration is proven current again, or no longer is.
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -19,7 +19,7 @@
 use super::decide::target_notice::TargetNotice;
 use super::decide::targets::TargetInstance;
 use super::discovery::proof_sync::{PeerProof, PeerVerdict};
-use super::discovery::source::{ConfigRead, ConfigUpdate, EvacuationList};
+use super::discovery::source::{ConfigOrigin, ConfigRead, ConfigUpdate, EvacuationList};
 use super::discovery::watch_timing::watch_timeout;
 use super::peers::peer_link::PeerLink;
 use super::peers::peer_message::PeerMessage;
@@ -209,7 +209,7 @@
         let mut core = self.core.borrow_mut();
         let was_behind = core.is_store_behind();
         if core.apply_read(read, sent_at) {
-            self.record_config_change(core.rules().version());
+            self.record_config_change(&core, ConfigOrigin::Read);
         }
         if core.is_store_behind() != was_behind {
             self.log.store_behind(core.is_store_behind(), core.rules().version());
@@ -217,9 +217,9 @@
     }
 
     /// Records that another configuration is in force.
-    pub(crate) fn record_config_change(&self, version: u64) {
+    pub(crate) fn record_config_change(&self, core: &RelayCore, origin: ConfigOrigin) {
         self.config_changed_at.set(self.now());
-        self.log.config_changed(version);
+        self.log.config_changed(core, origin);
     }
 
     /// Applies another entry's answer to a request for its proof.
