Apply an announced change only if it leads to a whole version

Cause: a change holds the items that differ between its two ends, and was applied to every revision between them. What an intermediate version changed and the last one changed back is not in it, so an entry with that version ended with a mixture of both under the number of the last one. It is a difference that is applied to a state which it was not made from.

Why the fix works: a change states the digest of the configuration that it leads to, which proofs use already. The receiver computes the result and takes it only if the digest is the same; otherwise it keeps its own version, whole, and reads the store as for any missed change. Changes that overlap without a reverted item still apply without a read.

Tests: tests/relay/reverted_changes.rs, for routes, keys, accounts and services, at entries that read, watched or received the version between, in a fixed order of events. With the comparison of digests disabled, four of its five tests fail (`left: Applied, right: Mismatch`), and so does a_delta_leads_to_the_whole_version_or_is_not_applied. That property replaces a_delta_applies_to_each_intermediate_state, which left the intermediate states out that contain reverted items; it asserts in addition that no state leads to a mixture. apply_delta returns a verdict, so the assertions of config_updates.rs name is_new_version().

--- a/src/relay/core/configuration.rs
+++ b/src/relay/core/configuration.rs
@@ -6,13 +6,48 @@
 use super::RelayCore;
 use crate::relay::discovery::config_delta::ConfigDelta;
 use crate::relay::discovery::proof_sync::{PeerProof, PeerVerdict, ProofSync};
-use crate::relay::discovery::rules::{RelayConfig, RuleTable};
+use crate::relay::discovery::rules::{DigestedConfig, RelayConfig, RuleTable};
 use crate::relay::discovery::source::{ConfigRead, ConfigUpdate};
 use crate::relay::discovery::store_revision::StoreRevision;
 use crate::relay::peers::config_copy::ConfigCopy;
 use crate::relay::peers::peer_message::PeerMessage;
 use crate::time::Tick;
 
+/// How an announced change relates to the configuration known here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum DeltaVerdict {
+    /// It is applied.
+    #[display("applied")]
+    Applied {
+        /// Whether another version came into force.
+        is_new: bool,
+    },
+    /// The configuration known here is as new or newer.
+    #[display("known")]
+    Known,
+    /// Earlier changes were missed.
+    #[display("gap")]
+    Gap,
+    /// It does not lead to the announced configuration, because an intermediate version is known
+    /// here that differs in more than the change contains.
+    #[display("mismatch")]
+    Mismatch,
+}
+
+impl DeltaVerdict {
+    /// Returns `true` if another version came into force.
+    #[must_use]
+    pub fn is_new_version(self) -> bool {
+        self == DeltaVerdict::Applied { is_new: true }
+    }
+
+    /// Returns `true` if the store has to be read for the change.
+    #[must_use]
+    pub fn is_missed(self) -> bool {
+        matches!(self, DeltaVerdict::Gap | DeltaVerdict::Mismatch)
+    }
+}
+
 impl RelayCore {
     /// Applies a linearizable read that was sent at `sent_at`. Returns `true` if another version
     /// came into force.
@@ -43,8 +78,9 @@
     /// Applies what the store holds. For the same version it takes precedence over what another
     /// entry announced.
     fn apply_stored(&mut self, config: RelayConfig, now: Tick) -> bool {
-        let is_same_version = config.version == self.rules.version();
-        let is_refuted = !self.is_config_confirmed() && config.digest() != self.config_digest;
+        let config = DigestedConfig::new(config);
+        let is_same_version = config.config.version == self.rules.version();
+        let is_refuted = !self.is_config_confirmed() && config.digest != self.config_digest;
         if is_same_version && is_refuted {
             self.activate(config, now);
             return true;
@@ -58,7 +94,7 @@
         self.config_revision = read.revision;
         self.config_sync.record_read(read.revision);
         self.config_sync.mark_confirmed();
-        self.activate(config, sent_at);
+        self.activate(DigestedConfig::new(config), sent_at);
         self.prove(sent_at);
         true
     }
@@ -66,7 +102,8 @@
     /// Applies the configuration of a linearizable read, `None` if it is the known one. Returns
     /// `true` if another version came into force.
     pub fn apply_config(&mut self, config: Option<RelayConfig>, sent_at: Tick) -> bool {
-        let is_new = config.is_some_and(|config| self.apply_version(config, sent_at));
+        let is_new =
+            config.is_some_and(|config| self.apply_version(DigestedConfig::new(config), sent_at));
         self.prove(sent_at);
         is_new
     }
@@ -84,18 +121,24 @@
     }
 
     /// Applies a change that another entry announced. It is in force, but unconfirmed until it is
-    /// proven. Returns `true` if another version came into force.
-    pub fn apply_delta(&mut self, delta: &ConfigDelta, now: Tick) -> bool {
+    /// proven. A change that does not lead to a whole version from the configuration known here is
+    /// not applied, and the store is read instead.
+    pub fn apply_delta(&mut self, delta: &ConfigDelta, now: Tick) -> DeltaVerdict {
         if delta.revision <= self.config_revision {
-            return false;
+            return DeltaVerdict::Known;
         }
-        let Some(base) = self.config.clone().filter(|_| self.continues_from_known(delta)) else {
-            self.config_sync.record_announced(delta.revision, self.config_revision, now);
-            return false;
+        let base = self.config.clone().filter(|_| self.continues_from_known(delta));
+        let verdict = match base.map(|base| delta.apply(&base)) {
+            Some(Some(config)) => {
+                self.set_config_revision(delta.revision);
+                self.config_sync.mark_unconfirmed(now);
+                return DeltaVerdict::Applied { is_new: self.apply_version(config, now) };
+            }
+            Some(None) => DeltaVerdict::Mismatch,
+            None => DeltaVerdict::Gap,
         };
-        self.set_config_revision(delta.revision);
-        self.config_sync.mark_unconfirmed(now);
-        self.apply_version(delta.apply(&base), now)
+        self.config_sync.record_announced(delta.revision, self.config_revision, now);
+        verdict
     }
 
     /// Returns `true` if a change continues from the revision known here. A change that spans a
@@ -129,7 +172,8 @@
         self.config_sync.is_behind(self.target_list_sync.is_watching(), now)
     }
 
-    fn apply_version(&mut self, config: RelayConfig, now: Tick) -> bool {
+    fn apply_version(&mut self, digested: DigestedConfig, now: Tick) -> bool {
+        let config = &digested.config;
         let unix_ms = self.unix_ms(now);
         self.quarantine.apply_records(&config.quarantine, unix_ms, now);
         self.quarantine.parts.apply_records(&config.part_quarantine, unix_ms, now);
@@ -142,22 +186,22 @@
         }
         self.rules_epoch = self.config_revision.epoch;
         if config.version == self.rules.version() {
-            self.set_config(config);
+            self.set_config(digested);
             return false;
         }
-        self.activate(config, now);
+        self.activate(digested, now);
         true
     }
 
-    fn activate(&mut self, config: RelayConfig, now: Tick) {
-        self.rules = Rc::new(RuleTable::from_config(config.clone()));
-        self.set_config(config);
+    fn activate(&mut self, digested: DigestedConfig, now: Tick) {
+        self.rules = Rc::new(RuleTable::from_config(digested.config.clone()));
+        self.set_config(digested);
         self.set_engine_rates(now);
     }
 
-    fn set_config(&mut self, config: RelayConfig) {
-        self.config_digest = config.digest();
-        self.config = Some(Rc::new(config));
+    fn set_config(&mut self, digested: DigestedConfig) {
+        self.config_digest = digested.digest;
+        self.config = Some(Rc::new(digested.config));
     }
 
     /// Renews the lease if the configuration in force is the one that the store holds.
@@ -202,7 +246,7 @@
             return false;
         }
         self.set_config_revision(copy.revision);
-        let is_new = self.apply_version((*copy.config).clone(), now);
+        let is_new = self.apply_version(DigestedConfig::new((*copy.config).clone()), now);
         self.config_sync.mark_unconfirmed(now);
         let ahead = self.proof_sync.take_ahead(copy.revision);
         if let Some(proof) = ahead.filter(|proof| proof.config_digest == self.config_digest) {
--- a/src/relay/core/mod.rs
+++ b/src/relay/core/mod.rs
@@ -27,7 +27,7 @@
 use crate::time::Tick;
 
 mod attempts;
-mod configuration;
+pub mod configuration;
 mod evacuation;
 mod part_quarantine;
 pub mod permits;
--- a/src/relay/counts.rs
+++ b/src/relay/counts.rs
@@ -5,6 +5,7 @@
 use prometheus::{HistogramVec, IntCounterVec, IntGauge};
 
 use super::core::RelayCore;
+use super::core::configuration::DeltaVerdict;
 use super::decide::permit_issuer::PermitReply;
 use super::decide::rate_limit::RateNotice;
 use super::decide::target_notice::TargetNotice;
@@ -55,6 +56,7 @@
     registry: MetricsRegistry,
     mirrors: [MirroredCounter; 13],
     store_calls: IntCounterVec,
+    missed_changes: IntCounterVec,
     notices: IntCounterVec,
     permits: IntCounterVec,
     retries: IntCounterVec,
@@ -91,6 +93,11 @@
                 "calls to the store, by what for",
                 "kind",
             ),
+            missed_changes: registry.add_counter_vec(
+                "shalelane_relay_missed_config_changes_total",
+                "configuration changes of other entries that did not apply here, by reason",
+                "reason",
+            ),
             notices: registry.add_counter_vec(
                 "shalelane_relay_target_notices_total",
                 "answers that said something of their target, by what",
@@ -209,6 +216,11 @@
         self.store_calls.with_label_values(&[call.as_str()]).inc();
     }
 
+    /// Counts a change of the configuration from another entry that does not apply here.
+    pub(crate) fn record_missed_change(&self, verdict: DeltaVerdict) {
+        self.missed_changes.with_label_values(&[&verdict.to_string()]).inc();
+    }
+
     /// Counts what an answer stated about its target.
     pub(crate) fn record_notice(&self, notice: &TargetNotice) {
         let kinds = [
--- a/src/relay/discovery/config_delta.rs
+++ b/src/relay/discovery/config_delta.rs
@@ -1,11 +1,17 @@
 //! Differences between two configurations, as entries exchange them.
+//!
+//! A difference lacks what an intermediate version changed and a later one changed back. An entry
+//! that knows such a version would end with a mixture of both, so each difference states the digest
+//! of the configuration that it leads to.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
-use super::rules::{AccountRule, CallerLimits, RelayConfig, RouteRule, ServiceRule};
+use super::rules::{
+    AccountRule, CallerLimits, DigestedConfig, RelayConfig, RouteRule, ServiceRule,
+};
 use super::store_revision::StoreRevision;
 use crate::relay::decide::part_ledger::PartRecord;
 use crate::relay::decide::quarantine_list::QuarantineRecord;
@@ -13,8 +19,7 @@
 /// Host and path prefix of a route.
 type RouteKey = (Arc<str>, Arc<str>);
 
-/// Changes of keyed items. They hold final values, so they lead to the same result from each
-/// intermediate state.
+/// Changes of keyed items, with their final values.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 struct ItemChanges<K, T> {
     /// Items that are new or changed.
@@ -56,12 +61,15 @@
 /// What changed from one revision of the configuration to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ConfigDelta {
-    /// Earliest revision that it applies to; it applies to each later one as well.
+    /// Revision that it was computed from; it mostly applies to intermediate ones as well.
     #[serde(rename = "s")]
     pub since: StoreRevision,
     /// Revision that it leads to.
     #[serde(rename = "m")]
     pub revision: StoreRevision,
+    /// Digest of the configuration of that revision.
+    #[serde(rename = "d")]
+    digest: u64,
     #[serde(rename = "v")]
     version: u64,
     #[serde(rename = "r")]
@@ -90,6 +98,7 @@
         ConfigDelta {
             since,
             revision,
+            digest: new.digest(),
             version: new.version,
             routes: ItemChanges::between(&old.routes, &new.routes, route_key),
             services: ItemChanges::between(&old.services, &new.services, service_key),
@@ -100,10 +109,11 @@
         }
     }
 
-    /// Returns the configuration that results from applying the changes to `base`.
+    /// Returns the configuration that results from applying the changes to `base`, with its digest.
+    /// `None` if that is not the configuration of `revision`.
     #[must_use]
-    pub fn apply(&self, base: &RelayConfig) -> RelayConfig {
-        RelayConfig {
+    pub fn apply(&self, base: &RelayConfig) -> Option<DigestedConfig> {
+        let config = RelayConfig {
             version: self.version,
             routes: self.routes.apply(&base.routes, route_key),
             services: self.services.apply(&base.services, service_key),
@@ -111,6 +121,8 @@
             limits: self.limits,
             quarantine: self.quarantine.clone(),
             part_quarantine: self.part_quarantine.clone(),
-        }
+        };
+        let result = DigestedConfig::new(config);
+        (result.digest == self.digest).then_some(result)
     }
 }
--- a/src/relay/discovery/rules.rs
+++ b/src/relay/discovery/rules.rs
@@ -164,6 +164,23 @@
     }
 }
 
+/// A configuration and its digest, which is costly for a large one.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DigestedConfig {
+    /// The configuration.
+    pub config: RelayConfig,
+    /// Its digest.
+    pub digest: u64,
+}
+
+impl DigestedConfig {
+    /// Computes the digest of a configuration.
+    #[must_use]
+    pub fn new(config: RelayConfig) -> Self {
+        DigestedConfig { digest: config.digest(), config }
+    }
+}
+
 fn hash_item(item: &impl Serialize) -> u64 {
     let mut bytes = Vec::new();
     // An adapter decodes only items that can be encoded; an item that could not would be left out
--- a/src/relay/peers/receive.rs
+++ b/src/relay/peers/receive.rs
@@ -97,8 +97,12 @@
         }
         PeerMessage::ConfigChanged(delta) => {
             let mut core = shared.core.borrow_mut();
-            if core.apply_delta(&delta, now) {
+            let verdict = core.apply_delta(&delta, now);
+            if verdict.is_new_version() {
                 shared.record_config_change(&core, ConfigOrigin::Change);
+            } else if verdict.is_missed() {
+                shared.log.config_change_missed(&delta, core.config_revision(), verdict);
+                shared.counts.borrow().record_missed_change(verdict);
             }
             drop(core);
             shared.report_suspects();
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -15,6 +15,7 @@
 use slog::{Drain, Logger, Never, OwnedKVList, Record, info, o, warn};
 
 use super::core::RelayCore;
+use super::core::configuration::DeltaVerdict;
 use super::decide::part_message::PartCrashReport;
 use super::decide::permit_issuer::PermitReply;
 use super::decide::prompt_part::PromptPart;
@@ -22,8 +23,10 @@
 use super::decide::request_digest::RequestDigest;
 use super::decide::target_notice::TargetNotice;
 use super::decide::targets::ListChange;
+use super::discovery::config_delta::ConfigDelta;
 use super::discovery::freshness::StalePolicy;
 use super::discovery::source::{ConfigOrigin, UnreadableEntry};
+use super::discovery::store_revision::StoreRevision;
 use crate::time::Tick;
 use crate::verdict::Verdict;
 
@@ -502,6 +505,19 @@
             "from" => %origin);
     }
 
+    /// Logs that a change of the configuration from another entry does not apply to the `known`
+    /// revision, so that the store is read for it.
+    pub fn config_change_missed(
+        &self,
+        delta: &ConfigDelta,
+        known: StoreRevision,
+        verdict: DeltaVerdict,
+    ) {
+        info!(self.logger, "configuration change missed";
+            "since" => %delta.since, "revision" => %delta.revision, "known" => %known,
+            "why" => %verdict);
+    }
+
     /// Logs that the configuration is proven current again, or no longer is.
     pub fn proof_changed(&self, is_held: bool, age: Option<Duration>, policy: StalePolicy) {
         let age_ms = age.map(|age| age.as_millis() as u64);
--- a/tests/relay/config_updates.rs
+++ b/tests/relay/config_updates.rs
@@ -57,11 +57,11 @@
 fn an_update_of_one_watcher_is_in_force_at_another_entry() {
     let (mut watcher, mut other) = (entry(1), entry(2));
     let delta = watch_update(&mut watcher, 6, config(2, &["k2"]), at(1_500));
-    assert!(other.apply_delta(&delta, at(1_502)));
+    assert!(other.apply_delta(&delta, at(1_502)).is_new_version());
     assert_eq!(other.config_revision(), revision(6));
     assert!(is_admitted(&mut other, "k2", at(1_510)));
     assert_eq!(other.admit("h", "/a/x", Some("k1"), at(1_510)).unwrap_err(), Refusal::UnknownKey);
-    assert!(!other.apply_delta(&delta, at(1_520)), "a second copy");
+    assert!(!other.apply_delta(&delta, at(1_520)).is_new_version(), "a second copy");
 }
 
 #[test]
@@ -85,13 +85,13 @@
     let (mut watcher, mut other) = (entry(1), entry(2));
     let first = watch_update(&mut watcher, 6, config(2, &["k2"]), at(1_500));
     let second = watch_update(&mut watcher, 8, config(3, &["k3"]), at(1_900));
-    assert!(!other.apply_delta(&second, at(1_910)));
+    assert!(!other.apply_delta(&second, at(1_910)).is_new_version());
     assert!(!other.is_config_behind(at(1_950)), "copies may arrive through other agents");
     assert!(other.is_config_behind(at(2_800)));
-    assert!(other.apply_delta(&first, at(2_810)));
-    assert!(other.apply_delta(&second, at(2_820)));
+    assert!(other.apply_delta(&first, at(2_810)).is_new_version());
+    assert!(other.apply_delta(&second, at(2_820)).is_new_version());
     assert!(!other.is_config_behind(at(2_830)));
-    assert!(!other.apply_delta(&first, at(2_840)), "late update");
+    assert!(!other.apply_delta(&first, at(2_840)).is_new_version(), "late update");
     assert!(is_admitted(&mut other, "k3", at(2_850)));
 }
 
@@ -103,9 +103,9 @@
     let first = watch_update(&mut one, 6, config(2, &["k2"]), at(1_500));
     let both = watch_update(&mut two, 7, config(3, &["k3"]), at(1_600));
     let last = watch_update(&mut one, 9, config(4, &["k4"]), at(1_700));
-    assert!(other.apply_delta(&first, at(1_510)));
-    assert!(other.apply_delta(&both, at(1_610)));
-    assert!(other.apply_delta(&last, at(1_710)));
+    assert!(other.apply_delta(&first, at(1_510)).is_new_version());
+    assert!(other.apply_delta(&both, at(1_610)).is_new_version());
+    assert!(other.apply_delta(&last, at(1_710)).is_new_version());
     assert!(is_admitted(&mut other, "k4", at(1_720)));
 }
 
@@ -116,10 +116,10 @@
 fn a_watcher_that_received_an_update_announces_from_its_own_position() {
     let (mut first, mut second, mut other) = (entry(1), entry(2), entry(3));
     let delta = watch_update(&mut first, 6, config(2, &["k2"]), at(1_500));
-    assert!(second.apply_delta(&delta, at(1_502)));
+    assert!(second.apply_delta(&delta, at(1_502)).is_new_version());
     let again = watch_update(&mut second, 6, config(2, &["k2"]), at(1_503));
     assert_eq!((again.since, again.revision), (revision(5), revision(6)));
-    assert!(other.apply_delta(&again, at(1_504)));
+    assert!(other.apply_delta(&again, at(1_504)).is_new_version());
     assert!(is_admitted(&mut other, "k2", at(1_510)));
 }
 
@@ -184,7 +184,7 @@
     let (mut correct, mut receiver) = (entry(1), entry(2));
     let mut faulty = entry(3);
     let forged = watch_update(&mut faulty, 900, config(9, &["k1", "stolen"]), at(1_500));
-    assert!(receiver.apply_delta(&forged, at(1_510)));
+    assert!(receiver.apply_delta(&forged, at(1_510)).is_new_version());
     assert!(is_admitted(&mut receiver, "stolen", at(1_520)), "admitted until it has to be proven");
     assert!(
         receiver.answer_proof_request(7, at(1_530)).is_none(),
@@ -252,9 +252,9 @@
     assert!(is_admitted(&mut other, "k2", at(1_520)));
 }
 
-/// A delta leads from each intermediate state to the same result.
+/// From each state a delta leads to the whole newest version, or is not applied.
 #[test]
-fn a_delta_applies_to_each_intermediate_state() {
+fn a_delta_leads_to_the_whole_version_or_is_not_applied() {
     fn random_config(version: u64, picks: &[u8]) -> RelayConfig {
         let paths: BTreeSet<u8> = picks.iter().map(|pick| pick % 7).collect();
         let keys: BTreeSet<u8> = picks.iter().map(|pick| pick / 7 % 5).collect();
@@ -279,14 +279,17 @@
         let states = [(1, first), (2, between), (3, last)];
         let [first, between, last] = states.map(|(version, picks)| random_config(version, &picks));
         let delta = ConfigDelta::between(&first, revision(1), &last, revision(9));
-        // Items that changed and changed back in between are not in the delta.
-        let leads_to_last = |state: &RelayConfig| delta.apply(state).digest() == last.digest();
-        leads_to_last(&first) && leads_to_last(&last) && {
-            let first_half = ConfigDelta::between(&first, revision(1), &between, revision(5));
-            let middle = first_half.apply(&first);
-            let second_half = ConfigDelta::between(&between, revision(5), &last, revision(9));
-            second_half.apply(&middle).digest() == last.digest()
-        }
+        let leads_to_last = |delta: &ConfigDelta, state: &RelayConfig| {
+            delta.apply(state).is_some_and(|result| result.digest == last.digest())
+        };
+        let is_mixture = |state: &RelayConfig| {
+            delta.apply(state).is_some_and(|result| result.config.digest() != last.digest())
+        };
+        let second_half = ConfigDelta::between(&between, revision(5), &last, revision(9));
+        leads_to_last(&delta, &first)
+            && leads_to_last(&delta, &last)
+            && leads_to_last(&second_half, &between)
+            && !is_mixture(&between)
     }
     check(property as fn(Vec<u8>, Vec<u8>, Vec<u8>) -> bool);
 }
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -30,6 +30,7 @@
 mod regions;
 mod reservations;
 mod restored_store;
+mod reverted_changes;
 mod retry_delay;
 mod retry_fleet;
 mod rules;
