Follow the limit of heads in force on open connections

Callers do not repeat after 431.

Cause: hyper takes its limit (max_buf_size) when it begins to serve a connection, and the entry set it from the configuration of that moment. All other limits of callers are read as they are needed.

Why the fix works: before each turn of a connection the limit in force is compared with the one that it is served with. Between two exchanges, when all is flushed and nothing is left to discard, the library is taken apart and begins anew on the same socket, with the bytes that it has read and not parsed. While a raised limit waits for the end of an exchange, the bytes of the next head stay in the socket. A head that has begun to arrive keeps the larger limit, as idle limits do.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -17,10 +17,11 @@
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::{Notify, watch};
 
+use crate::head_limit::{HeadLimit, LimitedConnection};
+
 /// Maximum size of the rest of a body that is discarded to keep a connection, in bytes.
 const MAX_DISCARDED_BYTES: usize = 256 * 1024;
 
@@ -68,7 +69,7 @@
 
 /// State of one connection.
 #[derive(Default)]
-struct ConnectionState {
+pub(crate) struct ConnectionState {
     /// Whether bytes of a request have arrived that is not answered yet.
     has_input: Cell<bool>,
     /// Number of requests without an answer, and answers that are not written to the end.
@@ -81,9 +82,35 @@
     is_discarding: Cell<bool>,
     /// Whether the caller may still send a body that nothing reads.
     is_unread: Cell<bool>,
+    /// Whether the next head is not read yet.
+    holds_heads: Cell<bool>,
 }
 
 impl ConnectionState {
+    /// Returns `true` if bytes of a request have arrived that is not answered yet.
+    pub(crate) fn has_input(&self) -> bool {
+        self.has_input.get()
+    }
+
+    /// Returns `true` if the last answer is written, and the next bytes belong to a head.
+    pub(crate) fn is_between_exchanges(&self) -> bool {
+        self.expects_head() && !self.is_write_blocked.get()
+    }
+
+    /// Holds the bytes of the next head back, or no longer.
+    pub(crate) fn hold_heads(&self, is_held: bool) {
+        self.holds_heads.set(is_held);
+    }
+
+    /// Returns `true` if the bytes of the next head are held back.
+    pub(crate) fn holds_heads(&self) -> bool {
+        self.holds_heads.get()
+    }
+
+    fn expects_head(&self) -> bool {
+        self.exchanges.get() == 0 && !self.is_discarding.get() && !self.is_unread.get()
+    }
+
     fn is_busy(&self) -> bool {
         self.has_input.get()
             || self.exchanges.get() > 0
@@ -258,14 +285,21 @@
 }
 
 /// Socket of a connection. It survives the HTTP library, which would close it.
-struct CallerSocket<S> {
+pub(crate) struct CallerSocket<S> {
     stream: Option<S>,
+    /// Bytes that were read and not parsed.
+    unread: Bytes,
     state: Rc<ConnectionState>,
     /// Takes the socket once the HTTP library has released it.
     released: Rc<Cell<Option<S>>>,
 }
 
 impl<S: Unpin> CallerSocket<S> {
+    /// Returns bytes that were read, to be read again before those of the stream.
+    pub(crate) fn unread(&mut self, bytes: Bytes) {
+        self.unread = bytes;
+    }
+
     fn stream(&mut self) -> io::Result<Pin<&mut S>> {
         self.stream.as_mut().map(Pin::new).ok_or_else(|| io::ErrorKind::NotConnected.into())
     }
@@ -283,6 +317,15 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if !self.unread.is_empty() {
+            let length = self.unread.len().min(buffer.remaining());
+            buffer.put_slice(&self.unread.split_to(length));
+            return Poll::Ready(Ok(()));
+        }
+        // The owner of the connection reads on, after its change.
+        if self.state.holds_heads() && self.state.expects_head() {
+            return Poll::Pending;
+        }
         let before = buffer.filled().len();
         let polled = self.stream()?.poll_read(context, buffer);
         if buffer.filled().len() > before {
@@ -337,14 +380,6 @@
     pub(crate) is_closed: bool,
 }
 
-/// Limit on the time that a head of a request may take, beside that of the HTTP library.
-pub(crate) struct HeadLimit<W, O> {
-    /// Completes once a head is overdue.
-    pub(crate) wait_until_overdue: W,
-    /// Returns `true` if a head is overdue now.
-    pub(crate) is_overdue: O,
-}
-
 /// Polls a future once. Returns its output if it is complete.
 async fn poll_once<F: Future>(mut future: Pin<&mut F>) -> Option<F::Output> {
     poll_fn(|context| match future.as_mut().poll(context) {
@@ -355,16 +390,17 @@
 }
 
 /// Serves one connection until it ends; returns `None` if it was closed for an overdue head.
-pub(crate) async fn serve_requests<S, W, O, H, R, B>(
+pub(crate) async fn serve_requests<S, W, O, M, H, R, B>(
     stream: S,
-    builder: &Builder,
+    builder: Builder,
     group: Rc<ConnectionGroup>,
-    head_limit: HeadLimit<W, O>,
+    head_limit: HeadLimit<W, O, M>,
     handle: H,
 ) -> Option<ServedEnd>
 where
     W: AsyncFn(),
     O: Fn() -> bool,
+    M: Fn() -> usize,
     S: AsyncRead + AsyncWrite + Unpin,
     H: Fn(Request<RequestBody>) -> R,
     R: Future<Output = Response<B>>,
@@ -374,17 +410,25 @@
     let mark = BusyMark { group: group.clone(), is_busy: Cell::new(false) };
     let state = Rc::new(ConnectionState::default());
     let (handle, owner) = (&handle, &state);
-    let service = service_fn(move |request: Request<Incoming>| async move {
+    let service = service_fn(move |request: Request<Incoming>| {
         let exchange = Exchange::new(owner);
         let request = track_body(request, owner);
-        let answer = handle(request).await;
-        Ok::<_, Infallible>(answer.map(|body| AnswerBody { body, _exchange: exchange }))
+        async move {
+            let answer = handle(request).await;
+            Ok::<_, Infallible>(answer.map(|body| AnswerBody { body, _exchange: exchange }))
+        }
     });
     let released = Rc::new(Cell::new(None));
-    let socket =
-        CallerSocket { stream: Some(stream), state: state.clone(), released: released.clone() };
+    let socket = CallerSocket {
+        stream: Some(stream),
+        unread: Bytes::new(),
+        state: state.clone(),
+        released: released.clone(),
+    };
     let (error, is_closed) = {
-        let connection = builder.serve_connection(TokioIo::new(socket), service);
+        let max_bytes = &head_limit.max_bytes;
+        let mut connection =
+            LimitedConnection::new(builder, socket, service, state.clone(), max_bytes);
         let discarding = state.discard_leftovers();
         let closing = async {
             group.closing().await;
@@ -392,7 +436,7 @@
             // The state changes only in this task, which polls this again then.
             poll_fn(|_| if state.is_busy() { Poll::Pending } else { Poll::Ready(()) }).await;
         };
-        tokio::pin!(connection, discarding, closing);
+        tokio::pin!(discarding, closing);
         let discard_and_mark = poll_fn(|context| {
             let polled = discarding.as_mut().poll(context);
             mark.set(state.is_busy());
@@ -404,16 +448,16 @@
             tokio::select! {
                 // The connection comes first: what has arrived is read before it is closed.
                 biased;
-                result = connection.as_mut() => break (result.err(), is_closed),
+                result = &mut connection => break (result.err(), is_closed),
                 never = &mut discard_and_mark => match never {},
                 () = &mut closing, if !is_closed => {
                     is_closed = true;
-                    connection.as_mut().graceful_shutdown();
+                    connection.close();
                 }
                 () = state.wait_until_overdue(&head_limit.wait_until_overdue) => {
                     // After a stall, timers may fire before what has arrived meanwhile is read.
                     tokio::task::yield_now().await;
-                    if let Some(result) = poll_once(connection.as_mut()).await {
+                    if let Some(result) = poll_once(Pin::new(&mut connection)).await {
                         break (result.err(), is_closed);
                     }
                     if (head_limit.is_overdue)() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -87,6 +87,7 @@
 mod connection;
 pub mod entry;
 mod error;
+mod head_limit;
 mod hex;
 pub mod host_list;
 pub mod hosts;
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -37,7 +37,8 @@
 use crate::Result;
 use crate::client::HttpClient;
 use crate::clock::{ProcessClock, SuspensionWatch, wall_micros};
-use crate::connection::{ConnectionGroup, HeadLimit, serve_requests};
+use crate::connection::{ConnectionGroup, serve_requests};
+use crate::head_limit::HeadLimit;
 use crate::program::on_reload_signal;
 use crate::time::Tick;
 use crate::web::{accept_next, bind_listener};
@@ -273,18 +274,15 @@
     if let Err(error) = stream.set_nodelay(true) {
         slog::debug!(shared.log.logger(), "TCP_NODELAY not set"; "error" => %error);
     }
-    let limits = shared.core.borrow().rules().limits();
     let stream = CallerStream { stream, connection: connection.clone() };
     // The limits of hyper are fixed for a connection, and those of the configuration change.
     let mut builder = http1::Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(None)
-        .max_buf_size(limits.max_head.max(MIN_BUFFER_SIZE));
+    builder.timer(TokioTimer::new()).header_read_timeout(None);
     let group = shared.connections.clone();
     let head_limit = HeadLimit {
         wait_until_overdue: async || connection.wait_for_overdue_head().await,
         is_overdue: || connection.is_head_overdue(),
+        max_bytes: || shared.core.borrow().rules().limits().max_head,
     };
     let handle = |request| async {
         connection.begin_request();
@@ -292,15 +290,12 @@
         connection.begin_answer();
         answer.map(|body| CallerAnswer { body, connection: connection.clone() })
     };
-    match serve_requests(stream, &builder, group, head_limit, handle).await {
+    match serve_requests(stream, builder, group, head_limit, handle).await {
         Some(end) => connection.end_served(&end),
         None => connection.end_overdue(),
     }
 }
 
-/// Smallest read buffer of a connection, in bytes.
-const MIN_BUFFER_SIZE: usize = 8 * 1024;
-
 /// Answers a request for a path.
 type PathHandler = fn(&RelayShared, &str) -> Response<Full<Bytes>>;
 
--- a/src/web.rs
+++ b/src/web.rs
@@ -19,7 +19,8 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc;
 
-use crate::connection::{ConnectionGroup, HeadLimit, RequestBody, serve_requests};
+use crate::connection::{ConnectionGroup, RequestBody, serve_requests};
+use crate::head_limit::HeadLimit;
 use crate::verdict::Verdict;
 
 /// Header with the verdict on whether the request ran.
@@ -238,9 +239,12 @@
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_READ_TIMEOUT)
-        .max_buf_size(MAX_HEADER_BYTES)
         .max_headers(MAX_HEADERS);
     // A connection error is ignored: the outcome of each request is handled separately.
-    let head_limit = HeadLimit { wait_until_overdue: std::future::pending, is_overdue: || false };
-    serve_requests(stream, &builder, group, head_limit, handle).await;
+    let head_limit = HeadLimit {
+        wait_until_overdue: std::future::pending,
+        is_overdue: || false,
+        max_bytes: || MAX_HEADER_BYTES,
+    };
+    serve_requests(stream, builder, group, head_limit, handle).await;
 }
