Follow the limit of bodies in force while a body arrives

What callers saw: 413 for a body that arrives in pieces, within a limit that was raised after its head had arrived.

Why the fix works: the limit is read at each piece, and the largest one seen holds, so that neither a raised nor a lowered limit refuses what some configuration in force during the request allows.

--- a/src/entry/admin.rs
+++ b/src/entry/admin.rs
@@ -187,7 +187,7 @@
     let expected = read_if_match(&request)?;
     let dry_run = request.uri().query().is_some_and(|query| query.contains("dry_run=true"));
     let body =
-        read_body(request.into_body(), MAX_CONFIG_BYTES, BODY_TIMEOUT).await.map_err(|_| {
+        read_body(request.into_body(), || MAX_CONFIG_BYTES, BODY_TIMEOUT).await.map_err(|_| {
             AdminFault::new(StatusCode::BAD_REQUEST, "broken_body", "the body could not be read")
         })?;
     let text = std::str::from_utf8(&body)
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -185,7 +185,7 @@
 
 async fn read_limited_body(shared: &EntryShared, body: RequestBody) -> Result<Bytes, RequestFault> {
     let settings = &shared.settings;
-    read_body(body, settings.max_body_bytes, settings.body_timeout).await.map_err(|fault| {
+    read_body(body, || settings.max_body_bytes, settings.body_timeout).await.map_err(|fault| {
         match fault {
             BodyError::TooLarge => {
                 let text = format!("the body is larger than {} bytes", settings.max_body_bytes);
--- a/src/relay/proxy/exchange.rs
+++ b/src/relay/proxy/exchange.rs
@@ -108,11 +108,11 @@
         core.admit(host, parts.uri.path(), head.key.as_deref(), arrived)
     };
     let access = access.map_err(refusal_fault)?;
-    let limits = shared.core.borrow().rules().limits();
     let time_limit =
         head.time_limit.unwrap_or(access.route.time_limit).min(access.route.time_limit);
     let deadline = arrived + time_limit;
-    let body = read_body(body, limits.max_body, time_limit).await;
+    let max_body = || shared.core.borrow().rules().limits().max_body;
+    let body = read_body(body, max_body, time_limit).await;
     match &body {
         Ok(_) => connection.finish_body(),
         Err(BodyError::Aborted) => connection.break_body(),
--- a/src/web.rs
+++ b/src/web.rs
@@ -175,17 +175,19 @@
     Aborted,
 }
 
-/// Reads a whole body of up to `max_bytes` bytes within `timeout`.
+/// Reads a whole body within `timeout`. The maximum size, in bytes, may change meanwhile; the largest
+/// one holds.
 pub(crate) async fn read_body<B>(
     mut body: B,
-    max_bytes: usize,
+    max_bytes: impl Fn() -> usize,
     timeout: Duration,
 ) -> Result<Bytes, BodyError>
 where
     B: Body<Data = Bytes> + Unpin,
 {
     let expected_bytes = body.size_hint().lower() as usize;
-    if expected_bytes > max_bytes {
+    let mut limit = max_bytes();
+    if expected_bytes > limit {
         return Err(BodyError::TooLarge);
     }
     let read = async {
@@ -195,7 +197,8 @@
             let Ok(chunk) = frame.into_data() else {
                 continue;
             };
-            if buffer.len() + chunk.len() > max_bytes {
+            limit = limit.max(max_bytes());
+            if buffer.len() + chunk.len() > limit {
                 return Err(BodyError::TooLarge);
             }
             buffer.extend_from_slice(&chunk);
