Apply reloaded stop_s and max_descriptors

What callers saw (by own tests): a stop after a reload cut an answer at the time limit with which the process had started, though the settings in force left seven more seconds; connections beyond the number of descriptors of the first settings were closed unread.

Cause: both settings were read once for the process, as the limit of heads was for a connection.

Why the fix works: the stop reads its limit as it goes, so that a reload during the stop counts as well, and a reload sets the bound of the gate. The log line of a reload names both.

--- a/src/relay/decide/connection_gate.rs
+++ b/src/relay/decide/connection_gate.rs
@@ -52,8 +52,14 @@
     /// Creates a gate of a process that may use `max_descriptors`, `None` if that is unknown.
     #[must_use]
     pub fn new(max_descriptors: Option<usize>) -> Self {
-        let max_open = max_descriptors.map(|max| (max as f64 * CALLER_SHARE) as usize);
-        ConnectionGate { max_open, quota: MAX_QUOTA, taken: 0, unsettled: 0 }
+        let mut gate = ConnectionGate { max_open: None, quota: MAX_QUOTA, taken: 0, unsettled: 0 };
+        gate.set_max_descriptors(max_descriptors);
+        gate
+    }
+
+    /// Sets how many descriptors the process may use, `None` if that is unknown.
+    pub fn set_max_descriptors(&mut self, max_descriptors: Option<usize>) {
+        self.max_open = max_descriptors.map(|max| (max as f64 * CALLER_SHARE) as usize);
     }
 
     /// Records by how much the event loop is late.
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -110,6 +110,7 @@
         log: DecisionLog::new(log),
         counts: RefCell::default(),
         is_stopping: Cell::new(false),
+        stop_limit: Cell::new(settings.stop_limit()),
         is_closed_to_new: Cell::new(false),
         store_failed_at: Cell::new(None),
         start_phase: watch::Sender::new(StartPhase::Loading),
@@ -151,10 +152,9 @@
     tokio::task::spawn_local(record_loop_delay(shared.clone()));
     tokio::task::spawn_local(settle_connections(shared.clone()));
     tokio::task::spawn_local(super::peers::receive::receive(shared.clone()));
-    let stop_limit = settings.stop_limit();
     tokio::task::spawn_local(reload_settings(shared.clone(), file, settings));
     stop.await;
-    drain(&shared, stop_limit).await;
+    drain(&shared).await;
     Ok(())
 }
 
@@ -166,8 +166,10 @@
     let reload = |is_signal: bool| match file.read() {
         Ok(settings) if settings != *current.borrow() => {
             shared.core.borrow_mut().set_limits(settings.to_limits());
+            shared.stop_limit.set(settings.stop_limit());
+            shared.gate.borrow_mut().set_max_descriptors(settings.max_descriptors);
             slog::info!(shared.log.logger(), "settings reloaded";
-                "applied" => "regions, revoke_ms, evacuate_ms, warmup_overrun, warmup_slack, fail_closed, drain_ms, store_history_s, retry_ratio, retry_slack, retry_window_s");
+                "applied" => "stop_s, max_descriptors, regions, revoke_ms, evacuate_ms, warmup_overrun, warmup_slack, fail_closed, drain_ms, store_history_s, retry_ratio, retry_slack, retry_window_s");
             *current.borrow_mut() = settings;
         }
         Ok(_) if is_signal => slog::info!(shared.log.logger(), "settings reloaded, none changed"),
@@ -186,16 +188,17 @@
 
 /// Carries out a planned stop: callers are directed to other entries, and each request that has
 /// begun to arrive is answered.
-async fn drain(shared: &RelayShared, limit: Duration) {
+async fn drain(shared: &RelayShared) {
     let started_at = shared.now();
     let elapsed = || shared.now().since(started_at);
     let connections = &shared.connections;
     shared.is_stopping.set(true);
     slog::info!(shared.log.logger(), "stop begun"; "open" => connections.busy());
-    let plan = StopPlan::new(limit);
+    // The settings may be reloaded during the stop.
+    let plan = || StopPlan::new(shared.stop_limit.get());
     loop {
         tokio::time::sleep(STOP_CHECK_INTERVAL).await;
-        match plan.phase(elapsed(), connections.busy()) {
+        match plan().phase(elapsed(), connections.busy()) {
             StopPhase::Serving => {}
             StopPhase::Finishing => shared.is_closed_to_new.set(true),
             StopPhase::Ended => break,
@@ -206,7 +209,7 @@
     connections.close();
     loop {
         tokio::time::sleep(STOP_CHECK_INTERVAL).await;
-        if shared.open_connections.get() == 0 || plan.must_exit(elapsed()) {
+        if shared.open_connections.get() == 0 || plan().must_exit(elapsed()) {
             break;
         }
     }
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -45,6 +45,8 @@
     pub(crate) counts: RefCell<RelayCounts>,
     /// Whether a planned stop has begun.
     pub(crate) is_stopping: Cell<bool>,
+    /// Longest planned stop.
+    pub(crate) stop_limit: Cell<Duration>,
     /// Whether new requests are refused.
     pub(crate) is_closed_to_new: Cell<bool>,
     /// When a call to the store last failed, or the store was last restored from a backup.
