Apply a difference of two target lists only to the list that it begins with

What callers would see: requests to a target that is gone, until the list is read anew.

Cause: an entry that reads the list again announces how it differs from its last one. A target that was listed and removed between the two is in neither, so an entry that knows it by another update keeps it: the update's revision covers its removal, and nothing else tells of it.

Why the fix works: such an update says that it is a difference. An entry whose last change is later than the beginning of the difference treats it as a gap and asks the store, whose events have all changes. Updates of watches hold every change and apply as before.

Test: tests/relay/overtaken_lists.rs. With the comparison disabled it fails (the difference is applied, `b` stays); with it, it passes.

--- a/src/relay/core/target_list.rs
+++ b/src/relay/core/target_list.rs
@@ -68,8 +68,13 @@
         let is_announced = is_announced && !change.is_empty() && revision.epoch == since.epoch;
         let age_ms = to_age_ms(now.since(known_at));
         let changes = || self.to_changes(&change);
-        let update =
-            is_announced.then(|| TargetListUpdate { since, revision, age_ms, changes: changes() });
+        let update = is_announced.then(|| TargetListUpdate {
+            since,
+            revision,
+            age_ms,
+            changes: changes(),
+            is_difference: true,
+        });
         (change, update)
     }
 
@@ -191,6 +196,7 @@
             revision,
             age_ms,
             changes: announced,
+            is_difference: false,
         });
         (change, update)
     }
--- a/src/relay/discovery/target_list_sync.rs
+++ b/src/relay/discovery/target_list_sync.rs
@@ -99,6 +99,10 @@
     /// The changes.
     #[serde(rename = "c")]
     pub changes: Vec<TargetChange>,
+    /// Whether these are the differences between two lists. They lack targets that came and went in
+    /// between.
+    #[serde(rename = "d", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_difference: bool,
 }
 
 /// How an update relates to what the receiver knows.
@@ -240,10 +244,11 @@
             return UpdateVerdict::Known;
         }
         // An update that spans the restore of the store from a backup lacks the changes that were
-        // lost.
+        // lost. A difference lacks what is known here of a moment between its lists.
         let is_of_epoch =
             [update.since.epoch, update.revision.epoch] == [self.known_up_to.epoch; 2];
-        if update.since > self.known_up_to || !is_of_epoch {
+        let lacks_known = update.is_difference && self.changed_at > update.since;
+        if update.since > self.known_up_to || !is_of_epoch || lacks_known {
             self.record_newest(update.revision, now);
             return UpdateVerdict::Gap;
         }
--- a/standins/src/control.rs
+++ b/standins/src/control.rs
@@ -370,6 +370,7 @@
             revision: revision(self.list_revision),
             age_ms: 0,
             changes: Vec::new(),
+            is_difference: false,
         };
         let announced = update.revision;
         self.send_update(number, &PeerMessage::TargetListChanged(update), changes * CHANGE_BYTES);
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -13,6 +13,7 @@
 mod instances;
 mod message_fragments;
 mod notices;
+mod overtaken_lists;
 mod part_bounds;
 mod part_bystanders;
 mod part_events;
--- a/tests/relay/message_fragments.rs
+++ b/tests/relay/message_fragments.rs
@@ -18,6 +18,7 @@
         revision: revision(2),
         age_ms: 0,
         changes,
+        is_difference: false,
     })
 }
 
--- a/tests/relay/restored_store.rs
+++ b/tests/relay/restored_store.rs
@@ -92,7 +92,7 @@
 }
 
 fn update(since: StoreRevision, revision: StoreRevision) -> TargetListUpdate {
-    TargetListUpdate { since, revision, age_ms: 0, changes: Vec::new() }
+    TargetListUpdate { since, revision, age_ms: 0, changes: Vec::new(), is_difference: false }
 }
 
 fn sync_at(revision: StoreRevision) -> TargetListSync {
--- a/tests/relay/target_list_updates.rs
+++ b/tests/relay/target_list_updates.rs
@@ -19,6 +19,7 @@
         revision: revision(until),
         age_ms: 0,
         changes: Vec::new(),
+        is_difference: false,
     }
 }
 
@@ -362,6 +363,7 @@
         revision: revision(2),
         age_ms: 0,
         changes: changes.collect(),
+        is_difference: false,
     };
     let message = PeerMessage::TargetListChanged(update);
     let bytes = message.to_bytes().unwrap();
