A list that was overtaken counts as known up to its own revision only

What callers would see: requests to a target that is gone, for good at an entry that does not watch.

Cause: after a read of the list, the entry holds the state of the read's revision, but kept the number of the newest change that it had known, or that a later page of the list contained. A removal between the two was undone by the list and then ignored as known. It was also announced to others under a revision that it had not.

Why the fix works: the list counts as known up to the revision of its oldest page. If a later change is known to exist, the entry asks for the changes since then, which holds for listeners and watchers; an update that arrives first applies.

Tests: two of tests/relay/overtaken_lists.rs; on the code before both fail (known up to 9 instead of 6; an update from 9 to 9 is announced). record_list takes the time, so its calls in other tests name one.

--- a/src/relay/core/target_list.rs
+++ b/src/relay/core/target_list.rs
@@ -62,10 +62,11 @@
     ) -> (ListChange, Option<TargetListUpdate>) {
         let is_announced = self.targets.has_list() && !is_after_outage;
         let since = self.target_list_sync.changed_at();
-        self.record_list(list.revision, list.changed_at);
+        self.record_list(list.revision, list.changed_at, now);
         let change = self.apply_list(list.records, is_after_outage, now);
         let revision = self.target_list_sync.changed_at();
-        let is_announced = is_announced && !change.is_empty() && revision.epoch == since.epoch;
+        let is_next = since < revision && revision.epoch == since.epoch;
+        let is_announced = is_announced && is_next && !change.is_empty();
         let age_ms = to_age_ms(now.since(known_at));
         let changes = || self.to_changes(&change);
         let update = is_announced.then(|| TargetListUpdate {
@@ -160,8 +161,8 @@
 
     /// Records a list that was read and is current at `revision`. Its targets last changed at
     /// `changed_at`.
-    pub fn record_list(&mut self, revision: StoreRevision, changed_at: StoreRevision) {
-        self.target_list_sync.record_list(revision, changed_at);
+    pub fn record_list(&mut self, revision: StoreRevision, changed_at: StoreRevision, now: Tick) {
+        self.target_list_sync.record_list(revision, changed_at, now);
     }
 
     /// Applies changes that this entry's own watch received. Returns the change, and the update to
--- a/src/relay/discovery/target_list_sync.rs
+++ b/src/relay/discovery/target_list_sync.rs
@@ -191,15 +191,23 @@
         self.known_up_to
     }
 
-    /// Records a list that was read and is current at `revision`; its targets last changed at
-    /// `changed_at`.
-    pub fn record_list(&mut self, revision: StoreRevision, changed_at: StoreRevision) {
+    /// Records a list that was read and is in force here from now on. It is current at `revision`,
+    /// and its targets last changed at `changed_at`.
+    pub fn record_list(&mut self, revision: StoreRevision, changed_at: StoreRevision, now: Tick) {
         // Changes that others announced are in the list, unless they are later than it.
-        let newest = if self.newest <= revision { self.newest } else { StoreRevision::default() };
+        let announced =
+            if self.newest <= revision { self.newest } else { StoreRevision::default() };
+        // The list lacks later changes, also those that were known here, and only some of its pages
+        // may hold them.
+        let newest = self.changed_at.max(changed_at);
         self.read_at = revision;
-        self.changed_at = self.changed_at.max(changed_at).max(newest);
+        self.changed_at = self.changed_at.max(changed_at).max(announced).min(revision);
+        self.known_up_to = revision;
+        self.behind_since = None;
         self.record_announced(self.changed_at);
-        self.record_caught_up(revision);
+        if newest > revision {
+            self.record_newest(newest, now);
+        }
     }
 
     /// Records that the last list that was read showed a change. A removed target leaves no
--- a/standins/src/control.rs
+++ b/standins/src/control.rs
@@ -257,7 +257,7 @@
         let list = revision(self.list_revision);
         let entry = &mut self.entries[number];
         entry.has_started = true;
-        entry.list.record_list(list, list);
+        entry.list.record_list(list, list, self.now);
         entry.watched = self.list_revision;
         entry.config_revision = self.config_revision;
         entry.config_watched = self.config_revision;
--- a/tests/relay/overtaken_lists.rs
+++ b/tests/relay/overtaken_lists.rs
@@ -56,3 +56,31 @@
     assert_eq!(other.apply_list_update(&difference, false, at(3_001)).added, [name("c")]);
     assert!(!is_asking(&other), "it knows the list that the difference begins with");
 }
+
+/// Guards against a removal that is lost for good: it was announced while an older list was read.
+#[test]
+fn changes_after_a_list_that_was_overtaken_are_asked_for() {
+    let mut core = entry();
+    core.apply_list_update(&update(TargetChange::Listed(record("b", 2)), 5, 6), false, at(101));
+    let removal = update(TargetChange::Removed(name("a")), 6, 9);
+    assert_eq!(core.apply_list_update(&removal, false, at(110)).removed, [name("a")]);
+    let overtaken = list(7, vec![record("a", 1), record("b", 2)]);
+    let (_, announced) = core.apply_reread(overtaken, false, at(90), at(120));
+    assert_eq!(announced, None, "the others know later changes");
+    assert_eq!(core.target_list_sync().known_up_to(), revision(7), "the removal is not known");
+    assert!(is_asking(&core));
+    assert_eq!(core.apply_list_update(&removal, false, at(130)).removed, [name("a")]);
+    assert!(!is_asking(&core));
+}
+
+/// Guards against the same where the first page of a list is older than the last one.
+#[test]
+fn changes_between_the_pages_of_a_list_are_asked_for() {
+    let mut core = entry();
+    let pages = TargetList { changed_at: revision(9), ..list(6, vec![record("a", 1)]) };
+    core.apply_reread(pages, false, at(0), at(100));
+    assert_eq!(core.target_list_sync().known_up_to(), revision(6));
+    assert!(is_asking(&core));
+    let removal = update(TargetChange::Removed(name("a")), 6, 8);
+    assert_eq!(core.apply_list_update(&removal, false, at(110)).removed, [name("a")]);
+}
--- a/tests/relay/restored_store.rs
+++ b/tests/relay/restored_store.rs
@@ -97,14 +97,14 @@
 
 fn sync_at(revision: StoreRevision) -> TargetListSync {
     let mut sync = TargetListSync::default();
-    sync.record_list(revision, revision);
+    sync.record_list(revision, revision, at(0));
     sync
 }
 
 #[test]
 fn the_list_revision_number_decreases_with_a_new_epoch() {
     let mut sync = sync_at(before(90));
-    sync.record_list(after(60), after(55));
+    sync.record_list(after(60), after(55), at(0));
     assert_eq!((sync.changed_at().epoch, sync.changed_at().number), (2, 55));
 }
 
@@ -123,7 +123,7 @@
     let mut sync = sync_at(before(90));
     sync.record_agent_report(8, Some(after(60)), at(0));
     assert!(sync.is_behind(at(5_000)));
-    sync.record_list(after(61), after(60));
+    sync.record_list(after(61), after(60), at(0));
     assert!(!sync.is_behind(at(5_000)));
 }
 
--- a/tests/relay/target_list_updates.rs
+++ b/tests/relay/target_list_updates.rs
@@ -26,7 +26,7 @@
 /// The state of an entry that knows all changes up to revision `number`.
 fn sync_at(number: u64) -> TargetListSync {
     let mut sync = TargetListSync::default();
-    sync.record_list(revision(number), revision(number));
+    sync.record_list(revision(number), revision(number), at(0));
     sync
 }
 
@@ -177,7 +177,7 @@
     assert_eq!(sync.apply_update(&update(12, 14), at(2_000)), UpdateVerdict::Gap);
     assert!(!sync.is_behind(at(2_100)), "copies may arrive through other agents");
     assert!(sync.is_behind(at(2_200)));
-    sync.record_list(revision(15), revision(9));
+    sync.record_list(revision(15), revision(9), at(0));
     assert!(!sync.is_behind(at(2_300)));
     assert_eq!(
         sync.changed_at(),
@@ -320,7 +320,7 @@
 #[test]
 fn a_removal_found_by_a_read_advances_the_announced_revision() {
     let mut watcher = entry_with_two_targets();
-    watcher.record_list(revision(9), revision(5));
+    watcher.record_list(revision(9), revision(5), at(0));
     let change = watcher.apply_list(vec![record("a", 1)], false, at(3_000));
     assert_eq!(change.removed, [name("b")]);
     let mut other = listener_at(5);
@@ -332,7 +332,7 @@
 #[test]
 fn a_removal_that_becomes_final_later_advances_the_announced_revision() {
     let mut watcher = entry_with_two_targets();
-    watcher.record_list(revision(9), revision(5));
+    watcher.record_list(revision(9), revision(5), at(0));
     let change = watcher.apply_list(vec![record("a", 1)], true, at(3_000));
     assert_eq!(change.removed, [], "it may come back");
     assert_eq!(watcher.target_list_sync().changed_at(), revision(5));
