An answer of a watch that an update has overtaken is not applied

What callers would see: a request to a target that has just left, for up to the delay between two answers of the watch (0.2 to 0.8 s).

Cause: an answer of the entry's own watch was applied even if an update of another entry had brought the list beyond its revision meanwhile. A target that the update had removed was listed again.

Why the fix works: all that such an answer contains is known, by the revisions, so there is nothing to apply. An answer that leads beyond what is known holds the final value of each item that it touches and is applied whole, as before.

Test: an_answer_of_a_watch_that_was_overtaken_is_not_applied fails on the code before (`a` is listed again) and passes after.

--- a/src/relay/core/target_list.rs
+++ b/src/relay/core/target_list.rs
@@ -174,10 +174,11 @@
         now: Tick,
     ) -> (ListChange, Option<TargetListUpdate>) {
         let WatchedChanges { changes, revision, known_at, .. } = watched;
-        if changes.is_empty() {
+        let known = self.target_list_sync.known_up_to();
+        // Later changes than these may be in force already, by an update of another entry.
+        if changes.is_empty() || revision <= known {
             return (ListChange::default(), None);
         }
-        let known = self.target_list_sync.known_up_to();
         // Of two consecutive revisions the earlier one is the safer start.
         let since =
             if known > watched.since { self.target_list_sync.changed_at() } else { watched.since };
@@ -192,14 +193,9 @@
         let change = self.apply_changes(&changes, is_after_outage.then_some(known_at), now);
         self.target_list_sync.record_watched(revision);
         let age_ms = to_age_ms(now.since(known_at));
-        let update = (revision > known).then_some(TargetListUpdate {
-            since,
-            revision,
-            age_ms,
-            changes: announced,
-            is_difference: false,
-        });
-        (change, update)
+        let changes = announced;
+        let update = TargetListUpdate { since, revision, age_ms, changes, is_difference: false };
+        (change, Some(update))
     }
 
     /// Records that all changes of the list up to `revision` have been announced to other entries.
--- a/tests/relay/overtaken_lists.rs
+++ b/tests/relay/overtaken_lists.rs
@@ -84,3 +84,15 @@
     let removal = update(TargetChange::Removed(name("a")), 6, 8);
     assert_eq!(core.apply_list_update(&removal, false, at(110)).removed, [name("a")]);
 }
+
+/// Guards against a target that is listed again by an answer that an update has overtaken.
+#[test]
+fn an_answer_of_a_watch_that_was_overtaken_is_not_applied() {
+    let mut core = entry();
+    core.apply_list_update(&update(TargetChange::Removed(name("a")), 5, 9), false, at(110));
+    let relisted = watched(TargetChange::Listed(record("a", 1)), 5, 8, at(90));
+    let (change, update) = core.apply_watched(relisted, false, at(120));
+    assert!(change.is_empty() && update.is_none());
+    assert!(core.targets.get("a").is_none());
+    assert!(!is_asking(&core), "all up to that update is known");
+}
