A written quarantine belongs to the configuration of its revision

Cause: an entry that writes its quarantine beside the configuration took the revision of that write, but kept the configuration without the records. Its number and its contents were of two revisions: its proofs were useless to entries with an unconfirmed update, which read the store instead, and it kept that state until the next version.

Why the fix works: the write is conditional, so what the store holds at its revision is the known configuration with these records. A late answer changes nothing.

Test: a_written_quarantine_belongs_to_the_configuration_of_its_revision. On the code before the digests at revision 6 differ; after, they are the same.

--- a/src/relay/core/configuration.rs
+++ b/src/relay/core/configuration.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use super::RelayCore;
+use crate::relay::decide::quarantine::QuarantineRecords;
 use crate::relay::discovery::config_delta::ConfigDelta;
 use crate::relay::discovery::proof_sync::{PeerProof, PeerVerdict, ProofSync};
 use crate::relay::discovery::rules::{DigestedConfig, RelayConfig, RuleTable};
@@ -199,6 +200,16 @@
         self.set_engine_rates(now);
     }
 
+    /// Records that the store now holds the known configuration with these records.
+    pub(super) fn set_written_quarantine(&mut self, records: &QuarantineRecords) {
+        let Some(known) = &self.config else { return };
+        self.set_config(DigestedConfig::new(RelayConfig {
+            quarantine: records.requests.clone(),
+            part_quarantine: records.parts.clone(),
+            ..(**known).clone()
+        }));
+    }
+
     fn set_config(&mut self, digested: DigestedConfig) {
         self.config_digest = digested.digest;
         self.config = Some(Rc::new(digested.config));
--- a/src/relay/core/quarantine.rs
+++ b/src/relay/core/quarantine.rs
@@ -157,6 +157,9 @@
         if revision.epoch != self.config_revision.epoch {
             return false;
         }
+        if revision > self.config_revision && !self.is_store_behind {
+            self.set_written_quarantine(records);
+        }
         self.set_config_revision(revision);
         let unix_ms = self.unix_ms(now);
         self.quarantine.apply_records(&records.requests, unix_ms, now);
--- a/tests/relay/reverted_changes.rs
+++ b/tests/relay/reverted_changes.rs
@@ -2,6 +2,9 @@
 
 use shalelane::relay::core::RelayCore;
 use shalelane::relay::core::configuration::DeltaVerdict;
+use shalelane::relay::decide::quarantine::QuarantineRecords;
+use shalelane::relay::decide::quarantine_list::QuarantineRecord;
+use shalelane::relay::decide::request_digest::RequestDigest;
 use shalelane::relay::discovery::config_delta::ConfigDelta;
 use shalelane::relay::discovery::freshness::StalePolicy;
 use shalelane::relay::discovery::rules::{AccountRule, RelayConfig, ServiceRule};
@@ -157,3 +160,19 @@
     assert!(core.apply_delta(&change_to_last(), at(1_310)).is_new_version());
     assert_eq!(core.config_digest(), last_config().digest());
 }
+
+/// Guards against a revision whose configuration lacks the records that this entry has written.
+#[test]
+fn a_written_quarantine_belongs_to_the_configuration_of_its_revision() {
+    let subject = RequestDigest::of(None, "h.example", "/x", b"body");
+    let record = QuarantineRecord { subject, since_ms: 1_000, renewals: 0, is_lifted: false };
+    let records = QuarantineRecords { requests: vec![record], ..QuarantineRecords::default() };
+    let (mut writer, mut reader) = (entry(1), entry(2));
+    assert!(writer.record_written(&records, revision(6), at(1_100)));
+    let stored = RelayConfig { quarantine: records.requests.clone(), ..config(1) };
+    reader.apply_read(read(6, stored), at(1_200));
+    let state = |core: &RelayCore| (core.config_revision(), core.config_digest());
+    assert_eq!(state(&writer), state(&reader));
+    assert!(writer.record_written(&QuarantineRecords::default(), revision(5), at(1_400)));
+    assert_eq!(state(&writer), state(&reader), "a late answer to an earlier write");
+}
