An attempt ends with its target though its caller does not read

Cause: eight chunks were kept for a caller. Beyond them the stream's task waited for the caller, without a limit, and neither read the target nor looked at the time, so the attempt and its memory lived on.

Evidence: renewals go on each 0.6 s, which only a living attempt makes, and no release failed.

Where there is no room, the attempt ends with the time limit, and without blame for the target.

--- a/src/relay/proxy/answer.rs
+++ b/src/relay/proxy/answer.rs
@@ -10,8 +10,8 @@
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::{Response, StatusCode};
 use serde::Serialize;
-use tokio::sync::mpsc;
 
+use super::chunk_queue::ChunkReceiver;
 use super::protocol::CallerProtocol;
 use crate::verdict::Verdict;
 use crate::web::set_verdict;
@@ -27,7 +27,7 @@
     /// Complete body, read before it is sent.
     Buffered(Full<Bytes>),
     /// Chunks, forwarded as they arrive.
-    Streamed(mpsc::Receiver<Result<Bytes, BrokenAnswer>>),
+    Streamed(ChunkReceiver),
 }
 
 pub(crate) type RelayAnswer = Response<RelayBody>;
@@ -45,7 +45,7 @@
                 Pin::new(body).poll_frame(context).map_err(|never| match never {})
             }
             RelayBody::Streamed(chunks) => {
-                chunks.poll_recv(context).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
+                chunks.poll_next(context).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
             }
         }
     }
--- a/src/relay/proxy/mod.rs
+++ b/src/relay/proxy/mod.rs
@@ -5,13 +5,14 @@
 //! sends one attempt. A `running_attempt` yields what its target sends, `silence_watch` notices when
 //! that is nothing for too long, and an `attempt_race` replaces it once another one yields more.
 //! `crash_check` probes whether a plain target has crashed, `crash_hold` waits for reports of
-//! crashes, and `answer` builds the caller's response. `connections` pools the connections to
+//! crashes, and `answer` builds the caller's response. `chunk_queue` keeps what a slow caller has not read. `connections` pools the connections to
 //! targets, `target_stream` carries their bytes, `memory_hold` reserves memory at helpers, [`event_stream`] splits streams into events, and `ledger` logs the request at its
 //! end. [`protocol`] defines the adapters for the protocols of callers and targets.
 
 pub(crate) mod answer;
 pub(crate) mod attempt_race;
 pub(crate) mod call;
+pub(crate) mod chunk_queue;
 pub(crate) mod connections;
 pub(crate) mod crash_check;
 pub(crate) mod crash_hold;
--- a/src/relay/proxy/stream.rs
+++ b/src/relay/proxy/stream.rs
@@ -6,10 +6,11 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Response, StatusCode};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 
-use super::answer::{BrokenAnswer, RelayAnswer, RelayBody, RelayFault};
+use super::answer::{RelayAnswer, RelayBody, RelayFault};
 use super::attempt_race::AttemptRace;
+use super::chunk_queue::{ChunkSender, new_queue};
 use super::forward::AttemptFault;
 use super::job::RelayJob;
 use super::ledger::RequestLedger;
@@ -21,9 +22,6 @@
 use crate::relay::record::{RequestEnd, RetryStop};
 use crate::relay::shared::RelayShared;
 
-/// Maximum number of chunks that are queued for a slow caller.
-const MAX_QUEUED_CHUNKS: usize = 8;
-
 /// First message of a stream's task to the function that answers the caller.
 enum StreamStart {
     /// Head of a streamed answer; its chunks follow.
@@ -37,7 +35,7 @@
 /// Sending side of the caller's stream.
 struct StreamOutput {
     start: Option<oneshot::Sender<StreamStart>>,
-    chunks: mpsc::Sender<Result<Bytes, BrokenAnswer>>,
+    chunks: ChunkSender,
 }
 
 impl StreamOutput {
@@ -60,8 +58,8 @@
     mut ledger: RequestLedger,
 ) -> RelayAnswer {
     let (start, start_receiver) = oneshot::channel();
-    let (chunks, chunk_receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
-    let caller = chunks.clone();
+    let (chunks, chunk_receiver) = new_queue(shared.shared_room.clone());
+    let caller_left = chunks.closed();
     let task_shared = shared.clone();
     let id = job.id.clone();
     tokio::task::spawn_local(async move {
@@ -69,7 +67,7 @@
         tokio::select! {
             biased;
             // All work for a request is cancelled when its caller leaves.
-            () = caller.closed() => {}
+            () = caller_left => {}
             () = run_stream(&task_shared, &job, &mut output, &mut ledger) => {}
         }
     });
@@ -97,12 +95,12 @@
     loop {
         if let Some(fault) = series.check_quarantine(shared, job) {
             ledger.retry_stop = Some(RetryStop::Quarantined);
-            return fail_stream(output, &series, fault, ledger).await;
+            return fail_stream(output, &series, fault, ledger);
         }
         let Some(mut placement) = series.place(shared, job) else {
             ledger.retry_stop = Some(RetryStop::NoTarget);
             let fault = series.final_fault(shared, job, false);
-            return fail_stream(output, &series, fault, ledger).await;
+            return fail_stream(output, &series, fault, ledger);
         };
         let decision = decide(shared, job, &placement, is_admitted).filter(|_| series.is_unsent());
         match decision {
@@ -126,12 +124,19 @@
         if let Err(stop) = series.renew_retry(shared, job).await {
             ledger.retry_stop = Some(stop);
             let fault = series.final_fault(shared, job, false);
-            return fail_stream(output, &series, fault, ledger).await;
+            return fail_stream(output, &series, fault, ledger);
         }
         ledger.record_send(&placement.target);
         let mut race = AttemptRace::start(shared, job, placement, &series, &position);
-        match forward_answer(job, &mut race, output, &mut series, ledger).await {
-            Ok(status) => return ledger.end(RequestEnd::Answered, status, ""),
+        match forward_answer(shared, job, &mut race, output, &mut series, ledger).await {
+            Ok(StreamOutcome::Complete(status)) => {
+                return ledger.end(RequestEnd::Answered, status, "");
+            }
+            Ok(StreamOutcome::Unread) => {
+                series.record_superseded(race.current());
+                ledger.end(RequestEnd::Broken, StatusCode::OK, "the caller does not read");
+                return output.chunks.break_off();
+            }
             Err(fault) => {
                 let failed = series.record_fault(shared, job, race.current(), fault);
                 position = race.current().position();
@@ -140,7 +145,7 @@
                 if let Err(stop) = series.acquire_next(shared, job, failed).await {
                     ledger.retry_stop = Some(stop);
                     let fault = series.final_fault(shared, job, failed.is_timeout);
-                    return fail_stream(output, &series, fault, ledger).await;
+                    return fail_stream(output, &series, fault, ledger);
                 }
                 series.wait_after_refusal(shared, job).await;
             }
@@ -161,7 +166,7 @@
     Some((placement.decide(&need, job.placement_interval(), &core.limits().policy), need))
 }
 
-async fn fail_stream(
+fn fail_stream(
     output: &mut StreamOutput,
     series: &AttemptSeries,
     fault: RelayFault,
@@ -169,38 +174,47 @@
 ) {
     if output.is_started() {
         ledger.end(RequestEnd::Broken, StatusCode::OK, &series.reason);
-        // If the caller has left, the error cannot be delivered.
-        drop(output.chunks.send(Err(BrokenAnswer)).await);
-        return;
+        return output.chunks.break_off();
     }
     ledger.end_with_fault(&fault);
     output.send_start(StreamStart::Fault(fault));
 }
 
+/// How the attempts of a stream have ended without a fault of a target.
+enum StreamOutcome {
+    /// The answer is complete.
+    Complete(StatusCode),
+    /// Time is up, and the caller has not read what there is.
+    Unread,
+}
+
 /// Forwards what the attempts yield to the caller, until the answer is complete.
 async fn forward_answer(
+    shared: &RelayShared,
     job: &RelayJob,
     race: &mut AttemptRace<'_>,
     output: &mut StreamOutput,
     series: &mut AttemptSeries,
     ledger: &mut RequestLedger,
-) -> Result<StatusCode, AttemptFault> {
+) -> Result<StreamOutcome, AttemptFault> {
     loop {
         match race.next(series, ledger).await? {
             AttemptYield::Silence => {}
-            AttemptYield::StreamEnd(status) => return Ok(status),
+            AttemptYield::StreamEnd(status) => return Ok(StreamOutcome::Complete(status)),
             AttemptYield::Answer(answer) => {
                 let status = answer.status();
                 output.send_start(StreamStart::Buffered(answer));
-                return Ok(status);
+                return Ok(StreamOutcome::Complete(status));
             }
             AttemptYield::Events(events) => {
                 if let Some(head) = race.current().take_head() {
                     output.send_start(StreamStart::Head(head));
                 }
                 ledger.record_events(job);
-                if output.chunks.send(Ok(events)).await.is_err() {
-                    return Err(AttemptFault::broken("the caller left"));
+                match shared.run_until(job.deadline, output.chunks.send(events)).await {
+                    Some(true) => {}
+                    Some(false) => return Err(AttemptFault::broken("the caller left")),
+                    None => return Ok(StreamOutcome::Unread),
                 }
             }
         }
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -129,6 +129,7 @@
         http_client: HttpClient::new(1),
         reservation_names: RefCell::new(ReservationNames::new(entry)),
         pending_permits: RefCell::default(),
+        shared_room: Rc::default(),
         clock: ProcessClock::new(),
         connections: ConnectionGroup::new(),
         gate: RefCell::new(ConnectionGate::new(settings.max_descriptors)),
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -23,6 +23,7 @@
 use super::discovery::watch_timing::watch_timeout;
 use super::peers::peer_link::PeerLink;
 use super::peers::peer_message::PeerMessage;
+use super::proxy::chunk_queue::SharedRoom;
 use super::proxy::connections::ConnectionPool;
 use super::proxy::protocol::{CallerProtocol, TargetProtocol};
 use super::record::DecisionLog;
@@ -82,6 +83,8 @@
     pub(crate) reservation_names: RefCell<ReservationNames>,
     /// Requests for permits that wait for an answer, by their nonce.
     pub(crate) pending_permits: RefCell<HashMap<u64, oneshot::Sender<PermitReply>>>,
+    /// Room for answers that callers have not read.
+    pub(crate) shared_room: Rc<SharedRoom>,
     pub(crate) clock: ProcessClock,
     /// Connections of callers.
     pub(crate) connections: Rc<ConnectionGroup>,
