--- a/src/relay/caller_connection.rs
+++ b/src/relay/caller_connection.rs
@@ -15,8 +15,8 @@
 use tokio::time::Instant;
 
 use super::discovery::rules::CallerLimits;
+use super::log_line::{ConnectionEnd, ConnectionLine, ConnectionState};
 use super::proxy::answer::{BrokenAnswer, RelayBody};
-use super::record::{ConnectionEnd, ConnectionLine, ConnectionState};
 use super::shared::RelayShared;
 use crate::connection::{DISCARD_TIMEOUT, ServedEnd};
 use crate::time::Tick;
--- a/src/relay/counts.rs
+++ b/src/relay/counts.rs
@@ -9,7 +9,7 @@
 use super::decide::permit_issuer::PermitReply;
 use super::decide::rate_limit::RateNotice;
 use super::decide::target_notice::TargetNotice;
-use super::record::{ConnectionEnd, RequestEnd, RetryOutcome};
+use super::log_line::{ConnectionEnd, RequestEnd, RetryOutcome};
 use crate::metrics::{MetricsRegistry, MirroredCounter, length_class};
 use crate::time::Tick;
 
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -12,7 +12,7 @@
 //! [`core::RelayCore`] combines the decisions and does no input or output. `shared` holds the
 //! state that the tasks of a process share, `caller_connection` follows the connections of callers,
 //! and [`server`] starts these tasks. [`settings`] reads
-//! the settings files, [`record`] writes the log, `counts` holds the metrics, and [`stop`] plans
+//! the settings files, [`record`] writes the log of [`log_line`]s, `counts` holds the metrics, and [`stop`] plans
 //! the phases of a stop.
 
 mod caller_connection;
@@ -20,6 +20,7 @@
 mod counts;
 pub mod decide;
 pub mod discovery;
+pub mod log_line;
 pub mod peers;
 pub mod proxy;
 pub mod record;
--- a/src/relay/proxy/call.rs
+++ b/src/relay/proxy/call.rs
@@ -14,7 +14,7 @@
 use super::permit::acquire_permit;
 use super::running_attempt::{AttemptYield, StreamPosition};
 use super::series::AttemptSeries;
-use crate::relay::record::RetryStop;
+use crate::relay::log_line::RetryStop;
 use crate::relay::shared::RelayShared;
 
 /// Serves a call whose answer is not a stream, with as many attempts as are allowed.
--- a/src/relay/proxy/crash_hold.rs
+++ b/src/relay/proxy/crash_hold.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::job::RelayJob;
-use crate::relay::record::RetryStop;
+use crate::relay::log_line::RetryStop;
 use crate::relay::shared::RelayShared;
 
 /// Interval at which a held request checks what is known of its engines.
--- a/src/relay/proxy/exchange.rs
+++ b/src/relay/proxy/exchange.rs
@@ -21,7 +21,7 @@
 use crate::relay::decide::placement::PromptNeed;
 use crate::relay::decide::urgency::UrgencyRank;
 use crate::relay::discovery::rules::{Access, RouteRule};
-use crate::relay::record::RequestEnd;
+use crate::relay::log_line::RequestEnd;
 use crate::relay::shared::RelayShared;
 use crate::time::Tick;
 use crate::web::{BodyError, read_body};
--- a/src/relay/proxy/ledger.rs
+++ b/src/relay/proxy/ledger.rs
@@ -8,7 +8,7 @@
 use super::answer::RelayFault;
 use super::job::RelayJob;
 use crate::relay::decide::request_digest::RequestDigest;
-use crate::relay::record::{RequestEnd, RequestLine, RetryStop, StreamPace};
+use crate::relay::log_line::{RequestEnd, RequestLine, RetryStop, StreamPace};
 use crate::relay::shared::RelayShared;
 use crate::time::Tick;
 use crate::verdict::Verdict;
--- a/src/relay/proxy/permit.rs
+++ b/src/relay/proxy/permit.rs
@@ -15,8 +15,8 @@
 use crate::relay::decide::permit_issuer::PermitReply;
 use crate::relay::decide::placement::Placement;
 use crate::relay::decide::retry_budget::RETRY_SEND_WINDOW;
+use crate::relay::log_line::RetryOutcome;
 use crate::relay::peers::peer_message::PeerMessage;
-use crate::relay::record::RetryOutcome;
 use crate::relay::shared::RelayShared;
 use crate::time::Tick;
 
--- a/src/relay/proxy/series.rs
+++ b/src/relay/proxy/series.rs
@@ -20,7 +20,7 @@
 use crate::relay::decide::retry_delay::after_reopening;
 use crate::relay::decide::send_count::{SendCount, SendEnd};
 use crate::relay::decide::targets::{TargetFault, TargetInstance};
-use crate::relay::record::{FailedAttemptLine, PlacementLine, RetryStop};
+use crate::relay::log_line::{FailedAttemptLine, PlacementLine, RetryStop};
 use crate::relay::shared::RelayShared;
 use crate::time::Tick;
 use crate::verdict::Verdict;
--- a/src/relay/proxy/stream.rs
+++ b/src/relay/proxy/stream.rs
@@ -19,7 +19,7 @@
 use super::series::AttemptSeries;
 use crate::relay::decide::placement::{Placement, PlacementAction, PromptNeed};
 use crate::relay::decide::retry_delay::after_overload;
-use crate::relay::record::{RequestEnd, RetryStop};
+use crate::relay::log_line::{RequestEnd, RetryStop};
 use crate::relay::shared::RelayShared;
 
 /// First message of a stream's task to the function that answers the caller.
