A version that is written again with other contents comes into force

What callers would see: routes and keys of a version that the store has lost, for as long as no later one is written.

Cause: a configuration with the number of the version in force was recorded, with its digest and proofs, but its rules were not made. After a restore from a backup the same number may have other contents.

Why the fix works: unless the two differ in their quarantines at most, which the entries write, the new contents come into force, so rules and digest belong to one configuration.

Test: other_contents_of_a_version_that_is_written_again_come_into_force. With the comparison disabled it fails (nothing comes into force); after it passes.

--- a/src/relay/core/configuration.rs
+++ b/src/relay/core/configuration.rs
@@ -186,7 +186,9 @@
             return false;
         }
         self.rules_epoch = self.config_revision.epoch;
-        if config.version == self.rules.version() {
+        // A store restored from a backup may hold other contents under a version that was in force.
+        let is_known = self.config.as_ref().is_some_and(|known| known.has_rules_of(config));
+        if config.version == self.rules.version() && is_known {
             self.set_config(digested);
             return false;
         }
--- a/src/relay/discovery/rules.rs
+++ b/src/relay/discovery/rules.rs
@@ -162,6 +162,16 @@
         let parts = self.part_quarantine.iter().map(hash_item);
         routes.chain(services).chain(accounts).chain(parts).fold(rest, u64::wrapping_add)
     }
+
+    /// Returns `true` if two configurations of the same version differ in their quarantines at most.
+    #[must_use]
+    pub fn has_rules_of(&self, other: &RelayConfig) -> bool {
+        let digest_rules = |config: &RelayConfig| {
+            let (quarantine, part_quarantine) = (Vec::new(), Vec::new());
+            RelayConfig { quarantine, part_quarantine, ..config.clone() }.digest()
+        };
+        self.version == other.version && digest_rules(self) == digest_rules(other)
+    }
 }
 
 /// A configuration and its digest, which is costly for a large one.
--- a/tests/relay/restored_store.rs
+++ b/tests/relay/restored_store.rs
@@ -174,6 +174,19 @@
     assert_eq!(core.lease().proven_at(), Some(at(4_000)), "the version was written again");
 }
 
+/// Guards against the rules of a lost version under the number of the one written after it.
+#[test]
+fn other_contents_of_a_version_that_is_written_again_come_into_force() {
+    let mut core = core_at(before(9), 3);
+    core.apply_read(read(after(5), Some(2)), at(3_000));
+    let mut rewritten = config(3);
+    rewritten.limits.max_head = 99_000;
+    let rewritten = ConfigRead { config: Some(rewritten), ..read(after(6), None) };
+    assert!(core.apply_read(rewritten, at(4_000)));
+    assert_eq!(core.rules().limits().max_head, 99_000);
+    assert!(!core.apply_read(read(after(6), None), at(5_000)));
+}
+
 /// An answer that a watch has overtaken holds an earlier version. It still proves that no
 /// version later than the watch's was in force.
 #[test]
