--- a/src/connection.rs
+++ b/src/connection.rs
@@ -82,7 +82,7 @@
     is_discarding: Cell<bool>,
     /// Whether the caller may still send a body that nothing reads.
     is_unread: Cell<bool>,
-    /// Whether the next head is not read yet.
+    /// Whether the bytes of the next head stay in the socket.
     holds_heads: Cell<bool>,
 }
 
@@ -97,12 +97,12 @@
         self.expects_head() && !self.is_write_blocked.get()
     }
 
-    /// Holds the bytes of the next head back, or no longer.
+    /// Sets whether the bytes of the next head stay in the socket.
     pub(crate) fn hold_heads(&self, is_held: bool) {
         self.holds_heads.set(is_held);
     }
 
-    /// Returns `true` if the bytes of the next head are held back.
+    /// Returns `true` if the bytes of the next head stay in the socket.
     pub(crate) fn holds_heads(&self) -> bool {
         self.holds_heads.get()
     }
@@ -295,7 +295,7 @@
 }
 
 impl<S: Unpin> CallerSocket<S> {
-    /// Returns bytes that were read, to be read again before those of the stream.
+    /// Puts bytes back, to be read before those of the stream.
     pub(crate) fn unread(&mut self, bytes: Bytes) {
         self.unread = bytes;
     }
@@ -322,7 +322,7 @@
             buffer.put_slice(&self.unread.split_to(length));
             return Poll::Ready(Ok(()));
         }
-        // The owner of the connection reads on, after its change.
+        // `LimitedConnection` replaces the hyper connection before it polls again.
         if self.state.holds_heads() && self.state.expects_head() {
             return Poll::Pending;
         }
--- a/src/head_limit.rs
+++ b/src/head_limit.rs
@@ -1,8 +1,8 @@
-//! The maximum size of a request's head, which may change while a connection is open.
+//! Maximum size of request heads on open connections.
 //!
-//! The HTTP library takes the maximum when it begins to serve a connection. Where another one is in
-//! force by the time of the next head, the library begins anew on the same socket, with the bytes
-//! that it has read and not parsed.
+//! hyper fixes its maximum when it starts to serve a connection. After a change of the maximum in
+//! force, the hyper connection is replaced between two exchanges: a new one serves the same socket
+//! and starts with the bytes that were read but not parsed.
 
 use std::pin::Pin;
 use std::rc::Rc;
@@ -16,7 +16,7 @@
 
 use crate::connection::{CallerSocket, ConnectionState};
 
-/// Smallest read buffer that the HTTP library allows, in bytes.
+/// Smallest read buffer that hyper allows, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
 /// Limits on the head of a request. Both may change while a connection is open.
@@ -34,12 +34,12 @@
 where
     V: HttpService<Incoming>,
 {
-    /// `None` only while it begins anew.
+    /// `None` only while it is replaced.
     connection: Option<Connection<TokioIo<CallerSocket<S>>, V>>,
     builder: Builder,
     state: Rc<ConnectionState>,
     max_bytes: &'a M,
-    /// Maximum with which the HTTP library serves the connection.
+    /// Maximum with which hyper serves the connection.
     served_bytes: usize,
     is_closing: bool,
 }
@@ -86,8 +86,8 @@
         self.connection = Some(connection);
     }
 
-    /// Serves the connection with the maximum in force, if no exchange is under way. A head that
-    /// has begun to arrive keeps the larger maximum.
+    /// Replaces the hyper connection if its maximum is not the one in force and no exchange is under
+    /// way. A head that has begun to arrive is still read with the larger of the two.
     fn follow_limit(&mut self) {
         let max_bytes = (self.max_bytes)();
         let is_raised = max_bytes > self.served_bytes;
@@ -123,7 +123,8 @@
             this.follow_limit();
             let Some(connection) = &mut this.connection else { return Poll::Ready(Ok(())) };
             let polled = Pin::new(connection).poll(context);
-            // A held head waits for the larger maximum, and for the end of the exchange before it.
+            // The exchange has ended in this turn, and the next head was held back for a larger
+            // maximum.
             if polled.is_ready() || !(this.state.holds_heads() && this.state.is_between_exchanges())
             {
                 return polled;
--- a/src/relay/discovery/config_delta.rs
+++ b/src/relay/discovery/config_delta.rs
@@ -61,7 +61,8 @@
 /// What changed from one revision of the configuration to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ConfigDelta {
-    /// Revision that it was computed from; it mostly applies to intermediate ones as well.
+    /// Revision that it was computed from. It also applies to a later one that differs from the
+    /// result in nothing else.
     #[serde(rename = "s")]
     pub since: StoreRevision,
     /// Revision that it leads to.
--- a/src/relay/discovery/target_list_sync.rs
+++ b/src/relay/discovery/target_list_sync.rs
@@ -256,7 +256,7 @@
             return UpdateVerdict::Known;
         }
         // An update that spans the restore of the store from a backup lacks the changes that were
-        // lost. A difference lacks what is known here of a moment between its lists.
+        // lost. A difference lacks the reverts of changes that are known here from between its lists.
         let is_of_epoch =
             [update.since.epoch, update.revision.epoch] == [self.known_up_to.epoch; 2];
         let lacks_known = update.is_difference && self.changed_at > update.since;
