--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -68,6 +68,9 @@
     /// Number of file descriptors that the process may use. Omitted if it is not limited.
     #[serde(default)]
     pub max_descriptors: Option<usize>,
+    /// Memory that the process may use, in MiB. Omitted if it is not limited.
+    #[serde(default)]
+    pub memory_mb: Option<u64>,
     /// Settings of the placement of requests that differ from the defaults.
     #[serde(default)]
     pub policy: RelayPolicy,
@@ -107,14 +110,15 @@
             && settings.warmup_slack >= 0.0
             && settings.drain_ms > 0
             && settings.max_descriptors != Some(0)
+            && settings.memory_mb != Some(0)
             && settings.store_history_s > 0.0;
         if is_valid {
             settings.policy.check()?;
             return Ok(settings);
         }
         Err(Error::settings(
-            "retry_window_s, stop_s, revoke_ms, evacuate_ms, drain_ms, store_history_s and \
-             max_descriptors must be above zero; retry_ratio, retry_slack, warmup_overrun and warmup_slack must not be negative",
+            "retry_window_s, stop_s, revoke_ms, evacuate_ms, drain_ms, store_history_s, \
+             max_descriptors and memory_mb must be above zero; retry_ratio, retry_slack, warmup_overrun and warmup_slack must not be negative",
         ))
     }
 
