Bound the memory that callers make an entry hold by one budget

Callers ended entries: 200 unfinished bodies of 990 kB (limit 1 MB) took the entry to 217 MiB with 64 MiB set, 60 unread answers of 4 MB to 419 MiB, 200 unread streams to 720 MiB, 500 unfinished heads of 256 KiB to 160 MiB.

Cause: each body, head, answer and queue had a limit of its own, and nothing bounded their sum; bodies were allocated by their announced length and doubled; buffers of sockets grew to megabytes.

A claim that does not fit is refused at once, as not run and with Retry-After, unless holders that hold more for what they move can leave for it. Bodies and answers carry their claim with their bytes, so it ends with the last reference. Sockets have fixed buffers. The product's entry and agent claim in the same way (--memory-mb).

--- a/src/agent/daemon.rs
+++ b/src/agent/daemon.rs
@@ -23,6 +23,7 @@
 use crate::error::Result;
 use crate::id::{AttemptId, ProcessId};
 use crate::log::new_logger;
+use crate::memory_budget::{MemoryBudget, connection_bytes};
 use crate::metrics::IterationMeter;
 use crate::peer::{LinkSender, LinkSide, OpenAttempts, PeerIdentity, accept, link_queue, run_link};
 use crate::program::on_reload_signal;
@@ -61,6 +62,8 @@
     pub(super) engine: EngineClient,
     pub(super) plain: PlainClient,
     pub(super) clock: ProcessClock,
+    /// Memory that connections may make this process hold.
+    pub(super) memory: MemoryBudget,
     pub(super) health: RefCell<TargetHealth>,
     pub(super) timeline: RefCell<EventTimeline>,
     pub(super) log: Logger,
@@ -119,6 +122,7 @@
         let log = new_logger(settings.log_format, &settings.name);
         info!(log, "agent started"; "incarnation" => process.incarnation.to_string());
         let (events, received) = mpsc::unbounded_channel();
+        let clock = ProcessClock::new();
         let shared = Rc::new(AgentShared {
             identity: PeerIdentity { process: process.clone(), key: settings.peer_key.clone() },
             events,
@@ -127,7 +131,8 @@
             open_links: Cell::new(0),
             engine: EngineClient::new(settings.target.clone()),
             plain: PlainClient::new(settings.target.clone()),
-            clock: ProcessClock::new(),
+            clock,
+            memory: MemoryBudget::new(connection_bytes(Some(settings.memory_mb)), clock),
             health: RefCell::new(TargetHealth::new(Tick::default())),
             timeline: RefCell::new(EventTimeline::new(process.clone(), TIMELINE_CAPACITY)),
             metrics: AgentMetrics::new(),
--- a/src/agent/metrics.rs
+++ b/src/agent/metrics.rs
@@ -92,7 +92,8 @@
         let stream = accept_next(&listener).await;
         let (shared, group) = (shared.clone(), group.clone());
         spawn_local(async move {
-            serve_connection(stream, group, async |request| handle(&shared, &request)).await;
+            let serve = async |request| handle(&shared, &request);
+            serve_connection(stream, group, &shared.memory, serve).await;
         });
     }
 }
--- a/src/connection.rs
+++ b/src/connection.rs
@@ -5,6 +5,7 @@
 use std::convert::Infallible;
 use std::future::{Future, poll_fn};
 use std::io;
+use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -17,10 +18,12 @@
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::{Notify, watch};
 
 use crate::head_limit::{HeadLimit, LimitedConnection};
+use crate::memory_budget::{MemoryClaim, MemoryHolder};
 
 /// Maximum size of the rest of a body that is discarded to keep a connection, in bytes.
 const MAX_DISCARDED_BYTES: usize = 256 * 1024;
@@ -36,6 +39,19 @@
 /// its way.
 const CLOSE_DELAY: Duration = Duration::from_millis(50);
 
+/// Memory that a connection holds without a request, in bytes: its task and the buffers of the HTTP
+/// library.
+pub(crate) const IDLE_CONNECTION_BYTES: usize = 24 * 1024;
+
+/// Size of the receive buffer of a caller's socket, in bytes, which the system may double.
+pub(crate) const RECEIVE_BUFFER_BYTES: u32 = 16 * 1024;
+
+/// Size of the send buffer of a caller's socket, in bytes, which the system may double.
+pub(crate) const SEND_BUFFER_BYTES: u32 = 32 * 1024;
+
+/// Memory that a head holds for each of its bytes: the read buffer doubles.
+const HEAD_FACTOR: usize = 2;
+
 /// The connections of one server.
 #[derive(Debug)]
 pub(crate) struct ConnectionGroup {
@@ -68,8 +84,12 @@
 }
 
 /// State of one connection.
-#[derive(Default)]
 pub(crate) struct ConnectionState {
+    memory: MemoryHolder,
+    /// What the head of the present request holds.
+    head_claims: RefCell<Vec<MemoryClaim>>,
+    /// What the socket holds while the caller does not read.
+    unsent_claim: Cell<Option<MemoryClaim>>,
     /// Whether bytes of a request have arrived that is not answered yet.
     has_input: Cell<bool>,
     /// Number of requests without an answer, and answers that are not written to the end.
@@ -87,6 +107,47 @@
 }
 
 impl ConnectionState {
+    fn new(memory: MemoryHolder) -> Self {
+        ConnectionState {
+            memory,
+            head_claims: RefCell::default(),
+            unsent_claim: Cell::default(),
+            has_input: Cell::new(false),
+            exchanges: Cell::new(0),
+            is_write_blocked: Cell::new(false),
+            leftover: RefCell::default(),
+            leftover_added: Notify::new(),
+            is_discarding: Cell::new(false),
+            is_unread: Cell::new(false),
+            holds_heads: Cell::new(false),
+        }
+    }
+
+    /// Records bytes that were read from the caller.
+    fn record_read(&self, length: usize) {
+        self.memory.record_moved(length);
+        if self.expects_head() {
+            let claim = self.memory.claim_held(length * HEAD_FACTOR);
+            self.head_claims.borrow_mut().push(claim);
+        }
+        self.has_input.set(true);
+    }
+
+    /// Records the outcome of a write to the caller.
+    fn record_write(&self, written: &Poll<io::Result<usize>>) {
+        let was_blocked = self.is_write_blocked.replace(written.is_pending());
+        if let Poll::Ready(Ok(length)) = written {
+            self.memory.record_moved(*length);
+        }
+        if was_blocked == written.is_pending() {
+            return;
+        }
+        let claim =
+            written.is_pending().then(|| self.memory.claim_held(SEND_BUFFER_BYTES as usize * 2));
+        self.unsent_claim.set(claim);
+        self.memory.set_stalled(written.is_pending() || self.exchanges.get() == 0);
+    }
+
     /// Returns `true` if bytes of a request have arrived that is not answered yet.
     pub(crate) fn has_input(&self) -> bool {
         self.has_input.get()
@@ -193,6 +254,13 @@
     is_awaited: bool,
 }
 
+impl RequestBody {
+    /// Returns what the connection holds of the memory of this process.
+    pub(crate) fn memory(&self) -> &MemoryHolder {
+        &self.state.memory
+    }
+}
+
 impl Body for RequestBody {
     type Data = Bytes;
     type Error = hyper::Error;
@@ -205,7 +273,10 @@
         let Some(body) = &mut this.body else { return Poll::Ready(None) };
         this.is_awaited = false;
         let polled = Pin::new(body).poll_frame(context);
-        this.is_ended |= matches!(polled, Poll::Ready(None | Some(Err(_))));
+        if matches!(polled, Poll::Ready(None | Some(Err(_)))) {
+            this.is_ended = true;
+            this.state.memory.set_stalled(false);
+        }
         polled
     }
 
@@ -255,6 +326,8 @@
     fn drop(&mut self) {
         self.0.exchanges.set(self.0.exchanges.get() - 1);
         self.0.has_input.set(false);
+        self.0.head_claims.borrow_mut().clear();
+        self.0.memory.set_stalled(true);
     }
 }
 
@@ -326,10 +399,18 @@
         if self.state.holds_heads() && self.state.expects_head() {
             return Poll::Pending;
         }
+        if self.state.memory.is_told_to_leave() {
+            return Poll::Pending;
+        }
+        if self.state.memory.awaits_leaving() {
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let before = buffer.filled().len();
         let polled = self.stream()?.poll_read(context, buffer);
-        if buffer.filled().len() > before {
-            self.state.has_input.set(true);
+        let length = buffer.filled().len() - before;
+        if length > 0 {
+            self.state.record_read(length);
         }
         polled
     }
@@ -342,7 +423,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let polled = self.stream()?.poll_write(context, bytes);
-        self.state.is_write_blocked.set(polled.is_pending());
+        self.state.record_write(&polled);
         polled
     }
 
@@ -352,7 +433,7 @@
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let polled = self.stream()?.poll_write_vectored(context, buffers);
-        self.state.is_write_blocked.set(polled.is_pending());
+        self.state.record_write(&polled);
         polled
     }
 
@@ -378,6 +459,8 @@
     pub(crate) is_unread: bool,
     /// Whether the server has closed the connection.
     pub(crate) is_closed: bool,
+    /// Whether it was closed since callers hold too much.
+    pub(crate) is_crowded: bool,
 }
 
 /// Polls a future once. Returns its output if it is complete.
@@ -394,6 +477,7 @@
     stream: S,
     builder: Builder,
     group: Rc<ConnectionGroup>,
+    memory: &MemoryHolder,
     head_limit: HeadLimit<W, O, M>,
     handle: H,
 ) -> Option<ServedEnd>
@@ -401,14 +485,14 @@
     W: AsyncFn(),
     O: Fn() -> bool,
     M: Fn() -> usize,
-    S: AsyncRead + AsyncWrite + Unpin,
+    S: AsyncRead + AsyncWrite + AsFd + Unpin,
     H: Fn(Request<RequestBody>) -> R,
     R: Future<Output = Response<B>>,
     B: Body + Unpin + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let mark = BusyMark { group: group.clone(), is_busy: Cell::new(false) };
-    let state = Rc::new(ConnectionState::default());
+    let state = Rc::new(ConnectionState::new(memory.clone()));
     let (handle, owner) = (&handle, &state);
     let service = service_fn(move |request: Request<Incoming>| {
         let exchange = Exchange::new(owner);
@@ -425,6 +509,7 @@
         state: state.clone(),
         released: released.clone(),
     };
+    let mut is_crowded = false;
     let (error, is_closed) = {
         let max_bytes = &head_limit.max_bytes;
         let mut connection =
@@ -436,7 +521,8 @@
             // The state changes only in this task, which polls this again then.
             poll_fn(|_| if state.is_busy() { Poll::Pending } else { Poll::Ready(()) }).await;
         };
-        tokio::pin!(discarding, closing);
+        let crowded = memory.closing();
+        tokio::pin!(discarding, closing, crowded);
         let discard_and_mark = poll_fn(|context| {
             let polled = discarding.as_mut().poll(context);
             mark.set(state.is_busy());
@@ -446,8 +532,13 @@
         let mut is_closed = false;
         loop {
             tokio::select! {
-                // The connection comes first: what has arrived is read before it is closed.
+                // The connection comes before its timers: what has arrived is read before it is
+                // closed.
                 biased;
+                () = &mut crowded => {
+                    is_crowded = true;
+                    break (None, is_closed);
+                }
                 result = &mut connection => break (result.err(), is_closed),
                 never = &mut discard_and_mark => match never {},
                 () = &mut closing, if !is_closed => {
@@ -467,13 +558,26 @@
             }
         }
     };
+    if is_crowded {
+        if let Some(stream) = released.take().filter(|_| state.is_busy()) {
+            reset(&stream);
+        }
+        return Some(ServedEnd { error, is_unread: false, is_closed, is_crowded });
+    }
     let is_unread = state.is_unread.get();
     let is_broken = error.as_ref().is_some_and(|error| !error.is_timeout());
     if let Some(stream) = released.take().filter(|_| is_broken || is_unread) {
         mark.set(true);
         linger(stream).await;
     }
-    Some(ServedEnd { error, is_unread, is_closed })
+    Some(ServedEnd { error, is_unread, is_closed, is_crowded })
+}
+
+/// Resets a connection when it is closed: its caller must not take an answer for complete, and the
+/// system drops what is not sent.
+fn reset(stream: &impl AsFd) {
+    // Without the option the connection is closed without a reset.
+    drop(SockRef::from(stream).set_linger(Some(Duration::ZERO)));
 }
 
 /// Closes the sending side of a connection, and reads until the caller closes its own.
--- a/src/entry/admin.rs
+++ b/src/entry/admin.rs
@@ -42,7 +42,9 @@
         let stream = accept_next(&listener).await;
         let (shared, group) = (shared.clone(), group.clone());
         spawn_local(async move {
-            serve_connection(stream, group, |request| handle(shared.clone(), request)).await;
+            let budget = shared.memory.clone();
+            let serve = |request| handle(shared.clone(), request);
+            serve_connection(stream, group, &budget, serve).await;
         });
     }
 }
--- a/src/entry/answers.rs
+++ b/src/entry/answers.rs
@@ -9,6 +9,7 @@
 
 use super::caller::CallerHandle;
 use super::event::{Failure, FailureCode, Reply};
+use crate::memory_budget::{ClaimedBuffer, MemoryClaim, MemoryHolder};
 use crate::verdict::{Verdict, promises_not_run};
 use crate::web::{
     ChunkStream, ErrorBody, ResponseBody, WebResponse, set_verdict, to_error_response, to_response,
@@ -152,14 +153,18 @@
     first: Reply,
     answer_format: &AnswerFormat,
 ) -> WebResponse {
-    let mut text = Vec::new();
+    let mut text = ClaimedBuffer::new(&caller.memory);
     let mut reply = first;
     loop {
         match reply {
-            Reply::Text(part) => text.extend_from_slice(&part),
+            Reply::Text(part) => text.append(&part).await,
             Reply::Done(done) => {
-                let json = answer_format.to_json(&text, Some(&done), false);
-                let mut response = to_response(StatusCode::OK, "application/json", json);
+                let json = answer_format.to_json(text.as_ref(), Some(&done), false);
+                let mut body = ClaimedBuffer::new(&caller.memory);
+                drop(text);
+                body.append(&json).await;
+                let mut response =
+                    to_response(StatusCode::OK, "application/json", body.into_bytes());
                 set_verdict(response.headers_mut(), Verdict::Ran, &answer_format.id);
                 return response;
             }
@@ -180,7 +185,7 @@
     let writer = spawn_local(async move {
         let mut reply = first;
         loop {
-            let is_last = send_events(&chunk_sender, &reply, &answer_format);
+            let is_last = send_events(&chunk_sender, &caller.memory, &reply, &answer_format);
             if is_last {
                 return;
             }
@@ -207,30 +212,35 @@
 
 /// Writes a reply as events; returns `true` after the last one.
 fn send_events(
-    chunk_sender: &mpsc::UnboundedSender<Bytes>,
+    chunk_sender: &mpsc::UnboundedSender<(Bytes, MemoryClaim)>,
+    memory: &MemoryHolder,
     reply: &Reply,
     answer_format: &AnswerFormat,
 ) -> bool {
+    let send = |chunk: Bytes| {
+        let claim = memory.claim_held(chunk.len());
+        drop(chunk_sender.send((chunk, claim)));
+    };
     // If the caller disconnects, the body is dropped, which aborts this task.
     match reply {
         Reply::Text(text) => {
-            let _ = chunk_sender.send(answer_format.to_event(text, None));
+            send(answer_format.to_event(text, None));
             false
         }
         Reply::Done(done) => {
-            let _ = chunk_sender.send(answer_format.to_event(b"", Some(done)));
+            send(answer_format.to_event(b"", Some(done)));
             if answer_format.has_usage_event {
-                let _ = chunk_sender.send(answer_format.to_usage_event(done));
+                send(answer_format.to_usage_event(done));
             }
-            let _ = chunk_sender.send(Bytes::from_static(b"data: [DONE]\n\n"));
+            send(Bytes::from_static(b"data: [DONE]\n\n"));
             true
         }
         Reply::Failed(failure) => {
             let code = failure.code.to_string();
             let body = ErrorBody::new(&code, &failure.message, failure.verdict, &answer_format.id);
             let json = serde_json::to_vec(&body).unwrap_or_default();
-            let _ = chunk_sender.send(Bytes::from_static(b"event: error\n"));
-            let _ = chunk_sender.send(to_sse(&json));
+            send(Bytes::from_static(b"event: error\n"));
+            send(to_sse(&json));
             true
         }
         Reply::Head(..) => false,
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -8,6 +8,7 @@
 use super::daemon::EntryShared;
 use super::event::{Arrival, Event, Failure, FailureCode, Reply};
 use crate::claim::ClaimKey;
+use crate::memory_budget::MemoryHolder;
 use crate::verdict::Verdict;
 
 /// Receives the core's replies to one request.
@@ -20,6 +21,8 @@
     pub(super) opened_at: Instant,
     claim: Option<ClaimKey>,
     is_finished: bool,
+    /// The part of the memory that the caller's connection holds.
+    pub(super) memory: MemoryHolder,
 }
 
 impl CallerHandle {
@@ -27,6 +30,7 @@
         shared: &Rc<EntryShared>,
         arrival: Arrival,
         claim: Option<ClaimKey>,
+        memory: MemoryHolder,
     ) -> Self {
         let (reply_sender, replies) = mpsc::unbounded_channel();
         let number = arrival.number;
@@ -40,6 +44,7 @@
             opened_at: Instant::now(),
             claim,
             is_finished: false,
+            memory,
         }
     }
 
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -28,6 +28,7 @@
 use crate::id::ProcessId;
 use crate::link_pool::{LinkEvent, LinkPool};
 use crate::log::new_logger;
+use crate::memory_budget::{MemoryBudget, connection_bytes};
 use crate::metrics::IterationMeter;
 use crate::peer::PeerIdentity;
 use crate::program::on_reload_signal;
@@ -49,6 +50,9 @@
 /// Delay after a failed call to the store.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Interval between two log lines about callers that hold too much.
+const CROWDING_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Minimum time for sending the rest of the answers to callers after all requests have ended.
 const MIN_FLUSH_TIME: Duration = Duration::from_secs(5);
 
@@ -72,6 +76,11 @@
     pub(super) draining: Cell<bool>,
     pub(super) connections: Cell<usize>,
     pub(super) group: Rc<ConnectionGroup>,
+    /// Memory that callers may make this process hold.
+    pub(super) memory: MemoryBudget,
+    /// When a line about it was last logged.
+    crowding_logged_at: Cell<Option<Tick>>,
+    clock: ProcessClock,
     pub(super) claims: SharedClaims,
     pub(super) config_store: tokio::sync::Mutex<ConfigStore>,
     pull_requested: Notify,
@@ -110,6 +119,19 @@
         !self.draining.get() && !self.accounts.borrow().config().client_accounts.is_empty()
     }
 
+    /// Logs that callers make this process hold too much, at most once in an interval.
+    pub(super) fn record_crowding(&self) {
+        let now = self.clock.now();
+        let last = self.crowding_logged_at.get();
+        if last.is_none_or(|last| now.since(last) >= CROWDING_LOG_INTERVAL) {
+            self.crowding_logged_at.set(Some(now));
+            let figures = self.memory.figures();
+            warn!(self.log, "callers hold too much";
+                "held_bytes" => figures.held, "limit_bytes" => figures.limit,
+                "refused" => figures.refused, "closed" => figures.closed);
+        }
+    }
+
     /// Wakes the task that reads the configuration from the store.
     pub(super) fn pull_config(&self) {
         self.pull_requested.notify_one();
@@ -168,6 +190,7 @@
         let log = new_logger(settings.log_format, &settings.name);
         info!(log, "entry started"; "incarnation" => process.incarnation.to_string());
         let (inputs, received) = mpsc::unbounded_channel();
+        let clock = ProcessClock::new();
         let store = StoreClient::new(settings.store.clone());
         let shared = Rc::new(EntryShared {
             process: process.clone(),
@@ -179,6 +202,9 @@
             draining: Cell::new(false),
             connections: Cell::new(0),
             group: ConnectionGroup::new(),
+            memory: MemoryBudget::new(connection_bytes(Some(settings.memory_mb)), clock),
+            crowding_logged_at: Cell::default(),
+            clock,
             claims: Rc::new(ClaimStore::new(store.clone())),
             config_store: tokio::sync::Mutex::new(ConfigStore::new(store.clone())),
             pull_requested: Notify::new(),
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -20,6 +20,7 @@
 use crate::claim_store::ClaimOutcome;
 use crate::config::AccountPolicy;
 use crate::connection::RequestBody;
+use crate::memory_budget::ClaimedBuffer;
 use crate::prefix::PrefixHashes;
 use crate::verdict::{Verdict, promises_not_run};
 use crate::web::{
@@ -37,6 +38,9 @@
 /// Retry-after time if an idempotency key could not be claimed.
 const CLAIM_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// Retry-after time if callers hold too much memory.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Maximum length of an idempotency key, in bytes.
 const MAX_IDEMPOTENCY_KEY: usize = 256;
 
@@ -58,7 +62,8 @@
         spawn_local(async move {
             let shared = guard.shared.clone();
             let group = shared.group.clone();
-            serve_connection(stream, group, |request| handle(shared.clone(), request)).await;
+            let serve = |request| handle(shared.clone(), request);
+            serve_connection(stream, group, &shared.memory, serve).await;
             drop(guard);
         });
     }
@@ -195,6 +200,12 @@
                 RequestFault::new(408, "body_too_slow", "the body did not arrive in time")
             }
             BodyError::Aborted => RequestFault::new(400, "broken_body", "the body broke off"),
+            BodyError::NoRoom => {
+                shared.record_crowding();
+                let text = "callers hold too much memory of this entry";
+                let retry_after = Some(NO_MEMORY_RETRY_AFTER);
+                RequestFault { retry_after, ..RequestFault::new(503, "no_memory", text) }
+            }
         }
     })
 }
@@ -209,6 +220,7 @@
     let is_repeat_forbidden = forbids_repeat(&request);
     let key = header_text(&request, IDEMPOTENCY_HEADER)?;
     let path = request.uri().path().to_owned();
+    let memory = request.body().memory().clone();
     let body = read_limited_body(shared, request.into_body()).await?;
     let table = shared.accounts.borrow().clone();
     let completion =
@@ -237,7 +249,7 @@
         has_usage_event: completion.has_usage_event,
     };
     let prompt_tokens = completion.prompt_bytes / 4;
-    let mut caller = CallerHandle::open(shared, arrival, claim);
+    let mut caller = CallerHandle::open(shared, arrival, claim, memory);
     let first = caller.next_reply().await;
     shared.metrics.observe_first(prompt_tokens, caller.opened_at.elapsed());
     if let Reply::Failed(failure) = &first {
@@ -287,6 +299,7 @@
         content_type: header_text(&request, CONTENT_TYPE.as_str())?.into(),
         key: key.as_str().into(),
     };
+    let memory = request.body().memory().clone();
     let body = read_limited_body(shared, request.into_body()).await?;
     let claimed_key = if is_safe { "" } else { key.as_str() };
     let claim = claim_idempotency_key(shared, &policy, &service, claimed_key, id).await?;
@@ -303,7 +316,7 @@
         // repeatable, by not listing the path in `not_repeatable`.
         repeatable: is_safe || !is_once_only,
     };
-    let mut caller = CallerHandle::open(shared, arrival, claim);
+    let mut caller = CallerHandle::open(shared, arrival, claim, memory);
     match caller.next_reply().await {
         Reply::Failed(failure) => Ok(answer_failure(&failure, id)),
         Reply::Head(status, content_type) => {
@@ -365,10 +378,10 @@
     content_type: &str,
     id: &str,
 ) -> WebResponse {
-    let mut body = Vec::new();
+    let mut body = ClaimedBuffer::new(&caller.memory);
     loop {
         match caller.next_reply().await {
-            Reply::Text(part) => body.extend_from_slice(&part),
+            Reply::Text(part) => body.append(&part).await,
             Reply::Done(_) => break,
             Reply::Failed(failure) => return answer_failure(&failure, id),
             Reply::Head(..) => {}
@@ -387,7 +400,7 @@
             None,
         );
     }
-    let mut response = to_response(status, content_type, body);
+    let mut response = to_response(status, content_type, body.into_bytes());
     set_verdict(response.headers_mut(), Verdict::Ran, id);
     response
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -95,6 +95,8 @@
 pub mod invariant;
 mod link_pool;
 pub mod log;
+mod memory_budget;
+pub mod memory_ledger;
 pub mod metrics;
 pub mod mutant;
 mod peer;
--- a/src/relay/caller_connection.rs
+++ b/src/relay/caller_connection.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::future::poll_fn;
 use std::io;
+use std::os::fd::{AsFd, BorrowedFd};
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -18,12 +19,14 @@
 use super::log_line::{ConnectionEnd, ConnectionLine, ConnectionState};
 use super::proxy::answer::{BrokenAnswer, RelayBody};
 use super::shared::RelayShared;
-use crate::connection::{DISCARD_TIMEOUT, ServedEnd};
+use crate::connection::{DISCARD_TIMEOUT, IDLE_CONNECTION_BYTES, ServedEnd};
+use crate::memory_budget::{HolderGuard, MemoryHolder};
 use crate::time::Tick;
 
 /// An open connection of a caller. Its end is counted, and logged unless it is an ordinary one.
 pub(crate) struct CallerConnection {
     shared: Rc<RelayShared>,
+    memory: HolderGuard,
     /// When the entry took the connection.
     pub(crate) taken_at: Tick,
     state: Cell<ConnectionState>,
@@ -47,6 +50,7 @@
         let idle_limit = shared.core.borrow().rules().limits().idle_limit;
         CallerConnection {
             shared: shared.clone(),
+            memory: shared.memory.open(IDLE_CONNECTION_BYTES),
             taken_at: now,
             state: Cell::new(ConnectionState::Idle),
             state_since: Cell::new(now),
@@ -60,6 +64,11 @@
         }
     }
 
+    /// Returns what the connection holds of the memory of this process.
+    pub(crate) fn memory(&self) -> &MemoryHolder {
+        self.memory.holder()
+    }
+
     /// Records that the head of a request was read.
     pub(crate) fn begin_request(&self) {
         self.requests.set(self.requests.get() + 1);
@@ -164,6 +173,9 @@
 
     fn classify(&self, served: &ServedEnd) -> ConnectionEnd {
         let is_idle = self.state.get() == ConnectionState::Idle;
+        if served.is_crowded {
+            return ConnectionEnd::Crowded;
+        }
         if self.is_answer_broken.get() {
             return ConnectionEnd::AnswerBroken;
         }
@@ -231,6 +243,12 @@
     }
 }
 
+impl AsFd for CallerStream {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.stream.as_fd()
+    }
+}
+
 impl AsyncRead for CallerStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/src/relay/counts.rs
+++ b/src/relay/counts.rs
@@ -10,6 +10,7 @@
 use super::decide::rate_limit::RateNotice;
 use super::decide::target_notice::TargetNotice;
 use super::log_line::{ConnectionEnd, RequestEnd, RetryOutcome};
+use crate::memory_budget::BudgetFigures;
 use crate::metrics::{MetricsRegistry, MirroredCounter, length_class};
 use crate::time::Tick;
 
@@ -66,6 +67,7 @@
     /// Ends of requests where ranks differ, by the number of more urgent ranks and the outcome.
     ranked_ends: IntCounterVec,
     config_version: IntGauge,
+    memory: MemoryGauges,
     proof_age: IntGauge,
     serves_unproven: IntGauge,
     store_epoch: IntGauge,
@@ -75,6 +77,43 @@
     suspected_parts: IntGauge,
 }
 
+/// Metrics of what callers make the process hold.
+#[derive(Debug)]
+struct MemoryGauges {
+    held_bytes: IntGauge,
+    limit_bytes: IntGauge,
+    crowding: IntCounterVec,
+}
+
+impl MemoryGauges {
+    fn new(registry: &MetricsRegistry) -> Self {
+        MemoryGauges {
+            held_bytes: registry.add_gauge(
+                "shalelane_relay_caller_memory_bytes",
+                "memory that connections of callers hold",
+            ),
+            limit_bytes: registry.add_gauge(
+                "shalelane_relay_caller_memory_limit_bytes",
+                "memory that connections of callers may hold",
+            ),
+            crowding: registry.add_counter_vec(
+                "shalelane_relay_crowding_total",
+                "what was done since callers hold too much, by action",
+                "action",
+            ),
+        }
+    }
+
+    fn update(&self, figures: &BudgetFigures) {
+        self.held_bytes.set(figures.held as i64);
+        self.limit_bytes.set(figures.limit as i64);
+        for (action, count) in [("refused", figures.refused), ("closed", figures.closed)] {
+            let counter = self.crowding.with_label_values(&[action]);
+            counter.inc_by(count.saturating_sub(counter.get()));
+        }
+    }
+}
+
 impl Default for RelayCounts {
     fn default() -> Self {
         let registry = MetricsRegistry::default();
@@ -123,6 +162,7 @@
             caller_left: 0,
             config_version: registry
                 .add_gauge("shalelane_relay_config_version", "configuration in force"),
+            memory: MemoryGauges::new(&registry),
             proof_age: registry
                 .add_gauge("shalelane_relay_proof_age_ms", "age of the proof that it is current"),
             serves_unproven: registry.add_gauge(
@@ -266,7 +306,14 @@
     }
 
     /// Encodes all metrics in the Prometheus text format.
-    pub(crate) fn to_text(&self, core: &RelayCore, lost_lines: u64, now: Tick) -> Vec<u8> {
+    pub(crate) fn to_text(
+        &self,
+        core: &RelayCore,
+        memory: &BudgetFigures,
+        lost_lines: u64,
+        now: Tick,
+    ) -> Vec<u8> {
+        self.memory.update(memory);
         let counts = [
             self.requests,
             self.attempts,
--- a/src/relay/log_line.rs
+++ b/src/relay/log_line.rs
@@ -94,6 +94,9 @@
     /// By a stop of this process, without a request on it.
     #[display("stopped")]
     Stopped,
+    /// Callers hold too much memory or too many descriptors, this one much for what it moves.
+    #[display("crowded")]
+    Crowded,
     /// The connection was idle for too long.
     #[display("idle_limit")]
     IdleLimit,
--- a/src/relay/proxy/connections.rs
+++ b/src/relay/proxy/connections.rs
@@ -11,7 +11,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::net::TcpSocket;
 use tokio::task::AbortHandle;
 
 use super::target_stream::{ExchangeState, TargetStream};
@@ -32,6 +32,12 @@
 /// Maximum number of idle connections per target.
 const MAX_IDLE_PER_TARGET: usize = 24;
 
+/// Size of the read buffer of a connection to a target, in bytes, which bounds the heads of answers.
+pub(crate) const READ_BUFFER_BYTES: usize = 64 * 1024;
+
+/// Size of the receive buffer of a socket, in bytes, which the system may double.
+const RECEIVE_BUFFER_BYTES: u32 = 128 * 1024;
+
 /// A connection to a target. Dropping it closes it at once.
 #[derive(Debug)]
 pub(crate) struct TargetConnection {
@@ -119,7 +125,10 @@
 /// Opens a connection to a target.
 pub(crate) async fn connect(address: SocketAddr) -> Result<TargetConnection, ConnectFault> {
     let connecting = async {
-        let stream = TcpStream::connect(address).await?;
+        let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        // Without a fixed size it grows to megabytes.
+        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+        let stream = socket.connect(address).await?;
         stream.set_nodelay(true)?;
         set_unacked_timeout(&stream)?;
         Ok::<_, std::io::Error>(stream)
@@ -129,7 +138,9 @@
     let stream = stream.map_err(ConnectFault::Io)?;
     let exchange = Rc::<ExchangeState>::default();
     let stream = TargetStream::new(stream, exchange.clone());
-    let handshake = Builder::new().handshake(TokioIo::new(stream)).await;
+    let mut builder = Builder::new();
+    builder.max_buf_size(READ_BUFFER_BYTES);
+    let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(ConnectFault::Handshake)?;
     // The request on the connection sees the connection's error, so the result is dropped here.
     let task = tokio::task::spawn_local(async move { drop(connection.await) });
--- a/src/relay/proxy/exchange.rs
+++ b/src/relay/proxy/exchange.rs
@@ -31,6 +31,9 @@
 /// all entries crowded out new ones (`docs/design/decisions.md`).
 const OTHER_ENTRY_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Retry delay after a refusal for want of memory: callers that stand still count as such by then.
+const NO_MEMORY_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 /// Number of answer tokens that is assumed if the caller states none.
 const DEFAULT_ANSWER_TOKENS: u64 = 1_500;
 
@@ -116,6 +119,7 @@
     match &body {
         Ok(_) => connection.finish_body(),
         Err(BodyError::Aborted) => connection.break_body(),
+        Err(BodyError::NoRoom) => shared.record_crowding(),
         Err(BodyError::TooLarge | BodyError::TimedOut) => {}
     }
     let body = body.map_err(body_fault)?;
@@ -150,6 +154,7 @@
         uri: parts.uri,
         headers: parts.headers,
         body,
+        memory: connection.memory().clone(),
         arrived,
         deadline,
         need,
@@ -212,6 +217,10 @@
             (StatusCode::REQUEST_TIMEOUT, "body_too_slow", "the body did not arrive in time")
         }
         BodyError::Aborted => (StatusCode::BAD_REQUEST, "broken_body", "the body broke off"),
+        BodyError::NoRoom => {
+            let message = "callers hold too much memory of this entry";
+            return RelayFault::refused("no_memory", message, NO_MEMORY_RETRY_DELAY);
+        }
     };
     RelayFault::invalid(status, code, message)
 }
--- a/src/relay/proxy/running_attempt.rs
+++ b/src/relay/proxy/running_attempt.rs
@@ -5,16 +5,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Frame;
 use hyper::header::CONTENT_LENGTH;
 use hyper::{Response, StatusCode};
 
+use super::connections::READ_BUFFER_BYTES;
 use super::event_stream::EventSplitter;
 use super::forward::{AttemptFault, AttemptGuard, OpenAnswer, SendOrder, open_answer};
 use super::job::RelayJob;
 use super::silence_watch::SilenceWatch;
+use crate::memory_budget::{ClaimedBuffer, MemoryClaim};
 use crate::relay::core::PlacedAttempt;
 use crate::relay::decide::part_ledger::MAX_TIME_TO_CRASH;
 use crate::relay::decide::targets::TargetFault;
@@ -77,7 +79,10 @@
     has_yielded: bool,
     first_event_at: Option<Tick>,
     is_reported_served: bool,
-    buffer: BytesMut,
+    _read_buffer: MemoryClaim,
+    buffer: ClaimedBuffer,
+    /// Bytes of the body for which there was no room yet.
+    unbuffered: Bytes,
 }
 
 impl<'a> RunningAttempt<'a> {
@@ -107,7 +112,9 @@
             has_yielded: false,
             first_event_at: None,
             is_reported_served: false,
-            buffer: BytesMut::new(),
+            _read_buffer: job.memory.claim_held(READ_BUFFER_BYTES),
+            buffer: ClaimedBuffer::new(&job.memory),
+            unbuffered: Bytes::new(),
         }
     }
 
@@ -283,22 +290,33 @@
 
     async fn next_answer(&mut self) -> Result<AttemptYield, AttemptFault> {
         loop {
+            self.buffer_body().await?;
             match self.next_frame().await? {
                 BodyStep::Silence => return Ok(AttemptYield::Silence),
                 BodyStep::End => return self.whole_answer().map(AttemptYield::Answer),
                 BodyStep::Data(data) if self.buffer.len() + data.len() > MAX_ANSWER_BYTES => {
                     return Err(AttemptFault::malformed("the answer is too large"));
                 }
-                BodyStep::Data(data) => self.buffer.extend_from_slice(&data),
+                BodyStep::Data(data) => self.unbuffered = data,
             }
         }
     }
 
+    /// Adds the bytes that were read last to the buffer, once there is room for them.
+    async fn buffer_body(&mut self) -> Result<(), AttemptFault> {
+        let reserving = self.buffer.reserve(self.unbuffered.len(), MAX_ANSWER_BYTES);
+        let reserved = self.shared.run_until(self.job.deadline, reserving).await;
+        reserved.ok_or_else(|| AttemptFault::timeout(true))?;
+        self.buffer.push(&std::mem::take(&mut self.unbuffered));
+        Ok(())
+    }
+
     /// Returns the answer that was read. Failures of the target that another attempt may avoid are
     /// faults, and so are statuses that promise that the request has not run: refusals do not get
     /// here.
     fn whole_answer(&mut self) -> Result<Response<Bytes>, AttemptFault> {
-        let body = std::mem::take(&mut self.buffer).freeze();
+        let buffer = ClaimedBuffer::new(&self.job.memory);
+        let body = std::mem::replace(&mut self.buffer, buffer).into_bytes();
         let AttemptState::Open(answer) = &self.state else {
             return Err(AttemptFault::broken("the answer has ended"));
         };
--- a/src/relay/proxy/stream.rs
+++ b/src/relay/proxy/stream.rs
@@ -58,7 +58,7 @@
     mut ledger: RequestLedger,
 ) -> RelayAnswer {
     let (start, start_receiver) = oneshot::channel();
-    let (chunks, chunk_receiver) = new_queue(shared.shared_room.clone());
+    let (chunks, chunk_receiver) = new_queue(shared.shared_room.clone(), job.memory.clone());
     let caller_left = chunks.closed();
     let task_shared = shared.clone();
     let id = job.id.clone();
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -31,6 +31,7 @@
     ConnectionEnd, ConnectionLine, FailedAttemptLine, PlacementLine, RequestEnd, RequestLine,
     RetryOutcome,
 };
+use crate::memory_budget::BudgetFigures;
 use crate::time::Tick;
 
 /// Maximum number of lines that wait for the writer thread.
@@ -186,6 +187,14 @@
             "closed" => closed, "quota" => quota, "loop_delay_ms" => loop_delay.as_millis() as u64);
     }
 
+    /// Logs that callers make this process hold too much, with `open` connections.
+    pub(crate) fn crowded(&self, figures: &BudgetFigures, open: usize, now: Tick) {
+        let Some(left_out) = self.take_from_budget("crowded", now) else { return };
+        warn!(self.logger, "callers hold too much";
+            "held_bytes" => figures.held, "limit_bytes" => figures.limit, "open" => open,
+            "refused" => figures.refused, "closed" => figures.closed, "left_out" => left_out);
+    }
+
     /// Logs that the event loop was late, with `open` connections of callers.
     pub fn loop_late(&self, delay: Duration, open: usize, now: Tick) {
         let Some(left_out) = self.take_from_budget("loop_late", now) else { return };
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -29,6 +29,7 @@
 use super::log_line::ConnectionEnd;
 use super::peers::config_copy::serve_copy;
 use super::peers::peer_link::PeerLink;
+use super::proxy::chunk_queue::SharedRoom;
 use super::proxy::exchange::serve;
 use super::proxy::protocol::{CallerProtocol, TargetProtocol};
 use super::record::{DecisionLog, StdoutLog};
@@ -40,6 +41,7 @@
 use crate::clock::{ProcessClock, SuspensionWatch, wall_micros};
 use crate::connection::{ConnectionGroup, serve_requests};
 use crate::head_limit::HeadLimit;
+use crate::memory_budget::{MemoryBudget, connection_bytes};
 use crate::program::on_reload_signal;
 use crate::time::Tick;
 use crate::web::{accept_next, bind_listener};
@@ -100,6 +102,8 @@
     let link = PeerLink::bind(settings.load_listen).await?;
     let config_copies = bind_listener(link.address())?;
     let limits = settings.to_limits();
+    let clock = ProcessClock::new();
+    let memory = MemoryBudget::new(connection_bytes(settings.memory_mb), clock);
     let entry = draw_entry_number();
     slog::info!(log.logger, "start"; "listen" => %settings.listen, "entry" => format!("{entry:016x}"),
         "version" => env!("CARGO_PKG_VERSION"));
@@ -130,8 +134,9 @@
         http_client: HttpClient::new(1),
         reservation_names: RefCell::new(ReservationNames::new(entry)),
         pending_permits: RefCell::default(),
-        shared_room: Rc::default(),
-        clock: ProcessClock::new(),
+        shared_room: SharedRoom::new(memory.clone()),
+        memory,
+        clock,
         connections: ConnectionGroup::new(),
         gate: RefCell::new(ConnectionGate::new(settings.max_descriptors)),
         open_connections: Cell::new(0),
@@ -170,8 +175,9 @@
             shared.core.borrow_mut().set_limits(settings.to_limits());
             shared.stop_limit.set(settings.stop_limit());
             shared.gate.borrow_mut().set_max_descriptors(settings.max_descriptors);
+            shared.memory.set_limit(connection_bytes(settings.memory_mb));
             slog::info!(shared.log.logger(), "settings reloaded";
-                "applied" => "stop_s, max_descriptors, regions, revoke_ms, evacuate_ms, warmup_overrun, warmup_slack, fail_closed, drain_ms, store_history_s, retry_ratio, retry_slack, retry_window_s");
+                "applied" => "stop_s, max_descriptors, memory_mb, regions, revoke_ms, evacuate_ms, warmup_overrun, warmup_slack, fail_closed, drain_ms, store_history_s, retry_ratio, retry_slack, retry_window_s");
             *current.borrow_mut() = settings;
         }
         Ok(_) if is_signal => slog::info!(shared.log.logger(), "settings reloaded, none changed"),
@@ -295,7 +301,8 @@
         connection.begin_answer();
         answer.map(|body| CallerAnswer { body, connection: connection.clone() })
     };
-    match serve_requests(stream, builder, group, head_limit, handle).await {
+    let memory = connection.memory();
+    match serve_requests(stream, builder, group, memory, head_limit, handle).await {
         Some(end) => connection.end_served(&end),
         None => connection.end_overdue(),
     }
@@ -334,7 +341,8 @@
         (status, Vec::new())
     } else if path == "/metrics" {
         let core = shared.core.borrow();
-        (StatusCode::OK, shared.counts.borrow().to_text(&core, shared.log.lost_lines(), now))
+        let (memory, lost_lines) = (shared.memory.figures(), shared.log.lost_lines());
+        (StatusCode::OK, shared.counts.borrow().to_text(&core, &memory, lost_lines, now))
     } else {
         (StatusCode::NOT_FOUND, Vec::new())
     };
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -30,6 +30,7 @@
 use crate::client::HttpClient;
 use crate::clock::ProcessClock;
 use crate::connection::ConnectionGroup;
+use crate::memory_budget::MemoryBudget;
 use crate::time::Tick;
 
 /// Time after a failed call to the store during which lapsed entries of the target list may come
@@ -83,6 +84,8 @@
     pub(crate) reservation_names: RefCell<ReservationNames>,
     /// Requests for permits that wait for an answer, by their nonce.
     pub(crate) pending_permits: RefCell<HashMap<u64, oneshot::Sender<PermitReply>>>,
+    /// Memory that callers may make this process hold.
+    pub(crate) memory: MemoryBudget,
     /// Room for answers that callers have not read.
     pub(crate) shared_room: Rc<SharedRoom>,
     pub(crate) clock: ProcessClock,
@@ -113,6 +116,12 @@
         self.core.borrow().targets.get(target).map(|target| target.record.address)
     }
 
+    /// Logs that callers make this process hold too much.
+    pub(crate) fn record_crowding(&self) {
+        let figures = self.memory.figures();
+        self.log.crowded(&figures, self.open_connections.get(), self.now());
+    }
+
     /// Returns how long a target has sent nothing while requests were waiting for it.
     pub(crate) fn silence_of(&self, target: &str) -> Duration {
         let core = self.core.borrow();
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -50,6 +50,8 @@
     body_limit_ms: Option<String>,
     #[options(help = "maximum number of callers' connections [4096]", no_short, meta = "N")]
     max_connections: Option<String>,
+    #[options(help = "memory that the process may use, in MiB [4096]", no_short, meta = "N")]
+    memory_mb: Option<String>,
     #[options(help = "maximum duration of a drain, in ms [900000]", no_short, meta = "N")]
     drain_limit_ms: Option<String>,
 }
@@ -82,6 +84,8 @@
         meta = "N"
     )]
     prefill_tokens: Option<String>,
+    #[options(help = "memory that the process may use, in MiB [4096]", no_short, meta = "N")]
+    memory_mb: Option<String>,
     #[options(help = "maximum duration of a drain, in ms [900000]", no_short, meta = "N")]
     drain_limit_ms: Option<String>,
 }
@@ -114,6 +118,8 @@
     pub body_timeout: Duration,
     /// Maximum number of connections of callers.
     pub max_connections: usize,
+    /// Memory that the process may use, in MiB.
+    pub memory_mb: u64,
     /// Maximum duration of a drain; then the process stops even if requests remain.
     pub drain_timeout: Duration,
 }
@@ -139,6 +145,8 @@
     pub piece_tokens: u64,
     /// Maximum prefill in progress at the engine, in tokens.
     pub prefill_tokens: u64,
+    /// Memory that the process may use, in MiB.
+    pub memory_mb: u64,
     /// Maximum duration of a drain; then the process stops even if requests remain.
     pub drain_timeout: Duration,
 }
@@ -191,6 +199,7 @@
             )?,
             body_timeout: reader.read_duration("body-limit-ms", flags.body_limit_ms, "30000")?,
             max_connections: reader.read("max-connections", flags.max_connections, Some("4096"))?,
+            memory_mb: reader.read_count("memory-mb", flags.memory_mb, "4096")?,
             drain_timeout: reader.read_duration(
                 "drain-limit-ms",
                 flags.drain_limit_ms,
@@ -230,6 +239,7 @@
             log_format: reader.read("log-format", flags.log_format, Some("human"))?,
             piece_tokens: reader.read_count("piece-tokens", flags.piece_tokens, "8192")?,
             prefill_tokens: reader.read_count("prefill-tokens", flags.prefill_tokens, "16384")?,
+            memory_mb: reader.read_count("memory-mb", flags.memory_mb, "4096")?,
             drain_timeout: reader.read_duration(
                 "drain-limit-ms",
                 flags.drain_limit_ms,
--- a/src/web.rs
+++ b/src/web.rs
@@ -8,7 +8,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
@@ -19,8 +19,12 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc;
 
-use crate::connection::{ConnectionGroup, RequestBody, serve_requests};
+use crate::connection::{
+    ConnectionGroup, IDLE_CONNECTION_BYTES, RECEIVE_BUFFER_BYTES, RequestBody, SEND_BUFFER_BYTES,
+    serve_requests,
+};
 use crate::head_limit::HeadLimit;
+use crate::memory_budget::{ClaimedBuffer, MemoryBudget, MemoryClaim, NoRoom};
 use crate::verdict::Verdict;
 
 /// Header with the verdict on whether the request ran.
@@ -54,7 +58,7 @@
 /// Chunks of a response body, and a guard that is dropped with the body: the drop shows that the
 /// caller disconnected.
 pub(crate) struct ChunkStream {
-    pub(crate) chunks: mpsc::UnboundedReceiver<Bytes>,
+    pub(crate) chunks: mpsc::UnboundedReceiver<(Bytes, MemoryClaim)>,
     pub(crate) _guard: Box<dyn std::any::Any>,
 }
 
@@ -69,7 +73,8 @@
         match self.get_mut() {
             ResponseBody::Buffered(body) => Pin::new(body).poll_frame(context),
             ResponseBody::Streamed(stream) => {
-                stream.chunks.poll_recv(context).map(|data| data.map(|data| Ok(Frame::data(data))))
+                let chunk = stream.chunks.poll_recv(context);
+                chunk.map(|chunk| chunk.map(|(data, _claim)| Ok(Frame::data(data))))
             }
         }
     }
@@ -173,25 +178,26 @@
     TooLarge,
     TimedOut,
     Aborted,
+    /// Callers make this process hold too much.
+    NoRoom,
 }
 
 /// Reads a whole body within `timeout`. The maximum size, in bytes, may change meanwhile; the largest
-/// one holds.
-pub(crate) async fn read_body<B>(
-    mut body: B,
+/// one holds. Memory for it is claimed as it arrives.
+pub(crate) async fn read_body(
+    mut body: RequestBody,
     max_bytes: impl Fn() -> usize,
     timeout: Duration,
-) -> Result<Bytes, BodyError>
-where
-    B: Body<Data = Bytes> + Unpin,
-{
+) -> Result<Bytes, BodyError> {
+    let memory = body.memory().clone();
     let expected_bytes = body.size_hint().lower() as usize;
+    let announced_bytes = body.size_hint().exact().map_or(usize::MAX, |length| length as usize);
     let mut limit = max_bytes();
     if expected_bytes > limit {
         return Err(BodyError::TooLarge);
     }
     let read = async {
-        let mut buffer = BytesMut::with_capacity(expected_bytes);
+        let mut buffer = ClaimedBuffer::new(&memory);
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| BodyError::Aborted)?;
             let Ok(chunk) = frame.into_data() else {
@@ -201,11 +207,16 @@
             if buffer.len() + chunk.len() > limit {
                 return Err(BodyError::TooLarge);
             }
-            buffer.extend_from_slice(&chunk);
+            let extended = buffer.extend(&chunk, limit.min(announced_bytes)).await;
+            extended.map_err(|NoRoom| BodyError::NoRoom)?;
         }
-        Ok(buffer.freeze())
+        Ok(buffer.into_bytes())
     };
-    tokio::time::timeout(timeout, read).await.unwrap_or(Err(BodyError::TimedOut))
+    let work = tokio::time::timeout(timeout, read);
+    match memory.run_refusable(work).await {
+        Ok(read) => read.unwrap_or(Err(BodyError::TimedOut)),
+        Err(NoRoom) => Err(BodyError::NoRoom),
+    }
 }
 
 /// Listens on an address, with a queue for the connections that arrive while the process stalls.
@@ -216,6 +227,9 @@
 pub(crate) fn bind_listener(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_reuseaddr(true)?;
+    // Connections inherit the sizes, which otherwise grow to megabytes each.
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
     socket.bind(address)?;
     socket.listen(MAX_WAITING_CONNECTIONS)
 }
@@ -232,8 +246,12 @@
 }
 
 /// Serves one connection until it ends.
-pub(crate) async fn serve_connection<F, R>(stream: TcpStream, group: Rc<ConnectionGroup>, handle: F)
-where
+pub(crate) async fn serve_connection<F, R>(
+    stream: TcpStream,
+    group: Rc<ConnectionGroup>,
+    budget: &MemoryBudget,
+    handle: F,
+) where
     F: Fn(Request<RequestBody>) -> R,
     R: Future<Output = WebResponse>,
 {
@@ -249,5 +267,6 @@
         is_overdue: || false,
         max_bytes: || MAX_HEADER_BYTES,
     };
-    serve_requests(stream, builder, group, head_limit, handle).await;
+    let memory = budget.open(IDLE_CONNECTION_BYTES);
+    serve_requests(stream, builder, group, memory.holder(), head_limit, handle).await;
 }
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -166,6 +166,7 @@
         max_body_bytes: 16 * 1024 * 1024,
         body_timeout: Duration::from_secs(30),
         max_connections: 4096,
+        memory_mb: 4_096,
         drain_timeout: Duration::from_secs(60),
     };
     let (daemon, address) = DaemonThread::spawn(name, move |sender, stop| async move {
@@ -200,6 +201,7 @@
         log_format: LogFormat::Off,
         piece_tokens: spec.piece_tokens,
         prefill_tokens: spec.prefill_tokens,
+        memory_mb: 4_096,
         drain_timeout: Duration::from_secs(60),
     };
     let (daemon, address) = DaemonThread::spawn(name, move |sender, stop| async move {
