Keep descriptors for small requests, the store and targets beside a crowd

300 idle connections and begun heads took all places of callers: an ordinary request was closed unread until they timed out. 60 callers that waited for a target took 138 descriptors of 100: one each, one to the target, and those of the process itself, so that neither store nor targets could be reached.

Cause: the gate closed new connections, however long the others had stood still, and connections to targets, of the balancer, of scrapers and for copies of the configuration were not counted at all.

Why it works: beside full places the idle connection that holds most is closed and the new one taken. Callers and targets together use four fifths of the descriptors at most, a kept connection to a target gives way first, and what finds no place is refused as not run. Other listeners take a 25th each.

--- a/src/memory_budget.rs
+++ b/src/memory_budget.rs
@@ -104,6 +104,15 @@
         let base = holder.claim_held(bytes);
         HolderGuard { holder, _base: base }
     }
+
+    /// Tells an idle holder to leave, so that another connection finds a place. Returns `false` if there
+    /// is none.
+    pub(crate) fn close_idle(&self) -> bool {
+        let now = self.0.clock.now();
+        let chosen = self.0.ledger().choose_idle(now);
+        self.0.tell(chosen.as_slice());
+        chosen.is_some()
+    }
 }
 
 impl BudgetState {
--- a/src/memory_ledger.rs
+++ b/src/memory_ledger.rs
@@ -248,6 +248,18 @@
         }
     }
 
+    /// Chooses a holder that leaves so that another connection finds a place; `None` if all have moved
+    /// something lately or do not wait for their peer.
+    pub fn choose_idle(&mut self, now: Tick) -> Option<HolderId> {
+        let idle = self.holders.iter().filter(|(_, holder)| {
+            holder.may_leave() && holder.held > 0 && holder.moved.recent(now) == 0
+        });
+        let (id, _) = idle.max_by_key(|(id, holder)| (holder.held, u64::MAX - **id))?;
+        let id = *id;
+        self.mark_leaving(&[id]);
+        Some(id)
+    }
+
     fn add(&mut self, id: HolderId, bytes: usize) {
         if let Some(holder) = self.holders.get_mut(&id) {
             holder.held += bytes;
--- a/src/relay/decide/connection_gate.rs
+++ b/src/relay/decide/connection_gate.rs
@@ -92,9 +92,15 @@
         self.quota
     }
 
+    /// Returns `true` if no place for a connection is left beside `open` others.
+    #[must_use]
+    pub fn is_full(&self, open: usize) -> bool {
+        self.max_open.is_some_and(|max| open >= max)
+    }
+
     /// Returns `true` if a new connection is taken beside `open` others.
     pub fn admit(&mut self, open: usize) -> bool {
-        let is_admitted = self.taken < self.quota && self.max_open.is_none_or(|max| open < max);
+        let is_admitted = self.taken < self.quota && !self.is_full(open);
         self.taken += usize::from(is_admitted);
         self.unsettled += usize::from(is_admitted);
         is_admitted
--- a/src/relay/proxy/connections.rs
+++ b/src/relay/proxy/connections.rs
@@ -1,5 +1,6 @@
 //! Connections to targets, pooled for reuse.
 
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -38,6 +39,33 @@
 /// Size of the receive buffer of a socket, in bytes, which the system may double.
 const RECEIVE_BUFFER_BYTES: u32 = 128 * 1024;
 
+/// Counts open connections to targets.
+#[derive(Debug, Default)]
+pub(crate) struct OpenConnections(Cell<usize>);
+
+impl OpenConnections {
+    pub(crate) fn count(&self) -> usize {
+        self.0.get()
+    }
+}
+
+/// Counts a connection while its socket is open.
+#[derive(Debug)]
+struct ConnectionPlace(Rc<OpenConnections>);
+
+impl ConnectionPlace {
+    fn new(open: &Rc<OpenConnections>) -> Self {
+        open.0.set(open.0.get() + 1);
+        ConnectionPlace(open.clone())
+    }
+}
+
+impl Drop for ConnectionPlace {
+    fn drop(&mut self) {
+        self.0.0.set(self.0.0.get() - 1);
+    }
+}
+
 /// A connection to a target. Dropping it closes it at once.
 #[derive(Debug)]
 pub(crate) struct TargetConnection {
@@ -95,6 +123,12 @@
         }
     }
 
+    /// Closes one idle connection. Returns `false` if there is none.
+    pub(crate) fn close_one(&mut self) -> bool {
+        let first = self.idle.values_mut().find_map(Vec::pop);
+        first.is_some()
+    }
+
     /// Closes idle connections that have timed out or that the target has closed.
     pub(crate) fn expire(&mut self, now: Tick) {
         self.idle.retain(|_, idle| {
@@ -123,7 +157,11 @@
 }
 
 /// Opens a connection to a target.
-pub(crate) async fn connect(address: SocketAddr) -> Result<TargetConnection, ConnectFault> {
+pub(crate) async fn connect(
+    address: SocketAddr,
+    open: &Rc<OpenConnections>,
+) -> Result<TargetConnection, ConnectFault> {
+    let place = ConnectionPlace::new(open);
     let connecting = async {
         let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
         // Without a fixed size it grows to megabytes.
@@ -143,6 +181,9 @@
     let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(ConnectFault::Handshake)?;
     // The request on the connection sees the connection's error, so the result is dropped here.
-    let task = tokio::task::spawn_local(async move { drop(connection.await) });
+    let task = tokio::task::spawn_local(async move {
+        let _place = place;
+        drop(connection.await);
+    });
     Ok(TargetConnection { sender, is_reused: false, exchange, task: task.abort_handle() })
 }
--- a/src/relay/proxy/crash_check.rs
+++ b/src/relay/proxy/crash_check.rs
@@ -43,7 +43,7 @@
 async fn probe_address(shared: &RelayShared, instance: &TargetInstance, address: SocketAddr) {
     for _ in 0..MAX_PROBES {
         tokio::time::sleep(PROBE_DELAY).await;
-        let Err(fault) = connect(address).await else { return };
+        let Err(fault) = connect(address, &shared.target_connections).await else { return };
         if !fault.is_refused()
             || shared.core.borrow_mut().record_unreachable(instance, shared.now())
         {
--- a/src/relay/proxy/forward.rs
+++ b/src/relay/proxy/forward.rs
@@ -70,6 +70,12 @@
         AttemptFault { is_stale: true, ..AttemptFault::not_sent(reason) }
     }
 
+    /// No descriptor is left for a connection to the target.
+    fn crowded() -> Self {
+        let reason = "this entry has no descriptor left for its target";
+        AttemptFault { is_stale: true, ..AttemptFault::not_sent(reason) }
+    }
+
     /// The retry was not sent in time, for example because this process was frozen.
     fn lapsed() -> Self {
         AttemptFault { is_stale: true, ..AttemptFault::not_sent("the retry was not sent in time") }
@@ -268,7 +274,11 @@
     {
         return Ok(connection);
     }
-    connect(address).await.map_err(|fault| {
+    if !shared.has_target_place() {
+        shared.record_crowding();
+        return Err(AttemptFault::crowded());
+    }
+    connect(address, &shared.target_connections).await.map_err(|fault| {
         let is_refused = fault.is_refused();
         let kind = if is_refused { TargetFault::Unreachable } else { TargetFault::Broken };
         AttemptFault { fault: kind, ..AttemptFault::not_sent(fault.to_string()) }
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -57,6 +57,13 @@
 /// Turns of the event loop that a request takes, waits for its target aside.
 const REQUEST_TURNS: u32 = 4;
 
+/// Turns of the event loop within which a connection that is told to leave is closed.
+const CLOSING_TURNS: u32 = 4;
+
+/// Largest share of the descriptors that the connections of one listener beside that for callers
+/// may use.
+const PATH_SHARE_DIVISOR: usize = 25;
+
 /// Interval at which the settings file is read again.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -139,6 +146,8 @@
         clock,
         connections: ConnectionGroup::new(),
         gate: RefCell::new(ConnectionGate::new(settings.max_descriptors)),
+        max_descriptors: Cell::new(settings.max_descriptors),
+        target_connections: Rc::default(),
         open_connections: Cell::new(0),
         gate_closing: GateClosing::default(),
         connections_taken: Notify::new(),
@@ -175,6 +184,7 @@
             shared.core.borrow_mut().set_limits(settings.to_limits());
             shared.stop_limit.set(settings.stop_limit());
             shared.gate.borrow_mut().set_max_descriptors(settings.max_descriptors);
+            shared.max_descriptors.set(settings.max_descriptors);
             shared.memory.set_limit(connection_bytes(settings.memory_mb));
             slog::info!(shared.log.logger(), "settings reloaded";
                 "applied" => "stop_s, max_descriptors, memory_mb, regions, revoke_ms, evacuate_ms, warmup_overrun, warmup_slack, fail_closed, drain_ms, store_history_s, retry_ratio, retry_slack, retry_window_s");
@@ -244,6 +254,7 @@
         if shared.now().since(shared.delay_due.get()) >= LATE_DELAY {
             measure_delay(&shared);
         }
+        make_place(&shared).await;
         if shared.gate.borrow_mut().admit(shared.open_connections.get()) {
             let connection = Rc::new(CallerConnection::new(&shared));
             tokio::task::spawn_local(serve_caller(shared.clone(), stream, connection));
@@ -256,6 +267,21 @@
     }
 }
 
+/// Closes an idle connection if no place is left for a new one.
+async fn make_place(shared: &RelayShared) {
+    let is_full = || shared.gate.borrow().is_full(shared.open_connections.get());
+    if !is_full() || !shared.memory.close_idle() {
+        return;
+    }
+    shared.record_crowding();
+    for _ in 0..CLOSING_TURNS {
+        tokio::task::yield_now().await;
+        if !is_full() {
+            return;
+        }
+    }
+}
+
 /// Closes a connection, so that its caller tries another entry at once.
 fn close_unread(shared: &RelayShared, stream: TcpStream) {
     drop(stream);
@@ -313,9 +339,17 @@
 
 /// Accepts connections of the balancer, of metrics scrapers or of other entries.
 async fn serve_paths(shared: Rc<RelayShared>, listener: TcpListener, handler: PathHandler) {
+    let open = Rc::new(());
     loop {
         let stream = accept_next(&listener).await;
-        let shared = shared.clone();
+        let max_open = shared.max_descriptors.get().map(|max| max / PATH_SHARE_DIVISOR);
+        // One reference is the loop's own.
+        if max_open.is_some_and(|max| Rc::strong_count(&open) > max.max(1)) {
+            close_unread(&shared, stream);
+            shared.record_crowding();
+            continue;
+        }
+        let (shared, place) = (shared.clone(), open.clone());
         tokio::task::spawn_local(async move {
             let service = service_fn(move |request: hyper::Request<hyper::body::Incoming>| {
                 let answer = handler(&shared, request.uri().path());
@@ -329,6 +363,7 @@
                     .serve_connection(TokioIo::new(stream), service)
                     .await,
             );
+            drop(place);
         });
     }
 }
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -24,7 +24,7 @@
 use super::peers::peer_link::PeerLink;
 use super::peers::peer_message::PeerMessage;
 use super::proxy::chunk_queue::SharedRoom;
-use super::proxy::connections::ConnectionPool;
+use super::proxy::connections::{ConnectionPool, OpenConnections};
 use super::proxy::protocol::{CallerProtocol, TargetProtocol};
 use super::record::DecisionLog;
 use crate::client::HttpClient;
@@ -37,6 +37,10 @@
 /// back.
 const RECOVERY_WINDOW: Duration = Duration::from_secs(3);
 
+/// Share of the descriptors that connections of callers and to targets may use together. The rest is
+/// for the store, other entries, the balancer and files.
+const RELAYED_SHARE: f64 = 0.8;
+
 /// State shared by all requests and background tasks of a process.
 pub(crate) struct RelayShared {
     pub(crate) core: RefCell<RelayCore>,
@@ -93,6 +97,10 @@
     pub(crate) connections: Rc<ConnectionGroup>,
     /// Whether new connections of callers are taken.
     pub(crate) gate: RefCell<ConnectionGate>,
+    /// Number of descriptors that the process may use, `None` if that is unknown.
+    pub(crate) max_descriptors: Cell<Option<usize>>,
+    /// Counts the open connections to targets.
+    pub(crate) target_connections: Rc<OpenConnections>,
     /// Number of open connections of callers.
     pub(crate) open_connections: Cell<usize>,
     /// Connections that the gate closes at present.
@@ -116,6 +124,15 @@
         self.core.borrow().targets.get(target).map(|target| target.record.address)
     }
 
+    /// Returns `true` if a connection to a target may be opened beside those of callers. Idle
+    /// connections to targets are closed for it.
+    pub(crate) fn has_target_place(&self) -> bool {
+        let Some(max) = self.max_descriptors.get() else { return true };
+        let max_open = (max as f64 * RELAYED_SHARE) as usize;
+        let open = || self.open_connections.get() + self.target_connections.count();
+        open() < max_open || self.pool.borrow_mut().close_one()
+    }
+
     /// Logs that callers make this process hold too much.
     pub(crate) fn record_crowding(&self) {
         let figures = self.memory.figures();
--- a/tests/memory_ledger.rs
+++ b/tests/memory_ledger.rs
@@ -80,6 +80,7 @@
     }
     let id = ledger.open(Tick(5 * SECOND));
     assert_eq!(claim(&mut ledger, id, LARGE, 5 * SECOND), ClaimVerdict::Refused);
+    assert_eq!(ledger.choose_idle(Tick(9 * SECOND)), None, "the last one holds nothing");
 }
 
 #[test]
@@ -103,6 +104,15 @@
     assert_eq!(verdict(holders[1]), ClaimVerdict::Refused);
 }
 
+#[test]
+fn a_new_connection_has_time_for_its_first_request() {
+    let mut ledger = MemoryLedger::new(LIMIT);
+    let id = ledger.open(Tick(5 * SECOND));
+    ledger.claim_held(id, KIB, Tick(5 * SECOND));
+    assert_eq!(ledger.choose_idle(Tick(5 * SECOND)), None);
+    assert_eq!(ledger.choose_idle(Tick(7 * SECOND)), Some(id));
+}
+
 #[derive(Clone, Debug)]
 enum LedgerStep {
     Open,
