Answer an invalid status of a target with a failure of the entry

A status of 000 gave callers a 502, but 101, 600 and 999 of a target reached them, with its body; 101 and an idempotent request were not tried elsewhere, and Not-Executed below such a status made a 503, a promise. On the product a service's 600 came back as "ran".

Cause: the HTTP library reads any three digits from 100 on as a status, and the relay and the agent passed on whatever it had read; what ends no exchange was never told apart.

Why it works: is_final says what ends an exchange by RFC 9110, 200 to 599. All else counts as a malformed answer of a target that may have run the request: repeatable requests go to another target, others get a 502, and nothing that such an answer says of its target is taken.

--- a/src/agent/plain.rs
+++ b/src/agent/plain.rs
@@ -10,7 +10,7 @@
 use super::engine::report_backoff;
 use super::event::{RunEvent, RunUsage, StartRun};
 use crate::client::{CallBody, CallFault, HttpClient, pieces};
-use crate::verdict::Verdict;
+use crate::verdict::{Verdict, is_final};
 use crate::wire::Call;
 
 /// Maximum size of an answer that is kept for its entry, in bytes.
@@ -49,6 +49,10 @@
             CallFault::NotSent(text) => RunEvent::Failed(Verdict::NotRun, text.into()),
             CallFault::Unknown(text) => RunEvent::Failed(Verdict::MayHaveRun, text.into()),
         })?;
+        if !is_final(response.status()) {
+            let text = format!("invalid status {}", response.status().as_u16());
+            return Err(RunEvent::Failed(Verdict::MayHaveRun, text.into()));
+        }
         report_backoff(&response, report);
         let content_type = response.headers().get(CONTENT_TYPE);
         let content_type = content_type.and_then(|value| value.to_str().ok());
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -22,7 +22,7 @@
 use crate::connection::RequestBody;
 use crate::memory_budget::ClaimedBuffer;
 use crate::prefix::PrefixHashes;
-use crate::verdict::{Verdict, promises_not_run};
+use crate::verdict::{Verdict, is_final, promises_not_run};
 use crate::web::{
     BodyError, WebResponse, accept_next, bearer_token, read_body, serve_connection, set_verdict,
     to_error_response, to_json_response, to_response,
@@ -387,9 +387,9 @@
             Reply::Head(..) => {}
         }
     }
-    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-    if promises_not_run(status) {
-        let text = format!("the service was given the request and answered {}", status.as_u16());
+    let valid = StatusCode::from_u16(status).ok().filter(|status| is_final(*status));
+    let Some(status) = valid.filter(|status| !promises_not_run(*status)) else {
+        let text = format!("the service was given the request and answered {status}");
         let verdict = Verdict::MayHaveRun;
         return to_error_response(
             StatusCode::BAD_GATEWAY,
@@ -399,7 +399,7 @@
             id,
             None,
         );
-    }
+    };
     let mut response = to_response(status, content_type, body.into_bytes());
     set_verdict(response.headers_mut(), Verdict::Ran, id);
     response
--- a/src/relay/proxy/forward.rs
+++ b/src/relay/proxy/forward.rs
@@ -21,7 +21,7 @@
 use crate::relay::decide::targets::TargetFault;
 use crate::relay::shared::RelayShared;
 use crate::time::Tick;
-use crate::verdict::Verdict;
+use crate::verdict::{Verdict, is_final};
 
 /// Reason why an attempt produced no answer.
 pub(crate) struct AttemptFault {
@@ -240,7 +240,7 @@
     let (parts, body) = response.into_parts();
     let head = (shared.target_protocol.parse_answer)(parts.status, &parts.headers);
     // If another instance uses the address, the notice is about that instance.
-    if !head.is_replaced {
+    if !head.is_replaced && is_final(parts.status) {
         // A missing field in the notice counts only in a successful, signed answer to this request:
         // other answers may not come from the target, and a failure may come from only a part of
         // it.
@@ -322,9 +322,13 @@
     request
 }
 
-/// Returns a fault for a refusal, and for an answer that belongs to another request, has a content
+/// Returns a fault for an invalid status, for a refusal, and for an answer that belongs to another request, has a content
 /// encoding or lacks a signature.
 fn check_head(job: &RelayJob, parts: &Parts, head: &AnswerHead) -> Result<(), AttemptFault> {
+    if !is_final(parts.status) {
+        let reason = format!("the target answered the invalid status {}", parts.status.as_u16());
+        return Err(AttemptFault::malformed(reason));
+    }
     let is_own = head.attempt.as_deref() == job.head.attempt.as_deref();
     // Targets that cannot read a request refuse it without naming it.
     let is_unnamed_refusal = head.is_not_run && head.attempt.is_none();
--- a/src/verdict.rs
+++ b/src/verdict.rs
@@ -49,3 +49,10 @@
             | StatusCode::SERVICE_UNAVAILABLE
     )
 }
+
+/// Returns `true` if a status ends an exchange: those below 200 are interim, and HTTP defines none
+/// above 599 (RFC 9110, section 15).
+#[must_use]
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
--- a/tests/false_promises.rs
+++ b/tests/false_promises.rs
@@ -60,3 +60,15 @@
         site.engines.iter().map(standins::engine_server::EngineServer::runs_started).sum();
     assert_eq!(started, 1, "a run that must not be repeated was started again");
 }
+
+/// Guards against a status that HTTP does not know reaching the caller.
+#[tokio::test]
+async fn an_invalid_status_of_a_service_is_answered_with_a_failure_of_the_entry() {
+    let site = Site::start(1, 1, EngineSpec::default()).await;
+    for status in [600, 999].map(|number| StatusCode::from_u16(number).expect("three digits")) {
+        site.plain.fault.lock().expect("fault").failed_with = Some(status);
+        let answer = call(site.callers(0), order("boat-1")).await.expect("answer");
+        assert_eq!((answer.status, answer.verdict.as_str()), (502, "may-have-run"), "{status}");
+        assert_eq!(answer.code(), "target_failed");
+    }
+}
