Bound the texts of callers and targets in log lines

An attempt id may be as long as a head, and up to 1,024 lines wait for the writer: with heads of 64 KiB that is 64 MiB beside the budget of memory. Ids, reasons, errors and lists of parts are cut at 256 bytes. Found by reading; no test measures it.

--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -40,6 +40,9 @@
 /// Maximum number of lines of one kind in a second. A line takes about 20 us on a small host.
 const MAX_LINES_PER_SECOND: u32 = 20;
 
+/// Maximum length of a text in a line that a caller or a target chooses, in bytes.
+const MAX_TEXT_BYTES: usize = 256;
+
 /// A logger that writes to standard output and counts the lines it could not write.
 #[derive(Clone, Debug)]
 pub struct StdoutLog {
@@ -147,7 +150,7 @@
         };
         let Some(left_out) = self.take_from_budget(kind, now) else { return };
         info!(self.logger, "request";
-            "id" => line.id, "end" => %line.outcome, "status" => line.status, "why" => line.reason,
+            "id" => cut(line.id), "end" => %line.outcome, "status" => line.status, "why" => cut(line.reason),
             "targets" => line.targets, "sends" => line.sends,
             "digest" => line.digest.map(|digest| digest.to_string()), "rank" => line.more_urgent,
             "not_sent_again" => line.retry_stop.map(|stop| stop.to_string()), "took_ms" => line.elapsed.as_millis() as u64,
@@ -168,7 +171,7 @@
         };
         let Some(left_out) = self.take_from_budget(kind, now) else { return };
         warn!(self.logger, "connection ended";
-            "why" => %line.end, "state" => %line.state, "error" => line.error,
+            "why" => %line.end, "state" => %line.state, "error" => cut(line.error),
             "age_ms" => line.age.as_millis() as u64, "state_ms" => line.state_age.as_millis() as u64,
             "requests" => line.requests, "config_version" => line.version,
             "config_age_ms" => line.config_age.as_millis() as u64,
@@ -206,7 +209,7 @@
     pub fn placed(&self, line: &PlacementLine<'_>, now: Tick) {
         let Some(left_out) = self.take_from_budget("placed", now) else { return };
         info!(self.logger, "placed";
-            "id" => line.id, "target" => line.target, "helpers" => line.helpers.len(), "helped_by" => line.helpers.join(","),
+            "id" => cut(line.id), "target" => line.target, "helpers" => line.helpers.len(), "helped_by" => line.helpers.join(","),
             "prompt_tokens" => line.prompt_tokens, "first_ms" => line.predicted_first.as_millis() as u64,
             "cost" => line.cost, "harm" => line.delay_cost, "own" => line.own_loss, "claim" => line.opportunity_cost,
             "candidates" => line.candidates,
@@ -217,9 +220,9 @@
     pub fn attempt_failed(&self, line: &FailedAttemptLine<'_>, now: Tick) {
         let Some(left_out) = self.take_from_budget("attempt_failed", now) else { return };
         warn!(self.logger, "attempt failed";
-            "id" => line.id, "digest" => %line.digest, "parts" => join_parts(line.parts),
+            "id" => cut(line.id), "digest" => %line.digest, "parts" => cut(&join_parts(line.parts)),
             "streamed_ms" => line.streamed_for.as_millis() as u64, "target" => line.target,
-            "why" => line.reason, "verdict" => %line.verdict, "left_out" => left_out);
+            "why" => cut(line.reason), "verdict" => %line.verdict, "left_out" => left_out);
     }
 
     /// Logs an agent's answer to a request for a retry, `None` if no answer came. `agent_host` is a
@@ -354,7 +357,7 @@
         let Some(left_out) = self.take_from_budget("part_crashed", now) else { return };
         warn!(self.logger, "engine crashed under parts";
             "target" => &*report.instance.incarnation, "digest" => %report.digest,
-            "parts" => join_parts(&report.parts), "sent_ago_ms" => report.sent_ago_ms,
+            "parts" => cut(&join_parts(&report.parts)), "sent_ago_ms" => report.sent_ago_ms,
             "left_out" => left_out);
     }
 
@@ -405,6 +408,15 @@
     }
 }
 
+/// Returns the start of a text that a caller or a target may have made long.
+fn cut(text: &str) -> &str {
+    let mut end = text.len().min(MAX_TEXT_BYTES);
+    while !text.is_char_boundary(end) {
+        end -= 1;
+    }
+    &text[..end]
+}
+
 /// Joins the names of parts, separated by commas.
 fn join_parts(parts: &[PromptPart]) -> String {
     parts.iter().map(PromptPart::as_str).collect::<Vec<_>>().join(",")
