--- a/src/agent/daemon.rs
+++ b/src/agent/daemon.rs
@@ -1,13 +1,13 @@
 //! The agent's daemon: sockets and timers around the core.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use slog::{Logger, info, warn};
+use slog::{Logger, debug, info, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, LocalSet, spawn_local};
@@ -25,7 +25,9 @@
 use crate::log::new_logger;
 use crate::memory_budget::{MemoryBudget, connection_bytes};
 use crate::metrics::IterationMeter;
-use crate::peer::{LinkSender, LinkSide, OpenAttempts, PeerIdentity, accept, link_queue, run_link};
+use crate::peer::{
+    LinkSender, LinkSide, OpenAttempts, PeerIdentity, Socket, accept, link_queue, run_link,
+};
 use crate::program::on_reload_signal;
 use crate::settings::AgentSettings;
 use crate::time::Tick;
@@ -36,6 +38,10 @@
 /// Maximum number of events kept in the timeline.
 const TIMELINE_CAPACITY: usize = 4_096;
 
+/// Maximum number of peers that have not proven yet that they belong to the fleet. Beyond it the
+/// oldest is disconnected.
+const MAX_HANDSHAKES: usize = 128;
+
 /// Interval between polls of the engine's load report.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -402,16 +408,36 @@
 }
 
 async fn accept_all(shared: Rc<AgentShared>, listener: TcpListener) {
+    let mut handshakes = VecDeque::new();
+    let mut is_full = false;
     loop {
         let stream = accept_next(&listener).await;
-        spawn_local(serve_link(shared.clone(), stream));
+        let handshake = spawn_local(accept_link(shared.clone(), stream));
+        handshakes.push_back(handshake.abort_handle());
+        handshakes.retain(|handshake: &AbortHandle| !handshake.is_finished());
+        let oldest = if handshakes.len() > MAX_HANDSHAKES { handshakes.pop_front() } else { None };
+        if oldest.is_some() && !is_full {
+            warn!(shared.log, "handshakes of peers ended: too many are open";
+                "open" => handshakes.len());
+        }
+        is_full = oldest.is_some();
+        if let Some(oldest) = oldest {
+            oldest.abort();
+        }
     }
 }
 
-async fn serve_link(shared: Rc<AgentShared>, stream: TcpStream) {
-    let Ok((socket, peer)) = accept(stream, &shared.identity).await else {
-        return;
-    };
+/// Performs the handshake of a peer and serves its link. A stranger holds memory only until then.
+async fn accept_link(shared: Rc<AgentShared>, stream: TcpStream) {
+    match accept(stream, &shared.identity).await {
+        Ok((socket, peer)) => {
+            spawn_local(serve_link(shared, socket, peer));
+        }
+        Err(error) => debug!(shared.log, "handshake failed"; "error" => %error),
+    }
+}
+
+async fn serve_link(shared: Rc<AgentShared>, socket: Socket, peer: ProcessId) {
     shared.next_conn.set(shared.next_conn.get() + 1);
     let conn = ConnId(shared.next_conn.get());
     let (sender, queue) = link_queue();
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -51,7 +51,10 @@
 /// Duration from which a write counts as blocked.
 const BLOCKED_WRITE: Duration = Duration::from_millis(50);
 
-type Socket = WebSocketStream<TcpStream>;
+/// Initial size of the read buffer of a link, in bytes.
+const READ_BUFFER_BYTES: usize = 16 * 1024;
+
+pub(crate) type Socket = WebSocketStream<TcpStream>;
 type Nonce = [u8; 16];
 
 /// Id of a process, with the key that proves its membership of the fleet.
@@ -116,6 +119,7 @@
 
 fn socket_config() -> WebSocketConfig {
     WebSocketConfig::default()
+        .read_buffer_size(READ_BUFFER_BYTES)
         .max_message_size(Some(MAX_FRAME_BYTES))
         .max_frame_size(Some(MAX_FRAME_BYTES))
         .accept_unmasked_frames(false)
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -58,6 +58,16 @@
         assert!(status.success());
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns `true` until the process has ended.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().expect("a status").is_none()
+    }
+
     /// Requests a drain, after which the process exits.
     pub fn request_drain(&self) {
         self.signal("-TERM");
