A start after a restored store proves no version that others have replaced

Cause: a process that starts takes what the store holds for proven. That the store had lost the removal was known to the other entries only, and nobody told it.

Why it works: agents outlive entries. Entries tell them the version in force with each subscription, agents answer with the newest of the last 60 s, and once the store names an epoch above zero a lower version renews no lease. A start waits for the first answer, two seconds at most. Where no store was ever restored nothing changes but the size of these datagrams.

--- a/src/relay/core/configuration.rs
+++ b/src/relay/core/configuration.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use super::RelayCore;
 use crate::relay::decide::quarantine::QuarantineRecords;
@@ -14,6 +15,9 @@
 use crate::relay::peers::peer_message::PeerMessage;
 use crate::time::Tick;
 
+/// Time after the start of this process for which the agents' answers are waited for.
+const AGENT_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// How an announced change relates to the configuration known here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
 pub enum DeltaVerdict {
@@ -217,14 +221,37 @@
         self.config = Some(Rc::new(digested.config));
     }
 
-    /// Renews the lease if the configuration in force is the one that the store holds.
+    /// Renews the lease if the configuration in force is the one that the store holds, and the store
+    /// is not known to have lost a later one.
     fn prove(&mut self, at: Tick) {
-        if !self.is_store_behind {
+        if !self.is_store_behind && !self.may_lack_version(at) {
             self.lease.renew(at);
             self.proven_epoch = self.config_revision.epoch;
         }
     }
 
+    /// Returns `true` if a store that was restored from a backup may have lost a later version than the
+    /// one in force: another entry has had one, or no agent has told yet whether any has. Agents are
+    /// waited for at the start only, as there may be none.
+    #[must_use]
+    pub fn may_lack_version(&self, now: Tick) -> bool {
+        let is_asking = now < Tick::default() + AGENT_TIMEOUT;
+        let may_lack =
+            self.newest_version.map_or(is_asking, |newest| newest > self.rules.version());
+        self.store_epoch() > 0 && may_lack
+    }
+
+    /// Returns the version in force, `None` if there is none.
+    #[must_use]
+    pub fn version_in_force(&self) -> Option<u64> {
+        self.config.as_ref().map(|_| self.rules.version())
+    }
+
+    /// Records the newest version that an agent has heard of from entries.
+    pub(super) fn record_newest_version(&mut self, version: Option<u64>) {
+        self.newest_version = self.newest_version.max(Some(version.unwrap_or(0)));
+    }
+
     /// Returns `true` if the store holds an earlier configuration than the one in force.
     #[must_use]
     pub fn is_store_behind(&self) -> bool {
--- a/src/relay/core/mod.rs
+++ b/src/relay/core/mod.rs
@@ -140,6 +140,8 @@
     is_store_behind: bool,
     /// Epoch of the store in which the configuration was last proven.
     proven_epoch: u64,
+    /// Newest version that agents have reported of other entries, once one has answered.
+    newest_version: Option<u64>,
     /// Newest known epoch of the store, `None` before its first answer.
     store_epoch: Option<u64>,
     /// The configuration in force, kept to be passed on to other entries.
@@ -188,6 +190,7 @@
             read_at: Tick::default(),
             is_store_behind: false,
             proven_epoch: 0,
+            newest_version: None,
             store_epoch: None,
             config: None,
             targets: TargetSet::default(),
@@ -358,7 +361,9 @@
                 watchers,
                 watched_revision,
                 confirmed_revision,
+                newest_version,
             } => {
+                self.record_newest_version(newest_version);
                 self.target_list_sync.record_agent_report(watchers, watched_revision, now);
                 if let Some(revision) = confirmed_revision {
                     self.config_sync.record_announced(revision, self.config_revision, now);
--- a/src/relay/discovery/follow_config.rs
+++ b/src/relay/discovery/follow_config.rs
@@ -29,6 +29,9 @@
 /// the interval is well under that bound, and long enough that the reads stay cheap.
 const TURNED_AWAY_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Interval between two reads of a store that may have lost the newest version.
+const LACKING_INTERVAL: Duration = Duration::from_millis(300);
+
 /// Follows the configuration for as long as the process runs.
 pub(crate) async fn follow_config(shared: Rc<RelayShared>, source: Rc<DiscoverySource>) {
     let mut is_reachable = true;
@@ -148,6 +151,9 @@
         // Without this interval one entry made 45 reads in two seconds.
         return shared.now() + TURNED_AWAY_INTERVAL;
     }
+    if core.may_lack_version(shared.now()) {
+        return shared.now() + LACKING_INTERVAL;
+    }
     let lease = core.lease();
     lease.proven_at().unwrap_or(shared.now()) + ProofSync::refresh_age(lease.duration())
 }
--- a/src/relay/peers/peer_link.rs
+++ b/src/relay/peers/peer_link.rs
@@ -230,6 +230,7 @@
         proof_age_ms,
         watched_revision,
         confirmed_revision,
+        version_in_force: core.version_in_force(),
     }
 }
 
--- a/src/relay/peers/peer_message.rs
+++ b/src/relay/peers/peer_message.rs
@@ -43,6 +43,9 @@
         /// Revision of its configuration, if that is confirmed.
         #[serde(rename = "config_mark")]
         confirmed_revision: Option<StoreRevision>,
+        /// Version of the configuration in force, if there is one.
+        #[serde(default, rename = "version", skip_serializing_if = "Option::is_none")]
+        version_in_force: Option<u64>,
     },
     /// The agent's acknowledgement of a subscription.
     #[serde(rename = "w")]
@@ -65,6 +68,9 @@
         /// Newest revision of the configuration at another entry.
         #[serde(rename = "config_mark")]
         confirmed_revision: Option<StoreRevision>,
+        /// Newest version that entries have had in force lately.
+        #[serde(default, rename = "version", skip_serializing_if = "Option::is_none")]
+        newest_version: Option<u64>,
     },
     /// The target list changed. Relayed by the agent to the other entries.
     #[serde(rename = "c")]
--- a/src/relay/peers/subscriber_set.rs
+++ b/src/relay/peers/subscriber_set.rs
@@ -28,12 +28,17 @@
 /// restarts while others are disconnected must not take itself for the only one.
 const PEAK_TTL: Duration = Duration::from_secs(60);
 
+/// Time for which an agent reports the newest version that entries had in force. An entry that starts
+/// after the store was restored from a backup must not take a lost version's predecessor for current.
+const VERSION_TTL: Duration = Duration::from_secs(60);
+
 /// The entries that an agent knows, and what their streams cost its engine.
 #[derive(Debug, Default)]
 pub struct SubscriberSet {
     // Ordered, so that a run of a model with a seed repeats.
     subscribers: BTreeMap<SocketAddr, Subscriber>,
     peak: SubscriberPeak,
+    newest_version: NewestVersion,
     streams: BTreeMap<StreamKey, PeerMessage>,
     /// What entries reported about requests that crash targets.
     suspects: QuarantineLedger,
@@ -77,6 +82,24 @@
     }
 }
 
+/// Newest version that entries had in force within [`VERSION_TTL`].
+#[derive(Debug, Default)]
+struct NewestVersion {
+    version: Option<u64>,
+    seen_at: Tick,
+}
+
+impl NewestVersion {
+    /// Records the version in force at an entry, and returns the newest one.
+    fn record(&mut self, version: Option<u64>, now: Tick) -> Option<u64> {
+        let is_expired = now.since(self.seen_at) >= VERSION_TTL;
+        if version.is_some() && (version >= self.version || is_expired) {
+            *self = NewestVersion { version, seen_at: now };
+        }
+        self.version
+    }
+}
+
 /// A datagram to be sent.
 #[derive(Debug, PartialEq)]
 pub struct OutboundMessage {
@@ -105,12 +128,14 @@
                 proof_age_ms,
                 watched_revision,
                 confirmed_revision,
+                version_in_force,
             } => {
                 let proof_age = proof_age_ms.map(|age| Duration::from_millis(age.into()));
                 let proven_at = proof_age.map(|age| now - age);
                 let (entry, watched_revision, confirmed_revision) =
                     (*entry, *watched_revision, *confirmed_revision);
                 let received_at = now;
+                self.newest_version.record(*version_in_force, now);
                 let subscriber = Subscriber {
                     entry,
                     received_at,
@@ -205,6 +230,7 @@
             watchers: revisions.len() as u32,
             watched_revision: revisions.iter().max().copied(),
             confirmed_revision,
+            newest_version: self.newest_version.record(None, now),
         };
         let mut out = vec![OutboundMessage { to: from, message: acknowledgement }];
         let is_new = known.as_ref().is_none_or(|known| known.entry != entry);
--- a/standins/src/control.rs
+++ b/standins/src/control.rs
@@ -273,6 +273,7 @@
             proof_age_ms: None,
             watched_revision,
             confirmed_revision,
+            version_in_force: None,
         };
         let from = entry.address;
         let mut agents = entry.agents.clone();
--- a/tests/relay/budget.rs
+++ b/tests/relay/budget.rs
@@ -219,6 +219,7 @@
             proof_age_ms: None,
             watched_revision: None,
             confirmed_revision: None,
+            version_in_force: None,
         };
         let from = ([10, 0, 1, entry as u8], 80).into();
         let out = set.on_message(&message, from, 100, now);
@@ -246,6 +247,7 @@
         watchers: 0,
         watched_revision: None,
         confirmed_revision: None,
+        newest_version: None,
     };
     core.apply_message(message, now);
 }
--- a/tests/relay/config_updates.rs
+++ b/tests/relay/config_updates.rs
@@ -136,6 +136,7 @@
         watchers: 8,
         watched_revision: None,
         confirmed_revision: Some(revision(7)),
+        newest_version: None,
     };
     core.apply_message(acknowledgement, at(2_000));
     assert!(core.is_config_behind(at(2_900)));
@@ -165,6 +166,7 @@
         watchers: 0,
         watched_revision: None,
         confirmed_revision: None,
+        newest_version: None,
     };
     core.apply_message(acknowledgement, now);
     let (_, PeerMessage::QueryProof { nonce }) = core.request_proof(now)? else { return None };
--- a/tests/relay/crashes.rs
+++ b/tests/relay/crashes.rs
@@ -221,5 +221,6 @@
         watchers: 0,
         watched_revision: None,
         confirmed_revision: None,
+        newest_version: None,
     }
 }
--- a/tests/relay/evacuations.rs
+++ b/tests/relay/evacuations.rs
@@ -139,6 +139,7 @@
         watchers: 0,
         watched_revision: None,
         confirmed_revision: None,
+        newest_version: None,
     };
     core.apply_message(ack, now);
     let Some((_, PeerMessage::QueryProof { nonce })) = core.request_proof(now) else {
--- a/tests/relay/message_fragments.rs
+++ b/tests/relay/message_fragments.rs
@@ -118,6 +118,7 @@
             proof_age_ms: None,
             watched_revision: None,
             confirmed_revision: None,
+            version_in_force: None,
         };
         set.on_message(&message, address(number), 100, at(0));
     }
--- a/tests/relay/peer_messages.rs
+++ b/tests/relay/peer_messages.rs
@@ -23,6 +23,7 @@
         proof_age_ms: None,
         watched_revision: None,
         confirmed_revision: None,
+        version_in_force: None,
     };
     set.on_message(&message, entry(number), 100, at(millis))
 }
@@ -61,6 +62,7 @@
         proof_age_ms: None,
         watched_revision: None,
         confirmed_revision: None,
+        version_in_force: None,
     };
     let out = set.on_message(&message, entry(1), 100, at(10));
     let gone = PeerMessage::EntryGone { target: name("t"), entry: 1 };
@@ -95,6 +97,7 @@
         proof_age_ms,
         watched_revision: None,
         confirmed_revision: None,
+        version_in_force: None,
     };
     set.on_message(&proof(1, Some(300)), entry(1), 100, at(1_000));
     set.on_message(&proof(2, None), entry(2), 100, at(1_000));
--- a/tests/relay/proofs.rs
+++ b/tests/relay/proofs.rs
@@ -39,6 +39,7 @@
         watchers: 0,
         watched_revision: None,
         confirmed_revision: None,
+        newest_version: None,
     };
     core.apply_message(message, now);
 }
--- a/tests/relay/quarantine.rs
+++ b/tests/relay/quarantine.rs
@@ -184,6 +184,7 @@
             proof_age_ms: None,
             watched_revision: None,
             confirmed_revision: None,
+            version_in_force: None,
         };
         set.on_message(&subscribe, *entry, 100, at(0));
     }
@@ -200,6 +201,7 @@
         proof_age_ms: None,
         watched_revision: None,
         confirmed_revision: None,
+        version_in_force: None,
     };
     let out = set.on_message(&restarted, entries[2], 100, at(30));
     assert!(out.iter().any(|out| out.message == report(&[1, 2])), "an entry that restarted");
--- a/tests/relay/rules.rs
+++ b/tests/relay/rules.rs
@@ -45,6 +45,7 @@
         watchers: 0,
         watched_revision: None,
         confirmed_revision: None,
+        newest_version: None,
     }
 }
 
