Hold the first events of a replacement that could not be replaced itself

Cause: the first event of a replacement ended the others, though it says nothing of the rest, and the caller can not go back to them once it has that event.

Why it works: without a further run or a retry of this entry's own, events of a replacement are held for 0.4 s. A silent target that goes on meanwhile serves the stream as if nothing had been sent; otherwise what was held is delivered at once and in order, within the two seconds that callers wait. A stream that is whole sooner is delivered then. With a retry in hand nothing changes.

--- a/src/relay/core/retries.rs
+++ b/src/relay/core/retries.rs
@@ -78,6 +78,11 @@
         budget.has_retry(now) || (has_agent && budget.may_request(now))
     }
 
+    /// Returns `true` if this entry itself may pay for a retry now.
+    pub fn has_own_retry(&mut self, service: &Arc<str>, now: Tick) -> bool {
+        self.budget(service).has_retry(now)
+    }
+
     fn budget(&mut self, service: &Arc<str>) -> &mut RetryBudget {
         let bound = self.limits.retry_bound;
         self.budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(bound))
--- a/src/relay/proxy/attempt_race.rs
+++ b/src/relay/proxy/attempt_race.rs
@@ -3,12 +3,18 @@
 //!
 //! An attempt is ended only once another one has yielded something, since a silent target may still
 //! go on, and a replacement may be refused, fail or be silent as well.
+//!
+//! If a stream could not be sent once more, the first events of a replacement are held for a while: it
+//! may break off, and the caller can not go back to the earlier attempt once it has events of another
+//! run.
 
 use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::future::select_all;
-use hyper::Response;
+use hyper::{Response, StatusCode};
 
 use super::forward::{AttemptFault, SendOrder};
 use super::job::RelayJob;
@@ -17,6 +23,21 @@
 use super::series::AttemptSeries;
 use crate::relay::decide::placement::Placement;
 use crate::relay::shared::RelayShared;
+use crate::time::Tick;
+
+/// Time for which the events of a replacement are held that can not be replaced itself.
+const HOLD_TIME: Duration = Duration::from_millis(400);
+
+/// Number of bytes of events that are held at most.
+const MAX_HELD_BYTES: usize = 64 * 1024;
+
+/// Events of a replacement that the caller has not received.
+struct HeldEvents {
+    /// Target of the replacement.
+    target: Arc<str>,
+    events: BytesMut,
+    until: Tick,
+}
 
 /// What an attempt has yielded, and its index.
 type RaceStep = (usize, Result<AttemptYield, AttemptFault>);
@@ -27,6 +48,9 @@
     job: &'a RelayJob,
     /// In the order in which they were sent; never empty.
     attempts: Vec<RunningAttempt<'a>>,
+    held: Option<HeldEvents>,
+    /// The end of a stream whose held events were yielded before.
+    stream_end: Option<StatusCode>,
 }
 
 impl<'a> AttemptRace<'a> {
@@ -39,7 +63,7 @@
         position: &StreamPosition,
     ) -> Self {
         let first = start_attempt(shared, job, placement, series, position);
-        AttemptRace { shared, job, attempts: vec![first] }
+        AttemptRace { shared, job, attempts: vec![first], held: None, stream_end: None }
     }
 
     /// Returns the attempt that yielded last, or the one that failed.
@@ -57,8 +81,20 @@
         series: &mut AttemptSeries,
         ledger: &mut RequestLedger,
     ) -> Result<AttemptYield, AttemptFault> {
+        if let Some(status) = self.stream_end.take() {
+            return Ok(AttemptYield::StreamEnd(status));
+        }
         loop {
-            let step = if self.may_seek() {
+            let hold_end = self.held.as_ref().map_or(Tick::NEVER, |held| held.until);
+            if self.shared.now() >= hold_end
+                && let Some(events) = self.take_held(series)
+            {
+                return Ok(AttemptYield::Events(events));
+            }
+            let shared = self.shared;
+            let step = if self.held.is_some() {
+                shared.run_until(hold_end, next_step(&mut self.attempts)).await
+            } else if self.may_seek() {
                 self.next_or_replace(series, ledger).await
             } else {
                 Some(next_step(&mut self.attempts).await)
@@ -117,6 +153,7 @@
                 Some(Err(fault))
             }
             Err(fault) => {
+                self.held.take_if(|held| held.target == self.attempts[index].attempt.target);
                 let mut failed = self.attempts.remove(index);
                 series.record_fault(self.shared, self.job, &mut failed, fault);
                 None
@@ -125,6 +162,14 @@
                 self.set_answer_aside(series, index, answer);
                 None
             }
+            Ok(AttemptYield::Events(events)) if self.must_hold(series, index) => {
+                self.hold(index, &events);
+                None
+            }
+            Ok(AttemptYield::StreamEnd(status)) if self.is_held(index) => {
+                self.stream_end = Some(status);
+                self.take_held(series).map(|events| Ok(AttemptYield::Events(events)))
+            }
             Ok(progress) => {
                 self.end_others(series, index);
                 Some(Ok(progress))
@@ -132,6 +177,42 @@
         }
     }
 
+    fn is_held(&self, index: usize) -> bool {
+        self.held.as_ref().is_some_and(|held| held.target == self.attempts[index].attempt.target)
+    }
+
+    /// Returns `true` if the caller must not have the events of an attempt yet.
+    fn must_hold(&self, series: &AttemptSeries, index: usize) -> bool {
+        let is_replacement = index > 0 && self.held.is_none();
+        let in_progress = self.attempts.len();
+        self.is_held(index)
+            || (is_replacement && !series.may_send_again(self.shared, self.job, in_progress))
+    }
+
+    fn hold(&mut self, index: usize, events: &[u8]) {
+        let now = self.shared.now();
+        let target = &self.attempts[index].attempt.target;
+        let held = self.held.get_or_insert_with(|| HeldEvents {
+            target: target.clone(),
+            events: BytesMut::new(),
+            until: now + HOLD_TIME,
+        });
+        held.events.extend_from_slice(events);
+        if held.events.len() > MAX_HELD_BYTES {
+            held.until = now;
+        }
+    }
+
+    /// Ends all attempts but the one whose events are held, and returns these; `None` if it has failed
+    /// meanwhile.
+    fn take_held(&mut self, series: &mut AttemptSeries) -> Option<Bytes> {
+        let held = self.held.take()?;
+        let is_held = |attempt: &RunningAttempt<'_>| attempt.attempt.target == held.target;
+        let index = self.attempts.iter().position(is_held)?;
+        self.end_others(series, index);
+        Some(held.events.freeze())
+    }
+
     /// Ends a replacement that answered with a failure, since the target before it may succeed.
     fn set_answer_aside(
         &mut self,
@@ -148,6 +229,7 @@
 
     /// Ends all attempts but one.
     fn end_others(&mut self, series: &mut AttemptSeries, index: usize) {
+        self.held = None;
         let winner = self.attempts.swap_remove(index);
         for mut ended in std::mem::replace(&mut self.attempts, vec![winner]) {
             match ended.silence().map(AttemptFault::silent) {
--- a/src/relay/proxy/series.rs
+++ b/src/relay/proxy/series.rs
@@ -384,18 +384,33 @@
         shared: &RelayShared,
         job: &RelayJob,
     ) -> Result<(), RetryStop> {
-        let policy = shared.core.borrow().limits().policy;
-        // A failure response of the target can be forwarded to the caller, so it earns no extra
-        // run.
-        let extra_runs = if self.answer.is_none() { policy.repeated_runs } else { 0 };
-        let allowed_runs = job.route.max_targets + extra_runs;
-        if !self.sends.allows(allowed_runs) {
+        if !self.sends.allows(self.allowed_runs(shared, job)) {
             return Err(RetryStop::MaxSends);
         }
         wait_for_crash_reports(shared, job).await?;
         self.renew_retry(shared, job).await
     }
 
+    /// Returns the number of runs that the request may have.
+    fn allowed_runs(&self, shared: &RelayShared, job: &RelayJob) -> usize {
+        let policy = shared.core.borrow().limits().policy;
+        // A failure response of the target can be forwarded to the caller, so it earns no extra
+        // run.
+        let extra_runs = if self.answer.is_none() { policy.repeated_runs } else { 0 };
+        job.route.max_targets + extra_runs
+    }
+
+    /// Returns `true` if the request can be sent once more after the attempts in progress.
+    pub(crate) fn may_send_again(
+        &self,
+        shared: &RelayShared,
+        job: &RelayJob,
+        in_progress: usize,
+    ) -> bool {
+        self.sends.runs() + in_progress < self.allowed_runs(shared, job)
+            && shared.core.borrow_mut().has_own_retry(&job.service, shared.now())
+    }
+
     /// Acquires a retry if the last one was sent or has lapsed.
     pub(crate) async fn renew_retry(
         &mut self,
