--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -47,8 +47,14 @@
     .await;
 }
 
-async fn test_bodies(bytes_of: impl Fn(usize) -> Vec<u8> + Sync) {
+/// Runs a test apart from the others of this file.
+fn run_test(test: impl Future<Output = ()>) {
     let _alone = run_alone();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("a runtime").block_on(test);
+}
+
+async fn test_bodies(bytes_of: impl Fn(usize) -> Vec<u8> + Sync) {
     let (mut site, address) = start_limited().await;
     let watch = HoldingsWatch::start(site.entries[LIMITED].id(), address);
     let crowd = Crowd::connect(address, BODY_CROWD);
@@ -72,29 +78,32 @@
     (head + &chunk.repeat(UNFINISHED_BYTES / length)).into()
 }
 
-#[tokio::test]
-async fn crowd_of_unfinished_bodies_at_the_products_entry() {
-    test_bodies(|_| unfinished_body("demo-pier-app", 45_000)).await;
+#[test]
+fn crowd_of_unfinished_bodies_at_the_products_entry() {
+    run_test(test_bodies(|_| unfinished_body("demo-pier-app", 45_000)));
 }
 
-#[tokio::test]
-async fn crowd_of_bodies_in_small_chunks_at_the_products_entry() {
-    test_bodies(|_| unfinished_body("demo-pier-app", 16)).await;
+#[test]
+fn crowd_of_bodies_in_small_chunks_at_the_products_entry() {
+    run_test(test_bodies(|_| unfinished_body("demo-pier-app", 16)));
 }
 
-#[tokio::test]
-async fn crowd_of_bodies_under_a_wrong_key_at_the_products_entry() {
-    test_bodies(|_| unfinished_body("wrong", 45_000)).await;
+#[test]
+fn crowd_of_bodies_under_a_wrong_key_at_the_products_entry() {
+    run_test(test_bodies(|_| unfinished_body("wrong", 45_000)));
 }
 
 /// Peers that connect to an agent, begin a message and never prove that they belong to the fleet.
-#[tokio::test]
-async fn crowd_of_strangers_at_the_products_agent() {
+#[test]
+fn crowd_of_strangers_at_the_products_agent() {
+    run_test(test_strangers());
+}
+
+async fn test_strangers() {
     /// Number of strangers.
     const STRANGERS: usize = 900;
     /// Bytes that each one sends after the upgrade, of a frame that is announced as longer.
     const FRAME_BYTES: usize = 200_000;
-    let _alone = run_alone();
     let mut site = Site::start(1, 1, EngineSpec::default()).await;
     let agent = &site.plain_agent.process;
     let address = agent.address("entries");
