Close lingering and idle connections for new ones, on the product's entry as well

A connection whose refusal is read out (two seconds) did not hear that it had to leave, so places were not made; and the product's entry still closed new connections unread beside idle ones.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -568,7 +568,10 @@
     let is_broken = error.as_ref().is_some_and(|error| !error.is_timeout());
     if let Some(stream) = released.take().filter(|_| is_broken || is_unread) {
         mark.set(true);
-        linger(stream).await;
+        tokio::select! {
+            () = memory.closing() => {}
+            () = linger(stream) => {}
+        }
     }
     Some(ServedEnd { error, is_unread, is_closed, is_crowded })
 }
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -49,6 +49,10 @@
     let mut is_full = false;
     loop {
         let stream = accept_next(&listener).await;
+        let has_no_place = || shared.connections.get() >= shared.settings.max_connections;
+        if shared.memory.make_place(has_no_place).await {
+            shared.record_crowding();
+        }
         let open = shared.connections.get();
         if open >= shared.settings.max_connections {
             shared.metrics.record_closed_unread();
--- a/src/memory_budget.rs
+++ b/src/memory_budget.rs
@@ -14,6 +14,9 @@
 /// Interval at which a claim that waits for room is decided again.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Turns of the event loop within which a connection that is told to leave is closed.
+const CLOSING_TURNS: u32 = 4;
+
 /// Share of a process's memory that its connections may make it hold. The rest is for the
 /// configuration, the list of targets, the log and the allocator.
 const CONNECTION_SHARE: f64 = 0.4;
@@ -105,12 +108,20 @@
         HolderGuard { holder, _base: base }
     }
 
-    /// Tells an idle holder to leave, so that another connection finds a place. Returns `false` if there
-    /// is none.
-    pub(crate) fn close_idle(&self) -> bool {
+    /// Tells an idle holder to leave and waits until it has, if no place is left for another connection.
+    /// Returns `true` if there was one.
+    pub(crate) async fn make_place(&self, is_full: impl Fn() -> bool) -> bool {
+        if !is_full() {
+            return false;
+        }
         let now = self.0.clock.now();
         let chosen = self.0.ledger().choose_idle(now);
         self.0.tell(chosen.as_slice());
+        for _ in 0..CLOSING_TURNS {
+            if chosen.is_some() && is_full() {
+                tokio::task::yield_now().await;
+            }
+        }
         chosen.is_some()
     }
 }
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -57,9 +57,6 @@
 /// Turns of the event loop that a request takes, waits for its target aside.
 const REQUEST_TURNS: u32 = 4;
 
-/// Turns of the event loop within which a connection that is told to leave is closed.
-const CLOSING_TURNS: u32 = 4;
-
 /// Largest share of the descriptors that the connections of one listener beside that for callers
 /// may use.
 const PATH_SHARE_DIVISOR: usize = 25;
@@ -254,7 +251,10 @@
         if shared.now().since(shared.delay_due.get()) >= LATE_DELAY {
             measure_delay(&shared);
         }
-        make_place(&shared).await;
+        let is_full = || shared.gate.borrow().is_full(shared.open_connections.get());
+        if shared.memory.make_place(is_full).await {
+            shared.record_crowding();
+        }
         if shared.gate.borrow_mut().admit(shared.open_connections.get()) {
             let connection = Rc::new(CallerConnection::new(&shared));
             tokio::task::spawn_local(serve_caller(shared.clone(), stream, connection));
@@ -267,21 +267,6 @@
     }
 }
 
-/// Closes an idle connection if no place is left for a new one.
-async fn make_place(shared: &RelayShared) {
-    let is_full = || shared.gate.borrow().is_full(shared.open_connections.get());
-    if !is_full() || !shared.memory.close_idle() {
-        return;
-    }
-    shared.record_crowding();
-    for _ in 0..CLOSING_TURNS {
-        tokio::task::yield_now().await;
-        if !is_full() {
-            return;
-        }
-    }
-}
-
 /// Closes a connection, so that its caller tries another entry at once.
 fn close_unread(shared: &RelayShared, stream: TcpStream) {
     drop(stream);
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -93,6 +93,27 @@
     run_test(test_bodies(|_| unfinished_body("wrong", 45_000)));
 }
 
+/// Idle connections take all places of callers and stay. Small requests still find room.
+#[test]
+fn crowd_of_idle_connections_at_the_products_entry() {
+    run_test(test_places());
+}
+
+async fn test_places() {
+    /// Number of ordinary requests, each on a new connection.
+    const REQUESTS: usize = 20;
+    let mut site = Site::start(1, 1, EngineSpec::default()).await;
+    site.add_entry_with(LIMITED, &["--max-connections", "50"]);
+    site.wait_ready(LIMITED).await;
+    let crowd = Crowd::connect(site.callers(LIMITED), 100);
+    tokio::time::sleep(STANDSTILL).await;
+    assert!(crowd.open() > 0, "the crowd is there");
+    for number in 0..REQUESTS {
+        let answer = call(site.callers(LIMITED), order("boat-3")).await;
+        assert!(answer.is_ok_and(|answer| answer.status == 200), "request {number}");
+    }
+}
+
 /// Peers that connect to an agent, begin a message and never prove that they belong to the fleet.
 #[test]
 fn crowd_of_strangers_at_the_products_agent() {
