--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -125,6 +125,8 @@
     const STRANGERS: usize = 900;
     /// Bytes that each one sends after the upgrade, of a frame that is announced as longer.
     const FRAME_BYTES: usize = 200_000;
+    /// Handshakes that an agent keeps open, and what it has open itself.
+    const MAX_DESCRIPTORS: u64 = 128 + 32;
     let mut site = Site::start(1, 1, EngineSpec::default()).await;
     let agent = &site.plain_agent.process;
     let address = agent.address("entries");
@@ -148,5 +150,6 @@
     println!("{peak:?}");
     drop(crowd);
     assert!(peak.memory_kib <= MEMORY_MB * KIB_PER_MIB, "{peak:?}");
+    assert!(peak.descriptors <= MAX_DESCRIPTORS, "{peak:?}");
     assert!(site.plain_agent.process.is_running());
 }
