Claim heads in one piece and the parts that they name; names and a constant

Found by reading the change as a newcomer. A head that arrives byte by byte kept a claim of some 40 bytes for each of them, so that the accounting held more than the head; a list of short parts holds more than the head that names it. A head has one claim now, and parsed parts are claimed at 64 bytes each. The ledger's record of a holder no longer has the name of the budget's handle.

No test shows either fault.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -49,6 +49,9 @@
 /// Size of the send buffer of a caller's socket, in bytes, which the system may double.
 pub(crate) const SEND_BUFFER_BYTES: u32 = 32 * 1024;
 
+/// Memory that the system holds for a caller that does not read, in bytes.
+const UNSENT_BYTES: usize = 2 * SEND_BUFFER_BYTES as usize;
+
 /// Memory that a head holds for each of its bytes: the read buffer doubles.
 const HEAD_FACTOR: usize = 2;
 
@@ -87,7 +90,7 @@
 pub(crate) struct ConnectionState {
     memory: MemoryHolder,
     /// What the head of the present request holds.
-    head_claims: RefCell<Vec<MemoryClaim>>,
+    head_claim: RefCell<Option<MemoryClaim>>,
     /// What the socket holds while the caller does not read.
     unsent_claim: Cell<Option<MemoryClaim>>,
     /// Whether bytes of a request have arrived that is not answered yet.
@@ -110,7 +113,7 @@
     fn new(memory: MemoryHolder) -> Self {
         ConnectionState {
             memory,
-            head_claims: RefCell::default(),
+            head_claim: RefCell::default(),
             unsent_claim: Cell::default(),
             has_input: Cell::new(false),
             exchanges: Cell::new(0),
@@ -128,7 +131,10 @@
         self.memory.record_moved(length);
         if self.expects_head() {
             let claim = self.memory.claim_held(length * HEAD_FACTOR);
-            self.head_claims.borrow_mut().push(claim);
+            match &mut *self.head_claim.borrow_mut() {
+                Some(head_claim) => head_claim.merge(claim),
+                head_claim => *head_claim = Some(claim),
+            }
         }
         self.has_input.set(true);
     }
@@ -142,8 +148,7 @@
         if was_blocked == written.is_pending() {
             return;
         }
-        let claim =
-            written.is_pending().then(|| self.memory.claim_held(SEND_BUFFER_BYTES as usize * 2));
+        let claim = written.is_pending().then(|| self.memory.claim_held(UNSENT_BYTES));
         self.unsent_claim.set(claim);
         self.memory.set_stalled(written.is_pending() || self.exchanges.get() == 0);
     }
@@ -326,7 +331,7 @@
     fn drop(&mut self) {
         self.0.exchanges.set(self.0.exchanges.get() - 1);
         self.0.has_input.set(false);
-        self.0.head_claims.borrow_mut().clear();
+        drop(self.0.head_claim.take());
         self.0.memory.set_stalled(true);
     }
 }
--- a/src/memory_budget.rs
+++ b/src/memory_budget.rs
@@ -308,7 +308,8 @@
 }
 
 impl MemoryClaim {
-    fn merge(&mut self, mut other: MemoryClaim) {
+    /// Adds another claim of the same holder.
+    pub(crate) fn merge(&mut self, mut other: MemoryClaim) {
         self.bytes += std::mem::take(&mut other.bytes);
     }
 }
--- a/src/memory_ledger.rs
+++ b/src/memory_ledger.rs
@@ -54,7 +54,7 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct MemoryHolder {
+struct HolderRecord {
     held: usize,
     moved: MovedBytes,
     /// Whether its peer has to send or read before it goes on.
@@ -63,7 +63,7 @@
     is_closed: bool,
 }
 
-impl MemoryHolder {
+impl HolderRecord {
     /// Returns how much it holds for each byte that it moves.
     fn weight(&self, now: Tick) -> usize {
         self.held / (1 + self.moved.recent(now))
@@ -112,7 +112,7 @@
     /// Number of holders that were told to leave and have not left.
     leaving: usize,
     next_id: HolderId,
-    holders: BTreeMap<HolderId, MemoryHolder>,
+    holders: BTreeMap<HolderId, HolderRecord>,
 }
 
 impl MemoryLedger {
@@ -152,7 +152,7 @@
         // A connection has time for its first request.
         moved.add(1, now);
         let holder =
-            MemoryHolder { held: 0, moved, is_stalled: true, is_leaving: false, is_closed: false };
+            HolderRecord { held: 0, moved, is_stalled: true, is_leaving: false, is_closed: false };
         self.holders.insert(self.next_id, holder);
         self.next_id
     }
@@ -197,7 +197,7 @@
         now: Tick,
     ) -> ClaimOutcome {
         let Some(holder) = self.holders.get(&id) else { return refused() };
-        let claimant = MemoryHolder { held: holder.held + bytes, ..*holder };
+        let claimant = HolderRecord { held: holder.held + bytes, ..*holder };
         if claimant.is_leaving {
             return refused();
         }
--- a/src/relay/proxy/exchange.rs
+++ b/src/relay/proxy/exchange.rs
@@ -31,6 +31,9 @@
 /// all entries crowded out new ones (`docs/design/decisions.md`).
 const OTHER_ENTRY_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Memory that a parsed part of a prompt holds, in bytes: its name and references to it.
+const PART_BYTES: usize = 64;
+
 /// Retry delay after a refusal for want of memory: callers that stand still count as such by then.
 const NO_MEMORY_RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -95,6 +98,7 @@
     id: Arc<str>,
     arrived: Tick,
 ) -> Result<RelayJob, RelayFault> {
+    let parts_claim = connection.memory().claim_held(head.shared_parts.len() * PART_BYTES);
     if shared.is_closed_to_new.get() {
         return Err(RelayFault::refused(
             "stopping",
@@ -155,6 +159,7 @@
         headers: parts.headers,
         body,
         memory: connection.memory().clone(),
+        _parts_claim: parts_claim,
         arrived,
         deadline,
         need,
--- a/src/relay/proxy/job.rs
+++ b/src/relay/proxy/job.rs
@@ -10,7 +10,7 @@
 use hyper::{Method, Uri};
 
 use super::protocol::CallerHead;
-use crate::memory_budget::MemoryHolder;
+use crate::memory_budget::{MemoryClaim, MemoryHolder};
 use crate::relay::core::RelayCore;
 use crate::relay::decide::crash_wait::CrashWait;
 use crate::relay::decide::part_ledger::{PartAttempt, PartVerdict};
@@ -44,6 +44,8 @@
     pub(crate) body: Bytes,
     /// The part of the memory that the caller's connection holds.
     pub(crate) memory: MemoryHolder,
+    /// What the parsed parts of the prompt hold.
+    pub(crate) _parts_claim: MemoryClaim,
     pub(crate) arrived: Tick,
     /// Time at which the request's time limit expires.
     pub(crate) deadline: Tick,
