A release for a forgotten holder takes nothing from others

Found by reading. A claim for a holder whose connection had ended and that held nothing was not added, but its release was taken off the sum, so that the ledger would have held less than the process. No caller is known to reach this: tasks of a connection end before they claim again.

a_claim_for_a_forgotten_holder_changes_nothing failed before (0 in place of 1024) and passes now: what is released is bounded by what the holder holds, and a forgotten one holds nothing.

--- a/src/memory_ledger.rs
+++ b/src/memory_ledger.rs
@@ -240,9 +240,11 @@
 
     /// Releases bytes that a holder has claimed.
     pub fn release(&mut self, id: HolderId, bytes: usize) {
-        self.held = self.held.saturating_sub(bytes);
+        // What was claimed for a holder that is forgotten was not added.
         let Some(holder) = self.holders.get_mut(&id) else { return };
-        holder.held = holder.held.saturating_sub(bytes);
+        let released = bytes.min(holder.held);
+        holder.held -= released;
+        self.held -= released;
         if holder.is_closed && holder.held == 0 {
             self.holders.remove(&id);
         }
--- a/tests/memory_ledger.rs
+++ b/tests/memory_ledger.rs
@@ -113,6 +113,17 @@
     assert_eq!(ledger.choose_idle(Tick(7 * SECOND)), Some(id));
 }
 
+#[test]
+fn a_claim_for_a_forgotten_holder_changes_nothing() {
+    let mut ledger = MemoryLedger::new(LIMIT);
+    let (gone, open) = (ledger.open(Tick(0)), ledger.open(Tick(0)));
+    ledger.claim_held(open, KIB, Tick(0));
+    ledger.close(gone);
+    ledger.claim_held(gone, KIB, Tick(0));
+    ledger.release(gone, KIB);
+    assert_eq!(ledger.held(), KIB);
+}
+
 #[derive(Clone, Debug)]
 enum LedgerStep {
     Open,
