--- a/src/memory_budget.rs
+++ b/src/memory_budget.rs
@@ -14,7 +14,7 @@
 /// Interval at which a claim that waits for room is decided again.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Turns of the event loop within which a connection that is told to leave is closed.
+/// Iterations of the event loop within which an evicted connection is closed.
 const CLOSING_TURNS: u32 = 4;
 
 /// Share of a process's memory that its connections may make it hold. The rest is for the
@@ -43,7 +43,7 @@
 
 struct BudgetState {
     ledger: Mutex<MemoryLedger>,
-    /// Where holders are told to leave.
+    /// Eviction signals, by holder.
     exits: Mutex<HashMap<HolderId, Arc<HolderExit>>>,
     /// Notified when bytes were released.
     released: Notify,
