Log and count the targets that may have run a request

Nothing told a request that ran on too many targets from one that was refused by some: the line 'request' names all targets that it was sent to. Runs are now recorded where a request is sent, and taken back by a refusal of the target or a connection that had ended. The line states 'ran_on', and shalelane_relay_run_targets_total counts requests by it. No decision uses it.

--- a/src/relay/counts.rs
+++ b/src/relay/counts.rs
@@ -66,6 +66,8 @@
     connection_ends: IntCounterVec,
     /// Ends of requests where ranks differ, by the number of more urgent ranks and the outcome.
     ranked_ends: IntCounterVec,
+    /// Requests by the number of targets that may have run them.
+    run_targets: IntCounterVec,
     config_version: IntGauge,
     memory: MemoryGauges,
     proof_age: IntGauge,
@@ -203,6 +205,11 @@
                  more urgent ranks and the outcome",
                 "rank_and_end",
             ),
+            run_targets: registry.add_counter_vec(
+                "shalelane_relay_run_targets_total",
+                "requests, by the number of targets that may have run them",
+                "targets",
+            ),
             mirrors,
             registry,
         }
@@ -251,6 +258,12 @@
         self.ranked_ends.with_label_values(&[&label]).inc();
     }
 
+    /// Counts a request by the number of targets that may have run it, which routes bound. Nine
+    /// stands for more as well.
+    pub(crate) fn record_run_targets(&self, count: usize) {
+        self.run_targets.with_label_values(&[&count.min(9).to_string()]).inc();
+    }
+
     /// Counts a finished call to the store.
     pub(crate) fn record_store_call(&self, call: StoreCall) {
         self.store_calls.with_label_values(&[call.as_str()]).inc();
--- a/src/relay/decide/mod.rs
+++ b/src/relay/decide/mod.rs
@@ -21,6 +21,7 @@
 //! - [`reservation`]: the calls that reserve, renew and release engine memory for an attempt.
 //! - [`retry_delay`]: the delay after which refused callers may retry.
 //! - [`start_wait`]: how long callers wait for a process that has just started.
+//! - [`run_targets`]: the targets that may run a request.
 //! - [`send_count`], [`retry_budget`], [`slack_share`], [`shared_retry_budget`],
 //!   [`expiring_credit`]: limits of retries.
 //! - [`request_digest`]: recognizes repeated sends of one request, [`prompt_part`]: parts that
@@ -62,6 +63,7 @@
 pub mod reservation;
 pub mod retry_budget;
 pub mod retry_delay;
+pub mod run_targets;
 pub mod send_count;
 pub mod service_scope;
 pub mod shared_retry_budget;
--- a/src/relay/log_line.rs
+++ b/src/relay/log_line.rs
@@ -196,6 +196,8 @@
     pub targets: &'a str,
     /// Number of times that the request was sent, failed sends included.
     pub sends: usize,
+    /// Number of targets that may have run the request.
+    pub run_targets: usize,
     /// Digest of the request, `Some` if an attempt of it failed.
     pub digest: Option<RequestDigest>,
     /// Number of more urgent ranks of the service; `None` where all are alike.
--- a/src/relay/proxy/exchange.rs
+++ b/src/relay/proxy/exchange.rs
@@ -52,7 +52,10 @@
     let id: Arc<str> = head.attempt.clone().unwrap_or_else(|| "-".into());
     let mut ledger = RequestLedger::new(&shared, id.clone(), arrived);
     let admitted = admit(&shared, request, connection, head, id.clone(), arrived).await;
-    ledger.more_urgent = admitted.as_ref().ok().and_then(|job| job.more_urgent);
+    if let Ok(job) = &admitted {
+        ledger.more_urgent = job.more_urgent;
+        ledger.runs = job.runs.clone();
+    }
     let answer = match admitted {
         Ok(job) if job.route.is_stream => serve_stream(&shared, Rc::new(job), ledger).await,
         Ok(job) => {
@@ -165,6 +168,7 @@
         need,
         cached_digest: OnceCell::new(),
         crash_wait: RefCell::default(),
+        runs: Rc::default(),
     };
     if let Some(hold) = job.quarantine_hold(shared) {
         return Err(quarantine_fault(hold));
--- a/src/relay/proxy/forward.rs
+++ b/src/relay/proxy/forward.rs
@@ -208,7 +208,6 @@
         guard.memory = Some(hold.map_err(AttemptFault::not_sent)?);
     }
     let connection = acquire_connection(shared, job, &placement.target, address).await?;
-    let is_reused = connection.is_reused;
     let attempt = &guard.attempt;
     if !shared.core.borrow().may_send(attempt, shared.now()) {
         return Err(AttemptFault::superseded());
@@ -226,6 +225,32 @@
     let request = to_request(shared, job, placement, &helpers, order.resume_after);
     let now = shared.now();
     sent_at.set(Some(now));
+    let instance = guard.attempt.instance.clone();
+    if let Some(instance) = &instance {
+        job.runs.borrow_mut().record_sent(instance);
+    }
+    let answer = exchange_head(shared, job, connection, request, &guard.attempt).await;
+    match answer {
+        Ok((parts, body, head)) => Ok(OpenAnswer { guard, parts, body, head }),
+        Err(fault) => {
+            if let Some(instance) = instance.filter(|_| fault.verdict == Verdict::NotRun) {
+                job.runs.borrow_mut().record_not_run(&instance);
+            }
+            Err(fault)
+        }
+    }
+}
+
+/// Sends a request on a connection and waits for the head of its answer.
+async fn exchange_head(
+    shared: &RelayShared,
+    job: &RelayJob,
+    connection: &mut TargetConnection,
+    request: Request<Full<Bytes>>,
+    attempt: &PlacedAttempt,
+) -> Result<(Parts, Incoming, AnswerHead), AttemptFault> {
+    let is_reused = connection.is_reused;
+    let sent_at = shared.now();
     connection.exchange.begin_request();
     let response = connection.sender.send_request(request).await.map_err(|error| {
         let fault = if error.is_canceled() {
@@ -236,7 +261,7 @@
         AttemptFault { is_stale: is_reused, ..fault }
     })?;
     connection.exchange.end_head();
-    shared.core.borrow_mut().record_received(&placement.target, shared.now());
+    shared.core.borrow_mut().record_received(&attempt.target, shared.now());
     let (parts, body) = response.into_parts();
     let head = (shared.target_protocol.parse_answer)(parts.status, &parts.headers);
     // If another instance uses the address, the notice is about that instance.
@@ -248,16 +273,16 @@
             && head.is_signed
             && head.attempt.as_deref() == job.head.attempt.as_deref();
         shared.apply_notice(
-            guard.attempt.instance.as_ref(),
+            attempt.instance.as_ref(),
             &head.notice,
-            is_authentic.then_some(now),
+            is_authentic.then_some(sent_at),
         );
     }
     check_head(job, &parts, &head).map_err(|fault| {
         let is_stale = is_reused && fault.fault == TargetFault::Malformed;
         AttemptFault { is_stale, ..fault }
     })?;
-    Ok(OpenAnswer { guard, parts, body, head })
+    Ok((parts, body, head))
 }
 
 /// Takes a connection from the pool or opens a new one. A request that must not run twice always
--- a/src/relay/proxy/job.rs
+++ b/src/relay/proxy/job.rs
@@ -17,6 +17,7 @@
 use crate::relay::decide::placement::PromptNeed;
 use crate::relay::decide::prompt_part::PromptPart;
 use crate::relay::decide::request_digest::RequestDigest;
+use crate::relay::decide::run_targets::RunTargets;
 use crate::relay::decide::service_scope::{DomainSet, ServiceScope};
 use crate::relay::decide::targets::TargetInstance;
 use crate::relay::discovery::rules::RouteRule;
@@ -54,6 +55,8 @@
     /// Digest of the request, computed on first use.
     pub(crate) cached_digest: OnceCell<RequestDigest>,
     pub(crate) crash_wait: RefCell<CrashWait>,
+    /// Targets that may run the request.
+    pub(crate) runs: Rc<RefCell<RunTargets>>,
 }
 
 /// Why a request is not sent to any target.
--- a/src/relay/proxy/ledger.rs
+++ b/src/relay/proxy/ledger.rs
@@ -1,5 +1,6 @@
 //! Log line and counters of a request, written when it ends.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -8,6 +9,7 @@
 use super::answer::RelayFault;
 use super::job::RelayJob;
 use crate::relay::decide::request_digest::RequestDigest;
+use crate::relay::decide::run_targets::RunTargets;
 use crate::relay::log_line::{RequestEnd, RequestLine, RetryStop, StreamPace};
 use crate::relay::shared::RelayShared;
 use crate::time::Tick;
@@ -24,6 +26,8 @@
     pub(crate) digest: Option<RequestDigest>,
     /// Number of more urgent ranks of the service; `None` where all are alike.
     pub(crate) more_urgent: Option<u8>,
+    /// Targets that may run the request.
+    pub(crate) runs: Rc<RefCell<RunTargets>>,
     /// Reason why the request was not sent again after a failure.
     pub(crate) retry_stop: Option<RetryStop>,
     pace: StreamPace,
@@ -40,6 +44,7 @@
             sends: 0,
             digest: None,
             more_urgent: None,
+            runs: Rc::default(),
             retry_stop: None,
             pace: StreamPace::default(),
             is_ended: false,
@@ -72,6 +77,8 @@
         if let Some(more_urgent) = self.more_urgent {
             shared.counts.borrow().record_ranked_end(more_urgent, outcome);
         }
+        let run_targets = self.runs.borrow().count();
+        shared.counts.borrow().record_run_targets(run_targets);
         let core = shared.core.borrow();
         let line = RequestLine {
             id: &self.id,
@@ -80,6 +87,7 @@
             reason,
             targets: &self.targets.join(","),
             sends: self.sends,
+            run_targets,
             digest: self.digest,
             more_urgent: self.more_urgent,
             retry_stop: self.retry_stop,
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -151,7 +151,7 @@
         let Some(left_out) = self.take_from_budget(kind, now) else { return };
         info!(self.logger, "request";
             "id" => cut(line.id), "end" => %line.outcome, "status" => line.status, "why" => cut(line.reason),
-            "targets" => line.targets, "sends" => line.sends,
+            "targets" => line.targets, "sends" => line.sends, "ran_on" => line.run_targets,
             "digest" => line.digest.map(|digest| digest.to_string()), "rank" => line.more_urgent,
             "not_sent_again" => line.retry_stop.map(|stop| stop.to_string()), "took_ms" => line.elapsed.as_millis() as u64,
             "first_ms" => line.pace.time_to_first.map(|duration| duration.as_millis() as u64),
