Count every send that may have run against the targets of its request

Cause: a failure on a kept connection was classed as stale before its verdict was looked at, and counted as a send that had not run. But a target may read a request and close, or answer with what belongs to another. Class: a verdict that is known and not used.

SendEnd has no stale sends any more. After a kept connection has closed, the next attempt opens a new one, so that connections that a target closed while idle cost a request one run at most. Such a failure counts half against its target: two in a row without an answer between eject it; before, none did. An answer to another request on a kept connection counts against its target as on a new one.

--- a/src/relay/decide/send_count.rs
+++ b/src/relay/decide/send_count.rs
@@ -16,8 +16,6 @@
     Refused,
     /// The target may have run the request.
     MayHaveRun,
-    /// The request was sent on an idle connection that the target had already closed.
-    Stale,
 }
 
 /// Counts the sends of one request.
@@ -32,7 +30,7 @@
     pub fn record(&mut self, end: SendEnd) {
         match end {
             SendEnd::NotSent => {}
-            SendEnd::Refused | SendEnd::Stale => self.sends += 1,
+            SendEnd::Refused => self.sends += 1,
             SendEnd::MayHaveRun => {
                 self.sends += 1;
                 self.runs += 1;
--- a/src/relay/decide/target_state.rs
+++ b/src/relay/decide/target_state.rs
@@ -109,6 +109,9 @@
     Unreachable,
     /// The connection broke.
     Broken,
+    /// A kept connection ended before anything of the answer arrived. The target may have closed it
+    /// while it was idle, or after it had read the request.
+    Closed,
     /// The target did not answer in time.
     TimedOut,
     /// The answer is malformed.
@@ -351,7 +354,9 @@
             TargetFault::Unreachable | TargetFault::Broken | TargetFault::TimedOut => {
                 self.failures += EJECTION_FAILURES;
             }
-            TargetFault::Malformed | TargetFault::Error => self.failures += 1,
+            TargetFault::Closed | TargetFault::Malformed | TargetFault::Error => {
+                self.failures += 1;
+            }
         }
         if self.failures < EJECTION_FAILURES || self.is_ejected(now) {
             return None;
--- a/src/relay/proxy/attempt_race.rs
+++ b/src/relay/proxy/attempt_race.rs
@@ -16,7 +16,7 @@
 use futures_util::future::select_all;
 use hyper::{Response, StatusCode};
 
-use super::forward::{AttemptFault, SendOrder};
+use super::forward::AttemptFault;
 use super::job::RelayJob;
 use super::ledger::RequestLedger;
 use super::running_attempt::{AttemptYield, RunningAttempt, StreamPosition};
@@ -260,6 +260,6 @@
     position: &StreamPosition,
 ) -> RunningAttempt<'a> {
     let resume_after = position.splitter.last_id().or(job.head.resume_after);
-    let order = SendOrder { placement, resume_after, send_before: series.send_before() };
+    let order = series.to_order(placement, resume_after);
     RunningAttempt::start(shared, job, order, position)
 }
--- a/src/relay/proxy/forward.rs
+++ b/src/relay/proxy/forward.rs
@@ -3,7 +3,6 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -39,8 +38,8 @@
     pub(crate) is_timeout: bool,
     /// Address of another target, such as a helper, that caused the failure.
     pub(crate) failed_address: Option<SocketAddr>,
-    /// Whether the failure indicates nothing about the target: the attempt used a pooled
-    /// connection, which the target may have closed, or was superseded before it was sent.
+    /// Whether the failure indicates nothing about the target: the attempt was superseded or its
+    /// pooled connection had ended before it was sent.
     pub(crate) is_stale: bool,
 }
 
@@ -84,14 +83,14 @@
     /// Returns `true` if the connection broke after the request was sent, as it does when the
     /// target crashes.
     pub(crate) fn is_disconnect(&self) -> bool {
-        self.fault == TargetFault::Broken && self.is_sent && !self.is_timeout
+        let is_broken = matches!(self.fault, TargetFault::Broken | TargetFault::Closed);
+        is_broken && self.is_sent && !self.is_timeout
     }
 
     /// Classifies the attempt for the count of sends.
     pub(crate) fn to_send_end(&self) -> SendEnd {
         match self.verdict {
             _ if !self.is_sent => SendEnd::NotSent,
-            _ if self.is_stale => SendEnd::Stale,
             Verdict::NotRun => SendEnd::Refused,
             Verdict::MayHaveRun | Verdict::Ran => SendEnd::MayHaveRun,
         }
@@ -187,6 +186,8 @@
     pub(crate) resume_after: Option<u64>,
     /// Time before which the request has to be sent.
     pub(crate) send_before: Tick,
+    /// Whether the request may be sent on a pooled connection.
+    pub(crate) may_reuse: bool,
 }
 
 /// Sends a request to its target and waits for the head of the answer. `sent_at` is set when the
@@ -207,7 +208,11 @@
         let hold = MemoryHold::reserve(shared, placement, &mut helpers).await;
         guard.memory = Some(hold.map_err(AttemptFault::not_sent)?);
     }
-    let connection = acquire_connection(shared, job, &placement.target, address).await?;
+    let pooled = take_pooled(shared, job, &order);
+    let connection = match pooled {
+        Some(connection) => connection,
+        None => open_connection(shared, address).await?,
+    };
     let attempt = &guard.attempt;
     if !shared.core.borrow().may_send(attempt, shared.now()) {
         return Err(AttemptFault::superseded());
@@ -253,12 +258,14 @@
     let sent_at = shared.now();
     connection.exchange.begin_request();
     let response = connection.sender.send_request(request).await.map_err(|error| {
-        let fault = if error.is_canceled() {
-            AttemptFault::not_sent("the connection had ended")
+        if error.is_canceled() {
+            let fault = AttemptFault::not_sent("the connection had ended");
+            AttemptFault { is_stale: is_reused, ..fault }
+        } else if is_reused {
+            AttemptFault { fault: TargetFault::Closed, ..AttemptFault::broken(error.to_string()) }
         } else {
             AttemptFault::broken(error.to_string())
-        };
-        AttemptFault { is_stale: is_reused, ..fault }
+        }
     })?;
     connection.exchange.end_head();
     shared.core.borrow_mut().record_received(&attempt.target, shared.now());
@@ -278,27 +285,27 @@
             is_authentic.then_some(sent_at),
         );
     }
-    check_head(job, &parts, &head).map_err(|fault| {
-        let is_stale = is_reused && fault.fault == TargetFault::Malformed;
-        AttemptFault { is_stale, ..fault }
-    })?;
+    check_head(job, &parts, &head)?;
     Ok((parts, body, head))
 }
 
-/// Takes a connection from the pool or opens a new one. A request that must not run twice always
-/// gets a new one: if the target has closed a pooled connection, it is unknown whether the request
-/// was read.
-async fn acquire_connection(
-    shared: &Rc<RelayShared>,
+/// Takes a connection from the pool. A request that must not run twice always gets a new one: if
+/// the target closes a pooled connection, it is unknown whether the request was read.
+fn take_pooled(
+    shared: &RelayShared,
     job: &RelayJob,
-    target: &Arc<str>,
+    order: &SendOrder,
+) -> Option<TargetConnection> {
+    if !order.may_reuse || !job.route.repeat.is_repeatable() {
+        return None;
+    }
+    shared.pool.borrow_mut().take(&order.placement.target, shared.now())
+}
+
+async fn open_connection(
+    shared: &RelayShared,
     address: SocketAddr,
 ) -> Result<TargetConnection, AttemptFault> {
-    if job.route.repeat.is_repeatable()
-        && let Some(connection) = shared.pool.borrow_mut().take(target, shared.now())
-    {
-        return Ok(connection);
-    }
     if !shared.has_target_place() {
         shared.record_crowding();
         return Err(AttemptFault::crowded());
--- a/src/relay/proxy/job.rs
+++ b/src/relay/proxy/job.rs
@@ -148,6 +148,11 @@
         }
     }
 
+    /// Returns `true` if the request may only be sent to targets that may run it already.
+    pub(crate) fn is_limited_to_runs(&self) -> bool {
+        self.runs.borrow().count() >= self.route.max_targets
+    }
+
     /// Returns the targets that may run the request.
     pub(crate) fn scope(&self) -> ServiceScope<'_> {
         ServiceScope { service: &self.service, domains: self.domains.as_deref() }
--- a/src/relay/proxy/series.rs
+++ b/src/relay/proxy/series.rs
@@ -11,15 +11,15 @@
 use super::answer::{RelayAnswer, RelayBody, RelayFault};
 use super::crash_check::check_crash;
 use super::crash_hold::wait_for_crash_reports;
-use super::forward::AttemptFault;
+use super::forward::{AttemptFault, SendOrder};
 use super::job::{QuarantineHold, RelayJob};
 use super::permit::{acquire_permit, acquire_retry};
 use super::running_attempt::RunningAttempt;
-use crate::relay::core::{PlacedAttempt, RelayCore};
+use crate::relay::core::RelayCore;
 use crate::relay::decide::placement::{Placement, TargetScope};
 use crate::relay::decide::retry_delay::after_reopening;
 use crate::relay::decide::send_count::{SendCount, SendEnd};
-use crate::relay::decide::targets::{TargetFault, TargetInstance};
+use crate::relay::decide::targets::TargetFault;
 use crate::relay::log_line::{FailedAttemptLine, PlacementLine, RetryStop};
 use crate::relay::shared::RelayShared;
 use crate::time::Tick;
@@ -75,7 +75,8 @@
         shared.log.ejected(target, ejection);
         shared.counts.borrow_mut().ejections += 1;
     }
-    is_target_fault
+    // A target that had closed an idle connection may take the request on a new one.
+    is_target_fault && fault.fault != TargetFault::Closed
 }
 
 /// Records what a failed attempt indicates about a crash of its target, and about the request.
@@ -109,13 +110,13 @@
 /// The attempts made for one request.
 pub(crate) struct AttemptSeries {
     tried: Vec<Arc<str>>,
-    /// Instances of targets that may have run the request.
-    ran_on: Vec<TargetInstance>,
     /// Whether the last attempt was refused or could not be sent.
     was_refused: bool,
     /// Whether the request was placed at a target whose permit it has to wait for.
     waits_for_permit: bool,
     sends: SendCount,
+    /// Whether the next attempt may use a pooled connection.
+    may_reuse: bool,
     /// Time before which the next attempt has to be sent. The first one has no such time.
     send_before: Tick,
     worst_verdict: Verdict,
@@ -127,10 +128,10 @@
     pub(crate) fn new() -> Self {
         AttemptSeries {
             tried: Vec::new(),
-            ran_on: Vec::new(),
             was_refused: false,
             waits_for_permit: false,
             sends: SendCount::default(),
+            may_reuse: true,
             send_before: Tick::NEVER,
             worst_verdict: Verdict::NotRun,
             answer: None,
@@ -209,7 +210,6 @@
         if attempt.sent_at().is_some() {
             self.sends.record(SendEnd::MayHaveRun);
             self.worst_verdict = self.worst_verdict.join(Verdict::MayHaveRun);
-            self.record_run(&attempt.attempt);
             self.send_before = Tick::default();
         }
     }
@@ -219,14 +219,6 @@
         self.answer.get_or_insert_with(|| Box::new(answer));
     }
 
-    fn record_run(&mut self, attempt: &PlacedAttempt) {
-        if let Some(instance) = &attempt.instance
-            && !self.ran_on.contains(instance)
-        {
-            self.ran_on.push(instance.clone());
-        }
-    }
-
     /// Chooses the next target.
     pub(crate) fn place(&mut self, shared: &RelayShared, job: &RelayJob) -> Option<Placement> {
         let now = shared.now();
@@ -253,10 +245,11 @@
 
     fn place_now(&self, core: &mut RelayCore, job: &RelayJob, now: Tick) -> Option<Placement> {
         let need = job.need_at(now);
-        if self.ran_on.len() >= job.route.max_targets {
+        if job.is_limited_to_runs() {
+            let runs = job.runs.borrow();
             // An instance that has crashed since has no state of the request, whatever now runs at
             // its address.
-            let alive = self.ran_on.iter().filter(|instance| core.may_be_running(instance));
+            let alive = runs.iter().filter(|instance| core.may_be_running(instance));
             let alive: Vec<_> = alive.map(|instance| instance.incarnation.clone()).collect();
             return core.place(job.scope(), need.as_ref(), TargetScope::Only(&alive), now);
         }
@@ -282,8 +275,7 @@
         now: Tick,
     ) -> Option<Placement> {
         let wait = core.time_to_permit(job.scope(), now)?;
-        let is_limited = self.ran_on.len() >= job.route.max_targets;
-        if is_limited
+        if job.is_limited_to_runs()
             || self.waits_for_permit
             || wait.is_zero()
             || wait > job.time_to_objective(now)
@@ -348,9 +340,8 @@
         self.answer = fault.answer.or(self.answer.take());
         self.sends.record(end);
         self.was_refused = matches!(end, SendEnd::NotSent | SendEnd::Refused);
-        if end == SendEnd::MayHaveRun {
-            self.record_run(&failed.attempt);
-        }
+        // All pooled connections of the target may have ended alike.
+        self.may_reuse &= fault.fault != TargetFault::Closed;
         if fault.is_sent {
             // The acquired retry, if any, is spent.
             self.send_before = Tick::default();
@@ -424,9 +415,10 @@
         Ok(())
     }
 
-    /// Returns the time before which the next attempt has to be sent.
-    pub(crate) fn send_before(&self) -> Tick {
-        self.send_before
+    /// Builds the order for the next attempt.
+    pub(crate) fn to_order(&self, placement: Placement, resume_after: Option<u64>) -> SendOrder {
+        let (send_before, may_reuse) = (self.send_before, self.may_reuse);
+        SendOrder { placement, resume_after, send_before, may_reuse }
     }
 
     /// Returns the answer of a call that is not sent again: the failure of its target, if that gave
@@ -469,8 +461,7 @@
             return;
         }
         // A request that is limited to the targets that may have run it has no alternative.
-        let is_limited = self.ran_on.len() >= job.route.max_targets;
-        if self.was_refused && (is_limited || self.worst_verdict == Verdict::NotRun) {
+        if self.was_refused && (job.is_limited_to_runs() || self.worst_verdict == Verdict::NotRun) {
             tokio::time::sleep(REFUSED_DELAY).await;
         }
     }
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -35,6 +35,7 @@
 mod retry_fleet;
 mod reverted_changes;
 mod rules;
+mod run_targets;
 mod start_wait;
 mod stop;
 mod target_list_updates;
