Numbers of callers and configurations that are too large end no task

A caller that stated 2^64 - 1 prompt tokens got a 502, 'the stream was lost': the task of its request ended with a panic, as a predicted time did not fit into a Duration, or a sum of tokens overflowed. Engines whose configured stride times chunk overflows did the same to every request. What such a panic leaves behind in the decisions of the entry is not known.

--- a/src/relay/decide/engine_rates.rs
+++ b/src/relay/decide/engine_rates.rs
@@ -4,6 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Longest predicted time of one step. Sums of such times do not overflow.
+const MAX_PREDICTION: Duration = Duration::from_secs(366 * 24 * 3_600);
+
 /// Rates of an engine that runs its requests in scheduling passes.
 ///
 /// A pass covers all requests on the engine. It prefills new prompts and, if some request is
@@ -63,7 +66,7 @@
     /// Maximum number of prompt tokens that are prefilled in a pass with decoding streams.
     #[must_use]
     pub fn pass_prefill_tokens(&self) -> f64 {
-        (self.step_tokens * u64::from(self.stride)) as f64
+        self.step_tokens as f64 * f64::from(self.stride)
     }
 
     /// Time of the token steps in which a number of prompt tokens are prefilled without
@@ -80,7 +83,8 @@
     }
 }
 
-/// Converts milliseconds to a duration.
+/// Converts milliseconds to a duration of at most [`MAX_PREDICTION`].
 pub(super) fn from_ms(ms: f64) -> Duration {
-    Duration::from_secs_f64(ms.max(0.0) / 1e3)
+    let duration = Duration::try_from_secs_f64(ms.max(0.0) / 1e3);
+    duration.map_or(MAX_PREDICTION, |duration| duration.min(MAX_PREDICTION))
 }
--- a/src/relay/proxy/exchange.rs
+++ b/src/relay/proxy/exchange.rs
@@ -37,6 +37,10 @@
 /// Retry delay after a refusal for want of memory: callers that stand still count as such by then.
 const NO_MEMORY_RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// Largest number of tokens that a prompt or an answer counts as. No engine holds as many, and sums of
+/// them do not overflow.
+const MAX_TOKENS: u64 = 1 << 30;
+
 /// Number of answer tokens that is assumed if the caller states none.
 const DEFAULT_ANSWER_TOKENS: u64 = 1_500;
 
@@ -186,9 +190,9 @@
 ) -> Option<PromptNeed> {
     let rules = shared.core.borrow().rules();
     rules.service(service)?.engine.as_ref()?;
-    let max_tokens = head.max_answer_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS);
+    let max_tokens = head.max_answer_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS).min(MAX_TOKENS);
     Some(PromptNeed {
-        prompt_tokens: head.prompt_tokens.unwrap_or(0),
+        prompt_tokens: head.prompt_tokens.unwrap_or(0).min(MAX_TOKENS),
         answer_tokens: head.expected_answer_tokens.unwrap_or(max_tokens).min(max_tokens),
         first_event_limit: route.objective,
         waited: Duration::ZERO,
--- a/src/time.rs
+++ b/src/time.rs
@@ -28,7 +28,7 @@
     type Output = Tick;
 
     fn add(self, span: Duration) -> Tick {
-        Tick(self.0.saturating_add(span.as_micros() as u64))
+        Tick(self.0.saturating_add(to_micros(span)))
     }
 }
 
@@ -36,10 +36,14 @@
     type Output = Tick;
 
     fn sub(self, span: Duration) -> Tick {
-        Tick(self.0.saturating_sub(span.as_micros() as u64))
+        Tick(self.0.saturating_sub(to_micros(span)))
     }
 }
 
+fn to_micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
 /// Queue of timers, ordered by their time.
 ///
 /// A timer is a plain value and can not be cancelled: when it is due, its
