Predict the pass in progress again when the rates of its engine change

After a configuration with an absurd rate of an engine (a step of 1e300 ms), callers got 503, 'the engines are too busy to be in time', under each later configuration, as long as the process lived: the pass that was predicted with that rate kept its end. With a rate that is wrong by less, callers wait for as long as the wrong pass.

--- a/src/relay/decide/pass_model.rs
+++ b/src/relay/decide/pass_model.rs
@@ -95,11 +95,28 @@
         &self.rates
     }
 
-    /// Replaces the declared rates.
+    /// Replaces the declared rates. The pass in progress is predicted again from its start.
     pub fn set_rates(&mut self, rates: &Rc<EngineRates>) {
+        if self.rates != *rates {
+            self.undo_pass();
+        }
         self.rates = rates.clone();
     }
 
+    /// Returns to the start of the pass in progress, with the streams that are known now.
+    fn undo_pass(&mut self) {
+        let Some(pass) = self.pass.take() else { return };
+        let mut queue = pass.queue;
+        queue.retain(|prefill| {
+            let is_same = |known: &PendingPrefill| known.key == prefill.key;
+            self.queue.iter().chain(&pass.prefills).any(is_same)
+        });
+        self.queue.retain(|prefill| queue.iter().all(|earlier| earlier.key != prefill.key));
+        queue.append(&mut self.queue);
+        self.queue = queue;
+        self.simulated_to = pass.start;
+    }
+
     /// Sets how much later than predicted a pass may end because of work that is not known
     /// here.
     pub fn set_grace(&mut self, grace: Duration) {
