Follow the list of hosts beside entries that are no hosts

The product's entry decoded the list of hosts as one value: a host of another writer with a number, deep nesting or an unknown state where a state belongs ended the read, and with it the list, without a log line, until the entry was gone. Hosts are decoded one by one now, and failures to read the list are logged.

--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -23,7 +23,7 @@
 use crate::config_store::ConfigStore;
 use crate::connection::ConnectionGroup;
 use crate::error::Result;
-use crate::host_list::HostListClient;
+use crate::host_list::{HostListClient, HostListRead};
 use crate::hosts::{HostDelta, HostRole};
 use crate::id::ProcessId;
 use crate::link_pool::{LinkEvent, LinkPool};
@@ -424,13 +424,27 @@
 async fn poll_hosts(shared: Rc<EntryShared>, pool: LinkPool) {
     let client = HostListClient::new(shared.settings.hosts.clone());
     let mut revision = 0;
+    let mut is_lost = false;
     loop {
-        if let Ok(delta) = client.get_changes(revision).await {
-            revision = delta.revision;
-            update_addresses(&pool, &delta);
-            if !delta.hosts.is_empty() {
-                shared.send(Event::Hosts(delta));
+        match client.get_changes(revision).await {
+            Ok(HostListRead { delta, unreadable }) => {
+                if std::mem::take(&mut is_lost) {
+                    info!(shared.log, "the list of hosts can be read again");
+                }
+                for reason in unreadable {
+                    warn!(shared.log, "entry of the list of hosts is no host"; "why" => reason);
+                }
+                revision = delta.revision;
+                update_addresses(&pool, &delta);
+                if !delta.hosts.is_empty() {
+                    shared.send(Event::Hosts(delta));
+                }
+            }
+            Err(error) if !is_lost => {
+                is_lost = true;
+                warn!(shared.log, "failed to read the list of hosts; retrying"; "error" => %error);
             }
+            Err(_) => {}
         }
         tokio::time::sleep(HOSTS_POLL_INTERVAL).await;
     }
