Refuse what a planned stop would cut off before it is passed on

Callers whose body ended 4.8 s to 7.0 s after SIGTERM (stop_s 8, targets that take 3 s) were passed on and cut without an answer: 12 of 31 on each route of calls, and 4 of 31 streams. A failure of a target at 6.5 s was retried and cut; whoever was open at the end was cut.

Cause: the stop was looked at when a head was read, not where a request is sent. Between the two lie the body, permits, slots, reservations, connections and retries.

The schedule now decides for each send (StopPlan::allows_send): a first send only while new requests are served, it or a retry only if the objective of the route passes before the end, and a stream that has begun until the end. It is asked before an attempt is placed and again right before it is sent. Bodies that are still arriving and waits for permits end with a refusal once the entry is closed to new requests (503, not run). Attempts that are open at the end are answered with 504, in the 0.3 s in which connections close, instead of being cut.

--- a/src/relay/log_line.rs
+++ b/src/relay/log_line.rs
@@ -49,6 +49,9 @@
     /// The request is quarantined.
     #[display("held back")]
     Quarantined,
+    /// The planned stop of this process leaves no time for it.
+    #[display("stopping")]
+    Stopping,
 }
 
 /// Outcome of a request for a retry.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -28,3 +28,4 @@
 pub mod settings;
 mod shared;
 pub mod stop;
+mod stop_state;
--- a/src/relay/proxy/attempt_race.rs
+++ b/src/relay/proxy/attempt_race.rs
@@ -259,7 +259,6 @@
     series: &AttemptSeries,
     position: &StreamPosition,
 ) -> RunningAttempt<'a> {
-    let resume_after = position.splitter.last_id().or(job.head.resume_after);
-    let order = series.to_order(placement, resume_after);
+    let order = series.to_order(job, placement, position);
     RunningAttempt::start(shared, job, order, position)
 }
--- a/src/relay/proxy/call.rs
+++ b/src/relay/proxy/call.rs
@@ -29,6 +29,10 @@
             ledger.retry_stop = Some(RetryStop::Quarantined);
             return Err(fault);
         }
+        if let Some(fault) = series.check_stop(shared, job, false) {
+            ledger.retry_stop = Some(RetryStop::Stopping);
+            return series.take_answer().ok_or(fault);
+        }
         let Some(mut placement) = series.place(shared, job) else {
             ledger.retry_stop = Some(RetryStop::NoTarget);
             return Err(series.final_fault(shared, job, false));
--- a/src/relay/proxy/exchange.rs
+++ b/src/relay/proxy/exchange.rs
@@ -23,6 +23,7 @@
 use crate::relay::discovery::rules::{Access, RouteRule};
 use crate::relay::log_line::RequestEnd;
 use crate::relay::shared::RelayShared;
+use crate::relay::stop::StopPhase;
 use crate::time::Tick;
 use crate::web::{BodyError, read_body};
 
@@ -72,7 +73,7 @@
 }
 
 fn close_if_stopping(shared: &RelayShared, mut answer: RelayAnswer) -> RelayAnswer {
-    if shared.is_stopping.get() {
+    if shared.stop.is_begun() {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     answer
@@ -106,12 +107,8 @@
     arrived: Tick,
 ) -> Result<RelayJob, RelayFault> {
     let parts_claim = connection.memory().claim_held(head.shared_parts.len() * PART_BYTES);
-    if shared.is_closed_to_new.get() {
-        return Err(RelayFault::refused(
-            "stopping",
-            "this entry is stopping",
-            OTHER_ENTRY_RETRY_DELAY,
-        ));
+    if shared.stop.is_closed_to_new() {
+        return Err(stopping_fault());
     }
     shared.wait_for_start().await;
     let (parts, body) = request.into_parts();
@@ -126,7 +123,10 @@
         head.time_limit.unwrap_or(access.route.time_limit).min(access.route.time_limit);
     let deadline = arrived + time_limit;
     let max_body = || shared.core.borrow().rules().limits().max_body;
-    let body = read_body(body, max_body, time_limit).await;
+    // A request whose body is complete too late could not end before the stop does.
+    let reading = read_body(body, max_body, time_limit);
+    let body = shared.stop.run_until(StopPhase::Finishing, reading).await;
+    let body = body.ok_or_else(stopping_fault)?;
     match &body {
         Ok(_) => connection.finish_body(),
         Err(BodyError::Aborted) => connection.break_body(),
@@ -204,6 +204,12 @@
     })
 }
 
+/// Builds the answer of an entry whose planned stop leaves no time for the request.
+#[cold]
+pub(crate) fn stopping_fault() -> RelayFault {
+    RelayFault::refused("stopping", "this entry is stopping", OTHER_ENTRY_RETRY_DELAY)
+}
+
 #[cold]
 fn refusal_fault(refusal: Refusal) -> RelayFault {
     match refusal {
--- a/src/relay/proxy/forward.rs
+++ b/src/relay/proxy/forward.rs
@@ -19,6 +19,7 @@
 use crate::relay::decide::send_count::SendEnd;
 use crate::relay::decide::targets::TargetFault;
 use crate::relay::shared::RelayShared;
+use crate::relay::stop::SendKind;
 use crate::time::Tick;
 use crate::verdict::{Verdict, is_final};
 
@@ -75,6 +76,11 @@
         AttemptFault { is_stale: true, ..AttemptFault::not_sent(reason) }
     }
 
+    /// The planned stop of this process would cut the attempt off.
+    fn stopping() -> Self {
+        AttemptFault { is_stale: true, ..AttemptFault::not_sent("this entry is stopping") }
+    }
+
     /// The retry was not sent in time, for example because this process was frozen.
     fn lapsed() -> Self {
         AttemptFault { is_stale: true, ..AttemptFault::not_sent("the retry was not sent in time") }
@@ -188,6 +194,8 @@
     pub(crate) send_before: Tick,
     /// Whether the request may be sent on a pooled connection.
     pub(crate) may_reuse: bool,
+    /// What the request loses if a planned stop cuts the attempt off.
+    pub(crate) kind: SendKind,
 }
 
 /// Sends a request to its target and waits for the head of the answer. `sent_at` is set when the
@@ -220,6 +228,9 @@
     if shared.now() >= order.send_before {
         return Err(AttemptFault::lapsed());
     }
+    if !shared.stop.allows_send(order.kind, job.route.objective, shared.now()) {
+        return Err(AttemptFault::stopping());
+    }
     if !shared.core.borrow_mut().record_sent_parts(job.shared_parts(), shared.now()) {
         return Err(AttemptFault::superseded());
     }
--- a/src/relay/proxy/permit.rs
+++ b/src/relay/proxy/permit.rs
@@ -18,6 +18,7 @@
 use crate::relay::log_line::RetryOutcome;
 use crate::relay::peers::peer_message::PeerMessage;
 use crate::relay::shared::RelayShared;
+use crate::relay::stop::StopPhase;
 use crate::time::Tick;
 
 /// Timeout of a reply: some round trips between failure domains, and a slow host.
@@ -45,7 +46,12 @@
     match verdict {
         PermitVerdict::PlaceAgain => false,
         PermitVerdict::SendWithin { from, until } => {
-            tokio::time::sleep(from.since(shared.now())).await;
+            let wait = tokio::time::sleep(from.since(shared.now()));
+            if !series.is_unsent() {
+                wait.await;
+            } else if shared.stop.run_until(StopPhase::Finishing, wait).await.is_none() {
+                return false;
+            }
             placement.send_before = Some(until);
             true
         }
--- a/src/relay/proxy/running_attempt.rs
+++ b/src/relay/proxy/running_attempt.rs
@@ -181,8 +181,18 @@
                 () = silence => Ok(None),
             }
         };
-        let result = self.shared.run_until(self.job.deadline, work).await;
-        result.unwrap_or_else(|| Err(AttemptFault::timeout(self.sent_at.get().is_some())))
+        let result = self.shared.run_attempt(self.job.deadline, work).await;
+        result.unwrap_or_else(|| Err(self.out_of_time()))
+    }
+
+    /// The time limit of the request has expired, or the planned stop of this process has ended.
+    fn out_of_time(&self) -> AttemptFault {
+        let fault = AttemptFault::timeout(self.sent_at.get().is_some());
+        if self.shared.stop.has_ended() {
+            let reason = "the planned stop of this entry has ended".to_owned();
+            return AttemptFault { reason, ..fault };
+        }
+        fault
     }
 
     fn begin_answer(&mut self, mut answer: OpenAnswer) {
@@ -215,8 +225,8 @@
                 () = silence => None,
             }
         };
-        let step = shared.run_until(job.deadline, work).await;
-        let step = step.ok_or_else(|| AttemptFault::timeout(true))?;
+        let step = shared.run_attempt(job.deadline, work).await;
+        let Some(step) = step else { return Err(self.out_of_time()) };
         let Some(frame) = step else { return Ok(BodyStep::Silence) };
         let Some(frame) = frame else { return Ok(BodyStep::End) };
         let frame = frame.map_err(|error| AttemptFault::broken(error.to_string()))?;
@@ -305,8 +315,8 @@
     /// Adds the bytes that were read last to the buffer, once there is room for them.
     async fn buffer_body(&mut self) -> Result<(), AttemptFault> {
         let reserving = self.buffer.reserve(self.unbuffered.len(), MAX_ANSWER_BYTES);
-        let reserved = self.shared.run_until(self.job.deadline, reserving).await;
-        reserved.ok_or_else(|| AttemptFault::timeout(true))?;
+        let reserved = self.shared.run_attempt(self.job.deadline, reserving).await;
+        reserved.ok_or_else(|| self.out_of_time())?;
         self.buffer.push(&std::mem::take(&mut self.unbuffered));
         Ok(())
     }
--- a/src/relay/proxy/series.rs
+++ b/src/relay/proxy/series.rs
@@ -11,10 +11,11 @@
 use super::answer::{RelayAnswer, RelayBody, RelayFault};
 use super::crash_check::check_crash;
 use super::crash_hold::wait_for_crash_reports;
+use super::exchange::stopping_fault;
 use super::forward::{AttemptFault, SendOrder};
 use super::job::{QuarantineHold, RelayJob};
 use super::permit::{acquire_permit, acquire_retry};
-use super::running_attempt::RunningAttempt;
+use super::running_attempt::{RunningAttempt, StreamPosition};
 use crate::relay::core::RelayCore;
 use crate::relay::decide::placement::{Placement, TargetScope};
 use crate::relay::decide::retry_delay::after_reopening;
@@ -22,6 +23,7 @@
 use crate::relay::decide::targets::TargetFault;
 use crate::relay::log_line::{FailedAttemptLine, PlacementLine, RetryStop};
 use crate::relay::shared::RelayShared;
+use crate::relay::stop::SendKind;
 use crate::time::Tick;
 use crate::verdict::Verdict;
 
@@ -308,6 +310,30 @@
         })
     }
 
+    fn send_kind(&self, is_started: bool) -> SendKind {
+        match self.worst_verdict {
+            _ if is_started => SendKind::Continuation,
+            Verdict::NotRun => SendKind::First,
+            Verdict::MayHaveRun | Verdict::Ran => SendKind::Retry,
+        }
+    }
+
+    /// Returns the answer if the planned stop of this process leaves no time for another attempt;
+    /// `None` if it may be sent.
+    pub(crate) fn check_stop(
+        &self,
+        shared: &RelayShared,
+        job: &RelayJob,
+        is_started: bool,
+    ) -> Option<RelayFault> {
+        let kind = self.send_kind(is_started);
+        if shared.stop.allows_send(kind, job.route.objective, shared.now()) {
+            return None;
+        }
+        let has_not_run = self.worst_verdict == Verdict::NotRun;
+        Some(if has_not_run { stopping_fault() } else { self.final_fault(shared, job, false) })
+    }
+
     /// Ends a failed attempt and records its fault.
     pub(crate) fn record_fault(
         &mut self,
@@ -415,10 +441,20 @@
         Ok(())
     }
 
-    /// Builds the order for the next attempt.
-    pub(crate) fn to_order(&self, placement: Placement, resume_after: Option<u64>) -> SendOrder {
-        let (send_before, may_reuse) = (self.send_before, self.may_reuse);
-        SendOrder { placement, resume_after, send_before, may_reuse }
+    /// Builds the order for the next attempt at a request of which the caller has `position`.
+    pub(crate) fn to_order(
+        &self,
+        job: &RelayJob,
+        placement: Placement,
+        position: &StreamPosition,
+    ) -> SendOrder {
+        SendOrder {
+            placement,
+            resume_after: position.splitter.last_id().or(job.head.resume_after),
+            send_before: self.send_before,
+            may_reuse: self.may_reuse,
+            kind: self.send_kind(position.is_started),
+        }
     }
 
     /// Returns the answer of a call that is not sent again: the failure of its target, if that gave
@@ -429,10 +465,13 @@
         job: &RelayJob,
         is_timeout: bool,
     ) -> Result<RelayAnswer, RelayFault> {
-        match self.answer.take() {
-            Some(answer) => Ok(answer.map(|body| RelayBody::Buffered(Full::new(body)))),
-            None => Err(self.final_fault(shared, job, is_timeout)),
-        }
+        self.take_answer().ok_or_else(|| self.final_fault(shared, job, is_timeout))
+    }
+
+    /// Takes the failure of a target that was kept, if any.
+    pub(crate) fn take_answer(&mut self) -> Option<RelayAnswer> {
+        let answer = self.answer.take()?;
+        Some(answer.map(|body| RelayBody::Buffered(Full::new(body))))
     }
 
     /// Builds the final failure of the request.
--- a/src/relay/proxy/stream.rs
+++ b/src/relay/proxy/stream.rs
@@ -97,6 +97,10 @@
             ledger.retry_stop = Some(RetryStop::Quarantined);
             return fail_stream(output, &series, fault, ledger);
         }
+        if let Some(fault) = series.check_stop(shared, job, position.is_started) {
+            ledger.retry_stop = Some(RetryStop::Stopping);
+            return fail_stream(output, &series, fault, ledger);
+        }
         let Some(mut placement) = series.place(shared, job) else {
             ledger.retry_stop = Some(RetryStop::NoTarget);
             let fault = series.final_fault(shared, job, false);
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -35,7 +35,8 @@
 use super::record::{DecisionLog, StdoutLog};
 use super::settings::{RelaySettings, SettingsFile};
 use super::shared::RelayShared;
-use super::stop::{StopPhase, StopPlan};
+use super::stop::StopPhase;
+use super::stop_state::StopState;
 use crate::Result;
 use crate::client::HttpClient;
 use crate::clock::{ProcessClock, SuspensionWatch, wall_micros};
@@ -118,9 +119,7 @@
         target_protocol: adapter.target_protocol,
         log: DecisionLog::new(log),
         counts: RefCell::default(),
-        is_stopping: Cell::new(false),
-        stop_limit: Cell::new(settings.stop_limit()),
-        is_closed_to_new: Cell::new(false),
+        stop: StopState::new(settings.stop_limit()),
         store_failed_at: Cell::new(None),
         start_phase: watch::Sender::new(StartPhase::Loading),
         store_recoveries: watch::Sender::new(0),
@@ -179,7 +178,7 @@
     let reload = |is_signal: bool| match file.read() {
         Ok(settings) if settings != *current.borrow() => {
             shared.core.borrow_mut().set_limits(settings.to_limits());
-            shared.stop_limit.set(settings.stop_limit());
+            shared.stop.set_limit(settings.stop_limit());
             shared.gate.borrow_mut().set_max_descriptors(settings.max_descriptors);
             shared.max_descriptors.set(settings.max_descriptors);
             shared.memory.set_limit(connection_bytes(settings.memory_mb));
@@ -204,27 +203,18 @@
 /// Carries out a planned stop: callers are directed to other entries, and each request that has
 /// begun to arrive is answered.
 async fn drain(shared: &RelayShared) {
-    let started_at = shared.now();
-    let elapsed = || shared.now().since(started_at);
     let connections = &shared.connections;
-    shared.is_stopping.set(true);
+    shared.stop.begin(shared.now());
     slog::info!(shared.log.logger(), "stop begun"; "open" => connections.busy());
-    // The settings may be reloaded during the stop.
-    let plan = || StopPlan::new(shared.stop_limit.get());
-    loop {
+    // From its end on, requests that still arrive are refused until their connections are closed,
+    // and those that are open fail.
+    while shared.stop.advance(connections.busy(), shared.now()) < StopPhase::Ended {
         tokio::time::sleep(STOP_CHECK_INTERVAL).await;
-        match plan().phase(elapsed(), connections.busy()) {
-            StopPhase::Serving => {}
-            StopPhase::Finishing => shared.is_closed_to_new.set(true),
-            StopPhase::Ended => break,
-        }
     }
-    // Requests that still arrive are refused until their connections are closed.
-    shared.is_closed_to_new.set(true);
     connections.close();
     loop {
         tokio::time::sleep(STOP_CHECK_INTERVAL).await;
-        if shared.open_connections.get() == 0 || plan().must_exit(elapsed()) {
+        if shared.open_connections.get() == 0 || shared.stop.must_exit(shared.now()) {
             break;
         }
     }
@@ -356,7 +346,7 @@
 fn answer_status(shared: &RelayShared, path: &str) -> Response<Full<Bytes>> {
     let now = shared.now();
     let (status, body) = if path == shared.caller_protocol.readiness_path {
-        let is_ready = !shared.is_stopping.get() && shared.core.borrow().is_ready(now);
+        let is_ready = !shared.stop.is_begun() && shared.core.borrow().is_ready(now);
         let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         (status, Vec::new())
     } else if path == "/metrics" {
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -27,6 +27,8 @@
 use super::proxy::connections::{ConnectionPool, OpenConnections};
 use super::proxy::protocol::{CallerProtocol, TargetProtocol};
 use super::record::DecisionLog;
+use super::stop::StopPhase;
+use super::stop_state::StopState;
 use crate::client::HttpClient;
 use crate::clock::ProcessClock;
 use crate::connection::ConnectionGroup;
@@ -49,12 +51,8 @@
     pub(crate) target_protocol: TargetProtocol,
     pub(crate) log: DecisionLog,
     pub(crate) counts: RefCell<RelayCounts>,
-    /// Whether a planned stop has begun.
-    pub(crate) is_stopping: Cell<bool>,
-    /// Longest planned stop.
-    pub(crate) stop_limit: Cell<Duration>,
-    /// Whether new requests are refused.
-    pub(crate) is_closed_to_new: Cell<bool>,
+    /// The planned stop of this process.
+    pub(crate) stop: StopState,
     /// When a call to the store last failed, or the store was last restored from a backup.
     pub(crate) store_failed_at: Cell<Option<Tick>>,
     /// Phase of the start of this process.
@@ -191,6 +189,17 @@
         }
     }
 
+    /// Runs `work` for an attempt until the deadline of its request or the end of a planned stop,
+    /// `None` if either comes first.
+    pub(crate) async fn run_attempt<T>(
+        &self,
+        deadline: Tick,
+        work: impl Future<Output = T>,
+    ) -> Option<T> {
+        let work = self.run_until(deadline, work);
+        self.stop.run_until(StopPhase::Ended, work).await.flatten()
+    }
+
     /// Handles a resumption of the host after a suspension. Connections to the store may hang, and
     /// proofs may have lapsed.
     pub(crate) fn handle_resumption(&self, duration: Duration) {
--- a/src/relay/stop.rs
+++ b/src/relay/stop.rs
@@ -17,7 +17,7 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 
 /// Phase of a planned stop.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StopPhase {
     /// New requests are served.
     Serving,
@@ -27,6 +27,17 @@
     Ended,
 }
 
+/// A send of a request to a target, by what the request has lost if the stop cuts it off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendKind {
+    /// The first send. Another entry can serve the request instead.
+    First,
+    /// A retry of a request that may have run.
+    Retry,
+    /// The continuation of a stream, which is broken without it.
+    Continuation,
+}
+
 /// Schedule of a planned stop within the platform's time limit.
 #[derive(Clone, Copy, Debug)]
 pub struct StopPlan {
@@ -54,6 +65,18 @@
         }
     }
 
+    /// Returns `true` if a request whose answer takes `expected` may be sent at `elapsed` after the
+    /// start: it ends before the stop cuts it off.
+    #[must_use]
+    pub fn allows_send(&self, kind: SendKind, expected: Duration, elapsed: Duration) -> bool {
+        let ends_in_time = elapsed + expected + STOP_MARGIN <= self.limit;
+        match kind {
+            SendKind::First => ends_in_time && elapsed < SERVE_DURATION,
+            SendKind::Retry => ends_in_time,
+            SendKind::Continuation => elapsed + STOP_MARGIN < self.limit,
+        }
+    }
+
     /// Returns `true` if the process exits at `elapsed` whatever is still open.
     #[must_use]
     pub fn must_exit(&self, elapsed: Duration) -> bool {
--- a/tests/relay/stop.rs
+++ b/tests/relay/stop.rs
@@ -1,6 +1,6 @@
 //! The phases of a planned stop.
 
-use shalelane::relay::stop::{StopPhase, StopPlan};
+use shalelane::relay::stop::{SendKind, StopPhase, StopPlan};
 
 use crate::fixture::ms;
 
@@ -31,3 +31,28 @@
     assert!(!plan.must_exit(ms(ended)), "connections have time to close");
     assert!(plan.must_exit(ms(7_999)));
 }
+
+fn allows(kind: SendKind, expected: u64, elapsed: u64) -> bool {
+    StopPlan::new(ms(8_000)).allows_send(kind, ms(expected), ms(elapsed))
+}
+
+/// Guards against requests that are passed on late in a stop and cut off by its end.
+#[test]
+fn nothing_is_sent_that_can_not_end_before_the_stop() {
+    for elapsed in (0..8_000).step_by(50) {
+        let left = 7_300_u64.saturating_sub(elapsed);
+        for kind in [SendKind::First, SendKind::Retry] {
+            assert!(!allows(kind, left + 1, elapsed), "{kind:?} at {elapsed}");
+        }
+        assert_eq!(allows(SendKind::Retry, left, elapsed), elapsed <= 7_300, "at {elapsed}");
+        assert_eq!(allows(SendKind::First, left, elapsed), elapsed < 2_800, "at {elapsed}");
+        assert_eq!(allows(SendKind::Continuation, 60_000, elapsed), elapsed < 7_300);
+    }
+}
+
+#[test]
+fn a_short_stop_leaves_no_time_for_new_requests() {
+    let plan = StopPlan::new(ms(500));
+    assert!(!plan.allows_send(SendKind::First, ms(0), ms(0)));
+    assert_eq!(plan.phase(ms(0), 1), StopPhase::Ended);
+}
