Bound the answers that an agent of the product keeps and queues

The bytes were kept twice: as output that entries may ask for again, and in the queue of the link, which counts frames.

An agent keeps 32 MiB of answers: beyond it, complete ones give way, the largest first (the fact that they ran stays), and then the run that needs more is ended. No more of an answer is read while 8 MiB wait to be written to entries.

--- a/src/agent/daemon.rs
+++ b/src/agent/daemon.rs
@@ -54,6 +54,9 @@
 /// Delay before the retry of such a call.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Size of what waits to be written to entries from which on no more of an answer is read, in bytes.
+const MAX_QUEUED_BYTES: usize = 8 * 1024 * 1024;
+
 /// Timeout for sending the last queued messages at shutdown.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -77,6 +80,11 @@
 }
 
 impl AgentShared {
+    /// Returns the size of what waits to be written to entries, in bytes.
+    fn queued_bytes(&self) -> usize {
+        self.links.borrow().values().map(LinkSender::queued_bytes).sum()
+    }
+
     fn send(&self, event: Event) {
         // The event loop outlives every task that sends to it.
         let _ = self.events.send(event);
@@ -297,7 +305,10 @@
         let task = spawn_local(async move {
             match shared.settings.kind {
                 ServiceKind::Engine => shared.engine.run(start, &arrived, report).await,
-                ServiceKind::Plain => shared.plain.run(start, report).await,
+                ServiceKind::Plain => {
+                    let has_room = || shared.queued_bytes() < MAX_QUEUED_BYTES;
+                    shared.plain.run(start, has_room, report).await;
+                }
             }
             calls.borrow_mut().remove(&attempt);
         });
--- a/src/agent/ledger.rs
+++ b/src/agent/ledger.rs
@@ -31,6 +31,15 @@
     },
 }
 
+impl Outcome {
+    fn output_bytes(&self) -> usize {
+        match self {
+            Outcome::Done { output, .. } => output.len(),
+            Outcome::Failed { .. } => 0,
+        }
+    }
+}
+
 /// Outcomes of attempts, each kept until a given time.
 ///
 /// That time is the attempt's deadline plus a margin: by then its entry has
@@ -38,6 +47,8 @@
 #[derive(Debug, Default)]
 pub struct OutcomeLedger {
     outcomes: HashMap<AttemptId, Outcome>,
+    /// Total size of the complete answers, in bytes.
+    output_bytes: usize,
     timers: TimerService<AttemptId>,
 }
 
@@ -45,7 +56,28 @@
     /// Stores an outcome until `until`.
     pub fn insert(&mut self, id: AttemptId, outcome: Outcome, until: Tick) {
         self.timers.subscribe(until, id.clone());
-        self.outcomes.insert(id, outcome);
+        self.output_bytes += outcome.output_bytes();
+        let replaced = self.outcomes.insert(id, outcome);
+        self.output_bytes -= replaced.map_or(0, |replaced| replaced.output_bytes());
+    }
+
+    /// Returns the total size of the complete answers that are kept, in bytes.
+    #[must_use]
+    pub fn output_bytes(&self) -> usize {
+        self.output_bytes
+    }
+
+    /// Drops the largest complete answer, but not the fact that its attempt ran. Returns `false` if
+    /// none is kept.
+    pub fn drop_largest_output(&mut self) -> bool {
+        let largest = self.outcomes.values_mut().max_by_key(|outcome| outcome.output_bytes());
+        let Some(largest) = largest.filter(|outcome| outcome.output_bytes() > 0) else {
+            return false;
+        };
+        self.output_bytes -= largest.output_bytes();
+        let reason = "the answer is no longer kept".into();
+        *largest = Outcome::Failed { verdict: Verdict::Ran, reason };
+        true
     }
 
     /// Returns the outcome of an attempt.
@@ -57,7 +89,8 @@
     /// Removes the outcomes whose time is over.
     pub fn expire(&mut self, now: Tick) {
         while let Some(id) = self.timers.pop_due(now) {
-            self.outcomes.remove(&id);
+            let expired = self.outcomes.remove(&id);
+            self.output_bytes -= expired.map_or(0, |expired| expired.output_bytes());
         }
     }
 
--- a/src/agent/plain.rs
+++ b/src/agent/plain.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http_body_util::BodyExt;
 use hyper::Request;
@@ -16,6 +17,9 @@
 /// Maximum size of an answer that is kept for its entry, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
+/// Interval at which a call that waits for room checks for it.
+const ROOM_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Client of one plain service.
 #[derive(Debug)]
 pub(super) struct PlainClient {
@@ -31,8 +35,15 @@
     }
 
     /// Makes a call and reports its events.
-    pub(super) async fn run(&self, start: StartRun, report: Rc<dyn Fn(RunEvent)>) {
-        if let Err(event) = self.try_run(start, &report).await {
+    ///
+    /// The answer is read on only while `has_room` returns `true`.
+    pub(super) async fn run(
+        &self,
+        start: StartRun,
+        has_room: impl Fn() -> bool,
+        report: Rc<dyn Fn(RunEvent)>,
+    ) {
+        if let Err(event) = self.try_run(start, has_room, &report).await {
             report(event);
         }
     }
@@ -40,6 +51,7 @@
     async fn try_run(
         &self,
         start: StartRun,
+        has_room: impl Fn() -> bool,
         report: &Rc<dyn Fn(RunEvent)>,
     ) -> Result<(), RunEvent> {
         let Some(request) = self.to_request(start) else {
@@ -71,6 +83,11 @@
                 }
                 report(RunEvent::Text(part));
             }
+            // The report is handled in another turn of the event loop.
+            tokio::task::yield_now().await;
+            while !has_room() {
+                tokio::time::sleep(ROOM_INTERVAL).await;
+            }
         }
         report(RunEvent::Done(RunUsage::default()));
         Ok(())
--- a/src/agent/target.rs
+++ b/src/agent/target.rs
@@ -21,6 +21,9 @@
 /// estimates of token counts that turn out too low.
 const LEASABLE_FRACTION: f64 = 0.95;
 
+/// Total size of the answers that are kept for entries which may ask for them again, in bytes.
+const MAX_OUTPUT_BYTES: usize = 32 * 1024 * 1024;
+
 impl AgentCore {
     pub(super) fn on_target_ready(&mut self, facts: EngineFacts) {
         let lease_count = self.leases.len();
@@ -150,6 +153,13 @@
             run.prefilled = run.dispatch.need.prompt;
             run.state = RunState::Decoding;
         }
+        if !self.make_room(text.len()) {
+            self.abort(id, "this agent keeps too many answers", now);
+            return;
+        }
+        let Some(run) = self.runs.get_mut(id) else {
+            return;
+        };
         let offset = run.output.len() as u64;
         run.answer_chunks += 1;
         run.output.extend_from_slice(&text);
@@ -157,6 +167,18 @@
         self.send(conn, ToEntry::Chunk { attempt: id.key, offset, text });
     }
 
+    /// Makes room for more bytes of an answer. Returns `false` if the answers of the runs alone take
+    /// all of it.
+    fn make_room(&mut self, length: usize) -> bool {
+        let running: usize = self.runs.values().map(|run| run.output.len()).sum();
+        while running + self.ledger.output_bytes() + length > MAX_OUTPUT_BYTES {
+            if !self.ledger.drop_largest_output() {
+                return false;
+            }
+        }
+        true
+    }
+
     pub(super) fn on_paused(&mut self, id: &AttemptId, tokens: u64, now: Tick) {
         let Some(run) = self.runs.get_mut(id) else {
             return;
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -6,6 +6,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -94,26 +95,44 @@
 pub(crate) struct LinkSender {
     control: mpsc::Sender<Bytes>,
     body: mpsc::Sender<Bytes>,
+    queued_bytes: Rc<Cell<usize>>,
 }
 
 /// Receiving ends of a link's queues of outgoing frames, drained by the link's task.
 pub(crate) struct LinkQueue {
     control: mpsc::Receiver<Bytes>,
     body: mpsc::Receiver<Bytes>,
+    queued_bytes: Rc<Cell<usize>>,
 }
 
 /// Creates the queues of a link.
 pub(crate) fn link_queue() -> (LinkSender, LinkQueue) {
     let (control_sender, control) = mpsc::channel(CONTROL_QUEUE_LEN);
     let (body_sender, body) = mpsc::channel(BODY_QUEUE_LEN);
-    (LinkSender { control: control_sender, body: body_sender }, LinkQueue { control, body })
+    let queued_bytes = Rc::<Cell<usize>>::default();
+    let sender = LinkSender {
+        control: control_sender,
+        body: body_sender,
+        queued_bytes: queued_bytes.clone(),
+    };
+    (sender, LinkQueue { control, body, queued_bytes })
 }
 
 impl LinkSender {
     /// Queues a frame. Returns `false` if the link has ended or its queue is full.
     pub(crate) fn send(&self, frame: Bytes, is_body: bool) -> bool {
         let queue = if is_body { &self.body } else { &self.control };
-        queue.try_send(frame).is_ok()
+        let length = frame.len();
+        let is_queued = queue.try_send(frame).is_ok();
+        if is_queued {
+            self.queued_bytes.set(self.queued_bytes.get() + length);
+        }
+        is_queued
+    }
+
+    /// Returns the size of the frames that are queued and not written yet, in bytes.
+    pub(crate) fn queued_bytes(&self) -> usize {
+        self.queued_bytes.get()
     }
 }
 
@@ -400,9 +419,11 @@
             }
         }
         let start = Instant::now();
+        let length: usize = frames.iter().map(Bytes::len).sum();
         if send_frames(sink, frames).await.is_err() {
             return LinkEnd::Closed;
         }
+        queue.queued_bytes.set(queue.queued_bytes.get() - length);
         if start.elapsed() >= BLOCKED_WRITE {
             activity.unblocked.set(Instant::now());
         }
