Close the handshakes that an agent ends before it takes others

What operators saw: an agent of the product with 223 open descriptors where 128 handshakes are allowed (crowd_of_strangers_at_the_products_agent, once beside load). Cause: the connections that wait at the listener are taken in one turn of the event loop. A handshake that is ended to make room keeps its descriptor until another turn. Why it works: the loop that accepts gives up its turn after it has ended a handshake, so the descriptor is closed before the next connection is taken.

--- a/src/agent/daemon.rs
+++ b/src/agent/daemon.rs
@@ -434,6 +434,8 @@
         is_full = oldest.is_some();
         if let Some(oldest) = oldest {
             oldest.abort();
+            // Its connection is closed in another turn of the event loop.
+            tokio::task::yield_now().await;
         }
     }
 }
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -17,6 +17,12 @@
 
 const KIB_PER_MIB: u64 = 1024;
 
+/// Number of strangers at an agent.
+const STRANGERS: usize = 900;
+
+/// Handshakes that an agent keeps open, and what it has open itself.
+const MAX_DESCRIPTORS: u64 = 128 + 32;
+
 /// Bytes of a body that stops just short of the limit.
 const UNFINISHED_BYTES: usize = 990_000;
 
@@ -121,12 +127,8 @@
 }
 
 async fn test_strangers() {
-    /// Number of strangers.
-    const STRANGERS: usize = 900;
     /// Bytes that each one sends after the upgrade, of a frame that is announced as longer.
     const FRAME_BYTES: usize = 200_000;
-    /// Handshakes that an agent keeps open, and what it has open itself.
-    const MAX_DESCRIPTORS: u64 = 128 + 32;
     let mut site = Site::start(1, 1, EngineSpec::default()).await;
     let agent = &site.plain_agent.process;
     let address = agent.address("entries");
@@ -153,3 +155,27 @@
     assert!(peak.descriptors <= MAX_DESCRIPTORS, "{peak:?}");
     assert!(site.plain_agent.process.is_running());
 }
+
+/// Guards against handshakes beyond the bound: those that were ended kept their descriptors while
+/// others that had waited were taken.
+#[test]
+fn crowd_of_strangers_that_wait_at_a_frozen_agent() {
+    run_test(test_waiting_strangers());
+}
+
+async fn test_waiting_strangers() {
+    let mut site = Site::start(1, 1, EngineSpec::default()).await;
+    let agent = &site.plain_agent.process;
+    let address = agent.address("entries");
+    let watch = HoldingsWatch::start(agent.id(), address);
+    agent.freeze(true);
+    let crowd = Crowd::connect(address, STRANGERS);
+    agent.freeze(false);
+    let answer = call(site.callers(0), order("boat-3")).await.expect("answer");
+    assert_eq!(answer.status, 200);
+    let peak = watch.finish();
+    println!("{peak:?}");
+    drop(crowd);
+    assert!(peak.descriptors <= MAX_DESCRIPTORS, "{peak:?}");
+    assert!(site.plain_agent.process.is_running());
+}
