Agents forget the sums of an episode that reports have ended

Cause: agents relay the sums of served requests when one of them has doubled. An entry that found a part cleared by such a sum ended the episode for itself alone. The agents kept its sums (24 served of 447), compared those of the next episode with them and relayed none: the part gathered six crashes, and not one of the requests that were served meanwhile. Why it works: an entry that clears a part by a report says so, as one that clears it by an answer of its own does, and agents begin the next episode at zero.

--- a/src/relay/decide/part_ledger.rs
+++ b/src/relay/decide/part_ledger.rs
@@ -281,7 +281,10 @@
             let evidence = &mut suspect.evidence;
             evidence.apply_served(report.reporter, report.served);
             if evidence.is_cleared(&self.batches) {
+                // The agents have to forget their sums, or they would compare those of the next
+                // episode with them.
                 self.suspects.remove(&report.part);
+                self.outbox.push(PartMessage::Cleared(report.part.clone()));
             }
         }
     }
