A drain of the product's entry sends nothing that it would cut off

What callers saw: a request that waited for a target when the entry was told to stop was given to it late in the drain, cut off at its end and answered with 502, may-have-run, although another entry could have served it (tests/stops.rs, drain of 1.5 s, one agent that stands still until the drain has begun). Cause: the entry refused new requests in a drain, and looked at the end of the drain nowhere else. The class is that of the platform's planned stop. Why it works: when a drain begins, and before each search or send in it, a request that no target has and that has not run is refused (503, stopping) if its time limit passes after the end of the drain. Evidence: a_request_that_waits_for_a_target_in_a_short_drain_is_refused failed before (502, may-have-run) and passes; three tests of the core in entry_answers.rs, whose random runs draw the limit of the drain now. Agents were read: they refuse what waits in their queues when a drain begins, and take nothing after it.

--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -98,7 +98,8 @@
     pub(super) crash_counts: HashMap<Arc<str>, u64>,
     pub(super) rng: StdRng,
     pub(super) archive: DecisionArchive,
-    pub(super) draining: bool,
+    /// When the drain of this entry ends; `None` while it serves.
+    pub(super) drain_end: Option<Tick>,
     pub(super) stopped: bool,
     pub(super) invariant: InvariantCheck,
     pub(super) counts: EntryCounts,
@@ -130,7 +131,7 @@
             crash_counts: HashMap::new(),
             rng: StdRng::seed_from_u64(seed),
             archive: DecisionArchive::new(tuning.decision_capacity),
-            draining: false,
+            drain_end: None,
             stopped: false,
             invariant: InvariantCheck::new(tuning.strict),
             counts: EntryCounts::default(),
@@ -149,7 +150,7 @@
             Event::AgentMessage(target, message) => self.on_message(&target, message, now),
             Event::Hosts(delta) => self.table.on_hosts(&delta),
             Event::Config(config) => self.on_config(config),
-            Event::Drain => self.draining = true,
+            Event::Drain(limit) => self.on_drain(limit, now),
             Event::DrainTimedOut => self.on_drain_timed_out(now),
             Event::Wake => {}
         }
@@ -233,7 +234,7 @@
 
     pub(super) fn on_arrive(&mut self, arrival: Box<Arrival>, now: Tick) {
         let number = arrival.number;
-        if self.draining {
+        if self.drain_end.is_some() {
             let failure =
                 not_run_failure(FailureCode::Stopping, "this entry is stopping", DEFAULT_RETRY);
             self.effects.push(Effect::Reply(number, Reply::Failed(failure)));
@@ -280,6 +281,9 @@
         request.prefix = first.filter(|hash| self.history.insert_prefix(*hash));
         self.timers.subscribe(request.deadline, Timer::Deadline(number));
         self.requests.insert(number, request);
+        if self.refuse_if_cut_off(number, now) {
+            return;
+        }
         if !self.try_direct(number, now) {
             self.probe_targets(number, now);
         }
@@ -387,8 +391,32 @@
         }
     }
 
+    fn on_drain(&mut self, limit: Duration, now: Tick) {
+        self.drain_end = Some(now + limit);
+        let numbers: Vec<u64> = self.requests.keys().copied().collect();
+        for number in numbers {
+            self.refuse_if_cut_off(number, now);
+        }
+    }
+
+    /// Refuses a request that no target has, if its time limit is later than the end of the drain.
+    /// Returns `true` if it does. Another entry can serve such a request from the beginning.
+    pub(super) fn refuse_if_cut_off(&mut self, number: u64, now: Tick) -> bool {
+        let (Some(end), Some(request)) = (self.drain_end, self.requests.get(&number)) else {
+            return false;
+        };
+        let is_at_target = request.attempt_target().is_some() || request.silent.is_some();
+        let has_not_run = request.verdict == Verdict::NotRun && !is_at_target;
+        if !has_not_run || request.deadline <= end {
+            return false;
+        }
+        self.release_members(number);
+        self.fail(number, FailureCode::Stopping, "this entry is stopping", now);
+        true
+    }
+
     pub(super) fn on_drain_timed_out(&mut self, now: Tick) {
-        self.draining = true;
+        self.drain_end = Some(now);
         self.refuse_pending();
         let numbers: Vec<u64> = self.requests.keys().copied().collect();
         for number in numbers {
@@ -408,7 +436,7 @@
     }
 
     pub(super) fn check_stopped(&mut self) {
-        if self.draining && self.open_requests() == 0 && !self.stopped {
+        if self.drain_end.is_some() && self.open_requests() == 0 && !self.stopped {
             self.stopped = true;
             self.effects.push(Effect::Stopped);
         }
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -265,7 +265,7 @@
         let drain_timeout = self.shared.settings.drain_timeout;
         let drain_deadline = self.clock.now() + drain_timeout;
         self.shared.draining.set(true);
-        self.run_iteration(Event::Drain);
+        self.run_iteration(Event::Drain(drain_timeout));
         self.run_until(&mut inputs, tokio::time::sleep(drain_timeout)).await;
         if !self.stopped {
             let open = self.core.open_requests();
--- a/src/entry/event.rs
+++ b/src/entry/event.rs
@@ -56,8 +56,9 @@
     Hosts(HostDelta),
     /// A configuration was read from the store.
     Config(Arc<Config>),
-    /// The entry is to drain: it admits no more requests and finishes the open ones.
-    Drain,
+    /// The entry is to drain within a time limit: it admits no more requests and finishes the open
+    /// ones.
+    Drain(Duration),
     /// The time limit of the drain has passed: the open requests fail.
     DrainTimedOut,
     /// A timer may be due.
--- a/src/entry/probing.rs
+++ b/src/entry/probing.rs
@@ -23,6 +23,9 @@
 
 impl EntryCore {
     pub(super) fn probe_targets(&mut self, number: u64, now: Tick) {
+        if self.refuse_if_cut_off(number, now) {
+            return;
+        }
         let Some(request) = self.requests.get_mut(&number) else {
             return;
         };
@@ -168,6 +171,9 @@
 
     /// Dispatches the request to the next best target, or backs off if no offer is left.
     pub(super) fn dispatch_next(&mut self, number: u64, now: Tick) {
+        if self.refuse_if_cut_off(number, now) {
+            return;
+        }
         loop {
             let Some(request) = self.requests.get_mut(&number) else {
                 return;
--- a/tests/entry_answers.rs
+++ b/tests/entry_answers.rs
@@ -134,7 +134,8 @@
         fixture.advance(span);
     }
     if rng.random_bool(0.7) {
-        fixture.feed(Event::Drain);
+        let limit = fixture.time_limit().mul_f64(rng.random_range(0.0..1.5));
+        fixture.feed(Event::Drain(limit));
         numbers.push(fixture.arrive(true));
     }
     if rng.random_bool(0.3) {
@@ -156,7 +157,7 @@
     let mut fixture = EntryFixture::new(1, EntryTuning::default());
     let number = fixture.arrive(true);
     let (key, _) = fixture.live_attempt(number).expect("an attempt");
-    fixture.feed(Event::Drain);
+    fixture.feed(Event::Drain(OUTAGE));
     fixture.feed(Event::DrainTimedOut);
     let Some(Reply::Failed(failure)) = fixture.last_reply(number) else {
         panic!("the request has no final reply")
@@ -165,3 +166,48 @@
     assert!(fixture.is_cancelled(key));
     assert!(fixture.is_stopped);
 }
+
+/// Returns a fixture without a link and the number of a request that waits there.
+fn wait_for_link() -> (EntryFixture, u64) {
+    let mut fixture = EntryFixture::new(1, EntryTuning::default());
+    fixture.link_down(0);
+    let number = fixture.arrive(false);
+    assert!(fixture.live_attempt(number).is_none(), "an attempt without a link");
+    (fixture, number)
+}
+
+fn assert_refused(fixture: &EntryFixture, number: u64) {
+    let Some(Reply::Failed(failure)) = fixture.last_reply(number) else {
+        panic!("the request is not refused")
+    };
+    assert_eq!((failure.code, failure.verdict), (FailureCode::Stopping, Verdict::NotRun));
+}
+
+#[test]
+fn a_request_that_waits_when_a_short_drain_begins_is_refused() {
+    let (mut fixture, number) = wait_for_link();
+    fixture.feed(Event::Drain(fixture.time_limit() / 2));
+    assert_refused(&fixture, number);
+    fixture.link_up(0);
+    fixture.advance(RUN_LIMIT);
+    assert!(fixture.live_attempt(number).is_none(), "sent after its refusal");
+}
+
+#[test]
+fn a_request_that_its_target_refuses_in_a_short_drain_is_refused() {
+    let mut fixture = EntryFixture::new(1, EntryTuning::default());
+    fixture.crash(0);
+    let number = fixture.arrive(false);
+    fixture.feed(Event::Drain(fixture.time_limit() / 2));
+    fixture.advance(OUTAGE);
+    assert_refused(&fixture, number);
+}
+
+#[test]
+fn a_request_whose_time_limit_is_within_the_drain_is_served() {
+    let (mut fixture, number) = wait_for_link();
+    fixture.feed(Event::Drain(fixture.time_limit()));
+    fixture.link_up(0);
+    fixture.advance(RUN_LIMIT);
+    assert!(matches!(fixture.last_reply(number), Some(Reply::Done(_))));
+}
--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -18,6 +18,9 @@
 /// Tokens of an answer that takes longer than the drain.
 const LONG_ANSWER: u64 = 20_000;
 
+/// Tokens of a prompt for which an entry asks targets before it sends it.
+const LONG_PROMPT: u64 = 12_000;
+
 fn slow_engine() -> EngineSpec {
     EngineSpec { step_base: Duration::from_millis(20), ..EngineSpec::default() }
 }
@@ -95,6 +98,26 @@
     assert!(site.entries[0].wait(), "the entry exited with a failure");
 }
 
+/// Guards against requests that wait for a target and are given to it so late in a drain that they
+/// are cut off.
+#[tokio::test]
+async fn a_request_that_waits_for_a_target_in_a_short_drain_is_refused() {
+    let mut site = site_with_short_drain().await;
+    let address = site.callers(1);
+    let agent = &site.agents[0].process;
+    agent.freeze(true);
+    let long = whole_completion(&make_prompt(LONG_PROMPT, 1, 0, 5), LONG_ANSWER);
+    let long = tokio::spawn(call(address, long));
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    site.entries[1].request_drain();
+    wait_draining(address).await;
+    site.agents[0].process.freeze(false);
+    let answer = long.await.expect("task").expect("an answer");
+    assert_eq!((answer.status, answer.verdict.as_str()), (503, "not-run"));
+    assert_eq!(answer.code(), "stopping");
+    assert!(site.entries[1].wait(), "the entry exited with a failure");
+}
+
 #[tokio::test]
 async fn connections_over_the_limit_are_counted() {
     let mut site = Site::start(1, 1, EngineSpec::default()).await;
