An agent of the product starts runs on new connections

What callers saw: 502, may-have-run, from a sound engine that closes connections which have been idle for too long: the run was sent on a kept connection at that moment. A request that may be repeated cost a retry. Cause: the client of an engine keeps connections for polls, and runs shared them. Evidence: an_engine_that_closes_kept_connections_costs_no_run failed before (502 at the first call) and passes. The engine of the stand-ins closes starts on kept connections without reading them. Why it works: whether a connection still stands is known when it has just been made; a failure of the connect is known not to have run. Polls and cancels keep their connections.

--- a/src/agent/engine.rs
+++ b/src/agent/engine.rs
@@ -104,11 +104,15 @@
 pub(super) struct EngineClient {
     address: Arc<str>,
     http: HttpClient,
+    /// Client for runs. It keeps no idle connections: if the engine closed one while a run is
+    /// being sent, it would be unknown whether the run began.
+    run_http: HttpClient,
 }
 
 impl EngineClient {
     pub(super) fn new(address: Arc<str>) -> Self {
-        EngineClient { address, http: HttpClient::new(MAX_IDLE_CONNECTIONS) }
+        let http = HttpClient::new(MAX_IDLE_CONNECTIONS);
+        EngineClient { address, http, run_http: HttpClient::new(0) }
     }
 
     fn request(&self, method: Method, path: &str, body: CallBody) -> Request<CallBody> {
@@ -238,7 +242,7 @@
         report: &Rc<dyn Fn(RunEvent)>,
     ) -> std::result::Result<(), RunEvent> {
         let request = self.to_request(start);
-        let response = self.http.send(request).await.map_err(|fault| match fault {
+        let response = self.run_http.send(request).await.map_err(|fault| match fault {
             CallFault::NotSent(text) => RunEvent::Failed(Verdict::NotRun, text.into()),
             CallFault::Unknown(text) => RunEvent::Failed(Verdict::MayHaveRun, text.into()),
         })?;
--- a/standins/src/engine_server.rs
+++ b/standins/src/engine_server.rs
@@ -23,7 +23,9 @@
 
 use crate::engine_model::{EngineEvent, EngineModel, EngineRunSpec, EngineSpec};
 use crate::prompt::prompt_hash;
-use crate::serve::{Reply, ReplyBody, ServerThread, query_u64, reply, reply_json, serve_http};
+use crate::serve::{
+    EarlierRequests, Reply, ReplyBody, ServerThread, query_u64, reply, reply_json, serve_http,
+};
 
 /// Age at which the reported load is refreshed: reports are at most this old.
 const LOAD_REPORT_LAG: Duration = Duration::from_millis(400);
@@ -48,6 +50,9 @@
     pub drops_load_calls: bool,
     /// Number of further calls to resume a run that are closed without a response or an effect.
     pub dropped_resumes: u32,
+    /// Whether start calls on a connection that has carried other calls are closed without a
+    /// response or an effect, as if it had been idle for too long.
+    pub drops_starts_on_kept_connections: bool,
     /// Status with which start calls are answered after their run has begun, in place of a stream.
     pub failed_with: Option<StatusCode>,
 }
@@ -212,7 +217,9 @@
     }
     let path = request.uri().path().to_owned();
     let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
-    if is_dropped(&mut lock(&state.fault), &parts) {
+    let earlier = request.extensions().get::<EarlierRequests>();
+    let is_kept = earlier.is_some_and(|EarlierRequests(count)| *count > 0);
+    if is_dropped(&mut lock(&state.fault), &parts, is_kept) {
         return None;
     }
     Some(match (request.method().clone(), parts.as_slice()) {
@@ -235,13 +242,16 @@
 }
 
 /// Returns `true` if a fault closes the connection of a call without a response.
-fn is_dropped(fault: &mut EngineFault, parts: &[&str]) -> bool {
+fn is_dropped(fault: &mut EngineFault, parts: &[&str], is_kept: bool) -> bool {
     match parts {
         ["v1", "load"] => fault.drops_load_calls,
         ["v1", "runs", _, "resume"] if fault.dropped_resumes > 0 => {
             fault.dropped_resumes -= 1;
             true
         }
+        ["v1", "completions"] | ["v1", "chat", "completions"] => {
+            is_kept && fault.drops_starts_on_kept_connections
+        }
         _ => false,
     }
 }
--- a/standins/src/serve.rs
+++ b/standins/src/serve.rs
@@ -1,5 +1,6 @@
 //! HTTP servers of the stand-ins, each on a dedicated thread.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -155,6 +156,10 @@
     panic!("failed to listen on {address}");
 }
 
+/// Number of earlier requests on the connection of a request, in its extensions.
+#[derive(Clone, Copy, Debug)]
+pub struct EarlierRequests(pub u64);
+
 /// Serves HTTP on a listener until the future is dropped.
 ///
 /// The connection is closed without a response if `handle` returns `None`.
@@ -171,7 +176,10 @@
         let _ = stream.set_nodelay(true);
         let handle = handle.clone();
         spawn_local(async move {
-            let service = service_fn(move |request| {
+            let requests = Cell::new(0);
+            let service = service_fn(move |mut request: Request<Incoming>| {
+                let earlier = requests.replace(requests.get() + 1);
+                request.extensions_mut().insert(EarlierRequests(earlier));
                 let reply = handle(request);
                 // An error makes hyper close the connection.
                 async move { reply.await.ok_or("no response") }
--- a/tests/agent_faults.rs
+++ b/tests/agent_faults.rs
@@ -43,3 +43,17 @@
     assert_eq!(site.engines[0].fault.lock().expect("fault").dropped_resumes, 0);
     assert_eq!(site.engines[0].runs_started(), 1, "the run was ended and started again");
 }
+
+#[tokio::test]
+async fn an_engine_that_closes_kept_connections_costs_no_run() {
+    const CALLS: u64 = 5;
+    let site = Site::start(1, 1, EngineSpec::default()).await;
+    site.engines[0].fault.lock().expect("fault").drops_starts_on_kept_connections = true;
+    for number in 0..CALLS {
+        let prompt = make_prompt(200, 1, 0, number);
+        let answer =
+            call(site.callers(0), completion("pier-app", &prompt, 5)).await.expect("answer");
+        assert_eq!(answer.status, 200, "call {number}");
+    }
+    assert_eq!(site.engines[0].calls_arrived(), CALLS);
+}
