A suspected part excuses no request beyond five crashes

Cause: a request yields to a part of its prompt that has more crashes. The list of a request's crashes ends at eight, so its own later crashes counted for the part alone; the part is not blamed for crashes of one request. Each left the decision to the other, for 19 s. Why it works: from five crashes on a request is held back in any case, as one that shares its crashes with another request is. If a part is blamed later, the request's quarantine is lifted as before.

--- a/src/relay/decide/quarantine.rs
+++ b/src/relay/decide/quarantine.rs
@@ -386,7 +386,8 @@
             .filter(|instance| !self.quarantined.explains(instance))
             .filter(|instance| !self.parts.explains(instance))
             .collect();
-        if self.parts.outranks(&unexplained) {
+        // A part whose guilt is not shown does not let its requests go on for ever.
+        if unexplained.len() < MIN_SHARED_CRASHES && self.parts.outranks(&unexplained) {
             return false;
         }
         let is_shared = || {
--- a/tests/relay/quarantine.rs
+++ b/tests/relay/quarantine.rs
@@ -6,6 +6,8 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use shalelane::relay::core::RelayCore;
+use shalelane::relay::decide::part_message::PartCrashReport;
+use shalelane::relay::decide::prompt_part::PromptPart;
 use shalelane::relay::decide::quarantine::{QuarantineLedger, SuspectReport};
 use shalelane::relay::decide::quarantine_list::QuarantineRecord;
 use shalelane::relay::decide::request_digest::RequestDigest;
@@ -62,6 +64,30 @@
     assert!(!is_quarantined(&ledger, "a", 601_000), "the quarantine has expired");
 }
 
+/// Guards against a request that goes on to crash targets because one of its parts is suspected
+/// and never blamed.
+#[test]
+fn a_suspected_part_excuses_no_request_for_ever() {
+    let mut ledger = QuarantineLedger::default();
+    let report_part = |ledger: &mut QuarantineLedger, body: &str, number: u64| {
+        let report = PartCrashReport {
+            instance: instance(number),
+            digest: digest(body),
+            parts: vec![PromptPart::from_name("suspected")],
+            sent_ago_ms: 20,
+            broke_ago_ms: 0,
+        };
+        ledger.parts.apply_crash(&report, at(100 * number));
+    };
+    report_part(&mut ledger, "other", 1);
+    for number in 2..7 {
+        assert!(!is_quarantined(&ledger, "a", 100 * number), "{number}");
+        report_part(&mut ledger, "a", number);
+        crash_under(&mut ledger, "a", number, at(100 * number));
+    }
+    assert!(is_quarantined(&ledger, "a", 700), "five crashes");
+}
+
 #[test]
 fn a_broken_connection_alone_is_not_a_crash() {
     let mut ledger = QuarantineLedger::default();
